--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that teaselsill meets: for tests and demos only."""
--- /dev/null
+++ b/teaselsill/document.py
@@ -0,0 +1,254 @@
+"""The operators' configuration document: one text that holds their whole intent."""
+
+import collections
+import datetime
+import enum
+import fnmatch
+import functools
+import hashlib
+import typing
+
+import pydantic
+
+from teaselsill import errors, ids, settings
+
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
+]
+KeyHash = typing.Annotated[str, pydantic.Field(pattern=r"^sha256:[0-9a-f]{64}$")]
+
+
+class DocumentError(errors.ConfigurationError):
+    """The document has faults.
+
+    Attributes:
+        faults: One line for each fault, each naming its place in the document.
+    """
+
+    def __init__(self, faults):
+        super().__init__("\n".join(faults))
+        self.faults = list(faults)
+
+
+class ServiceKind(enum.Enum):
+    """The plug-in that speaks to a service's upstreams."""
+
+    COMPLETIONS = "completions"
+    PLAIN = "plain"
+
+
+class Fencing(enum.Enum):
+    """Whether a service's upstreams refuse an order with an old fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+class ClientAccount(settings.Section):
+    """A client account.
+
+    Attributes:
+        id: Its id.
+        share: Its part of a service's capacity, relative to the others' shares.
+        key_hashes: The SHA-256 hashes of its API keys, as `sha256:` and hex digits.
+        services: The services that it may reach.
+        upstreams: If not empty, the only upstreams that it may reach.
+        max_waiting: How many of its requests may wait in one router per service.
+    """
+
+    id: Name
+    share: float = pydantic.Field(gt=0, le=1_000_000)
+    key_hashes: list[KeyHash] = []
+    services: list[Name]
+    upstreams: list[Name] = []
+    max_waiting: int = pydantic.Field(default=256, ge=1)
+
+
+class Unrepeatable(settings.Section):
+    """Calls that may run at most once.
+
+    Attributes:
+        methods: The HTTP methods that the rule covers.
+        path: A pattern for the path at the service; `*` stands for any characters.
+    """
+
+    methods: list[str] = pydantic.Field(min_length=1)
+    path: str = "*"
+
+
+class Target(settings.Section):
+    """A service-level target.
+
+    Attributes:
+        within_s: A request should be answered within this time, in seconds.
+        ratio: The part of the requests that should be, from 0 to 1.
+    """
+
+    within_s: float = pydantic.Field(gt=0)
+    ratio: float = pydantic.Field(gt=0, lt=1)
+
+
+class Service(settings.Section):
+    """A group of like upstreams.
+
+    Attributes:
+        name: Its name.
+        kind: The plug-in that speaks to its upstreams.
+        models: The names of the models that a completions service serves.
+        slots: How many requests one upstream runs at a time.
+        deadline_s: The time that a request may take, in seconds.
+        stall_s: How long a streamed answer may pause, in seconds.
+        unrepeatable: The calls that may run at most once.
+        fencing: Whether its upstreams check fencing numbers.
+        input_weight: The cost of an uncached input token.
+        output_weight: The cost of an output token.
+        expected_cost: The cost that a request is first taken for: tokens, or
+            milliseconds for a plain service.
+        target: The service-level target.
+    """
+
+    name: Name
+    kind: ServiceKind
+    models: list[str] = []
+    slots: int = pydantic.Field(default=8, ge=1, le=4096)
+    deadline_s: float = pydantic.Field(default=60.0, gt=0, le=3600)
+    stall_s: float = pydantic.Field(default=5.0, gt=0)
+    unrepeatable: list[Unrepeatable] = []
+    fencing: Fencing = Fencing.IGNORED
+    input_weight: float = pydantic.Field(default=1.0, ge=0)
+    output_weight: float = pydantic.Field(default=1.0, ge=0)
+    expected_cost: float = pydantic.Field(default=200.0, gt=0)
+    target: Target = Target(within_s=5.0, ratio=0.95)
+
+    def is_repeatable(self, method: str, path: str) -> bool:
+        """Tells whether a call may run more than once."""
+        return not any(
+            method in rule.methods and fnmatch.fnmatchcase(path, rule.path)
+            for rule in self.unrepeatable
+        )
+
+
+class Credits(settings.Section):
+    """Paid-for capacity that lapses.
+
+    Attributes:
+        id: The name of the purchase.
+        service: The service whose capacity was bought.
+        upstreams: The upstreams that the purchase covers; all if empty.
+        amount: What was bought, in the service's unit of cost.
+        lapses: The day after which the rest is lost.
+    """
+
+    id: Name
+    service: Name
+    upstreams: list[Name] = []
+    amount: float = pydantic.Field(gt=0)
+    lapses: datetime.date
+
+
+class Document(settings.Section):
+    """The operators' whole intent.
+
+    Attributes:
+        client_accounts: Who may send requests.
+        services: What is served.
+        credits: The paid-for capacity that lapses.
+        leaving_upstreams: Upstreams that take no new work.
+    """
+
+    client_accounts: list[ClientAccount]
+    services: list[Service]
+    credits: list[Credits] = []
+    leaving_upstreams: list[Name] = []
+
+    @functools.cached_property
+    def account_by_id(self) -> dict[ids.AccountId, ClientAccount]:
+        """The client accounts by their id."""
+        return {ids.AccountId(account.id): account for account in self.client_accounts}
+
+    @functools.cached_property
+    def account_by_key_hash(self) -> dict[str, ClientAccount]:
+        """The client accounts by the hash of each of their API keys."""
+        return {
+            key_hash: account
+            for account in self.client_accounts
+            for key_hash in account.key_hashes
+        }
+
+    @functools.cached_property
+    def service_by_name(self) -> dict[ids.ServiceName, Service]:
+        """The services by their name."""
+        return {ids.ServiceName(service.name): service for service in self.services}
+
+    @functools.cached_property
+    def service_by_model(self) -> dict[str, Service]:
+        """The completions services by the models that they serve."""
+        return {model: service for service in self.services for model in service.models}
+
+    def allows(
+        self,
+        account_id: ids.AccountId,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+    ) -> bool:
+        """Tells whether a client account may reach an upstream of a service."""
+        account = self.account_by_id.get(account_id)
+        if account is None or service not in account.services:
+            return False
+        return not account.upstreams or upstream in account.upstreams
+
+
+def hash_key(key: str) -> str:
+    """Returns the form in which the document holds an API key."""
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse(text: bytes) -> Document:
+    """Reads and checks a document.
+
+    Raises:
+        DocumentError: The document has faults; it names all of them.
+    """
+    try:
+        document = Document.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise DocumentError(settings.describe_faults(error)) from error
+    faults = list(_find_faults(document))
+    if faults:
+        raise DocumentError(faults)
+    return document
+
+
+def _find_faults(document: Document) -> typing.Iterator[str]:
+    yield from _find_repeated(
+        "client_accounts", "id", [account.id for account in document.client_accounts]
+    )
+    yield from _find_repeated("services", "name", [s.name for s in document.services])
+    yield from _find_repeated("credits", "id", [c.id for c in document.credits])
+    yield from _find_repeated(
+        "services", "models", [m for s in document.services for m in s.models]
+    )
+    yield from _find_repeated(
+        "client_accounts",
+        "key_hashes",
+        [key for account in document.client_accounts for key in account.key_hashes],
+    )
+    yield from _find_unknown_services(document)
+
+
+def _find_repeated(place: str, field: str, values: list[str]) -> typing.Iterator[str]:
+    for value, count in collections.Counter(values).items():
+        if count > 1:
+            yield f"{place}: {field} {value!r} stands {count} times"
+
+
+def _find_unknown_services(document: Document) -> typing.Iterator[str]:
+    known = {service.name for service in document.services}
+    for number, account in enumerate(document.client_accounts):
+        for position, name in enumerate(account.services):
+            if name not in known:
+                place = f"client_accounts[{number}].services[{position}]"
+                yield f"{place}: unknown service {name!r}"
+    for number, purchase in enumerate(document.credits):
+        if purchase.service not in known:
+            yield f"credits[{number}].service: unknown service {purchase.service!r}"
--- /dev/null
+++ b/teaselsill/http_log.py
@@ -0,0 +1,89 @@
+"""The plug-in for a log service that is met over HTTP, as in docs/platform.md."""
+
+import aiohttp
+import msgspec
+
+from teaselsill import ids, log, registry
+
+GRACE_S = 2.0
+"""How much longer than the asked wait a reply may take, in seconds."""
+
+
+class _PageBody(msgspec.Struct):
+    end: int
+    records: list["_RecordBody"]
+
+
+class _RecordBody(msgspec.Struct):
+    offset: int
+    data: bytes
+
+
+class _AppendBody(msgspec.Struct):
+    offset: int
+
+
+class _ExpiredBody(msgspec.Struct):
+    earliest: int
+
+
+@registry.register(registry.Kind.LOG, "http")
+class HttpLog(log.Log):
+    """A client of the log service's HTTP interface.
+
+    Args:
+        url: The service's address, such as `http://127.0.0.1:7000`.
+    """
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/")
+        self._session: aiohttp.ClientSession | None = None
+
+    async def append(self, stream: str, data: bytes) -> ids.Offset:
+        """Appends one record; see `Log.append`."""
+        status, body = await self._call("POST", stream, GRACE_S, data=data)
+        if status != 201:
+            raise log.LogUnavailableError(f"append to {stream}: status {status}")
+        return ids.Offset(_decode(body, _AppendBody).offset)
+
+    async def read(
+        self, stream: str, start: ids.Offset, wait_s: float = 0.0, limit: int = 1000
+    ) -> log.Page:
+        """Reads records; see `Log.read`."""
+        params = {"from": str(start), "wait": str(wait_s), "limit": str(limit)}
+        status, body = await self._call("GET", stream, wait_s + GRACE_S, params=params)
+        if status == 410:
+            earliest = _decode(body, _ExpiredBody).earliest
+            raise log.OffsetExpiredError(ids.Offset(earliest))
+        if status != 200:
+            raise log.LogUnavailableError(f"read of {stream}: status {status}")
+        page = _decode(body, _PageBody)
+        records = [log.Record(ids.Offset(r.offset), r.data) for r in page.records]
+        return log.Page(records, ids.Offset(page.end))
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(self, method, stream, timeout_s, **arguments):
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        url = f"{self._url}/streams/{stream}"
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.request(
+                method, url, timeout=timeout, **arguments
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise log.LogUnavailableError(
+                f"{method} {stream}: {error or type(error).__name__}"
+            ) from error
+
+
+def _decode(body, kind):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise log.LogUnavailableError(f"unreadable reply: {error}") from error
--- /dev/null
+++ b/teaselsill/log.py
@@ -0,0 +1,152 @@
+"""The platform's append-only log service: its interface, and one held in memory."""
+
+import abc
+import asyncio
+import dataclasses
+
+from teaselsill import errors, ids
+
+
+class LogUnavailableError(errors.LogError):
+    """The log service did not answer; for an append, it may have taken effect."""
+
+
+class OffsetExpiredError(errors.LogError):
+    """The records at the offset are no longer kept.
+
+    Attributes:
+        earliest: The first offset that can still be read.
+    """
+
+    def __init__(self, earliest: ids.Offset):
+        super().__init__(f"records before offset {earliest} have expired")
+        self.earliest = earliest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One record of a stream.
+
+    Attributes:
+        offset: Its place in the stream.
+        data: The appended bytes.
+    """
+
+    offset: ids.Offset
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Some consecutive records and the end of the stream.
+
+    Attributes:
+        records: Records in order, from the offset that was asked for.
+        end: The offset that the next append will get.
+    """
+
+    records: list[Record]
+    end: ids.Offset
+
+
+class Log(abc.ABC):
+    """An append-only log service with numbered streams."""
+
+    @abc.abstractmethod
+    async def append(self, stream: str, data: bytes) -> ids.Offset:
+        """Appends one record and returns its offset.
+
+        Raises:
+            LogUnavailableError: No reply came; the record may be there all the same.
+        """
+
+    @abc.abstractmethod
+    async def read(
+        self, stream: str, start: ids.Offset, wait_s: float = 0.0, limit: int = 1000
+    ) -> Page:
+        """Reads records from an offset on.
+
+        Args:
+            stream: The name of the stream; an unknown one is empty.
+            start: The first offset that is wanted.
+            wait_s: How long to wait, in seconds, while there is no such record.
+            limit: The largest number of records to return.
+
+        Raises:
+            OffsetExpiredError: `start` lies before the first record that is kept.
+            LogUnavailableError: No reply came.
+        """
+
+    async def read_to_end(self, stream: str, start: ids.Offset) -> Page:
+        """Reads all records from an offset to the end of the stream."""
+        records = []
+        while True:
+            page = await self.read(stream, start)
+            records.extend(page.records)
+            if not page.records or page.records[-1].offset + 1 >= page.end:
+                return Page(records, page.end)
+            start = ids.Offset(page.records[-1].offset + 1)
+
+    async def close(self) -> None:
+        """Frees what the client holds."""
+
+
+class MemoryLog(Log):
+    """A log held in memory, for tests: with faults that can be switched on.
+
+    Attributes:
+        down: While true, every call fails without effect.
+        lose_replies: While true, an append takes effect but its reply is lost.
+    """
+
+    def __init__(self):
+        self.down = False
+        self.lose_replies = False
+        self._records_by_stream: dict[str, list[bytes]] = {}
+        self._earliest_by_stream: dict[str, int] = {}
+        self._changed = asyncio.Event()
+
+    async def append(self, stream: str, data: bytes) -> ids.Offset:
+        """Appends one record; see `Log.append`."""
+        self._check_up()
+        records = self._records_by_stream.setdefault(stream, [])
+        records.append(data)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self.lose_replies:
+            raise LogUnavailableError("the reply to an append was lost")
+        return ids.Offset(len(records) - 1)
+
+    async def read(
+        self, stream: str, start: ids.Offset, wait_s: float = 0.0, limit: int = 1000
+    ) -> Page:
+        """Reads records; see `Log.read`."""
+        self._check_up()
+        if wait_s and start >= len(self._records_by_stream.get(stream, [])):
+            await self._wait_for_change(wait_s)
+            self._check_up()
+        records = self._records_by_stream.get(stream, [])
+        earliest = self._earliest_by_stream.get(stream, 0)
+        if start < earliest:
+            raise OffsetExpiredError(ids.Offset(earliest))
+        chosen = [
+            Record(ids.Offset(offset), records[offset])
+            for offset in range(start, min(start + limit, len(records)))
+        ]
+        return Page(chosen, ids.Offset(len(records)))
+
+    def expire(self, stream: str, before: ids.Offset) -> None:
+        """Drops the records of a stream before an offset."""
+        self._earliest_by_stream[stream] = before
+
+    async def _wait_for_change(self, wait_s: float) -> None:
+        changed = self._changed
+        try:
+            async with asyncio.timeout(wait_s):
+                await changed.wait()
+        except TimeoutError:
+            pass
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise LogUnavailableError("the log service is down")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package."""
