--- /dev/null
+++ b/teaselsill/answers.py
@@ -0,0 +1,260 @@
+"""Delivers a whole answer from an agent to a router across lost connections."""
+
+import asyncio
+import collections
+import typing
+
+from teaselsill import errors, ids, messages
+
+FRAME_OVERHEAD_BYTES = 128
+"""What a buffered frame is counted for beside its data."""
+
+Frame = messages.Head | messages.Body | messages.End
+Send = typing.Callable[[messages.Message], object]
+
+
+class AnswerError(errors.TeaselsillError):
+    """An answer was used against its protocol."""
+
+
+class AnswerEndedError(AnswerError):
+    """A frame was added to an answer that has ended."""
+
+
+class SequenceError(errors.LinkError):
+    """A peer named a sequence number that is no longer, or not yet, held."""
+
+
+class GapError(errors.LinkError):
+    """A frame arrived before the frames that come before it.
+
+    Attributes:
+        expected: The sequence number to resume from.
+    """
+
+    def __init__(self, attempt: ids.AttemptId, expected: int, received: int):
+        super().__init__(f"{attempt}: frame {received} came, {expected} is missing")
+        self.expected = expected
+
+
+class TruncatedAnswerError(errors.InvariantError):
+    """An answer was about to pass for complete with another count of frames."""
+
+
+class CrossedAnswerError(errors.InvariantError):
+    """A frame of another attempt was about to enter an answer."""
+
+
+def sequence_of(frame: Frame) -> int:
+    """Returns the sequence number of a frame."""
+    match frame:
+        case messages.Head():
+            return 0
+        case messages.Body(sequence=sequence) | messages.End(sequence=sequence):
+            return sequence
+    raise TypeError(f"not a frame of an answer: {type(frame).__name__}")
+
+
+class Answer:
+    """The agent's side: buffers frames until the router acknowledges them.
+
+    Args:
+        attempt: The attempt that is answered.
+        window_bytes: How much may stay unacknowledged before `put_body` waits.
+    """
+
+    def __init__(self, attempt: ids.AttemptId, window_bytes: int):
+        self.attempt = attempt
+        self._window_bytes = window_bytes
+        self._frames: collections.deque[Frame] = collections.deque()
+        self._first = 0
+        self._unacknowledged_bytes = 0
+        self._ended = False
+        self._send: Send | None = None
+        self._has_room = asyncio.Event()
+        self._has_room.set()
+        self._delivered = asyncio.Event()
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """The size of the buffered frames, with their overhead, in bytes."""
+        return self._unacknowledged_bytes
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the end mark has been added."""
+        return self._ended
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the router has acknowledged the end mark."""
+        return self._delivered.is_set()
+
+    async def put_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Adds the status and the headers, which come before any body."""
+        if self._next_sequence:
+            raise AnswerError(f"{self.attempt}: the head must come first, and once")
+        self._add(messages.Head(self.attempt, status, headers))
+
+    async def put_body(self, data: bytes) -> None:
+        """Adds a piece of the body once the window has room for it.
+
+        Raises:
+            AnswerEndedError: The answer has ended, perhaps during the wait.
+        """
+        while not self._ended and self._unacknowledged_bytes > self._window_bytes:
+            self._has_room.clear()
+            await self._has_room.wait()
+        if not self._next_sequence:
+            raise AnswerError(f"{self.attempt}: a body needs a head before it")
+        if data:
+            self._add(messages.Body(self.attempt, self._next_sequence, data))
+
+    def end(self, outcome: messages.Outcome, reason: messages.Reason) -> None:
+        """Adds the end mark, which counts the frames before it."""
+        self._add(messages.End(self.attempt, self._next_sequence, outcome, reason))
+        self._ended = True
+        self._has_room.set()
+
+    def attach(self, send: Send, from_sequence: int) -> None:
+        """Sends all frames from a sequence number on over a connection.
+
+        The router has every frame before that number, so they are acknowledged.
+        A later call replaces the connection.
+
+        Raises:
+            SequenceError: The frames from that number on are not held.
+        """
+        if not self._first <= from_sequence <= self._next_sequence:
+            raise SequenceError(f"{self.attempt}: cannot resume from {from_sequence}")
+        self.acknowledge(from_sequence - 1)
+        self._send = send
+        for frame in list(self._frames):
+            self._transmit(frame)
+
+    def detach(self, send: Send) -> None:
+        """Stops sending over a connection, unless another has replaced it."""
+        if self._send == send:
+            self._send = None
+
+    def acknowledge(self, through: int) -> None:
+        """Frees the frames up to and with a sequence number.
+
+        Raises:
+            SequenceError: There is no such frame yet.
+        """
+        if through >= self._next_sequence:
+            raise SequenceError(f"{self.attempt}: frame {through} was not sent")
+        while self._first <= through:
+            self._unacknowledged_bytes -= _size_of(self._frames.popleft())
+            self._first += 1
+        if self._unacknowledged_bytes <= self._window_bytes:
+            self._has_room.set()
+        if self._ended and not self._frames:
+            self._delivered.set()
+
+    async def wait_delivered(self, timeout_s: float) -> bool:
+        """Waits until the end mark is acknowledged; tells whether it was in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._delivered.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    @property
+    def _next_sequence(self):
+        return self._first + len(self._frames)
+
+    def _add(self, frame):
+        if self._ended:
+            raise AnswerEndedError(f"{self.attempt}: the answer has ended")
+        self._frames.append(frame)
+        self._unacknowledged_bytes += _size_of(frame)
+        self._transmit(frame)
+
+    def _transmit(self, frame):
+        if self._send is None:
+            return
+        try:
+            self._send(frame)
+        except errors.LinkError:
+            self._send = None
+
+
+class Assembly:
+    """The router's side: puts the frames of one attempt in order, each once.
+
+    Attributes:
+        attempt: The attempt that is answered.
+        next_sequence: The sequence number of the next frame: resume from here.
+        end: The end mark, once it has come.
+    """
+
+    def __init__(self, attempt: ids.AttemptId):
+        self.attempt = attempt
+        self.next_sequence = 0
+        self.end: messages.End | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the end mark and every frame that it counts have come."""
+        return self.end is not None and self.end.sequence + 1 == self.next_sequence
+
+    def take(self, frame: Frame) -> list[Frame]:
+        """Takes a frame from any connection and returns it if it is new.
+
+        Raises:
+            CrossedAnswerError: The frame belongs to another attempt.
+            GapError: A frame before it is missing; resume from `next_sequence`.
+            TruncatedAnswerError: It contradicts the count of the end mark.
+        """
+        if frame.attempt != self.attempt:
+            raise CrossedAnswerError(f"{self.attempt}: got a frame of {frame.attempt}")
+        sequence = sequence_of(frame)
+        self._check_count(frame, sequence)
+        if sequence < self.next_sequence:
+            return []
+        if sequence > self.next_sequence or _lacks_head(frame):
+            raise GapError(self.attempt, self.next_sequence, sequence)
+        self.next_sequence += 1
+        if isinstance(frame, messages.End):
+            self.end = frame
+        return [frame]
+
+    def check_complete(self) -> None:
+        """Checks, before the caller's body is closed, that the answer is complete.
+
+        Raises:
+            TruncatedAnswerError: It is not.
+        """
+        if not self.is_complete:
+            raise TruncatedAnswerError(
+                f"{self.attempt}: ended after {self.next_sequence} frames without "
+                "an end mark that counts them"
+            )
+
+    def _check_count(self, frame, sequence):
+        match frame:
+            case messages.End():
+                fits = sequence >= self.next_sequence or frame == self.end
+            case _:
+                fits = self.end is None or sequence < self.end.sequence
+        if not fits:
+            raise TruncatedAnswerError(
+                f"{self.attempt}: frame {sequence} contradicts the end mark"
+            )
+
+
+def _lacks_head(frame):
+    return isinstance(frame, messages.Body) and frame.sequence == 0
+
+
+def _size_of(frame):
+    match frame:
+        case messages.Head(headers=headers):
+            text_bytes = sum(len(name) + len(value) for name, value in headers)
+            return FRAME_OVERHEAD_BYTES + text_bytes
+        case messages.Body(data=data):
+            return FRAME_OVERHEAD_BYTES + len(data)
+    return FRAME_OVERHEAD_BYTES
