--- /dev/null
+++ b/teaselsill/logs.py
@@ -0,0 +1,80 @@
+"""Log lines as JSON objects on standard error."""
+
+import dataclasses
+import logging
+import sys
+
+from pythonjsonlogger import json as json_logger
+
+from teaselsill import ids, instances, messages
+
+FORMAT = "{levelname}{name}{message}"
+RENAMED_FIELDS = {"levelname": "level", "name": "logger"}
+
+NO_ACCOUNT = ids.AccountId("")
+NO_SERVICE = ids.ServiceName("")
+NO_UPSTREAM = ids.UpstreamId("")
+
+
+def configure(
+    level: str, role: instances.Role | str, instance: ids.InstanceId | str
+) -> None:
+    """Sends all log records to standard error, one JSON object a line.
+
+    Args:
+        level: The least level that is written, such as `INFO`.
+        role: What this process does; a field of every line.
+        instance: The name of this instance; a field of every line.
+    """
+    role_name = role.value if isinstance(role, instances.Role) else role
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(build_formatter(role_name, instance))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
+
+
+def build_formatter(role: str, instance: str) -> logging.Formatter:
+    """Returns the formatter that writes a record as one JSON object."""
+    return json_logger.JsonFormatter(
+        FORMAT,
+        style="{",
+        timestamp=True,
+        rename_fields=RENAMED_FIELDS,
+        static_fields={"role": role, "instance": instance},
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestLine:
+    """The one log line of a caller's request.
+
+    Attributes:
+        request: The request's id.
+        account: The client account; empty if it is not known.
+        service: The service that was asked for; empty if it is not known.
+        upstream: The upstream that ran the request; empty if none did.
+        method: The HTTP method.
+        status: The HTTP status that the caller got.
+        outcome: What is known of the run.
+        reason: Why the answer is not whole, or why the request was refused.
+        duration_s: The time from the request's head to the answer's end, in seconds.
+        attempts: How many times the request was handed to an agent.
+    """
+
+    request: ids.RequestId
+    outcome: messages.Outcome
+    duration_s: float
+    account: ids.AccountId = NO_ACCOUNT
+    service: ids.ServiceName = NO_SERVICE
+    upstream: ids.UpstreamId = NO_UPSTREAM
+    method: str = ""
+    status: int = 0
+    reason: str = ""
+    attempts: int = 0
+
+    def write(self, logger: logging.Logger) -> None:
+        """Writes the line at level INFO."""
+        fields = dataclasses.asdict(self)
+        fields["outcome"] = self.outcome.value
+        logger.info("request", extra=fields)
