--- /dev/null
+++ b/teaselsill/agent.py
@@ -0,0 +1,604 @@
+"""An agent: owns an upstream's slots, chooses who goes next, runs the requests."""
+
+import asyncio
+import hashlib
+import logging
+import time
+
+from teaselsill import (
+    answers,
+    attempts,
+    backlog,
+    claims,
+    counters,
+    digest,
+    document,
+    errors,
+    ids,
+    invariants,
+    link,
+    messages,
+    meter,
+    metrics,
+    policies,
+    router_peer,
+    slots,
+    upstream,
+)
+
+WINDOW_BYTES = 256 * 1024
+"""How much of an answer may stay unacknowledged before the upstream is held back."""
+MAX_ATTEMPTS = 100_000
+ATTEMPT_RETENTION_S = 600.0
+ORPHAN_S = 30.0
+"""How long an answer is kept for a router that does not come back."""
+PAUSE_MIN_S = 0.1
+PAUSE_MAX_S = 2.0
+"""How long no slots are offered after the upstream could not be reached."""
+
+logger = logging.getLogger(__name__)
+
+
+class DispatchRefusedError(errors.RequestError):
+    """A dispatch is refused before anything has run.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When another attempt is worth while, in seconds.
+    """
+
+    def __init__(self, reason: messages.Reason, retry_after_s: float = 0.0):
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Agent:
+    """The process beside one upstream, and the only way to it.
+
+    Args:
+        me: Who this agent is.
+        secret: The secret that all peers know.
+        service: The service that the upstream belongs to.
+        upstream_id: The upstream's id.
+        upstream_client: Speaks to the upstream.
+        follower: The configuration.
+        ledger: Claims the requests that may not be repeated.
+        known: The counters of the service.
+        exchange: This agent's place in the digest tree.
+        policy: Chooses who goes next.
+        sink: Takes the metrics.
+
+    Attributes:
+        slots: The upstream's slots.
+        is_leaving: Whether the agent takes no new work.
+        served_cost: The cost served in this run, in the service's unit.
+    """
+
+    def __init__(
+        self,
+        me: link.Identity,
+        secret: bytes,
+        service: ids.ServiceName,
+        upstream_id: ids.UpstreamId,
+        upstream_client: upstream.Upstream,
+        follower,
+        ledger: claims.Ledger,
+        known: counters.Counters,
+        exchange: digest.Exchange,
+        policy: policies.Policy,
+        sink: metrics.Metrics,
+    ):
+        self.slots = slots.Slots()
+        self.is_leaving = False
+        self.served_cost = 0.0
+        self.control_bytes_by_type: dict[str, int] = {}
+        self._me = me
+        self._secret = secret
+        self._service = service
+        self._upstream_id = upstream_id
+        self._upstream = upstream_client
+        self._follower = follower
+        self._ledger = ledger
+        self._counters = known
+        self._exchange = exchange
+        self._policy = policy
+        self._metrics = sink
+        self._attempts = attempts.Attempts(
+            MAX_ATTEMPTS, ATTEMPT_RETENTION_S, time.monotonic
+        )
+        self._peers: set[router_peer.RouterPeer] = set()
+        self._answer_by_attempt: dict[ids.AttemptId, answers.Answer] = {}
+        self._task_by_attempt: dict[ids.AttemptId, asyncio.Task] = {}
+        self._repeatable: set[ids.AttemptId] = set()
+        self._paused_until = 0.0
+        self._pause_s = PAUSE_MIN_S
+        self._idle = asyncio.Event()
+        follower.subscribe(lambda *_: self._apply_configuration())
+        self._apply_configuration()
+
+    @property
+    def upstream_id(self) -> ids.UpstreamId:
+        """The upstream beside this agent."""
+        return self._upstream_id
+
+    @property
+    def service(self) -> ids.ServiceName:
+        """The service that the upstream belongs to."""
+        return self._service
+
+    @property
+    def counters(self) -> counters.Counters:
+        """The counters of the service."""
+        return self._counters
+
+    @property
+    def peers(self) -> set[router_peer.RouterPeer]:
+        """The connected peers."""
+        return self._peers
+
+    async def accept(self, reader, writer) -> None:
+        """Serves one connection until it ends."""
+        try:
+            connected = await link.accept(reader, writer, self._secret, self._me)
+        except errors.LinkError as error:
+            self._metrics.count(metrics.Metric.PEERS_REFUSED)
+            logger.warning("peer refused: %s: %s", type(error).__name__, error)
+            return
+        peer = router_peer.RouterPeer(connected)
+        self._peers.add(peer)
+        try:
+            await self._converse(peer)
+        except errors.LinkError as error:
+            logger.info("link to %s: %s", connected.peer.instance, error)
+        finally:
+            self._drop(peer)
+
+    async def leave(self) -> None:
+        """Takes no new work, and returns when every running answer is delivered."""
+        self.is_leaving = True
+        for peer in self._peers:
+            peer.link.send(messages.Leaving())
+        for grant in list(self.slots.offer_by_grant):
+            self._end_offer(grant)
+        while self._answer_by_attempt or self._task_by_attempt:
+            self._idle.clear()
+            await self._idle.wait()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for peer in list(self._peers):
+            peer.link.close()
+        await self._upstream.close()
+
+    # Connections
+
+    async def _converse(self, peer: router_peer.RouterPeer) -> None:
+        if self.is_leaving:
+            peer.link.send(messages.Leaving())
+        while True:
+            received = await peer.link.receive(
+                lambda: peer.is_busy, lambda: self._follower.version
+            )
+            for message in received:
+                self._take_checked(peer, message)
+            self._grant_free_slots()
+            await peer.link.drain()
+
+    def _take_checked(self, peer, message) -> None:
+        try:
+            self._take(peer, message)
+        except errors.InvariantError as error:
+            invariants.report(error, reraise=False, sink=self._metrics)
+            raise link.UnexpectedMessageError(str(error)) from error
+
+    def _take(self, peer: router_peer.RouterPeer, message) -> None:
+        match message:
+            case messages.Demand():
+                peer.take_demand(message)
+            case messages.Dispatch():
+                self._take_dispatch(peer, message)
+            case messages.Decline(grant=grant):
+                self._take_decline(peer, grant)
+            case messages.Ack(attempt=attempt, through=through):
+                self._take_ack(attempt, through)
+            case messages.Cancel(attempt=attempt):
+                self._cancel(attempt)
+            case messages.Resume(attempt=attempt, sequence=sequence):
+                self._resume(peer, attempt, sequence)
+            case messages.Report():
+                self._exchange.take(peer.link, message)
+            case messages.Ping(version=version) | messages.Pong(version=version):
+                if version > self._follower.version:
+                    peer.link.send(messages.DocumentWanted())
+            case messages.DocumentWanted():
+                self._hand_over(peer)
+            case messages.DocumentHandover(version=version, document=text):
+                self._follower.offer(version, text)
+            case _:
+                raise link.UnexpectedMessageError(type(message).__name__)
+
+    def _hand_over(self, peer: router_peer.RouterPeer) -> None:
+        peer.link.send(
+            messages.DocumentHandover(self._follower.version, self._follower.text)
+        )
+
+    def _drop(self, peer: router_peer.RouterPeer) -> None:
+        peer.link.abort()
+        self._peers.discard(peer)
+        self._exchange.forget(peer.link)
+        for name, sent in peer.link.bytes_sent_by_type.items():
+            total = self.control_bytes_by_type.get(name, 0) + sent
+            self.control_bytes_by_type[name] = total
+        for grant, offer in list(self.slots.offer_by_grant.items()):
+            if offer.holder is peer:
+                self._end_offer(grant)
+        for attempt in peer.attempts:
+            answer = self._answer_by_attempt.get(attempt)
+            if answer is not None:
+                answer.detach(peer.link.send)
+                asyncio.get_running_loop().call_later(
+                    ORPHAN_S, self._drop_orphan, attempt, answer
+                )
+        self._grant_free_slots()
+
+    # Who goes next
+
+    def _apply_configuration(self) -> None:
+        known = self._follower.document
+        service = known.service_by_name.get(self._service) if known else None
+        self.slots.resize(service.slots if service else 0)
+        if service is not None:
+            self._grant_free_slots()
+
+    def _service_now(self) -> document.Service | None:
+        known = self._follower.document
+        return known.service_by_name.get(self._service) if known else None
+
+    def _may_grant(self) -> bool:
+        if self.is_leaving or time.monotonic() < self._paused_until:
+            return False
+        known = self._follower.document
+        return known is not None and self._upstream_id not in known.leaving_upstreams
+
+    def _grant_free_slots(self) -> None:
+        """Offers every free slot to the client account whose turn it is."""
+        backlogged = {a for peer in self._peers for a in peer.demand_by_account}
+        self._counters.set_backlogged(backlogged)
+        service = self._service_now()
+        while service and self._may_grant() and self.slots.free > 0:
+            candidates = self._list_candidates(service)
+            if not candidates:
+                return
+            self._grant(self._policy.choose(candidates, self._counters))
+
+    def _list_candidates(self, service: document.Service) -> list[policies.Candidate]:
+        known = self._follower.document
+        since_by_account: dict[ids.AccountId, float] = {}
+        for peer in self._peers:
+            for account, demanded in peer.demand_by_account.items():
+                since = since_by_account.get(account, demanded.since)
+                since_by_account[account] = min(since, demanded.since)
+        now = time.monotonic()
+        return [
+            policies.Candidate(
+                account,
+                int((now - since) * 1000),
+                service.expected_cost / known.account_by_id[account].share,
+            )
+            for account, since in since_by_account.items()
+            if known.allows(account, self._service, self._upstream_id)
+        ]
+
+    def _grant(self, candidate: policies.Candidate) -> None:
+        """Offers a slot to the router that holds the account's oldest request."""
+        holders = [p for p in self._peers if candidate.account in p.demand_by_account]
+        peer = min(holders, key=lambda p: p.demand_by_account[candidate.account].since)
+        peer.take_one(candidate.account)
+        self._counters.reserve(candidate.account, candidate.expected)
+        offer = self.slots.offer(candidate.account, peer, candidate.expected)
+        self._metrics.count(metrics.Metric.GRANTS)
+        peer.link.send(messages.Grant(offer.grant, candidate.account))
+        asyncio.get_running_loop().call_later(
+            slots.GRANT_LIFETIME_S, self._expire_offer, offer.grant
+        )
+
+    def _end_offer(self, grant: ids.GrantId) -> bool:
+        offer = self.slots.withdraw(grant)
+        if offer is None:
+            return False
+        self._counters.release(offer.account, offer.expected)
+        return True
+
+    def _expire_offer(self, grant: ids.GrantId) -> None:
+        if self._end_offer(grant):
+            self._metrics.count(metrics.Metric.GRANTS_EXPIRED)
+            self._grant_free_slots()
+
+    def _take_decline(self, peer: router_peer.RouterPeer, grant: ids.GrantId) -> None:
+        offer = self.slots.offer_by_grant.get(grant)
+        if offer is not None and offer.holder is peer:
+            self._end_offer(grant)
+            peer.demand_by_account.pop(offer.account, None)
+            self._metrics.count(metrics.Metric.GRANTS_DECLINED)
+
+    # Attempts
+
+    def _take_dispatch(self, peer, dispatch: messages.Dispatch) -> None:
+        try:
+            offer = self._check_dispatch(peer, dispatch)
+        except DispatchRefusedError as error:
+            self._refuse(peer, dispatch.attempt, error.reason, error.retry_after_s)
+            return
+        answer = answers.Answer(dispatch.attempt, WINDOW_BYTES)
+        answer.attach(peer.link.send, 0)
+        peer.attempts.add(dispatch.attempt)
+        self._answer_by_attempt[dispatch.attempt] = answer
+        if dispatch.repeatable:
+            self._repeatable.add(dispatch.attempt)
+        deadline = time.monotonic() + dispatch.budget_ms / 1000
+        self._task_by_attempt[dispatch.attempt] = asyncio.create_task(
+            self._run(peer, dispatch, answer, offer, deadline)
+        )
+
+    def _check_dispatch(self, peer, dispatch: messages.Dispatch) -> slots.Offer:
+        """Returns the offer that a dispatch uses up.
+
+        Raises:
+            DispatchRefusedError: The attempt must not run.
+        """
+        offer = self.slots.accept(dispatch.grant, peer)
+        if offer is None:
+            raise DispatchRefusedError(messages.Reason.GRANT_EXPIRED)
+        try:
+            self._check_rules(peer, dispatch)
+            self._attempts.begin(dispatch.attempt)
+        except DispatchRefusedError:
+            self._free(offer)
+            raise
+        except attempts.AttemptError as error:
+            self._free(offer)
+            raise link.UnexpectedMessageError(
+                f"attempt {dispatch.attempt}: {type(error).__name__}"
+            ) from error
+        return offer
+
+    def _check_rules(self, peer, dispatch: messages.Dispatch) -> None:
+        if self.is_leaving:
+            raise DispatchRefusedError(messages.Reason.LEAVING)
+        if dispatch.version < self._follower.version:
+            self._hand_over(peer)
+            raise DispatchRefusedError(messages.Reason.OLD_CONFIGURATION)
+        if dispatch.version > self._follower.version:
+            peer.link.send(messages.DocumentWanted())
+            raise DispatchRefusedError(messages.Reason.OLD_CONFIGURATION)
+        known = self._follower.document
+        if not known.allows(dispatch.account, self._service, self._upstream_id):
+            raise DispatchRefusedError(messages.Reason.NOT_ALLOWED)
+
+    def _free(self, offer: slots.Offer) -> None:
+        self._counters.release(offer.account, offer.expected)
+        self.slots.release()
+
+    def _refuse(self, peer, attempt, reason, retry_after_s: float = 0.0) -> None:
+        """Tells a router that an attempt has not run, and sees that it never will."""
+        if self._attempts.refuse(attempt):
+            peer.link.send(
+                messages.NotRun(attempt, reason, int(retry_after_s * 1000))
+            )
+        else:
+            end = messages.End(
+                attempt, 0, messages.Outcome.UNKNOWN, messages.Reason.ANSWER_DROPPED
+            )
+            peer.link.send(end)
+
+    async def _run(self, peer, dispatch, answer, offer, deadline: float) -> None:
+        """Runs one attempt to its end; its slot is free when the upstream is done."""
+        used = meter.Meter(
+            self._counters, self._policy, offer, self._follower.document
+        )
+        try:
+            async with asyncio.timeout_at(_loop_time(deadline)):
+                await self._run_order(dispatch, answer, used, deadline)
+        except _NotRun as error:
+            self._forget_run(answer)
+            self._answer_not_run(peer, dispatch, error)
+        except TimeoutError:
+            _end(answer, messages.Reason.DEADLINE)
+        except upstream.StreamStalledError:
+            _end(answer, messages.Reason.STREAM_STALLED)
+        except errors.TeaselsillError as error:
+            logger.warning("attempt %s failed: %s", dispatch.attempt, error)
+            _end(answer, messages.Reason.UPSTREAM_FAILED)
+        except asyncio.CancelledError:
+            _end(answer, messages.Reason.CANCELLED)
+        except Exception:
+            logger.exception("attempt %s failed", dispatch.attempt)
+            _end(answer, messages.Reason.UPSTREAM_FAILED)
+        finally:
+            self._finish(dispatch, answer, used)
+
+    async def _run_order(self, dispatch, answer, used, deadline: float) -> None:
+        """Claims the request if it may not be repeated, then sends it."""
+        claimed = None
+        if dispatch.key and not dispatch.repeatable:
+            claimed = await self._claim(dispatch, answer)
+            if claimed is None:
+                return
+        order = _make_order(dispatch, deadline, claimed)
+        if time.monotonic() >= deadline:
+            raise _NotRun(messages.Reason.DEADLINE)
+        try:
+            stored = await self._send(order, answer, used)
+        except upstream.UpstreamUnreachableError as error:
+            logger.warning("upstream unreachable: %s", error)
+            await self._release(claimed)
+            self._pause()
+            raise _NotRun(messages.Reason.UPSTREAM_UNREACHABLE) from error
+        except upstream.UpstreamRefusedError as error:
+            await self._release(claimed)
+            raise _NotRun(messages.Reason.UPSTREAM_FAILED) from error
+        self._pause_s = PAUSE_MIN_S
+        if claimed is not None:
+            await self._ledger.record_ran(claimed, stored)
+        answer.end(messages.Outcome.RAN, messages.Reason.NONE)
+
+    async def _claim(self, dispatch, answer) -> claims.Claimed | None:
+        """Claims a key, or answers from what is known of it and returns none."""
+        try:
+            found = await self._ledger.claim(
+                dispatch.account, dispatch.key, _digest_request(dispatch)
+            )
+        except claims.KeyReusedError:
+            answer.end(messages.Outcome.NOT_RUN, messages.Reason.KEY_REUSED)
+            return None
+        except claims.ClaimError as error:
+            logger.warning("claim failed: %s", error)
+            raise _NotRun(messages.Reason.LOG_UNAVAILABLE) from error
+        match found:
+            case claims.Claimed():
+                return found
+            case claims.AlreadyRan(answer=None):
+                answer.end(messages.Outcome.RAN, messages.Reason.KEY_RAN)
+            case claims.AlreadyRan(answer=stored):
+                await answer.put_head(stored.status, stored.headers)
+                await answer.put_body(stored.body)
+                answer.end(messages.Outcome.RAN, messages.Reason.NONE)
+            case claims.InProgress():
+                answer.end(messages.Outcome.UNKNOWN, messages.Reason.KEY_IN_PROGRESS)
+        self._metrics.count(metrics.Metric.CLAIMS_REPEATED)
+        return None
+
+    async def _release(self, claimed) -> None:
+        if claimed is not None:
+            await self._ledger.release(claimed)
+
+    async def _send(self, order, answer, used: meter.Meter) -> claims.StoredAnswer:
+        """Sends the order to the upstream and its answer to the router."""
+        status = 0
+        headers = []
+        kept = bytearray()
+        async for event in self._upstream.run(order, self._service_now()):
+            match event:
+                case upstream.Started(status=status, headers=headers):
+                    await answer.put_head(status, headers)
+                case upstream.Piece(data=data, cost=cost):
+                    used.add(cost)
+                    if len(kept) <= claims.MAX_STORED_BODY_BYTES:
+                        kept += data
+                    await answer.put_body(data)
+                case upstream.Finished(cost=cost):
+                    used.add(cost)
+        return claims.StoredAnswer(status, headers, bytes(kept))
+
+    def _answer_not_run(self, peer, dispatch, error: "_NotRun") -> None:
+        """Says that an attempt has not run, over whichever link there is now."""
+        message = messages.NotRun(dispatch.attempt, error.reason, 0)
+        for other in self._peers:
+            if dispatch.attempt in other.attempts:
+                other.link.send(message)
+
+    def _forget_run(self, answer: answers.Answer) -> None:
+        self._answer_by_attempt.pop(answer.attempt, None)
+
+    def _finish(self, dispatch, answer, used: meter.Meter) -> None:
+        used.close()
+        self.served_cost += used.cost
+        self._metrics.count(metrics.Metric.COST_SERVED, round(used.cost))
+        self.slots.release()
+        self._attempts.end(dispatch.attempt)
+        self._task_by_attempt.pop(dispatch.attempt, None)
+        self._repeatable.discard(dispatch.attempt)
+        if answer.is_delivered:
+            self._forget_answer(dispatch.attempt)
+        self._note_idle()
+        self._grant_free_slots()
+
+    def _take_ack(self, attempt: ids.AttemptId, through: int) -> None:
+        answer = self._answer_by_attempt.get(attempt)
+        if answer is None:
+            return
+        answer.acknowledge(through)
+        if answer.is_delivered:
+            self._forget_answer(attempt)
+
+    def _forget_answer(self, attempt: ids.AttemptId) -> None:
+        self._answer_by_attempt.pop(attempt, None)
+        for peer in self._peers:
+            peer.attempts.discard(attempt)
+        self._note_idle()
+
+    def _note_idle(self) -> None:
+        if not self._answer_by_attempt and not self._task_by_attempt:
+            self._idle.set()
+
+    def _cancel(self, attempt: ids.AttemptId) -> None:
+        """Stops an attempt that nobody waits for, unless it may not be repeated."""
+        if attempt in self._repeatable and attempt in self._task_by_attempt:
+            self._task_by_attempt[attempt].cancel()
+        answer = self._answer_by_attempt.get(attempt)
+        if answer is not None:
+            answer.discard()
+        self._forget_answer(attempt)
+
+    def _drop_orphan(self, attempt: ids.AttemptId, answer: answers.Answer) -> None:
+        is_held = any(attempt in peer.attempts for peer in self._peers)
+        if self._answer_by_attempt.get(attempt) is answer and not is_held:
+            self._cancel(attempt)
+
+    def _resume(self, peer, attempt: ids.AttemptId, sequence: int) -> None:
+        answer = self._answer_by_attempt.get(attempt)
+        if answer is None:
+            self._refuse(peer, attempt, messages.Reason.NEVER_SEEN)
+            return
+        for other in self._peers:
+            other.attempts.discard(attempt)
+        peer.attempts.add(attempt)
+        self._metrics.count(metrics.Metric.ATTEMPTS_RESUMED)
+        answer.attach(peer.link.send, sequence)
+
+    def _pause(self) -> None:
+        """Offers no slots for a while, after the upstream could not be reached."""
+        self._paused_until = time.monotonic() + self._pause_s
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._pause_s, self._grant_free_slots)
+        self._pause_s = min(self._pause_s * 2, PAUSE_MAX_S)
+
+
+class _NotRun(errors.RequestError):
+    """An accepted attempt turns out not to run."""
+
+    def __init__(self, reason: messages.Reason):
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+def _end(answer: answers.Answer, reason: messages.Reason) -> None:
+    if not answer.is_ended:
+        answer.end(messages.Outcome.UNKNOWN, reason)
+
+
+def _make_order(dispatch, deadline: float, claimed) -> upstream.Order:
+    return upstream.Order(
+        request=dispatch.request,
+        method=dispatch.method,
+        path=dispatch.path,
+        headers=dispatch.headers,
+        body=dispatch.body,
+        deadline=deadline,
+        repeatable=dispatch.repeatable,
+    )
+
+
+def _digest_request(dispatch: messages.Dispatch) -> bytes:
+    """Returns a digest of what the request asks for."""
+    covered = hashlib.blake2b(digest_size=16)
+    for part in (dispatch.method.encode(), dispatch.path.encode(), dispatch.body):
+        covered.update(len(part).to_bytes(8, "big"))
+        covered.update(part)
+    return covered.digest()
+
+
+def _loop_time(deadline: float) -> float:
+    """Returns a monotonic deadline on the event loop's clock."""
+    return asyncio.get_running_loop().time() + deadline - time.monotonic()
--- /dev/null
+++ b/teaselsill/agent_peer.py
@@ -0,0 +1,302 @@
+"""A router's connection to one agent: tells of waiting work, hands requests over."""
+
+import asyncio
+import enum
+import itertools
+import logging
+import random
+import time
+
+from teaselsill import (
+    backlog,
+    errors,
+    exchange,
+    ids,
+    instances,
+    invariants,
+    link,
+    messages,
+)
+
+TOLD_LIMIT = 32
+"""An agent is told of at most this many waiting requests of a client account."""
+AGE_STEP_S = 0.25
+"""The oldest request must be this much younger before the agent is told again."""
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 5.0
+RESOLVE_S = 2.0
+"""How long a router tries to reach an agent again before its attempts are unknown."""
+
+logger = logging.getLogger(__name__)
+
+
+class State(enum.Enum):
+    """What a router knows of an agent."""
+
+    CONNECTING = "connecting"
+    CONNECTED = "connected"
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+
+
+class AttemptNumbers:
+    """Makes the attempt ids of one router incarnation."""
+
+    def __init__(self, incarnation: ids.Incarnation):
+        self._incarnation = incarnation
+        self._numbers = itertools.count(1)
+
+    def next(self) -> ids.AttemptId:
+        """Returns an id that has not been used."""
+        return ids.AttemptId(f"{self._incarnation}:{next(self._numbers)}")
+
+
+class AgentPeer:
+    """One agent, as a router deals with it.
+
+    Args:
+        agent: The agent, as the platform lists it.
+        me: Who this router is.
+        secret: The secret that all peers know.
+        waiting: The backlog of the agent's service.
+        numbers: Makes attempt ids.
+        follower: The configuration of this router.
+        on_change: Called when the state of the agent changes.
+        tls: An `ssl.SSLContext`, or none.
+
+    Attributes:
+        agent: The agent, as the platform lists it.
+        state: What is known of it.
+        exchange_by_attempt: The attempts that it has.
+    """
+
+    def __init__(
+        self, agent, me, secret, waiting: backlog.Backlog, numbers, follower, on_change,
+        tls=None,
+    ):  # fmt: skip
+        self.agent: instances.Instance = agent
+        self.state = State.CONNECTING
+        self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
+        self.control_bytes_by_type: dict[str, int] = {}
+        self._me = me
+        self._secret = secret
+        self._backlog = waiting
+        self._numbers = numbers
+        self._follower = follower
+        self._on_change = on_change
+        self._tls = tls
+        self._link: link.Link | None = None
+        self._told_by_account: dict[ids.AccountId, int] = {}
+        self._told_since_by_account: dict[ids.AccountId, float] = {}
+        self._flush_handle: asyncio.Handle | None = None
+        self._wanted = True
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether work waits for this agent or runs there."""
+        return bool(self.exchange_by_attempt or self._told_by_account)
+
+    def tell_demand(self) -> None:
+        """Has the agent told, soon, of what has changed in the backlog."""
+        if self._link is not None and self._flush_handle is None:
+            self._flush_handle = asyncio.get_running_loop().call_soon(self._flush)
+
+    async def close(self) -> None:
+        """Ends the connection; attempts that still run there are lost."""
+        self._wanted = False
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._lose_exchanges()
+
+    async def _run(self) -> None:
+        delay_s = RETRY_MIN_S
+        lost_at = time.monotonic()
+        while self._wanted:
+            try:
+                connected = await link.connect(
+                    self.agent.host, self.agent.port, self._secret, self._me, self._tls
+                )
+                delay_s = RETRY_MIN_S
+                try:
+                    await self._converse(connected)
+                finally:
+                    lost_at = time.monotonic()
+                    self._forget_link(connected)
+            except errors.LinkError as error:
+                logger.info("link to agent %s: %s", self.agent.id, error)
+            self._set_state(State.UNREACHABLE)
+            if time.monotonic() - lost_at >= RESOLVE_S:
+                self._lose_exchanges()
+            await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
+            limit_s = RETRY_MIN_S * 4 if self.exchange_by_attempt else RETRY_MAX_S
+            delay_s = min(delay_s * 2, limit_s)
+
+    async def _converse(self, connected: link.Link) -> None:
+        self._link = connected
+        self._told_by_account.clear()
+        self._resume(connected)
+        self._set_state(State.CONNECTED)
+        self._flush()
+        while True:
+            received = await connected.receive(
+                lambda: self.is_busy, lambda: self._follower.version
+            )
+            for message in received:
+                self._take_checked(message)
+            await connected.drain()
+
+    def _resume(self, connected: link.Link) -> None:
+        for attempt, running in list(self.exchange_by_attempt.items()):
+            if running.incarnation == connected.peer.incarnation:
+                connected.send(messages.Resume(attempt, running.next_sequence))
+            else:
+                running.lose()
+                del self.exchange_by_attempt[attempt]
+
+    def _take_checked(self, message: messages.Message) -> None:
+        try:
+            self._take(message)
+        except errors.InvariantError as error:
+            invariants.report(error, reraise=False)
+            raise link.UnexpectedMessageError(str(error)) from error
+
+    def _take(self, message: messages.Message) -> None:
+        match message:
+            case messages.Grant(grant=grant, account=account):
+                self._take_grant(grant, account)
+            case messages.Head() | messages.Body() | messages.End():
+                self._take_frame(message)
+            case messages.NotRun(attempt=attempt):
+                running = self.exchange_by_attempt.pop(attempt, None)
+                if running is not None:
+                    running.refuse(message)
+            case messages.Leaving():
+                self._set_state(State.LEAVING)
+                self._told_by_account.clear()
+            case messages.Ping(version=version) | messages.Pong(version=version):
+                if version > self._follower.version:
+                    self._link.send(messages.DocumentWanted())
+            case messages.DocumentHandover(version=version, document=text):
+                self._follower.offer(version, text)
+            case messages.DocumentWanted():
+                self._link.send(
+                    messages.DocumentHandover(
+                        self._follower.version, self._follower.text
+                    )
+                )
+            case _:
+                raise link.UnexpectedMessageError(type(message).__name__)
+
+    def _take_grant(self, grant: ids.GrantId, account: ids.AccountId) -> None:
+        waiting = self._backlog.take(account)
+        if waiting is None:
+            self._told_by_account.pop(account, None)
+            self._link.send(messages.Decline(grant))
+            return
+        attempt = self._numbers.next()
+        connected = self._link
+        running = exchange.Exchange(
+            attempt,
+            connected.peer.incarnation,
+            lambda through: self._acknowledge(attempt, through),
+        )
+        self.exchange_by_attempt[attempt] = running
+        self._note_dispatched(account)
+        connected.send(_make_dispatch(grant, attempt, waiting, self._follower.version))
+        waiting.turn.set_result((self, running))
+        self._on_change(self)
+
+    def _note_dispatched(self, account: ids.AccountId) -> None:
+        """Counts down what the agent believes, as the agent does itself."""
+        told = self._told_by_account.pop(account, 0)
+        if told > 1:
+            self._told_by_account[account] = told - 1
+
+    def _take_frame(self, message) -> None:
+        running = self.exchange_by_attempt.get(message.attempt)
+        if running is None:
+            if isinstance(message, messages.End):
+                self._send(messages.Ack(message.attempt, message.sequence))
+            return
+        running.take(message)
+        if isinstance(message, messages.End):
+            self.exchange_by_attempt.pop(message.attempt, None)
+
+    def cancel(self, running: exchange.Exchange) -> None:
+        """Tells the agent, if it has the attempt, that nobody waits any longer."""
+        if self.exchange_by_attempt.pop(running.attempt, None) is not None:
+            self._send(messages.Cancel(running.attempt))
+
+    def _acknowledge(self, attempt: ids.AttemptId, through: int) -> None:
+        self._send(messages.Ack(attempt, through))
+
+    def _send(self, message: messages.Message) -> None:
+        if self._link is not None:
+            self._link.send(message)
+
+    def _flush(self) -> None:
+        """Tells the agent how many requests wait, where that has changed."""
+        self._flush_handle = None
+        if self._link is None or self.state is State.LEAVING:
+            return
+        document = self._follower.document
+        for account in {*self._backlog.accounts, *self._told_by_account}:
+            if document is not None and document.allows(
+                account, self.agent.service, self.agent.upstream
+            ):
+                self._tell_account(account)
+
+    def _tell_account(self, account: ids.AccountId) -> None:
+        waiting = min(self._backlog.count(account), TOLD_LIMIT)
+        told = self._told_by_account.get(account, 0)
+        since = self._backlog.oldest_since(account)
+        aged = since - self._told_since_by_account.get(account, since) > AGE_STEP_S
+        still_enough = TOLD_LIMIT // 2 <= told <= waiting
+        if waiting == told or (still_enough and not aged):
+            return
+        if waiting:
+            self._told_by_account[account] = waiting
+            self._told_since_by_account[account] = since
+        else:
+            self._told_by_account.pop(account, None)
+            self._told_since_by_account.pop(account, None)
+        oldest_ms = int((time.monotonic() - since) * 1000) if waiting else 0
+        self._link.send(messages.Demand(account, waiting, oldest_ms))
+
+    def _forget_link(self, connected: link.Link) -> None:
+        connected.abort()
+        for name, sent in connected.bytes_sent_by_type.items():
+            total = self.control_bytes_by_type.get(name, 0) + sent
+            self.control_bytes_by_type[name] = total
+        self._link = None
+        self._told_by_account.clear()
+
+    def _set_state(self, state: State) -> None:
+        if state is not self.state:
+            self.state = state
+            self._on_change(self)
+
+    def _lose_exchanges(self) -> None:
+        for running in self.exchange_by_attempt.values():
+            running.lose()
+        self.exchange_by_attempt.clear()
+
+
+def _make_dispatch(grant, attempt, waiting: backlog.Waiting, version):
+    request = waiting.request
+    budget_ms = int((request.deadline - time.monotonic()) * 1000)
+    return messages.Dispatch(
+        grant=grant,
+        attempt=attempt,
+        request=request.id,
+        account=request.account,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        budget_ms=max(0, budget_ms),
+        repeatable=request.repeatable,
+        key=request.key,
+        version=version,
+    )
--- /dev/null
+++ b/teaselsill/callers.py
@@ -0,0 +1,498 @@
+"""The HTTP application that callers reach: checks requests, writes answers."""
+
+import asyncio
+import dataclasses
+import logging
+import time
+
+import msgspec
+from starlette import applications, requests, responses, routing
+
+from teaselsill import (
+    backlog,
+    document,
+    errors,
+    exchange,
+    ids,
+    logs,
+    messages,
+    metrics,
+    router,
+    service_levels,
+    upstream,
+)
+
+OUTCOME_HEADER = "Teaselsill-Outcome"
+DEADLINE_HEADER = "Teaselsill-Deadline"
+REQUEST_ID_HEADER = "X-Request-Id"
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 255
+MAX_DEADLINE_S = 3600.0
+DROPPED_HEADERS = frozenset(
+    {"authorization", "idempotency-key", "teaselsill-deadline", "x-request-id"}
+)
+ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+JSON_TYPE = "application/json"
+EVENT_STREAM = "text/event-stream"
+
+logger = logging.getLogger(__name__)
+
+
+class BadRequestError(errors.RequestError):
+    """The request cannot be understood."""
+
+
+class UnknownAccountError(errors.RequestError):
+    """The API key belongs to no client account."""
+
+
+class NotAllowedError(errors.RequestError):
+    """The client account may not reach the service."""
+
+
+class UnknownServiceError(errors.RequestError):
+    """There is no such service or model."""
+
+
+class BodyTooLargeError(errors.RequestError):
+    """The body is larger than the router takes."""
+
+
+class NotReadyError(backlog.RefusedError):
+    """The router has no configuration yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """How an error is told to the caller.
+
+    Attributes:
+        status: The HTTP status.
+        reason: The machine-readable name of the reason.
+        text: What a person reads.
+        outcome: What is known of the run.
+        retry_after_s: When the caller may come back, or 0 if that is no use.
+    """
+
+    status: int
+    reason: str
+    text: str
+    outcome: messages.Outcome = messages.Outcome.NOT_RUN
+    retry_after_s: float = 0.0
+
+
+class _Fault(msgspec.Struct):
+    type: str
+    message: str
+
+
+class _FaultBody(msgspec.Struct):
+    error: _Fault
+
+
+class _CompletionRequest(msgspec.Struct):
+    model: str
+    stream: bool = False
+
+
+class _Model(msgspec.Struct):
+    id: str
+    object: str = "model"
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_Model]
+    object: str = "list"
+
+
+def describe(error: errors.RequestError) -> Refusal:
+    """Returns how an error is told to the caller."""
+    text = str(error)
+    match error:
+        case BadRequestError():
+            return Refusal(400, "bad-request", text)
+        case UnknownAccountError():
+            return Refusal(401, "unknown-client-account", text)
+        case NotAllowedError():
+            return Refusal(403, "not-allowed", text)
+        case UnknownServiceError():
+            return Refusal(404, "unknown-service", text)
+        case BodyTooLargeError():
+            return Refusal(413, "body-too-large", text)
+        case backlog.BacklogFullError():
+            return Refusal(429, "too-many-waiting", text, retry_after_s=_wait_of(error))
+        case backlog.DeadlineHopelessError():
+            return Refusal(
+                503, "deadline-hopeless", text, retry_after_s=_wait_of(error)
+            )
+        case backlog.RefusedError():
+            return Refusal(503, "not-ready", text, retry_after_s=_wait_of(error))
+        case router.DeadlineError():
+            return Refusal(504, "deadline", text, retry_after_s=1.0)
+        case exchange.NotRunError(reason=reason):
+            return _describe_not_run(reason, error.retry_after_s)
+        case exchange.AnswerBrokenError(reason=reason, outcome=outcome):
+            return _describe_broken(reason, outcome)
+        case exchange.AgentLostError():
+            return Refusal(502, "agent-lost", text, messages.Outcome.UNKNOWN)
+    return Refusal(500, "internal", "internal error", messages.Outcome.UNKNOWN)
+
+
+def _describe_not_run(reason: messages.Reason, retry_after_s: float) -> Refusal:
+    match reason:
+        case messages.Reason.NOT_ALLOWED:
+            return Refusal(403, reason.value, "the agent does not allow the request")
+        case messages.Reason.DEADLINE:
+            return Refusal(
+                504, reason.value, "the deadline came before the request ran"
+            )
+    return Refusal(
+        503,
+        reason.value,
+        "the request has not run",
+        retry_after_s=max(1.0, retry_after_s),
+    )
+
+
+def _describe_broken(reason: messages.Reason, outcome: messages.Outcome) -> Refusal:
+    match reason:
+        case messages.Reason.KEY_RAN:
+            text = "a request with this idempotency key has run; its answer is not kept"
+            return Refusal(409, reason.value, text, outcome)
+        case messages.Reason.KEY_IN_PROGRESS:
+            text = "a request with this idempotency key runs, or its run is unknown"
+            return Refusal(409, reason.value, text, outcome, retry_after_s=1.0)
+        case messages.Reason.KEY_REUSED:
+            text = "this idempotency key was used for another request"
+            return Refusal(422, reason.value, text, outcome)
+        case messages.Reason.DEADLINE:
+            return Refusal(504, reason.value, "the deadline came", outcome)
+    return Refusal(502, reason.value, "the upstream gave no whole answer", outcome)
+
+
+def _wait_of(error: backlog.RefusedError) -> float:
+    return error.retry_after_s
+
+
+class Callers:
+    """Serves callers' requests.
+
+    Args:
+        served: The router that gets the answers.
+        levels: Records the requests against the targets.
+        sink: Takes the metrics.
+        max_body_bytes: The largest request body, in bytes.
+    """
+
+    def __init__(
+        self,
+        served: router.Router,
+        levels: service_levels.Recorder,
+        sink: metrics.Metrics,
+        max_body_bytes: int,
+    ):
+        self._router = served
+        self._levels = levels
+        self._metrics = sink
+        self._max_body_bytes = max_body_bytes
+
+    def create_app(self) -> applications.Starlette:
+        """Returns the application for the callers' port."""
+        completions = _Endpoint(self._serve_completion)
+        return applications.Starlette(
+            routes=[
+                routing.Route("/v1/chat/completions", completions, methods=["POST"]),
+                routing.Route("/v1/completions", completions, methods=["POST"]),
+                routing.Route("/v1/models", self._list_models),
+                routing.Route(
+                    "/services/{service}/{path:path}",
+                    _Endpoint(self._serve_plain),
+                    methods=ALL_METHODS,
+                ),
+            ]
+        )
+
+    async def _list_models(self, request: requests.Request) -> responses.Response:
+        try:
+            account = self._find_account(request)
+        except errors.RequestError as error:
+            return _refuse(describe(error), ids.RequestId(ids.new_random_id()))
+        known = self._router.follower.document.service_by_model
+        names = [m for m, service in known.items() if service.name in account.services]
+        body = msgspec.json.encode(_ModelList([_Model(name) for name in names]))
+        return responses.Response(body, media_type=JSON_TYPE)
+
+    async def _serve_completion(self, request: requests.Request, send) -> None:
+        await self._serve(request, send, self._read_completion)
+
+    async def _serve_plain(self, request: requests.Request, send) -> None:
+        await self._serve(request, send, self._read_plain)
+
+    async def _serve(self, request: requests.Request, send, read) -> None:
+        call = _Call(request, send, self._levels, self._metrics)
+        try:
+            account = self._find_account(request)
+            call.account = ids.AccountId(account.id)
+            wanted = await read(request, account, call.id)
+            call.service = wanted.service
+            await call.answer(self._router, wanted, account.max_waiting)
+        except requests.ClientDisconnect:
+            call.note_gone()
+        except errors.RequestError as error:
+            await call.refuse(describe(error))
+        except errors.TeaselsillError:
+            logger.exception("request failed", extra={"request": call.id})
+            await call.refuse(describe(errors.RequestError()))
+
+    def _find_account(self, request: requests.Request) -> document.ClientAccount:
+        known = self._router.follower.document
+        if known is None:
+            raise NotReadyError("no configuration yet", 1.0)
+        scheme, _, key = request.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            raise UnknownAccountError("an Authorization header with a key is needed")
+        account = known.account_by_key_hash.get(document.hash_key(key.strip()))
+        if account is None:
+            raise UnknownAccountError("the key belongs to no client account")
+        return account
+
+    async def _read_completion(self, request, account, request_id) -> backlog.Request:
+        body = await self._read_body(request)
+        try:
+            asked = msgspec.json.decode(body, type=_CompletionRequest)
+        except msgspec.MsgspecError as error:
+            raise BadRequestError(f"body: {error}") from error
+        service = self._router.follower.document.service_by_model.get(asked.model)
+        if service is None:
+            raise UnknownServiceError(f"no service has the model {asked.model!r}")
+        return _make_request(
+            request, account, service, request.url.path, body, request_id
+        )
+
+    async def _read_plain(self, request, account, request_id) -> backlog.Request:
+        name = request.path_params["service"]
+        service = self._router.follower.document.service_by_name.get(name)
+        if service is None or service.kind is not document.ServiceKind.PLAIN:
+            raise UnknownServiceError(f"no plain service is named {name!r}")
+        path = "/" + _raw_path(request).split("/", 3)[3]
+        body = await self._read_body(request)
+        return _make_request(request, account, service, path, body, request_id)
+
+    async def _read_body(self, request: requests.Request) -> bytes:
+        chunks = []
+        size = 0
+        async for chunk in request.stream():
+            size += len(chunk)
+            if size > self._max_body_bytes:
+                raise BodyTooLargeError(
+                    f"the body is larger than {self._max_body_bytes} bytes"
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+
+class _Endpoint:
+    """Lets starlette route to a coroutine that writes its answer by itself."""
+
+    def __init__(self, serve):
+        self._serve = serve
+
+    async def __call__(self, scope, receive, send) -> None:
+        await self._serve(requests.Request(scope, receive), send)
+
+
+class _Call:
+    """One caller's request while it is served."""
+
+    def __init__(self, request: requests.Request, send, levels, sink):
+        self.id = ids.RequestId(ids.new_random_id())
+        self.account = ids.AccountId("")
+        self.service = ids.ServiceName("")
+        self._request = request
+        self._send = send
+        self._levels = levels
+        self._metrics = sink
+        self._since = time.monotonic()
+        self._status = 0
+        self._is_stream = False
+        self._upstream = ids.UpstreamId("")
+        self._attempts = 0
+
+    async def answer(self, served: router.Router, wanted, max_waiting: int) -> None:
+        """Gets the answer and writes it, unless the caller goes away."""
+        writing = asyncio.create_task(self._write(served, wanted, max_waiting))
+        watching = asyncio.create_task(self._watch_caller())
+        try:
+            await asyncio.wait({writing, watching}, return_when=asyncio.FIRST_COMPLETED)
+            if not writing.done():
+                raise requests.ClientDisconnect
+            writing.result()
+        finally:
+            watching.cancel()
+            writing.cancel()
+            await asyncio.gather(writing, watching, return_exceptions=True)
+
+    async def _watch_caller(self) -> None:
+        while True:
+            message = await self._request.receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def _write(self, served: router.Router, wanted, max_waiting: int) -> None:
+        answer = await served.serve(wanted, max_waiting)
+        self._upstream = answer.upstream
+        self._attempts = answer.attempts
+        self._metrics.timing(metrics.Metric.FIRST_BYTE, time.monotonic() - self._since)
+        try:
+            await self._start(answer.status, answer.headers, messages.Outcome.RAN)
+            async for data in answer.body():
+                await self._write_body(data, more=True)
+            await self._write_body(b"", more=False)
+            self._note(messages.Outcome.RAN, ok=answer.status < 500)
+        finally:
+            answer.close()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Tells the caller of an error, in the way that is still open."""
+        self._note(refusal.outcome, ok=False, refusal=refusal)
+        if self._status:
+            await self._break_off(refusal)
+            return
+        await _refuse(refusal, self.id)(
+            self._request.scope, self._request.receive, self._send
+        )
+
+    def note_gone(self) -> None:
+        """Notes that the caller went away."""
+        self._metrics.count(metrics.Metric.REQUESTS_CANCELLED)
+        self._write_line(messages.Outcome.UNKNOWN, "caller-gone")
+
+    async def _break_off(self, refusal: Refusal) -> None:
+        """Ends a body that is not whole so that the caller can tell.
+
+        A stream of events gets an error event. Then the application returns without
+        the end of the body, and the server drops the connection.
+        """
+        if self._is_stream:
+            event = b"data: " + _fault_body(refusal) + b"\n\n"
+            await self._write_body(event, more=True)
+
+    async def _start(self, status: int, headers, outcome: messages.Outcome) -> None:
+        self._status = status
+        self._is_stream = any(
+            name.lower() == "content-type" and value.startswith(EVENT_STREAM)
+            for name, value in headers
+        )
+        own = [(OUTCOME_HEADER, outcome.value), (REQUEST_ID_HEADER, self.id)]
+        raw = [
+            (name.lower().encode("latin-1"), value.encode("latin-1"))
+            for name, value in [*headers, *own]
+        ]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": raw}
+        )
+
+    async def _write_body(self, data: bytes, more: bool) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    def _note(self, outcome, ok: bool, refusal: Refusal | None = None) -> None:
+        duration_s = time.monotonic() - self._since
+        self._metrics.count(_METRIC_BY_OUTCOME[outcome])
+        self._metrics.timing(metrics.Metric.REQUEST_DURATION, duration_s)
+        if self.service:
+            self._levels.record(self.account, self.service, duration_s, ok, outcome)
+        if refusal is not None and not self._status:
+            self._status_to_log = refusal.status
+        self._write_line(outcome, refusal.reason if refusal else "")
+
+    _status_to_log = 0
+
+    def _write_line(self, outcome: messages.Outcome, reason: str) -> None:
+        logs.RequestLine(
+            request=self.id,
+            outcome=outcome,
+            duration_s=round(time.monotonic() - self._since, 6),
+            account=self.account,
+            service=self.service,
+            upstream=self._upstream,
+            method=self._request.method,
+            status=self._status or self._status_to_log,
+            reason=reason,
+            attempts=self._attempts,
+        ).write(logger)
+
+
+_METRIC_BY_OUTCOME = {
+    messages.Outcome.RAN: metrics.Metric.REQUESTS_RAN,
+    messages.Outcome.NOT_RUN: metrics.Metric.REQUESTS_NOT_RUN,
+    messages.Outcome.UNKNOWN: metrics.Metric.REQUESTS_UNKNOWN,
+}
+
+
+def _make_request(
+    request, account, service, path: str, body: bytes, request_id: ids.RequestId
+) -> backlog.Request:
+    """Checks what the headers say and returns the request as the router holds it."""
+    name = ids.ServiceName(service.name)
+    if service.name not in account.services:
+        raise NotAllowedError(f"{account.id} may not reach {service.name}")
+    key = request.headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_LENGTH:
+        raise BadRequestError(f"{KEY_HEADER}: longer than {MAX_KEY_LENGTH} characters")
+    deadline_s = _read_deadline(request, service)
+    plain_path = path.partition("?")[0]
+    return backlog.Request(
+        id=request_id,
+        account=ids.AccountId(account.id),
+        service=name,
+        method=request.method,
+        path=path,
+        headers=_pass_on(request.headers.items()),
+        body=body,
+        deadline=time.monotonic() + deadline_s,
+        repeatable=service.is_repeatable(request.method, plain_path),
+        key=key,
+    )
+
+
+def _read_deadline(request, service: document.Service) -> float:
+    given = request.headers.get(DEADLINE_HEADER)
+    if given is None:
+        return service.deadline_s
+    try:
+        deadline_s = float(given)
+    except ValueError:
+        raise BadRequestError(f"{DEADLINE_HEADER}: {given!r} is no number") from None
+    if not 0 < deadline_s <= MAX_DEADLINE_S:
+        raise BadRequestError(
+            f"{DEADLINE_HEADER}: not over 0 and at most {MAX_DEADLINE_S:.0f} s"
+        )
+    return deadline_s
+
+
+def _pass_on(headers) -> list[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in upstream.end_to_end(headers)
+        if name.lower() not in DROPPED_HEADERS
+    ]
+
+
+def _raw_path(request: requests.Request) -> str:
+    """Returns path and query as the caller wrote them, percent signs and all."""
+    path = request.scope.get("raw_path", request.url.path.encode()).decode("latin-1")
+    query = request.scope["query_string"].decode("latin-1")
+    return f"{path}?{query}" if query else path
+
+
+def _fault_body(refusal: Refusal) -> bytes:
+    return msgspec.json.encode(_FaultBody(_Fault(refusal.reason, refusal.text)))
+
+
+def _refuse(refusal: Refusal, request_id: ids.RequestId) -> responses.Response:
+    headers = {OUTCOME_HEADER: refusal.outcome.value, REQUEST_ID_HEADER: request_id}
+    if refusal.retry_after_s:
+        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
+    return responses.Response(_fault_body(refusal), refusal.status, headers, JSON_TYPE)
--- /dev/null
+++ b/teaselsill/exchange.py
@@ -0,0 +1,138 @@
+"""One hand-over of a request to an agent, as the router sees it."""
+
+import asyncio
+import collections.abc
+
+from teaselsill import answers, errors, ids, messages
+
+ACK_BYTES = 32 * 1024
+"""How many bytes of an answer the router takes before it acknowledges them."""
+
+
+class AgentLostError(errors.RequestError):
+    """The agent is gone and nobody can tell whether the request ran."""
+
+
+class NotRunError(errors.RequestError):
+    """The agent says that the attempt has not run and never will.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When another attempt is worth while, in seconds.
+    """
+
+    def __init__(self, reason: messages.Reason, retry_after_s: float):
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class AnswerBrokenError(errors.RequestError):
+    """The answer ended before it was whole.
+
+    Attributes:
+        reason: Why.
+        outcome: What is known of the run.
+    """
+
+    def __init__(self, reason: messages.Reason, outcome: messages.Outcome):
+        super().__init__(reason.value)
+        self.reason = reason
+        self.outcome = outcome
+
+
+class Exchange:
+    """The attempt at one agent incarnation, from the dispatch to the end.
+
+    Args:
+        attempt: The attempt's id.
+        incarnation: The run of the agent process that has the attempt.
+        acknowledge: Called with the sequence number that the agent may forget.
+
+    Attributes:
+        attempt: The attempt's id.
+        incarnation: The run of the agent process that has the attempt.
+    """
+
+    def __init__(
+        self,
+        attempt: ids.AttemptId,
+        incarnation: ids.Incarnation,
+        acknowledge: collections.abc.Callable[[int], None],
+    ):
+        self.attempt = attempt
+        self.incarnation = incarnation
+        self._acknowledge = acknowledge
+        self._assembly = answers.Assembly(attempt)
+        self._events: asyncio.Queue = asyncio.Queue()
+        self._unacknowledged_bytes = 0
+
+    @property
+    def next_sequence(self) -> int:
+        """The sequence number of the next frame that is missing."""
+        return self._assembly.next_sequence
+
+    def take(self, message: messages.Message) -> None:
+        """Takes a frame of the answer, in any order and any number of times.
+
+        Raises:
+            GapError: Frames before this one are missing.
+            CrossedAnswerError: The frame belongs to another attempt.
+        """
+        for frame in self._assembly.take(message):
+            self._events.put_nowait(frame)
+
+    def refuse(self, message: messages.NotRun) -> None:
+        """Takes the agent's word that the attempt has not run."""
+        self._events.put_nowait(message)
+
+    def lose(self) -> None:
+        """Gives the agent up."""
+        self._events.put_nowait(AgentLostError("the agent is gone"))
+
+    async def head(self) -> messages.Head:
+        """Waits for the start of the answer.
+
+        Raises:
+            AgentLostError: The agent is gone.
+            NotRunError: The attempt has not run.
+            AnswerBrokenError: There is no answer, but it may have run.
+        """
+        match await self._events.get():
+            case messages.Head() as head:
+                return head
+            case messages.NotRun(reason=reason, retry_after_ms=retry_after_ms):
+                raise NotRunError(reason, retry_after_ms / 1000)
+            case messages.End(reason=reason, outcome=outcome, sequence=sequence):
+                self._acknowledge(sequence)
+                raise AnswerBrokenError(reason, outcome)
+            case error:
+                raise error
+
+    async def body(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yields the pieces of the body as they come.
+
+        Raises:
+            AgentLostError: The agent is gone.
+            AnswerBrokenError: The answer ended before it was whole.
+        """
+        while True:
+            match await self._events.get():
+                case messages.Body(data=data, sequence=sequence):
+                    yield data
+                    self._note_delivered(sequence, len(data))
+                case messages.End(reason=reason, outcome=outcome, sequence=sequence):
+                    self._acknowledge(sequence)
+                    if reason is not messages.Reason.NONE:
+                        raise AnswerBrokenError(reason, outcome)
+                    return
+                case messages.NotRun(reason=reason):
+                    raise AnswerBrokenError(reason, messages.Outcome.UNKNOWN)
+                case error:
+                    raise error
+
+    def _note_delivered(self, sequence: int, size: int) -> None:
+        self._unacknowledged_bytes += size + answers.FRAME_OVERHEAD_BYTES
+        if self._unacknowledged_bytes >= ACK_BYTES:
+            self._unacknowledged_bytes = 0
+            self._acknowledge(sequence)
--- a/teaselsill/messages.py
+++ b/teaselsill/messages.py
@@ -34,6 +34,8 @@
     LOG_UNAVAILABLE = "log-unavailable"
     KEY_RAN = "key-ran"
     KEY_IN_PROGRESS = "key-in-progress"
+    KEY_REUSED = "key-reused"
+    ANSWER_DROPPED = "answer-dropped"
     CANCELLED = "cancelled"
 
 
