--- a/teaselsill/attempts.py
+++ b/teaselsill/attempts.py
@@ -1,20 +1,4 @@
-"""The agent's memory of attempts: none runs twice, none runs after a refusal.
-
-What may be forgotten, and when:
-
-- Attempt ids are `<router incarnation>:<counter>`. A forgotten attempt raises its
-  router's floor to its counter. At or under the floor nothing runs any more, and
-  "not run" is no longer said, since the attempt may be one that ran.
-- A running attempt is never forgotten.
-- A router's floor goes once the agent has heard nothing of that router incarnation
-  for the retention time. What could arrive later is a dispatch that was sent before
-  the question which made the tombstone, so its grant is older than the tombstone,
-  and the agent refuses an expired grant by its own clock. The retention time must
-  therefore exceed the expiry of a grant and the life of a silent connection.
-- A router that was frozen may ask about an attempt whose floor is gone. Once any floor
-  has been dropped, an unknown router incarnation therefore starts with a floor: what
-  it asks about first, and what came before its first dispatch, is uncertain.
-"""
+"""The agent's memory of attempts: none runs twice, none runs after a refusal."""
 
 import collections
 import dataclasses
@@ -68,9 +52,24 @@
 class Attempts:
     """The attempts that one agent incarnation has seen.
 
+    What may be forgotten, and when:
+
+    - Attempt ids are `<router incarnation>:<counter>`. A forgotten attempt raises its
+      router's floor to its counter. At or under the floor nothing runs any more, and
+      "not run" is no longer said, since the attempt may be one that ran.
+    - A running attempt is never forgotten.
+    - A router's floor goes once the agent has heard nothing of that router incarnation
+      for the retention time. What could arrive later is a dispatch that was sent
+      before the question which made the tombstone, so its grant is older than the
+      tombstone, and the agent refuses an expired grant by its own clock. The retention
+      time must exceed the expiry of a grant and the life of a silent connection.
+    - A router that was frozen may ask about an attempt whose floor is gone. Once any
+      floor has been dropped, an unknown router incarnation therefore starts with one:
+      what it asks about first, and what came before its first dispatch, is uncertain.
+
     Args:
         limit: How many attempts that do not run are remembered.
-        retention_s: How long they are remembered, in seconds; see the module.
+        retention_s: How long they are remembered, in seconds.
         clock: Returns monotonic seconds.
     """
 
