--- /dev/null
+++ b/standins/model_engine.py
@@ -0,0 +1,409 @@
+"""A stand-in for a model engine with resumable streams."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import typing
+import uuid
+
+import cappa
+import msgspec
+from starlette import exceptions, requests, responses, routing
+
+from standins import completions, faults, fencing, prefix_cache
+
+CACHE_BLOCKS = 4096
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """The faults of the model engine.
+
+    Attributes:
+        stall: Streams pause without closing; the generation goes on.
+        stall_after: The next stream to have sent this many events pauses for good;
+            0 for none.
+        refuse: New requests fail with status 503.
+        drop_connection: New requests do not run, streams break off; all are closed.
+    """
+
+    stall: bool = False
+    stall_after: int = 0
+    refuse: bool = False
+    drop_connection: bool = False
+
+
+class Model(msgspec.Struct):
+    """A model that the engine has loaded.
+
+    Attributes:
+        id: Its name.
+        object: Always `model`.
+    """
+
+    id: str
+    object: str = "model"
+
+
+class ModelsBody(msgspec.Struct):
+    """The reply to a request for the models.
+
+    Attributes:
+        data: The models.
+        object: Always `list`.
+    """
+
+    data: list[Model]
+    object: str = "list"
+
+
+class LoadBody(msgspec.Struct):
+    """The engine's load report.
+
+    Attributes:
+        running: The number of running generations.
+        slots: How many run at full speed.
+        generated_tokens: The tokens generated since the start.
+    """
+
+    running: int
+    slots: int
+    generated_tokens: int
+
+
+class ExecutionsBody(msgspec.Struct):
+    """How many generations started.
+
+    Attributes:
+        by_request: The number by `X-Request-Id`.
+    """
+
+    by_request: dict[str, int]
+
+
+class Generation:
+    """One answer in the making.
+
+    Args:
+        request_id: The request's id.
+        request: The request.
+        is_chat: Whether it is a chat completion.
+        cached_tokens: How many tokens of the prompt were cached.
+
+    Attributes:
+        tokens: The whole answer.
+        events: The data of the server-sent events so far.
+        ended: Whether there will be no more events.
+        readers: The number of connections that read the answer.
+        changed: Set when an event was added or the generation has ended.
+        task: The task that generates.
+        expiry: The timer that drops a generation without readers.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        request: completions.Request,
+        is_chat: bool,
+        cached_tokens: int,
+    ):
+        self.tokens = completions.answer_tokens(request)
+        self.events: list[bytes] = []
+        self.ended = False
+        self.readers = 0
+        self.changed = asyncio.Event()
+        self.task: asyncio.Task | None = None
+        self.expiry: asyncio.TimerHandle | None = None
+        self._format = completions.Format(request_id, request.model, is_chat)
+        self._prompt_tokens = len(request.words())
+        self._cached_tokens = cached_tokens
+
+    def add_token(self, index: int) -> None:
+        """Adds the event with a token."""
+        is_last = index == len(self.tokens) - 1
+        self._add(self._format.token_chunk(self.tokens[index], is_last))
+
+    def finish(self) -> None:
+        """Adds the closing events."""
+        self._add(self._format.usage_chunk(self._usage()))
+        self._add(b"[DONE]")
+        self.end()
+
+    def end(self) -> None:
+        """Marks that there will be no more events."""
+        self.ended = True
+        self._notify()
+
+    def whole(self) -> bytes:
+        """Formats the answer as one reply."""
+        return self._format.whole("".join(self.tokens), self._usage())
+
+    def _usage(self) -> completions.Usage:
+        return completions.Usage(
+            self._prompt_tokens,
+            len(self.tokens),
+            self._prompt_tokens + len(self.tokens),
+            completions.PromptTokensDetails(self._cached_tokens),
+        )
+
+    def _add(self, data: bytes) -> None:
+        self.events.append(data)
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How the engine behaves.
+
+    Attributes:
+        token_ms: The time for one token at full speed, in milliseconds.
+        slots: How many generations run at full speed.
+        models: The names of the loaded models.
+        linger_s: How long a generation without a reader is kept, in seconds.
+        fencing_mode: Whether fencing numbers are checked.
+    """
+
+    token_ms: float = 10.0
+    slots: int = 16
+    models: tuple[str, ...] = ("a",)
+    linger_s: float = 10.0
+    fencing_mode: fencing.Mode = fencing.Mode.IGNORED
+
+
+class ModelEngine:
+    """The generations and the faults.
+
+    Args:
+        options: How the engine behaves.
+    """
+
+    def __init__(self, options: Options):
+        self._unstalled = asyncio.Event()
+        self.faults = Faults()
+        self._options = options
+        self._fence = fencing.Fence(options.fencing_mode)
+        self._cache = prefix_cache.PrefixCache(CACHE_BLOCKS)
+        self._generations_by_request: dict[str, Generation] = {}
+        self._executions_by_request = collections.Counter()
+        self._running = 0
+        self._generated_tokens = 0
+
+    @property
+    def faults(self) -> Faults:
+        """The faults in force."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, value: Faults) -> None:
+        self._faults = value
+        if value.stall:
+            self._unstalled.clear()
+        else:
+            self._unstalled.set()
+
+    async def complete(self, request: requests.Request) -> responses.Response:
+        """Starts a completion and sends its answer."""
+        body = await faults.decode_body(request, completions.Request)
+        if self.faults.drop_connection:
+            return await faults.close_connection(request)
+        if self.faults.refuse:
+            raise exceptions.HTTPException(503, "the engine refuses requests")
+        self._fence.check(request)
+        if body.model not in self._options.models:
+            raise exceptions.HTTPException(404, f"unknown model {body.model}")
+        request_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
+        generation = self._start(request_id, body, request.url.path == CHAT_PATH)
+        if body.stream:
+            return self._event_reply(request, request_id, generation, 0)
+        return await self._whole_reply(request_id, generation)
+
+    async def resume(self, request: requests.Request) -> responses.Response:
+        """Sends the events of a stream after the one that was seen last."""
+        if self.faults.drop_connection:
+            return await faults.close_connection(request)
+        request_id = request.path_params["id"]
+        generation = self._find(request_id)
+        last_event_id = request.headers.get("Last-Event-ID", "0")
+        if not last_event_id.isdecimal():
+            raise exceptions.HTTPException(400, "Last-Event-ID is not a number")
+        return self._event_reply(request, request_id, generation, int(last_event_id))
+
+    async def cancel(self, request: requests.Request) -> responses.Response:
+        """Stops a generation and drops it."""
+        request_id = request.path_params["id"]
+        self._drop(request_id, self._find(request_id))
+        return responses.Response(status_code=204)
+
+    async def models(self, request: requests.Request) -> responses.Response:
+        """Lists the models."""
+        loaded = [Model(name) for name in self._options.models]
+        return faults.json_reply(ModelsBody(loaded))
+
+    async def load(self, request: requests.Request) -> responses.Response:
+        """Reports the load."""
+        slots = self._options.slots
+        return faults.json_reply(LoadBody(self._running, slots, self._generated_tokens))
+
+    async def executions(self, request: requests.Request) -> responses.Response:
+        """Reports the generations that started."""
+        return faults.json_reply(ExecutionsBody(self._executions_by_request))
+
+    def _find(self, request_id: str) -> Generation:
+        if request_id not in self._generations_by_request:
+            raise exceptions.HTTPException(404, "unknown stream")
+        return self._generations_by_request[request_id]
+
+    def _start(self, request_id, body, is_chat) -> Generation:
+        if request_id in self._generations_by_request:
+            self._drop(request_id, self._generations_by_request[request_id])
+        cached_tokens = self._cache.add(body.words())
+        generation = Generation(request_id, body, is_chat, cached_tokens)
+        generation.task = asyncio.create_task(self._generate(generation))
+        self._generations_by_request[request_id] = generation
+        self._executions_by_request[request_id] += 1
+        return generation
+
+    async def _generate(self, generation: Generation) -> None:
+        self._running += 1
+        try:
+            for index in range(len(generation.tokens)):
+                await asyncio.sleep(self._token_s())
+                generation.add_token(index)
+                self._generated_tokens += 1
+            generation.finish()
+        finally:
+            self._running -= 1
+
+    def _token_s(self) -> float:
+        slowdown = max(1.0, self._running / self._options.slots)
+        return self._options.token_ms / 1000 * slowdown
+
+    def _event_reply(self, request, request_id, generation, seen):
+        return responses.StreamingResponse(
+            self._events(request, request_id, generation, seen),
+            media_type="text/event-stream",
+            headers={"X-Request-Id": request_id},
+        )
+
+    async def _whole_reply(self, request_id, generation) -> responses.Response:
+        self._attach(generation)
+        try:
+            while not generation.ended:
+                await generation.changed.wait()
+        finally:
+            self._detach(request_id, generation)
+        if len(generation.events) < len(generation.tokens):
+            raise exceptions.HTTPException(409, "the completion was cancelled")
+        return responses.Response(
+            generation.whole(),
+            media_type="application/json",
+            headers={"X-Request-Id": request_id},
+        )
+
+    async def _events(
+        self, request, request_id, generation, seen
+    ) -> collections.abc.AsyncIterator[bytes]:
+        self._attach(generation)
+        sent = 0
+        try:
+            while seen < len(generation.events) or not generation.ended:
+                if seen >= len(generation.events):
+                    await generation.changed.wait()
+                    continue
+                await self._stall(sent)
+                if self.faults.drop_connection:
+                    await faults.close_connection(request)
+                    return
+                seen += 1
+                sent += 1
+                yield b"id: %d\ndata: %b\n\n" % (seen, generation.events[seen - 1])
+        finally:
+            self._detach(request_id, generation)
+
+    async def _stall(self, sent: int) -> None:
+        if self.faults.stall_after and sent >= self.faults.stall_after:
+            self.faults.stall_after = 0
+            await asyncio.Event().wait()
+        await self._unstalled.wait()
+
+    def _attach(self, generation: Generation) -> None:
+        generation.readers += 1
+        if generation.expiry is not None:
+            generation.expiry.cancel()
+
+    def _detach(self, request_id: str, generation: Generation) -> None:
+        generation.readers -= 1
+        if generation.readers == 0:
+            generation.expiry = asyncio.get_running_loop().call_later(
+                self._options.linger_s, self._drop, request_id, generation
+            )
+
+    def _drop(self, request_id: str, generation: Generation) -> None:
+        generation.task.cancel()
+        generation.end()
+        if self._generations_by_request.get(request_id) is generation:
+            del self._generations_by_request[request_id]
+
+
+def create_app(options: Options | None = None) -> faults.Application:
+    """Makes the application.
+
+    Args:
+        options: How the engine behaves.
+    """
+    engine = ModelEngine(options or Options())
+    return faults.Application(
+        routes=[
+            *faults.admin_routes(engine),
+            routing.Route("/admin/executions", engine.executions),
+            routing.Route(CHAT_PATH, engine.complete, methods=["POST"]),
+            routing.Route(TEXT_PATH, engine.complete, methods=["POST"]),
+            routing.Route("/v1/models", engine.models),
+            routing.Route("/v1/streams/{id}", engine.resume),
+            routing.Route("/v1/streams/{id}", engine.cancel, methods=["DELETE"]),
+            routing.Route("/load", engine.load),
+        ]
+    )
+
+
+@cappa.command(name="model_engine")
+@dataclasses.dataclass
+class Command(faults.Command):
+    """Serves a stand-in for a model engine.
+
+    Attributes:
+        token_ms: The time for one token at full speed, in milliseconds.
+        slots: How many generations run at full speed.
+        models: The names of the loaded models, with commas between.
+        linger_s: How long a generation without a reader is kept, in seconds.
+        fencing_mode: Whether fencing numbers are checked.
+    """
+
+    token_ms: typing.Annotated[float, cappa.Arg(long=True)] = 10.0
+    slots: typing.Annotated[int, cappa.Arg(long=True)] = 16
+    models: typing.Annotated[str, cappa.Arg(long=True)] = "a"
+    linger_s: typing.Annotated[float, cappa.Arg(long=True)] = 10.0
+    fencing_mode: typing.Annotated[fencing.Mode, cappa.Arg(long="--fencing")] = (
+        fencing.Mode.IGNORED
+    )
+
+    def __call__(self) -> None:
+        """Serves until the process is told to stop."""
+        options = Options(
+            self.token_ms,
+            self.slots,
+            tuple(self.models.split(",")),
+            self.linger_s,
+            self.fencing_mode,
+        )
+        self.run(create_app(options))
+
+
+if __name__ == "__main__":
+    cappa.invoke(Command)
