--- /dev/null
+++ b/teaselsill/fairness_gap.py
@@ -0,0 +1,127 @@
+"""Works out the gap between the client accounts that are backlogged for a service."""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from teaselsill import document, ids, tables
+
+HEADER = ("service", "gap", "client account", "share", "normalised", "agents")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counter:
+    """A backlogged client account, as one agent sees it.
+
+    Attributes:
+        instance: The agent.
+        service: Its service.
+        account: The client account.
+        normalised: The counter that the agent holds for it: cost over share.
+    """
+
+    instance: ids.InstanceId
+    service: ids.ServiceName
+    account: ids.AccountId
+    normalised: float
+
+
+class BackloggedAccount(msgspec.Struct, frozen=True):
+    """A client account whose requests wait for a service.
+
+    Attributes:
+        account: The client account.
+        share: Its share.
+        normalised: The highest counter that an agent holds for it: cost over share.
+        agents: How many agents see it backlogged.
+    """
+
+    account: ids.AccountId
+    share: float
+    normalised: float
+    agents: int
+
+
+class Fairness(msgspec.Struct, frozen=True):
+    """The fairness of one service.
+
+    Attributes:
+        service: The service.
+        gap: The largest difference between two client accounts that are backlogged at
+            the same agent.
+        widest: The agent where it is; empty if no two are backlogged together.
+        accounts: The backlogged client accounts, the least served first.
+    """
+
+    service: ids.ServiceName
+    gap: float
+    widest: ids.InstanceId
+    accounts: list[BackloggedAccount]
+
+
+def compute(
+    counters: list[Counter], configuration: document.Document
+) -> list[Fairness]:
+    """Returns the fairness of each service of the configuration."""
+    return [
+        _build_fairness(
+            service,
+            [counter for counter in counters if counter.service == service],
+            configuration,
+        )
+        for service in configuration.service_by_name
+    ]
+
+
+def _build_fairness(
+    service: ids.ServiceName, counters: list[Counter], configuration: document.Document
+) -> Fairness:
+    values_by_instance = collections.defaultdict(list)
+    values_by_account = collections.defaultdict(list)
+    for counter in counters:
+        values_by_instance[counter.instance].append(counter.normalised)
+        values_by_account[counter.account].append(counter.normalised)
+    gap, widest = _find_widest(values_by_instance)
+    accounts = [
+        BackloggedAccount(
+            account, _get_share(account, configuration), max(values), len(values)
+        )
+        for account, values in values_by_account.items()
+    ]
+    accounts.sort(key=lambda account: account.normalised)
+    return Fairness(service, gap, widest, accounts)
+
+
+def _find_widest(values_by_instance: dict) -> tuple[float, ids.InstanceId]:
+    gaps = [
+        (max(values) - min(values), instance)
+        for instance, values in values_by_instance.items()
+        if len(values) > 1
+    ]
+    return max(gaps, default=(0.0, ids.InstanceId("")))
+
+
+def _get_share(account: ids.AccountId, configuration: document.Document) -> float:
+    known = configuration.account_by_id.get(account)
+    return known.share if known else 0.0
+
+
+def render(services: list[Fairness]) -> str:
+    """Returns the services as a table, each followed by its client accounts."""
+    rows = []
+    for service in services:
+        rows.append((service.service, f"{service.gap:.0f}", "", "", "", ""))
+        rows += [_build_cells(account) for account in service.accounts]
+    return tables.render(HEADER, rows)
+
+
+def _build_cells(account: BackloggedAccount) -> tuple[str, ...]:
+    return (
+        "",
+        "",
+        account.account,
+        f"{account.share:g}",
+        f"{account.normalised:.0f}",
+        str(account.agents),
+    )
--- /dev/null
+++ b/teaselsill/service_level_burn.py
@@ -0,0 +1,132 @@
+"""Works out how fast client accounts' error budgets are spent."""
+
+import collections
+import enum
+import typing
+
+import msgspec
+
+from teaselsill import document, ids, service_levels, tables
+
+ALARM_BURN = 6.0
+"""The burn over both windows that raises an alarm."""
+
+ALARM_ERROR_RATIO = 0.5
+"""The part of bad requests in both windows that raises an alarm whatever the target."""
+
+MIN_REQUESTS = 10
+"""The fewest requests in the long window that are judged."""
+
+HEADER = (
+    "client account",
+    "service",
+    "target",
+    "5 min: good/all",
+    "burn",
+    "1 h: good/all",
+    "burn",
+    "alarm",
+)
+
+
+class Alarm(enum.Enum):
+    """How fast an error budget is spent."""
+
+    NONE = "none"
+    WARNING = "warning"
+    ALARM = "alarm"
+
+
+class Burn(msgspec.Struct, frozen=True):
+    """The service-level burn of one client account at one service.
+
+    A burn of 1 spends the error budget exactly; it is the part of the requests that
+    missed the target, over the part that may.
+
+    Attributes:
+        account: The client account.
+        service: The service.
+        target_ratio: The part of the requests that should be good.
+        short: The requests of the last 5 minutes.
+        long: The requests of the last hour.
+        short_burn: The burn over the last 5 minutes.
+        long_burn: The burn over the last hour.
+        alarm: What that calls for.
+    """
+
+    account: ids.AccountId
+    service: ids.ServiceName
+    target_ratio: float
+    short: service_levels.Window
+    long: service_levels.Window
+    short_burn: float
+    long_burn: float
+    alarm: Alarm
+
+
+def compute(
+    levels: typing.Iterable[service_levels.ServiceLevel],
+    configuration: document.Document,
+) -> list[Burn]:
+    """Adds up the routers' counts and returns the burns, the fastest first.
+
+    Services that the configuration does not hold are left out.
+    """
+    levels_by_pair = collections.defaultdict(list)
+    for level in levels:
+        if level.service in configuration.service_by_name:
+            levels_by_pair[level.account, level.service].append(level)
+    rows = [
+        _build_burn(same, configuration.service_by_name[service])
+        for (_, service), same in levels_by_pair.items()
+    ]
+    return sorted(rows, key=lambda row: (-row.long_burn, row.account, row.service))
+
+
+def render(burns: list[Burn]) -> str:
+    """Returns the burns as a table."""
+    return tables.render(HEADER, [_build_cells(burn) for burn in burns])
+
+
+def _build_cells(burn: Burn) -> tuple[str, ...]:
+    return (
+        burn.account,
+        burn.service,
+        f"{burn.target_ratio:.2%}",
+        f"{burn.short.good}/{burn.short.total}",
+        f"{burn.short_burn:.1f}",
+        f"{burn.long.good}/{burn.long.total}",
+        f"{burn.long_burn:.1f}",
+        burn.alarm.value,
+    )
+
+
+def _build_burn(
+    levels: list[service_levels.ServiceLevel], service: document.Service
+) -> Burn:
+    short = service_levels.add_up(level.short for level in levels)
+    long = service_levels.add_up(level.long for level in levels)
+    budget = 1 - service.target.ratio
+    return Burn(
+        levels[0].account,
+        levels[0].service,
+        service.target.ratio,
+        short,
+        long,
+        short.error_ratio / budget,
+        long.error_ratio / budget,
+        _judge(budget, short, long),
+    )
+
+
+def _judge(
+    budget: float, short: service_levels.Window, long: service_levels.Window
+) -> Alarm:
+    if long.total < MIN_REQUESTS:
+        return Alarm.NONE
+    lower = min(short.error_ratio, long.error_ratio)
+    if lower >= min(ALARM_BURN * budget, ALARM_ERROR_RATIO):
+        return Alarm.ALARM
+    if lower > budget:
+        return Alarm.WARNING
+    return Alarm.NONE
--- a/teaselsill/service_levels.py
+++ b/teaselsill/service_levels.py
@@ -29,6 +29,20 @@
     good: int = 0
     total: int = 0
 
+    @property
+    def error_ratio(self) -> float:
+        """The part that missed the target, from 0 to 1; 0 if there were none."""
+        return (self.total - self.good) / self.total if self.total else 0.0
+
+
+def add_up(windows: typing.Iterable[Window]) -> Window:
+    """Returns the requests of all windows together."""
+    good = total = 0
+    for window in windows:
+        good += window.good
+        total += window.total
+    return Window(good, total)
+
 
 class ServiceLevel(msgspec.Struct, frozen=True):
     """The requests of one client account to one service.
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,53 @@
+import json
+import logging
+import unittest
+
+from teaselsill import logs, messages
+
+
+class FormatterTest(unittest.TestCase):
+    def format_line(self, write):
+        logger = logging.getLogger("teaselsill.test_logs")
+        with self.assertLogs(logger) as caught:
+            write(logger)
+        formatted = logs.build_formatter("router", "r1").format(caught.records[0])
+        self.assertNotIn("\n", formatted)
+        return json.loads(formatted)
+
+    def test_request_line_has_every_field_and_names_the_process(self):
+        line = logs.RequestLine(
+            request="q1",
+            outcome=messages.Outcome.UNKNOWN,
+            duration_s=0.25,
+            account="north",
+            service="pool",
+            upstream="u1",
+            status=504,
+        )
+        plain = self.format_line(line.write)
+        plain.pop("timestamp")
+        self.assertEqual(
+            plain,
+            {
+                "level": "INFO",
+                "logger": "teaselsill.test_logs",
+                "message": "request",
+                "role": "router",
+                "instance": "r1",
+                "request": "q1",
+                "outcome": "unknown",
+                "duration_s": 0.25,
+                "account": "north",
+                "service": "pool",
+                "upstream": "u1",
+                "method": "",
+                "status": 504,
+                "reason": "",
+                "attempts": 0,
+            },
+        )
+
+    def test_message_with_line_breaks_stays_one_line(self):
+        plain = self.format_line(lambda logger: logger.warning("a\nb %s", "c"))
+        self.assertEqual(plain["message"], "a\nb c")
+        self.assertEqual(plain["level"], "WARNING")
