--- /dev/null
+++ b/teaselsill/operations.py
@@ -0,0 +1,316 @@
+"""What the command line does, as functions that others may call too."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+import importlib
+import pathlib
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from teaselsill import (
+    configuration,
+    document,
+    errors,
+    ids,
+    instances,
+    log,
+    registry,
+    settings,
+)
+
+PLATFORM_MODULES = ("teaselsill.http_log", "teaselsill.http_instances")
+PLATFORM_PLUGIN = "http"
+ANSWER_TIMEOUT_S = 2.0
+"""How long an instance may take to tell its version, in seconds."""
+
+CONFIRM_INTERVAL_S = 0.2
+"""How long `publish_configuration` waits between two questions, in seconds."""
+
+
+class OperationError(errors.TeaselsillError):
+    """A file or an instance that the operator named could not be used."""
+
+
+class ReportName(enum.Enum):
+    """The reports over the live instances."""
+
+    BURN = "burn"
+    FAIRNESS = "fairness"
+    CREDITS = "credits"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The addresses of the platform's services.
+
+    Attributes:
+        log_url: The log service's address.
+        instances_url: The instance list's address.
+    """
+
+    log_url: str = ""
+    instances_url: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceStatus:
+    """What one instance said of its configuration.
+
+    Attributes:
+        instance: The instance.
+        version: The version that it is on; None if it did not answer.
+        fault: Why it did not answer, or empty.
+    """
+
+    instance: instances.Instance
+    version: ids.Version | None
+    fault: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """What every live instance said of its configuration, in the order of their ids."""
+
+    statuses: list[InstanceStatus]
+
+    @property
+    def instances_by_version(self) -> dict[ids.Version, list[ids.InstanceId]]:
+        """The ids of the instances that answered, by the version that they are on."""
+        by_version = collections.defaultdict(list)
+        for status in self.statuses:
+            if status.version is not None:
+                by_version[status.version].append(status.instance.id)
+        return dict(sorted(by_version.items()))
+
+    @property
+    def silent(self) -> list[InstanceStatus]:
+        """The instances that did not answer."""
+        return [status for status in self.statuses if status.version is None]
+
+    def confirmed(self, version: ids.Version) -> list[InstanceStatus]:
+        """Returns the instances that are on a version or a later one."""
+        return [
+            status
+            for status in self.statuses
+            if status.version is not None and status.version >= version
+        ]
+
+    def unconfirmed(self, version: ids.Version) -> list[InstanceStatus]:
+        """Returns the instances that did not answer or are on an older version."""
+        return [
+            status
+            for status in self.statuses
+            if status.version is None or status.version < version
+        ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publication:
+    """An accepted configuration and who has it.
+
+    Attributes:
+        version: The accepted version.
+        fleet: What the live instances said last; None if the list did not answer.
+        fault: Why the instance list could not be read, or empty.
+    """
+
+    version: ids.Version
+    fleet: FleetStatus | None
+    fault: str = ""
+
+
+class _VersionBody(msgspec.Struct):
+    version: int
+
+
+def check_settings(role: str, path: str) -> settings.CommonSettings:
+    """Reads and checks the settings file of a role.
+
+    Raises:
+        SettingsError: The file has faults; it names all of them.
+        OperationError: There is no such role.
+    """
+    model = settings.MODEL_BY_ROLE.get(role)
+    if model is None:
+        known = ", ".join(settings.MODEL_BY_ROLE)
+        raise OperationError(f"no role named {role!r}; known: {known}")
+    return settings.load(path, model)
+
+
+def check_configuration(path: str) -> document.Document:
+    """Reads and checks a configuration document.
+
+    Raises:
+        DocumentError: The document has faults; it names all of them.
+        OperationError: The file cannot be read.
+    """
+    return _parse_document(path, _read_file(path))
+
+
+async def publish_configuration(
+    path: str,
+    based_on: ids.Version,
+    publisher: str,
+    platform: Platform,
+    wait_s: float,
+) -> Publication:
+    """Publishes a document and asks the live instances whether they have it.
+
+    Args:
+        path: The document's path.
+        based_on: The version that the document replaces.
+        publisher: Who publishes; shown in the history.
+        platform: Where the log service and the instance list are met.
+        wait_s: How long to wait for the instances, in seconds.
+
+    Raises:
+        DocumentError: The document has faults.
+        ConfigurationError: It was refused, or its fate is not known.
+    """
+    text = _read_file(path)
+    _parse_document(path, text)
+    async with _open_log(platform) as service:
+        version = await configuration.publish(service, text, based_on, publisher)
+    try:
+        fleet = await _wait_for_version(platform, version, wait_s)
+    except errors.InstanceListError as error:
+        return Publication(version, None, str(error))
+    return Publication(version, fleet)
+
+
+async def show_configuration(platform: Platform) -> configuration.Current:
+    """Returns the configuration that is in force by the log service."""
+    async with _open_log(platform) as service:
+        return await configuration.show(service)
+
+
+async def configuration_history(platform: Platform) -> list[configuration.Entry]:
+    """Returns what became of each kept publication, oldest first."""
+    async with _open_log(platform) as service:
+        return await configuration.history(service)
+
+
+async def configuration_status(platform: Platform) -> FleetStatus:
+    """Asks every live instance for its configuration version.
+
+    Raises:
+        InstanceListError: The instance list cannot be read.
+    """
+    live = await _fetch_live(platform)
+    timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        statuses = await asyncio.gather(
+            *(_ask_version(session, instance) for instance in live)
+        )
+    return FleetStatus(statuses)
+
+
+async def report(name: ReportName, platform: Platform, as_json: bool) -> str:
+    """Returns a report over the live instances, as a table or as JSON.
+
+    The module `teaselsill.reports` has two functions for this: the coroutine
+    `collect(instances)`, which asks the listed instances, and
+    `render(name, collected, as_json)`, which returns the text.
+
+    Raises:
+        InstanceListError: The instance list cannot be read.
+    """
+    reports = importlib.import_module("teaselsill.reports")
+    collected = await reports.collect(await _fetch_live(platform))
+    return reports.render(name, collected, as_json)
+
+
+def run_router(path: str) -> None:
+    """Runs a router with a settings file until it is told to stop."""
+    loaded = settings.load(path, settings.RouterSettings)
+    asyncio.run(_import_daemon().run_router(loaded))
+
+
+def run_agent(path: str) -> None:
+    """Runs an agent with a settings file until it is told to stop."""
+    loaded = settings.load(path, settings.AgentSettings)
+    asyncio.run(_import_daemon().run_agent(loaded))
+
+
+def run_console(path: str) -> None:
+    """Runs a console with a settings file until it is told to stop."""
+    loaded = settings.load(path, settings.ConsoleSettings)
+    asyncio.run(_import_daemon().run_console(loaded))
+
+
+def _import_daemon():
+    return importlib.import_module("teaselsill.daemon")
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise OperationError(f"{path}: {error.strerror or error}") from error
+
+
+def _parse_document(path: str, text: bytes) -> document.Document:
+    try:
+        return document.parse(text)
+    except document.DocumentError as error:
+        faults = [f"{path}: {fault}" for fault in error.faults]
+        raise document.DocumentError(faults) from error
+
+
+@contextlib.asynccontextmanager
+async def _open_log(platform: Platform) -> typing.AsyncIterator[log.Log]:
+    service = _load_plugin(registry.Kind.LOG)(platform.log_url)
+    try:
+        yield service
+    finally:
+        await service.close()
+
+
+async def _fetch_live(platform: Platform) -> list[instances.Instance]:
+    listing = _load_plugin(registry.Kind.INSTANCES)(platform.instances_url)
+    try:
+        instance_by_id = await listing.fetch()
+    finally:
+        await listing.close()
+    return [
+        instance
+        for _, instance in sorted(instance_by_id.items())
+        if instance.state is instances.InstanceState.LIVE
+    ]
+
+
+def _load_plugin(kind: registry.Kind):
+    for module in PLATFORM_MODULES:
+        importlib.import_module(module)
+    return registry.get(kind, PLATFORM_PLUGIN)
+
+
+async def _ask_version(
+    session: aiohttp.ClientSession, instance: instances.Instance
+) -> InstanceStatus:
+    url = f"http://{instance.host}:{instance.admin_port}/version"
+    try:
+        async with session.get(url) as response:
+            response.raise_for_status()
+            body = msgspec.json.decode(await response.read(), type=_VersionBody)
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        return InstanceStatus(instance, None, str(error) or type(error).__name__)
+    return InstanceStatus(instance, ids.Version(body.version))
+
+
+async def _wait_for_version(
+    platform: Platform, version: ids.Version, wait_s: float
+) -> FleetStatus:
+    deadline = time.monotonic() + wait_s
+    while True:
+        fleet = await configuration_status(platform)
+        left_s = deadline - time.monotonic()
+        if not fleet.unconfirmed(version) or left_s <= 0:
+            return fleet
+        await asyncio.sleep(min(CONFIRM_INTERVAL_S, left_s))
