--- a/teaselsill/service_level_burn.py
+++ b/teaselsill/service_level_burn.py
@@ -17,6 +17,9 @@
 MIN_REQUESTS = 10
 """The fewest requests in the long window that are judged."""
 
+BURN_DIGITS = 6
+"""The decimals of a burn: a target that is just met must come out as 1."""
+
 HEADER = (
     "client account",
     "service",
@@ -106,27 +109,32 @@
 ) -> Burn:
     short = service_levels.add_up(level.short for level in levels)
     long = service_levels.add_up(level.long for level in levels)
-    budget = 1 - service.target.ratio
     return Burn(
         levels[0].account,
         levels[0].service,
         service.target.ratio,
         short,
         long,
-        short.error_ratio / budget,
-        long.error_ratio / budget,
-        _judge(budget, short, long),
+        _compute_burn(short, service.target),
+        _compute_burn(long, service.target),
+        _judge(short, long, service.target),
     )
 
 
+def _compute_burn(window: service_levels.Window, target: document.Target) -> float:
+    return round(window.error_ratio / (1 - target.ratio), BURN_DIGITS)
+
+
 def _judge(
-    budget: float, short: service_levels.Window, long: service_levels.Window
+    short: service_levels.Window, long: service_levels.Window, target: document.Target
 ) -> Alarm:
     if long.total < MIN_REQUESTS:
         return Alarm.NONE
-    lower = min(short.error_ratio, long.error_ratio)
-    if lower >= min(ALARM_BURN * budget, ALARM_ERROR_RATIO):
+    lower = min(short, long, key=lambda window: window.error_ratio)
+    if lower.error_ratio >= ALARM_ERROR_RATIO:
+        return Alarm.ALARM
+    if _compute_burn(lower, target) >= ALARM_BURN:
         return Alarm.ALARM
-    if lower > budget:
+    if _compute_burn(lower, target) > 1:
         return Alarm.WARNING
     return Alarm.NONE
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,61 @@
+import json
+import unittest
+
+from teaselsill import admin, ids, instances, metrics, reports
+
+
+class AppTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.is_ready = True
+        self.sink = metrics.Metrics()
+        self.report = reports.NodeReport(
+            instance="a1",
+            role=instances.Role.AGENT,
+            incarnation="x",
+            data_centre="oslo-a",
+            version=ids.Version(7),
+            uptime_s=5.0,
+            slots=reports.Slots(busy=1, total=8, busy_s=2.5),
+        )
+        state = admin.State(
+            is_ready=lambda: self.is_ready,
+            version=lambda: ids.Version(7),
+            report=lambda: self.report,
+            totals=self.sink.get_totals,
+        )
+        self.app = admin.create_app(state)
+
+    async def get(self, path):
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": b""}
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "path": path,
+            "headers": [],
+            "query_string": b"",
+        }
+        await self.app(scope, receive, send)
+        return sent[0]["status"], json.loads(sent[1]["body"])
+
+    async def test_pages_answer(self):
+        self.sink.count(metrics.Metric.GRANTS, 2)
+        self.assertEqual(await self.get("/live"), (200, {"status": "live"}))
+        self.assertEqual(await self.get("/ready"), (200, {"status": "ready"}))
+        self.assertEqual(await self.get("/version"), (200, {"version": 7}))
+        status, counts = await self.get("/counts")
+        self.assertEqual((status, counts["count_by_name"]), (200, {"grants": 2}))
+        status, report = await self.get("/report")
+        self.assertEqual((status, report["role"]), (200, "agent"))
+        self.assertEqual(report["slots"], {"busy": 1, "total": 8, "busy_s": 2.5})
+
+    async def test_process_that_is_not_ready_is_live_all_the_same(self):
+        self.is_ready = False
+        self.assertEqual(await self.get("/ready"), (503, {"status": "not ready"}))
+        self.assertEqual((await self.get("/live"))[0], 200)
