--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -1,6 +1,7 @@
 """An agent: owns an upstream's slots, chooses who goes next, runs the requests."""
 
 import asyncio
+import dataclasses
 import hashlib
 import logging
 import time
@@ -8,7 +9,7 @@
 from teaselsill import (
     answers,
     attempts,
-    backlog,
+    claim_records,
     claims,
     counters,
     digest,
@@ -53,6 +54,27 @@
         self.retry_after_s = retry_after_s
 
 
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """One attempt that runs.
+
+    Attributes:
+        dispatch: What was asked for.
+        answer: Where the answer goes.
+        meter: Charges the cost.
+        deadline: When the caller stops waiting, on the monotonic clock, in seconds.
+        claimed: The claim on the idempotency key, or none.
+        sent: Whether the upstream may have seen the request.
+    """
+
+    dispatch: messages.Dispatch
+    answer: answers.Answer
+    meter: meter.Meter
+    deadline: float
+    claimed: claims.Claimed | None = None
+    sent: bool = False
+
+
 class Agent:
     """The process beside one upstream, and the only way to it.
 
@@ -336,10 +358,13 @@
         self._answer_by_attempt[dispatch.attempt] = answer
         if dispatch.repeatable:
             self._repeatable.add(dispatch.attempt)
-        deadline = time.monotonic() + dispatch.budget_ms / 1000
-        self._task_by_attempt[dispatch.attempt] = asyncio.create_task(
-            self._run(peer, dispatch, answer, offer, deadline)
+        run = _Run(
+            dispatch,
+            answer,
+            meter.Meter(self._counters, self._policy, offer, self._follower.document),
+            time.monotonic() + dispatch.budget_ms / 1000,
         )
+        self._task_by_attempt[dispatch.attempt] = asyncio.create_task(self._run(run))
 
     def _check_dispatch(self, peer, dispatch: messages.Dispatch) -> slots.Offer:
         """Returns the offer that a dispatch uses up.
@@ -380,68 +405,61 @@
         self._counters.release(offer.account, offer.expected)
         self.slots.release()
 
-    def _refuse(self, peer, attempt, reason, retry_after_s: float = 0.0) -> None:
+    def _refuse(self, peer, attempt, reason, retry_after_s=0.0, sequence=0) -> None:
         """Tells a router that an attempt has not run, and sees that it never will."""
         if self._attempts.refuse(attempt):
-            peer.link.send(
-                messages.NotRun(attempt, reason, int(retry_after_s * 1000))
-            )
-        else:
-            end = messages.End(
-                attempt, 0, messages.Outcome.UNKNOWN, messages.Reason.ANSWER_DROPPED
-            )
-            peer.link.send(end)
+            retry_after_ms = int(retry_after_s * 1000)
+            peer.link.send(messages.NotRun(attempt, reason, retry_after_ms))
+            return
+        dropped = messages.Reason.ANSWER_DROPPED
+        end = messages.End(attempt, sequence, messages.Outcome.UNKNOWN, dropped)
+        peer.link.send(end)
 
-    async def _run(self, peer, dispatch, answer, offer, deadline: float) -> None:
+    async def _run(self, run: _Run) -> None:
         """Runs one attempt to its end; its slot is free when the upstream is done."""
-        used = meter.Meter(
-            self._counters, self._policy, offer, self._follower.document
-        )
         try:
-            async with asyncio.timeout_at(_loop_time(deadline)):
-                await self._run_order(dispatch, answer, used, deadline)
-        except _NotRun as error:
-            self._forget_run(answer)
-            self._answer_not_run(peer, dispatch, error)
+            async with asyncio.timeout_at(_loop_time(run.deadline)):
+                await self._run_order(run)
+        except _NotRunError as error:
+            self._end_not_run(run, error.reason)
         except TimeoutError:
-            _end(answer, messages.Reason.DEADLINE)
+            await self._end_broken(run, messages.Reason.DEADLINE)
         except upstream.StreamStalledError:
-            _end(answer, messages.Reason.STREAM_STALLED)
+            await self._end_broken(run, messages.Reason.STREAM_STALLED)
         except errors.TeaselsillError as error:
-            logger.warning("attempt %s failed: %s", dispatch.attempt, error)
-            _end(answer, messages.Reason.UPSTREAM_FAILED)
+            logger.warning("attempt %s failed: %s", run.dispatch.attempt, error)
+            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
         except asyncio.CancelledError:
-            _end(answer, messages.Reason.CANCELLED)
+            await self._end_broken(run, messages.Reason.CANCELLED)
         except Exception:
-            logger.exception("attempt %s failed", dispatch.attempt)
-            _end(answer, messages.Reason.UPSTREAM_FAILED)
+            logger.exception("attempt %s failed", run.dispatch.attempt)
+            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
         finally:
-            self._finish(dispatch, answer, used)
+            self._finish(run)
 
-    async def _run_order(self, dispatch, answer, used, deadline: float) -> None:
+    async def _run_order(self, run: _Run) -> None:
         """Claims the request if it may not be repeated, then sends it."""
-        claimed = None
+        dispatch = run.dispatch
         if dispatch.key and not dispatch.repeatable:
-            claimed = await self._claim(dispatch, answer)
-            if claimed is None:
+            run.claimed = await self._claim(dispatch, run.answer)
+            if run.claimed is None:
                 return
-        order = _make_order(dispatch, deadline, claimed)
-        if time.monotonic() >= deadline:
-            raise _NotRun(messages.Reason.DEADLINE)
+        if time.monotonic() >= run.deadline:
+            raise _NotRunError(messages.Reason.DEADLINE)
         try:
-            stored = await self._send(order, answer, used)
+            stored = await self._send(run)
         except upstream.UpstreamUnreachableError as error:
             logger.warning("upstream unreachable: %s", error)
-            await self._release(claimed)
+            await self._release(run)
             self._pause()
-            raise _NotRun(messages.Reason.UPSTREAM_UNREACHABLE) from error
+            raise _NotRunError(messages.Reason.UPSTREAM_UNREACHABLE) from error
         except upstream.UpstreamRefusedError as error:
-            await self._release(claimed)
-            raise _NotRun(messages.Reason.UPSTREAM_FAILED) from error
+            await self._release(run)
+            raise _NotRunError(messages.Reason.UPSTREAM_FAILED) from error
         self._pause_s = PAUSE_MIN_S
-        if claimed is not None:
-            await self._ledger.record_ran(claimed, stored)
-        answer.end(messages.Outcome.RAN, messages.Reason.NONE)
+        if run.claimed is not None:
+            await self._ledger.record_ran(run.claimed, stored)
+        run.answer.end(messages.Outcome.RAN, messages.Reason.NONE)
 
     async def _claim(self, dispatch, answer) -> claims.Claimed | None:
         """Claims a key, or answers from what is known of it and returns none."""
@@ -454,63 +472,76 @@
             return None
         except claims.ClaimError as error:
             logger.warning("claim failed: %s", error)
-            raise _NotRun(messages.Reason.LOG_UNAVAILABLE) from error
+            raise _NotRunError(messages.Reason.LOG_UNAVAILABLE) from error
         match found:
             case claims.Claimed():
                 return found
-            case claims.AlreadyRan(answer=None):
-                answer.end(messages.Outcome.RAN, messages.Reason.KEY_RAN)
-            case claims.AlreadyRan(answer=stored):
-                await answer.put_head(stored.status, stored.headers)
-                await answer.put_body(stored.body)
+            case claims.AlreadyRan(
+                answer=claims.StoredAnswer(status, headers, bytes(body))
+            ):
+                await answer.put_head(status, headers)
+                await answer.put_body(body)
                 answer.end(messages.Outcome.RAN, messages.Reason.NONE)
+            case claims.AlreadyRan():
+                answer.end(messages.Outcome.RAN, messages.Reason.KEY_RAN)
             case claims.InProgress():
                 answer.end(messages.Outcome.UNKNOWN, messages.Reason.KEY_IN_PROGRESS)
         self._metrics.count(metrics.Metric.CLAIMS_REPEATED)
         return None
 
-    async def _release(self, claimed) -> None:
-        if claimed is not None:
-            await self._ledger.release(claimed)
+    async def _release(self, run: _Run) -> None:
+        if run.claimed is not None:
+            await self._ledger.release(run.claimed)
 
-    async def _send(self, order, answer, used: meter.Meter) -> claims.StoredAnswer:
+    async def _send(self, run: _Run) -> claims.StoredAnswer:
         """Sends the order to the upstream and its answer to the router."""
         status = 0
         headers = []
         kept = bytearray()
+        run.sent = True
+        order = _make_order(run.dispatch, run.deadline)
         async for event in self._upstream.run(order, self._service_now()):
             match event:
                 case upstream.Started(status=status, headers=headers):
-                    await answer.put_head(status, headers)
+                    await run.answer.put_head(status, headers)
                 case upstream.Piece(data=data, cost=cost):
-                    used.add(cost)
-                    if len(kept) <= claims.MAX_STORED_BODY_BYTES:
+                    run.meter.add(cost)
+                    if len(kept) <= claim_records.MAX_STORED_BODY_BYTES:
                         kept += data
-                    await answer.put_body(data)
+                    await run.answer.put_body(data)
                 case upstream.Finished(cost=cost):
-                    used.add(cost)
+                    run.meter.add(cost)
         return claims.StoredAnswer(status, headers, bytes(kept))
 
-    def _answer_not_run(self, peer, dispatch, error: "_NotRun") -> None:
-        """Says that an attempt has not run, over whichever link there is now."""
-        message = messages.NotRun(dispatch.attempt, error.reason, 0)
-        for other in self._peers:
-            if dispatch.attempt in other.attempts:
-                other.link.send(message)
-
-    def _forget_run(self, answer: answers.Answer) -> None:
-        self._answer_by_attempt.pop(answer.attempt, None)
+    def _end_not_run(self, run: _Run, reason: messages.Reason) -> None:
+        """Says that an accepted attempt has not run, on whichever link there is."""
+        attempt = run.dispatch.attempt
+        self._attempts.end(attempt, has_run=False)
+        for peer in self._peers:
+            if attempt in peer.attempts:
+                peer.link.send(messages.NotRun(attempt, reason, 0))
+        self._forget_answer(attempt)
 
-    def _finish(self, dispatch, answer, used: meter.Meter) -> None:
-        used.close()
-        self.served_cost += used.cost
-        self._metrics.count(metrics.Metric.COST_SERVED, round(used.cost))
+    async def _end_broken(self, run: _Run, reason: messages.Reason) -> None:
+        """Ends an answer that is not whole."""
+        if not run.sent and not run.answer.has_head:
+            await self._release(run)
+            self._end_not_run(run, reason)
+        elif not run.answer.is_ended:
+            run.answer.end(messages.Outcome.UNKNOWN, reason)
+
+    def _finish(self, run: _Run) -> None:
+        attempt = run.dispatch.attempt
+        run.meter.close()
+        self.served_cost += run.meter.cost
+        self._metrics.count(metrics.Metric.COST_SERVED, round(run.meter.cost))
         self.slots.release()
-        self._attempts.end(dispatch.attempt)
-        self._task_by_attempt.pop(dispatch.attempt, None)
-        self._repeatable.discard(dispatch.attempt)
-        if answer.is_delivered:
-            self._forget_answer(dispatch.attempt)
+        if self._attempts.state_of(attempt) is attempts.State.RUNNING:
+            self._attempts.end(attempt)
+        self._task_by_attempt.pop(attempt, None)
+        self._repeatable.discard(attempt)
+        if run.answer.is_delivered:
+            self._forget_answer(attempt)
         self._note_idle()
         self._grant_free_slots()
 
@@ -549,7 +580,8 @@
     def _resume(self, peer, attempt: ids.AttemptId, sequence: int) -> None:
         answer = self._answer_by_attempt.get(attempt)
         if answer is None:
-            self._refuse(peer, attempt, messages.Reason.NEVER_SEEN)
+            reason = messages.Reason.NEVER_SEEN
+            self._refuse(peer, attempt, reason, sequence=sequence)
             return
         for other in self._peers:
             other.attempts.discard(attempt)
@@ -565,7 +597,7 @@
         self._pause_s = min(self._pause_s * 2, PAUSE_MAX_S)
 
 
-class _NotRun(errors.RequestError):
+class _NotRunError(errors.RequestError):
     """An accepted attempt turns out not to run."""
 
     def __init__(self, reason: messages.Reason):
@@ -573,12 +605,7 @@
         self.reason = reason
 
 
-def _end(answer: answers.Answer, reason: messages.Reason) -> None:
-    if not answer.is_ended:
-        answer.end(messages.Outcome.UNKNOWN, reason)
-
-
-def _make_order(dispatch, deadline: float, claimed) -> upstream.Order:
+def _make_order(dispatch, deadline: float) -> upstream.Order:
     return upstream.Order(
         request=dispatch.request,
         method=dispatch.method,
--- a/teaselsill/answers.py
+++ b/teaselsill/answers.py
@@ -70,6 +70,7 @@
         self._first = 0
         self._unacknowledged_bytes = 0
         self._ended = False
+        self._discarded = False
         self._send: Send | None = None
         self._has_room = asyncio.Event()
         self._has_room.set()
@@ -80,6 +81,11 @@
         """The size of the buffered frames, with their overhead, in bytes."""
         return self._unacknowledged_bytes
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the answer has begun."""
+        return self._next_sequence > 0
+
     @property
     def is_ended(self) -> bool:
         """Whether the end mark has been added."""
@@ -115,6 +121,8 @@
         self._add(messages.End(self.attempt, self._next_sequence, outcome, reason))
         self._ended = True
         self._has_room.set()
+        if self._discarded:
+            self._delivered.set()
 
     def attach(self, send: Send, from_sequence: int) -> None:
         """Sends all frames from a sequence number on over a connection.
@@ -137,6 +145,12 @@
         if self._send == send:
             self._send = None
 
+    def discard(self) -> None:
+        """Drops the frames, now and from now on: nobody wants the answer."""
+        self._discarded = True
+        self._send = None
+        self.acknowledge(self._next_sequence - 1)
+
     def acknowledge(self, through: int) -> None:
         """Frees the frames up to and with a sequence number.
 
@@ -172,6 +186,8 @@
         self._frames.append(frame)
         self._unacknowledged_bytes += _size_of(frame)
         self._transmit(frame)
+        if self._discarded:
+            self.acknowledge(self._next_sequence - 1)
 
     def _transmit(self, frame):
         if self._send is None:
--- a/teaselsill/attempts.py
+++ b/teaselsill/attempts.py
@@ -118,10 +118,15 @@
         router.attempts += 1
         self._running.add(attempt)
 
-    def end(self, attempt: ids.AttemptId) -> None:
-        """Marks a running attempt as ended, whatever came of it."""
+    def end(self, attempt: ids.AttemptId, has_run: bool = True) -> None:
+        """Marks a running attempt as ended.
+
+        Args:
+            attempt: The attempt.
+            has_run: Whether it may have run; if not, it is refused from now on.
+        """
         self._running.remove(attempt)
-        self._remember(attempt, State.ENDED)
+        self._remember(attempt, State.ENDED if has_run else State.REFUSED)
 
     def refuse(self, attempt: ids.AttemptId) -> bool:
         """Sees to it that an attempt which was never seen will not run.
