--- /dev/null
+++ b/teaselsill/digest.py
@@ -0,0 +1,319 @@
+"""Carries the counters of a service through a tree of its agents.
+
+Each agent reports to its parent what was served in its subtree. The root adds the
+reports up and sends the counters down. The tree follows from the instance list
+alone. A node without a live parent does the root's part for its subtree, and two
+roots do no harm: their counters merge by the greater value.
+"""
+
+import asyncio
+import collections.abc
+import random
+import time
+import typing
+
+from teaselsill import counters, errors, ids, instances, link, messages
+
+FAN_OUT = 4
+"""How many children a node of the tree has."""
+PERIOD_S = 1.0
+"""How often a node reports."""
+RETRY_JITTER_S = 1.0
+"""A lost parent is tried again after a random part of this time."""
+GRACE_S = 3.0
+"""A node whose parent is out of reach does the root's part after this long.
+
+Until then it keeps its service for the next parent: service that two roots count
+at the same time merges by the greater value, so the lesser part is lost.
+"""
+
+LinkKey = collections.abc.Hashable
+SequenceByChild = dict[LinkKey, int]
+
+
+def parent_of(
+    me: ids.InstanceId,
+    agents: collections.abc.Iterable[ids.InstanceId],
+    fan_out: int = FAN_OUT,
+) -> ids.InstanceId | None:
+    """Returns the parent of an agent in the tree, or none for the root.
+
+    A parent's id always sorts before its child's, so agents that see different
+    lists build no cycle.
+
+    Args:
+        me: The agent; it counts as present whatever the list says.
+        agents: The live agents of the service.
+        fan_out: How many children a node has.
+    """
+    ordered = sorted({me, *agents})
+    position = ordered.index(me)
+    return ordered[(position - 1) // fan_out] if position else None
+
+
+class Node:
+    """The bookkeeping of one agent's place in the tree, without input or output.
+
+    Reports and digests on one link arrive in order or the link is lost. `included`
+    is translated at each hop: a node remembers which reports of its children each
+    of its own reports contained.
+
+    Args:
+        known: The counters of the service at this agent.
+    """
+
+    def __init__(self, known: counters.Counters):
+        self._counters = known
+        self._sequence = 0
+        self._is_new_link = True
+        self._told_backlog = False
+        self._taken_by_child: SequenceByChild = {}
+        self._included_by_child: SequenceByChild = {}
+        self._backlogged_by_child: dict[LinkKey, frozenset[ids.AccountId]] = {}
+        self._contained_by_sequence: dict[int, SequenceByChild] = {}
+        self._has_news = False
+        self._is_digest_due = False
+
+    @property
+    def backlogged(self) -> frozenset[ids.AccountId]:
+        """The client accounts that wait at this agent or at one below it."""
+        return self._counters.backlogged.union(*self._backlogged_by_child.values())
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether an answer from the parent should come within the next periods."""
+        return bool(self._contained_by_sequence)
+
+    @property
+    def is_digest_due(self) -> bool:
+        """Whether the children should get a digest."""
+        return self._is_digest_due
+
+    def start_link(self) -> None:
+        """Starts to count the reports to a new parent, or to none."""
+        self._counters.fold_sent()
+        for contained in self._contained_by_sequence.values():
+            self._included_by_child.update(contained)
+        self._contained_by_sequence.clear()
+        self._sequence = 0
+        self._is_new_link = True
+
+    def next_report(self) -> messages.Report | None:
+        """Returns the next report for the parent, or none if there is no news."""
+        backlogged = self._take_backlogged()
+        known = self._take_known()
+        has_news = self._counters.has_pending or known
+        if not (has_news or backlogged or self._told_backlog):
+            return None
+        self._sequence += 1
+        self._told_backlog = bool(backlogged)
+        self._contained_by_sequence[self._sequence] = dict(self._taken_by_child)
+        if len(self._contained_by_sequence) > counters.MAX_REPORTS_KEPT:
+            del self._contained_by_sequence[min(self._contained_by_sequence)]
+        served = self._counters.take_pending(self._sequence)
+        return messages.Report(self._sequence, served, sorted(backlogged), known)
+
+    def take_report(self, child: LinkKey, report: messages.Report) -> None:
+        """Takes a child's report.
+
+        Args:
+            child: Stands for the link that the report came on.
+            report: The report.
+        """
+        if report.sequence <= self._taken_by_child.get(child, 0):
+            return
+        self._taken_by_child[child] = report.sequence
+        self._backlogged_by_child[child] = frozenset(report.backlogged)
+        self._counters.add_pending(report.served_by_account)
+        self._counters.learn(report.known_by_account)
+        self._has_news = True
+
+    def forget(self, child: LinkKey) -> None:
+        """Drops what is kept for a child's link."""
+        self._taken_by_child.pop(child, None)
+        self._included_by_child.pop(child, None)
+        self._backlogged_by_child.pop(child, None)
+        for contained in self._contained_by_sequence.values():
+            contained.pop(child, None)
+
+    def settle(self) -> None:
+        """Does the root's part for one period."""
+        if self._contained_by_sequence:
+            self.start_link()
+        self._counters.settle(self._take_backlogged())
+        self._included_by_child = dict(self._taken_by_child)
+        if self._has_news or self._counters.fleet_backlogged:
+            self._is_digest_due = True
+        self._has_news = False
+
+    def take_digest(self, digest: messages.Digest) -> None:
+        """Takes the parent's digest."""
+        self._counters.take_digest(digest.counter_by_account, digest.included)
+        for sequence in [
+            s for s in self._contained_by_sequence if s <= digest.included
+        ]:
+            contained = self._contained_by_sequence.pop(sequence)
+            self._included_by_child.update(contained)
+        self._is_digest_due = True
+
+    def digest_for(self, child: LinkKey) -> messages.Digest:
+        """Returns the digest for a child."""
+        return messages.Digest(
+            self._counters.fleet_counter_by_account,
+            self._included_by_child.get(child, 0),
+        )
+
+    def end_digest(self) -> None:
+        """Notes that all children have got the digest."""
+        self._is_digest_due = False
+
+    def _take_backlogged(self) -> frozenset[ids.AccountId]:
+        lately = self._counters.take_backlogged_lately()
+        return lately.union(*self._backlogged_by_child.values())
+
+    def _take_known(self) -> counters.CounterByAccount:
+        known = self._counters.take_known()
+        if self._is_new_link:
+            counters.raise_to(known, self._counters.counter_by_account)
+        self._is_new_link = False
+        return known
+
+
+class Exchange:
+    """Keeps one agent's place in the digest tree of its service.
+
+    The agent runs `run` as a task, passes each `Report` that comes on an accepted
+    link to `take`, and calls `forget` when such a link closes.
+
+    Args:
+        me: This process.
+        secret: The secret that the fleet's processes share.
+        service: The service that the agent's upstream belongs to.
+        list_agents: Returns the instances that this process knows of.
+        known: The counters of the service at this agent.
+        version: Returns this process's configuration version.
+        tls: An `ssl.SSLContext` for outgoing links, or none.
+    """
+
+    def __init__(
+        self,
+        me: link.Identity,
+        secret: bytes,
+        service: ids.ServiceName,
+        list_agents: typing.Callable[[], collections.abc.Iterable[instances.Instance]],
+        known: counters.Counters,
+        version: typing.Callable[[], ids.Version] = lambda: ids.NO_VERSION,
+        tls=None,
+    ):
+        self._me = me
+        self._secret = secret
+        self._service = service
+        self._list_agents = list_agents
+        self._version = version
+        self._tls = tls
+        self._node = Node(known)
+        self._uplink: link.Link | None = None
+        self._orphaned_at = time.monotonic()
+        self._children: set[link.Link] = set()
+
+    @property
+    def parent(self) -> ids.InstanceId | None:
+        """The parent that this agent is linked to, or none."""
+        return self._uplink.peer.instance if self._uplink else None
+
+    async def run(self) -> None:
+        """Reports, and keeps the link to the parent, until it is cancelled."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._report_each_period())
+                tasks.create_task(self._keep_uplink())
+        finally:
+            self._drop_uplink()
+
+    def take(self, child: link.Link, message: messages.Report) -> None:
+        """Takes a report that came on an accepted link."""
+        self._children.add(child)
+        self._node.take_report(child, message)
+
+    def forget(self, child: link.Link) -> None:
+        """Drops what is kept for an accepted link that has closed."""
+        self._children.discard(child)
+        self._node.forget(child)
+
+    async def _report_each_period(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            if self._uplink and not self._is_parent(self._uplink):
+                self._uplink.abort()
+            elif self._uplink:
+                self._report()
+            elif self._is_root():
+                self._node.settle()
+                self._send_digests()
+
+    async def _keep_uplink(self) -> None:
+        while True:
+            parent = self._find_parent()
+            if parent is not None:
+                await self._follow(parent)
+            await asyncio.sleep(random.uniform(0.1, 1.0) * RETRY_JITTER_S)
+
+    async def _follow(self, parent: instances.Instance) -> None:
+        """Connects to a parent and takes its digests until the link is lost."""
+        try:
+            self._uplink = await link.connect(
+                parent.host, parent.port, self._secret, self._me, self._tls
+            )
+            self._node.start_link()
+            self._report()
+            await self._take_digests(self._uplink)
+        except errors.LinkError:
+            return
+        finally:
+            self._drop_uplink()
+
+    async def _take_digests(self, uplink: link.Link) -> None:
+        while not uplink.is_closed:
+            received = await uplink.receive(lambda: self._node.is_busy, self._version)
+            for message in received:
+                if isinstance(message, messages.Digest):
+                    self._node.take_digest(message)
+            self._send_digests()
+
+    def _report(self) -> None:
+        report = self._node.next_report()
+        if report is not None:
+            self._uplink.send(report)
+
+    def _send_digests(self) -> None:
+        if not self._node.is_digest_due:
+            return
+        for child in self._children:
+            child.send(self._node.digest_for(child))
+        self._node.end_digest()
+
+    def _drop_uplink(self) -> None:
+        if self._uplink is not None:
+            self._uplink.abort()
+            self._uplink = None
+            self._orphaned_at = time.monotonic()
+            self._node.start_link()
+
+    def _is_parent(self, uplink: link.Link) -> bool:
+        parent = self._find_parent()
+        return parent is not None and parent.id == uplink.peer.instance
+
+    def _is_root(self) -> bool:
+        is_alone = time.monotonic() - self._orphaned_at >= GRACE_S
+        return is_alone or self._find_parent() is None
+
+    def _find_parent(self) -> instances.Instance | None:
+        agent_by_id = {
+            instance.id: instance
+            for instance in self._list_agents()
+            if instance.role is instances.Role.AGENT
+            and instance.service == self._service
+            and instance.state is instances.InstanceState.LIVE
+        }
+        parent = parent_of(self._me.instance, agent_by_id)
+        return agent_by_id.get(parent)
