--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -1,15 +1,14 @@
 """An agent: owns an upstream's slots, chooses who goes next, runs the requests."""
 
 import asyncio
+import collections
 import dataclasses
-import hashlib
 import logging
 import time
 
 from teaselsill import (
     answers,
     attempts,
-    claim_records,
     claims,
     counters,
     digest,
@@ -114,7 +113,6 @@
         self.slots = slots.Slots()
         self.is_leaving = False
         self.served_cost = 0.0
-        self.control_bytes_by_type: dict[str, int] = {}
         self._me = me
         self._secret = secret
         self._service = service
@@ -133,6 +131,7 @@
         self._answer_by_attempt: dict[ids.AttemptId, answers.Answer] = {}
         self._task_by_attempt: dict[ids.AttemptId, asyncio.Task] = {}
         self._repeatable: set[ids.AttemptId] = set()
+        self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._paused_until = 0.0
         self._pause_s = PAUSE_MIN_S
         self._idle = asyncio.Event()
@@ -155,9 +154,16 @@
         return self._counters
 
     @property
-    def peers(self) -> set[router_peer.RouterPeer]:
-        """The connected peers."""
-        return self._peers
+    def exchange(self) -> digest.Exchange:
+        """This agent's place in the digest tree."""
+        return self._exchange
+
+    def sent_bytes_by_type(self) -> dict[str, int]:
+        """Returns the bytes sent to peers in this run, by the type of message."""
+        total = collections.Counter(self._closed_bytes_by_type)
+        for peer in self._peers:
+            total.update(peer.link.bytes_sent_by_type)
+        return dict(total)
 
     async def accept(self, reader, writer) -> None:
         """Serves one connection until it ends."""
@@ -241,6 +247,8 @@
                 raise link.UnexpectedMessageError(type(message).__name__)
 
     def _hand_over(self, peer: router_peer.RouterPeer) -> None:
+        if self._follower.document is None:
+            return
         peer.link.send(
             messages.DocumentHandover(self._follower.version, self._follower.text)
         )
@@ -249,9 +257,7 @@
         peer.link.abort()
         self._peers.discard(peer)
         self._exchange.forget(peer.link)
-        for name, sent in peer.link.bytes_sent_by_type.items():
-            total = self.control_bytes_by_type.get(name, 0) + sent
-            self.control_bytes_by_type[name] = total
+        self._closed_bytes_by_type.update(peer.link.bytes_sent_by_type)
         for grant, offer in list(self.slots.offer_by_grant.items()):
             if offer.holder is peer:
                 self._end_offer(grant)
@@ -268,10 +274,14 @@
 
     def _apply_configuration(self) -> None:
         known = self._follower.document
-        service = known.service_by_name.get(self._service) if known else None
+        service = self._service_now()
         self.slots.resize(service.slots if service else 0)
-        if service is not None:
-            self._grant_free_slots()
+        if service is None:
+            return
+        shares = [account.share for account in known.client_accounts]
+        cap = counters.debt_cap(service.expected_cost, min(shares, default=1.0))
+        self._counters.set_debt_cap(cap)
+        self._grant_free_slots()
 
     def _service_now(self) -> document.Service | None:
         known = self._follower.document
@@ -506,7 +516,7 @@
                     await run.answer.put_head(status, headers)
                 case upstream.Piece(data=data, cost=cost):
                     run.meter.add(cost)
-                    if len(kept) <= claim_records.MAX_STORED_BODY_BYTES:
+                    if len(kept) <= claims.MAX_STORED_BODY_BYTES:
                         kept += data
                     await run.answer.put_body(data)
                 case upstream.Finished(cost=cost):
@@ -617,13 +627,11 @@
     )
 
 
-def _digest_request(dispatch: messages.Dispatch) -> bytes:
+def _digest_request(dispatch: messages.Dispatch) -> claims.Digest:
     """Returns a digest of what the request asks for."""
-    covered = hashlib.blake2b(digest_size=16)
-    for part in (dispatch.method.encode(), dispatch.path.encode(), dispatch.body):
-        covered.update(len(part).to_bytes(8, "big"))
-        covered.update(part)
-    return covered.digest()
+    return claims.digest_parts(
+        dispatch.method.encode(), dispatch.path.encode(), dispatch.body
+    )
 
 
 def _loop_time(deadline: float) -> float:
--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -1,6 +1,7 @@
 """A router's connection to one agent: tells of waiting work, hands requests over."""
 
 import asyncio
+import collections
 import enum
 import itertools
 import logging
@@ -77,7 +78,6 @@
         self.agent: instances.Instance = agent
         self.state = State.CONNECTING
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
-        self.control_bytes_by_type: dict[str, int] = {}
         self._me = me
         self._secret = secret
         self._backlog = waiting
@@ -86,6 +86,7 @@
         self._on_change = on_change
         self._tls = tls
         self._link: link.Link | None = None
+        self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._told_by_account: dict[ids.AccountId, int] = {}
         self._told_since_by_account: dict[ids.AccountId, float] = {}
         self._flush_handle: asyncio.Handle | None = None
@@ -97,6 +98,13 @@
         """Whether work waits for this agent or runs there."""
         return bool(self.exchange_by_attempt or self._told_by_account)
 
+    def sent_bytes_by_type(self) -> collections.Counter[str]:
+        """Returns the bytes sent to this agent, by the type of message."""
+        total = collections.Counter(self._closed_bytes_by_type)
+        if self._link is not None:
+            total.update(self._link.bytes_sent_by_type)
+        return total
+
     def tell_demand(self) -> None:
         """Has the agent told, soon, of what has changed in the backlog."""
         if self._link is not None and self._flush_handle is None:
@@ -180,14 +188,15 @@
             case messages.DocumentHandover(version=version, document=text):
                 self._follower.offer(version, text)
             case messages.DocumentWanted():
-                self._link.send(
-                    messages.DocumentHandover(
-                        self._follower.version, self._follower.text
-                    )
-                )
+                self._hand_over()
             case _:
                 raise link.UnexpectedMessageError(type(message).__name__)
 
+    def _hand_over(self) -> None:
+        if self._follower.document is not None:
+            version, text = self._follower.version, self._follower.text
+            self._link.send(messages.DocumentHandover(version, text))
+
     def _take_grant(self, grant: ids.GrantId, account: ids.AccountId) -> None:
         waiting = self._backlog.take(account)
         if waiting is None:
@@ -266,9 +275,7 @@
 
     def _forget_link(self, connected: link.Link) -> None:
         connected.abort()
-        for name, sent in connected.bytes_sent_by_type.items():
-            total = self.control_bytes_by_type.get(name, 0) + sent
-            self.control_bytes_by_type[name] = total
+        self._closed_bytes_by_type.update(connected.bytes_sent_by_type)
         self._link = None
         self._told_by_account.clear()
 
--- a/teaselsill/counters.py
+++ b/teaselsill/counters.py
@@ -50,7 +50,7 @@
     """
 
     def __init__(self, cap: float, now: typing.Callable[[], float] = time.monotonic):
-        self._cap = max(1, round(cap * UNITS_PER_COST))
+        self.set_debt_cap(cap)
         self._now = now
         self._counter_by_account: CounterByAccount = {}
         self._pending_by_account: CounterByAccount = {}
@@ -65,6 +65,10 @@
         self._fleet_backlogged: frozenset[ids.AccountId] = frozenset()
         self._level = 0
 
+    def set_debt_cap(self, cap: float) -> None:
+        """Sets the debt cap, in normalised cost."""
+        self._cap = max(1, round(cap * UNITS_PER_COST))
+
     @property
     def backlogged(self) -> frozenset[ids.AccountId]:
         """The client accounts that wait at this process."""
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -1,21 +1,19 @@
 """Joins the parts of each role into a process, and stops it gracefully."""
 
 import asyncio
-import contextlib
 import logging
 import signal
-import ssl
 import time
 
 from teaselsill import (
     admin,
     agent,
-    agent_peer,
     callers,
     claims,
     configuration,
     counters,
     digest,
+    handover,
     ids,
     instances,
     invariants,
@@ -23,17 +21,15 @@
     logs,
     membership,
     metrics,
+    peer_tls,
     registry,
     reports,
     router,
     servers,
     service_levels,
     settings,
-    upstream,
 )
 
-START_POLL_S = 0.05
-
 logger = logging.getLogger(__name__)
 
 
@@ -144,18 +140,15 @@
         node.follower,
         node.membership,
         loaded.agents_per_service,
-        _make_client_tls(loaded.peer_tls),
+        peer_tls.make_client_context(loaded.peer_tls),
     )
-    app = callers.Callers(served, levels, node.metrics, loaded.max_body_bytes)
     node.follower.subscribe(lambda: levels.set_targets(node.follower.document))
+    app = callers.Callers(served, levels, node.metrics, loaded.max_body_bytes)
     front = servers.HttpServer(app.create_app(), node.host, loaded.port, loaded.tls)
-    await node.start(
-        lambda: node.follower.is_ready and node.follower.document is not None,
-        lambda: _report_router(served, levels),
-    )
+    await node.start(lambda: True, lambda: _report_router(served, levels))
     node.run_in_background(served.run())
+    node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await front.start()
-    logger.info("router listens on %s:%s", node.host, loaded.port)
     await node.wait_stop()
     await asyncio.sleep(loaded.stop_delay_s)
     await front.stop()
@@ -166,23 +159,77 @@
 async def run_agent(loaded: settings.AgentSettings) -> None:
     """Runs an agent until it is told to stop, then delivers every running answer."""
     node = Node(loaded, instances.Role.AGENT)
+    serving = _make_agent(node, loaded)
+    tls = peer_tls.make_server_context(loaded.peer_tls)
+    listener = await asyncio.start_server(
+        serving.accept, node.host, loaded.port, ssl=tls
+    )
+    await node.start(lambda: not serving.is_leaving, lambda: _report_agent(serving))
+    node.run_in_background(serving.exchange.run())
+    node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
+    await node.wait_stop()
+    await serving.leave()
+    listener.close()
+    await serving.close()
+    await node.stop()
+
+
+def _make_agent(node: Node, loaded: settings.AgentSettings) -> agent.Agent:
     service = ids.ServiceName(loaded.service)
-    node.run_in_background(_note_failures(node))
-    known = counters.Counters(counters.DEFAULT_DEBT_CAP)
+    known = counters.Counters(0)
     exchange = digest.Exchange(
         node.me,
         node.secret,
         service,
-        lambda: node.membership.agents_of(service),
+        lambda: node.membership.by_id.values(),
         known,
         lambda: node.follower.version,
-        _make_client_tls(loaded.peer_tls),
+        peer_tls.make_client_context(loaded.peer_tls),
     )
-    ledger = claims.Ledger(node.log, service, node.me.incarnation, time.time)
-    is_ready = lambda: node.follower.document is not None  # noqa: E731
-    serving = _Serving()
-    await node.start(
-        lambda: is_ready() and serving.agent is not None, serving.make_report
+    kind = registry.get(registry.Kind.UPSTREAM, loaded.upstream_kind)
+    policy = registry.get(registry.Kind.POLICY, loaded.policy)
+    return agent.Agent(
+        node.me,
+        node.secret,
+        service,
+        ids.UpstreamId(loaded.upstream),
+        kind(loaded.upstream_url),
+        node.follower,
+        claims.Ledger(node.log, service, node.me.incarnation, time.time),
+        known,
+        exchange,
+        policy(),
+        node.metrics,
     )
-    while not is_ready() and not node.is_stopping:
-        await asyncio.sleep(START_POLL_S)
+
+
+def _report_router(served: router.Router, levels: service_levels.Recorder):
+    count_by_outcome = {o.value: n for o, n in levels.count_by_outcome.items()}
+    return {
+        "levels": levels.snapshot(),
+        "count_by_outcome": count_by_outcome,
+        "control_bytes_by_type": served.sent_bytes_by_type(),
+    }
+
+
+def _report_agent(serving: agent.Agent):
+    backlogged = serving.counters.backlogged
+    counter_by_account = serving.counters.counter_by_account
+    return {
+        "served": [
+            reports.Served(
+                serving.service,
+                account,
+                counter_by_account.get(account, 0) / counters.UNITS_PER_COST,
+                account in backlogged,
+            )
+            for account in sorted({*backlogged, *counter_by_account})
+        ],
+        "slots": reports.Slots(
+            serving.slots.running, serving.slots.total, serving.slots.busy_s
+        ),
+        "upstream": serving.upstream_id,
+        "service": serving.service,
+        "served_cost": serving.served_cost,
+        "control_bytes_by_type": serving.sent_bytes_by_type(),
+    }
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -1,6 +1,7 @@
 """A router: holds waiting requests, offers them to agents and delivers the answers."""
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import logging
@@ -268,6 +269,14 @@
             self._tls,
         )
 
+    def sent_bytes_by_type(self) -> dict[str, int]:
+        """Returns the bytes sent to connected agents, by the type of message."""
+        total = collections.Counter()
+        for desk in self.desk_by_service.values():
+            for peer in desk.peer_by_agent.values():
+                total.update(peer.sent_bytes_by_type())
+        return dict(total)
+
     def spawn(self, coroutine) -> None:
         """Runs a coroutine in the background."""
         task = asyncio.create_task(coroutine)
--- a/teaselsill/settings.py
+++ b/teaselsill/settings.py
@@ -100,6 +100,7 @@
         upstream: The id of the upstream beside this agent.
         service: The service that the upstream belongs to.
         upstream_url: The upstream's address.
+        upstream_kind: The name of the plug-in that speaks to it.
         policy: The name of the plug-in that chooses who goes next.
         peer_tls: The certificates between peers.
     """
@@ -108,6 +109,7 @@
     upstream: str = pydantic.Field(min_length=1)
     service: str = pydantic.Field(min_length=1)
     upstream_url: str
+    upstream_kind: str = "completions"
     policy: str = "least-service"
     peer_tls: TlsSection | None = None
 
