--- a/standins/completions.py
+++ b/standins/completions.py
@@ -1,5 +1,6 @@
 """The messages of the completions interface, and the answers to them."""
 
+import enum
 import hashlib
 
 import msgspec
@@ -13,6 +14,13 @@
 DIGEST_RANGE = 2**64
 
 
+class Kind(enum.Enum):
+    """The kinds of completion, by the name of their replies."""
+
+    CHAT = "chat.completion"
+    TEXT = "text_completion"
+
+
 class ChatMessage(msgspec.Struct):
     """One message of a chat.
 
@@ -131,40 +139,48 @@
     Args:
         request_id: The request's id.
         model: The name of the model.
-        is_chat: Whether it is a chat completion.
+        kind: What kind of completion it is.
     """
 
-    def __init__(self, request_id: str, model: str, is_chat: bool):
+    def __init__(self, request_id: str, model: str, kind: Kind):
         self._request_id = request_id
         self._model = model
-        self._is_chat = is_chat
+        self._kind = kind
 
     def token_chunk(self, token: str, is_last: bool) -> bytes:
         """Formats one token."""
-        finish_reason = "stop" if is_last else None
-        if self._is_chat:
-            delta = ChatMessage("assistant", token)
-            choice = Choice(0, delta=delta, finish_reason=finish_reason)
-        else:
-            choice = Choice(0, text=token, finish_reason=finish_reason)
-        return self._encode([choice], None, ".chunk")
+        choice = Choice(0, finish_reason="stop" if is_last else None)
+        match self._kind:
+            case Kind.CHAT:
+                choice.delta = ChatMessage("assistant", token)
+            case Kind.TEXT:
+                choice.text = token
+        return self._chunk([choice], None)
 
     def usage_chunk(self, usage: Usage) -> bytes:
         """Formats the chunk with the usage."""
-        return self._encode([], usage, ".chunk")
+        return self._chunk([], usage)
 
     def whole(self, text: str, usage: Usage) -> bytes:
         """Formats a reply that is not streamed."""
-        if self._is_chat:
-            message = ChatMessage("assistant", text)
-            choice = Choice(0, message=message, finish_reason="stop")
-        else:
-            choice = Choice(0, text=text, finish_reason="stop")
-        return self._encode([choice], usage, "")
-
-    def _encode(self, choices, usage, suffix) -> bytes:
-        kind = f"chat.completion{suffix}" if self._is_chat else "text_completion"
-        completion = Completion(self._request_id, kind, self._model, choices, usage)
+        choice = Choice(0, finish_reason="stop")
+        match self._kind:
+            case Kind.CHAT:
+                choice.message = ChatMessage("assistant", text)
+            case Kind.TEXT:
+                choice.text = text
+        return self._encode(self._kind.value, [choice], usage)
+
+    def _chunk(self, choices: list[Choice], usage: Usage | None) -> bytes:
+        match self._kind:
+            case Kind.CHAT:
+                name = f"{self._kind.value}.chunk"
+            case Kind.TEXT:
+                name = self._kind.value
+        return self._encode(name, choices, usage)
+
+    def _encode(self, name, choices, usage) -> bytes:
+        completion = Completion(self._request_id, name, self._model, choices, usage)
         return msgspec.json.encode(completion)
 
 
--- a/standins/model_engine.py
+++ b/standins/model_engine.py
@@ -11,11 +11,13 @@
 import msgspec
 from starlette import exceptions, requests, responses, routing
 
-from standins import completions, faults, fencing, prefix_cache
+from standins import completions, faults, fencing, generations, prefix_cache
 
 CACHE_BLOCKS = 4096
-CHAT_PATH = "/v1/chat/completions"
-TEXT_PATH = "/v1/completions"
+KINDS_BY_PATH = {
+    "/v1/chat/completions": completions.Kind.CHAT,
+    "/v1/completions": completions.Kind.TEXT,
+}
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -83,80 +85,6 @@
     by_request: dict[str, int]
 
 
-class Generation:
-    """One answer in the making.
-
-    Args:
-        request_id: The request's id.
-        request: The request.
-        is_chat: Whether it is a chat completion.
-        cached_tokens: How many tokens of the prompt were cached.
-
-    Attributes:
-        tokens: The whole answer.
-        events: The data of the server-sent events so far.
-        ended: Whether there will be no more events.
-        readers: The number of connections that read the answer.
-        changed: Set when an event was added or the generation has ended.
-        task: The task that generates.
-        expiry: The timer that drops a generation without readers.
-    """
-
-    def __init__(
-        self,
-        request_id: str,
-        request: completions.Request,
-        is_chat: bool,
-        cached_tokens: int,
-    ):
-        self.tokens = completions.answer_tokens(request)
-        self.events: list[bytes] = []
-        self.ended = False
-        self.readers = 0
-        self.changed = asyncio.Event()
-        self.task: asyncio.Task | None = None
-        self.expiry: asyncio.TimerHandle | None = None
-        self._format = completions.Format(request_id, request.model, is_chat)
-        self._prompt_tokens = len(request.words())
-        self._cached_tokens = cached_tokens
-
-    def add_token(self, index: int) -> None:
-        """Adds the event with a token."""
-        is_last = index == len(self.tokens) - 1
-        self._add(self._format.token_chunk(self.tokens[index], is_last))
-
-    def finish(self) -> None:
-        """Adds the closing events."""
-        self._add(self._format.usage_chunk(self._usage()))
-        self._add(b"[DONE]")
-        self.end()
-
-    def end(self) -> None:
-        """Marks that there will be no more events."""
-        self.ended = True
-        self._notify()
-
-    def whole(self) -> bytes:
-        """Formats the answer as one reply."""
-        return self._format.whole("".join(self.tokens), self._usage())
-
-    def _usage(self) -> completions.Usage:
-        return completions.Usage(
-            self._prompt_tokens,
-            len(self.tokens),
-            self._prompt_tokens + len(self.tokens),
-            completions.PromptTokensDetails(self._cached_tokens),
-        )
-
-    def _add(self, data: bytes) -> None:
-        self.events.append(data)
-        self._notify()
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 @dataclasses.dataclass(frozen=True)
 class Options:
     """How the engine behaves.
@@ -189,7 +117,7 @@
         self._options = options
         self._fence = fencing.Fence(options.fencing_mode)
         self._cache = prefix_cache.PrefixCache(CACHE_BLOCKS)
-        self._generations_by_request: dict[str, Generation] = {}
+        self._generations_by_request: dict[str, generations.Generation] = {}
         self._executions_by_request = collections.Counter()
         self._running = 0
         self._generated_tokens = 0
@@ -218,7 +146,7 @@
         if body.model not in self._options.models:
             raise exceptions.HTTPException(404, f"unknown model {body.model}")
         request_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
-        generation = self._start(request_id, body, request.url.path == CHAT_PATH)
+        generation = self._start(request_id, body, KINDS_BY_PATH[request.url.path])
         if body.stream:
             return self._event_reply(request, request_id, generation, 0)
         return await self._whole_reply(request_id, generation)
@@ -254,22 +182,23 @@
         """Reports the generations that started."""
         return faults.json_reply(ExecutionsBody(self._executions_by_request))
 
-    def _find(self, request_id: str) -> Generation:
+    def _find(self, request_id: str) -> generations.Generation:
         if request_id not in self._generations_by_request:
             raise exceptions.HTTPException(404, "unknown stream")
         return self._generations_by_request[request_id]
 
-    def _start(self, request_id, body, is_chat) -> Generation:
+    def _start(self, request_id, body, kind) -> generations.Generation:
         if request_id in self._generations_by_request:
             self._drop(request_id, self._generations_by_request[request_id])
         cached_tokens = self._cache.add(body.words())
-        generation = Generation(request_id, body, is_chat, cached_tokens)
+        generation = generations.Generation(request_id, body, kind, cached_tokens)
         generation.task = asyncio.create_task(self._generate(generation))
         self._generations_by_request[request_id] = generation
         self._executions_by_request[request_id] += 1
+        self._drop_later(request_id, generation)
         return generation
 
-    async def _generate(self, generation: Generation) -> None:
+    async def _generate(self, generation: generations.Generation) -> None:
         self._running += 1
         try:
             for index in range(len(generation.tokens)):
@@ -332,19 +261,22 @@
             await asyncio.Event().wait()
         await self._unstalled.wait()
 
-    def _attach(self, generation: Generation) -> None:
+    def _attach(self, generation: generations.Generation) -> None:
         generation.readers += 1
         if generation.expiry is not None:
             generation.expiry.cancel()
 
-    def _detach(self, request_id: str, generation: Generation) -> None:
+    def _detach(self, request_id: str, generation: generations.Generation) -> None:
         generation.readers -= 1
         if generation.readers == 0:
-            generation.expiry = asyncio.get_running_loop().call_later(
-                self._options.linger_s, self._drop, request_id, generation
-            )
+            self._drop_later(request_id, generation)
+
+    def _drop_later(self, request_id: str, generation: generations.Generation) -> None:
+        generation.expiry = asyncio.get_running_loop().call_later(
+            self._options.linger_s, self._drop, request_id, generation
+        )
 
-    def _drop(self, request_id: str, generation: Generation) -> None:
+    def _drop(self, request_id: str, generation: generations.Generation) -> None:
         generation.task.cancel()
         generation.end()
         if self._generations_by_request.get(request_id) is generation:
@@ -362,8 +294,10 @@
         routes=[
             *faults.admin_routes(engine),
             routing.Route("/admin/executions", engine.executions),
-            routing.Route(CHAT_PATH, engine.complete, methods=["POST"]),
-            routing.Route(TEXT_PATH, engine.complete, methods=["POST"]),
+            *[
+                routing.Route(path, engine.complete, methods=["POST"])
+                for path in KINDS_BY_PATH
+            ],
             routing.Route("/v1/models", engine.models),
             routing.Route("/v1/streams/{id}", engine.resume),
             routing.Route("/v1/streams/{id}", engine.cancel, methods=["DELETE"]),
