--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -2,6 +2,7 @@
 import unittest
 
 from teaselsill import admin, ids, instances, metrics, reports
+from tests import asgi
 
 
 class AppTest(unittest.IsolatedAsyncioTestCase):
@@ -26,23 +27,8 @@
         self.app = admin.create_app(state)
 
     async def get(self, path):
-        sent = []
-
-        async def receive():
-            return {"type": "http.request", "body": b""}
-
-        async def send(message):
-            sent.append(message)
-
-        scope = {
-            "type": "http",
-            "method": "GET",
-            "path": path,
-            "headers": [],
-            "query_string": b"",
-        }
-        await self.app(scope, receive, send)
-        return sent[0]["status"], json.loads(sent[1]["body"])
+        status, body = await asgi.call(self.app, path)
+        return status, json.loads(body)
 
     async def test_pages_answer(self):
         self.sink.count(metrics.Metric.GRANTS, 2)
