--- a/teaselsill/configuration.py
+++ b/teaselsill/configuration.py
@@ -600,6 +600,34 @@
     return _check_accepted(entry, fold)
 
 
+async def catch_up(
+    service: log.Log, fold: Fold, entry_by_version: dict[ids.Version, Entry]
+) -> None:
+    """Folds all records to the end of the stream.
+
+    Args:
+        service: The log service.
+        fold: The state, which goes on from where it is.
+        entry_by_version: Takes what became of each publication on the way; it holds
+            those that were folded also if an error ends the reading.
+
+    Raises:
+        LogUnavailableError: The log service did not answer.
+    """
+    while True:
+        try:
+            page = await service.read(STREAM, fold.next_offset)
+        except log.OffsetExpiredError as error:
+            fold.expire(error.earliest)
+            continue
+        for record in page.records:
+            entry = fold.take(record)
+            if entry is not None:
+                entry_by_version[entry.version] = entry
+        if fold.next_offset >= page.end or not page.records:
+            return
+
+
 async def show(service: log.Log) -> Current:
     """Returns the configuration that is in force.
 
@@ -624,8 +652,9 @@
 
 async def _read_history(service: log.Log) -> tuple[Fold, list[Entry]]:
     fold = Fold()
+    entry_by_version: dict[ids.Version, Entry] = {}
     try:
-        entry_by_version = await _read_to_end(service, fold)
+        await catch_up(service, fold, entry_by_version)
     except log.LogUnavailableError as error:
         raise UnavailableError(f"the log service did not answer: {error}") from error
     return fold, [entry for _, entry in sorted(entry_by_version.items())]
@@ -645,11 +674,11 @@
 ) -> Entry:
     based_on = fold.version
     deadline = time.monotonic() + resolve_s
+    entry_by_version: dict[ids.Version, Entry] = {}
     while True:
         try:
-            entry_by_version = await _read_to_end(service, fold)
+            await catch_up(service, fold, entry_by_version)
         except log.LogUnavailableError as error:
-            entry_by_version = {}
             cause = cause or str(error)
         for entry in entry_by_version.values():
             if entry.publish_id == publish_id:
@@ -678,19 +707,3 @@
         raise UndeterminedError(
             "the log service no longer keeps a record that tells the version in force"
         )
-
-
-async def _read_to_end(service: log.Log, fold: Fold) -> dict[ids.Version, Entry]:
-    entry_by_version = {}
-    while True:
-        try:
-            page = await service.read(STREAM, fold.next_offset)
-        except log.OffsetExpiredError as error:
-            fold.expire(error.earliest)
-            continue
-        for record in page.records:
-            entry = fold.take(record)
-            if entry is not None:
-                entry_by_version[entry.version] = entry
-        if fold.next_offset >= page.end or not page.records:
-            return entry_by_version
