--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -194,5 +194,7 @@
 
 
 def end_to_end(headers) -> list[tuple[str, str]]:
-    """Returns the headers that may be passed on."""
-    return [(name, value) for name, value in headers if name.lower() not in HOP_BY_HOP]
+    """Returns the headers that may be passed on, their names as plain strings."""
+    return [
+        (str(name), value) for name, value in headers if name.lower() not in HOP_BY_HOP
+    ]
