Run the console as a daemon and the reports against a live fleet

Cause: operations.report called a function that reports does not have, and no daemon served the console. Both now go through one definition of the report names.

--- a/teaselsill/commands.py
+++ b/teaselsill/commands.py
@@ -10,7 +10,7 @@
 
 import cappa
 
-from teaselsill import configuration, errors, ids, operations
+from teaselsill import configuration, errors, ids, operations, reports
 
 EXIT_FAILED = 1
 EXIT_INTERRUPTED = 130
@@ -235,13 +235,14 @@
 
 @dataclasses.dataclass
 class _Report:
-    name: typing.ClassVar[operations.ReportName]
+    name: typing.ClassVar[reports.ReportName]
+    log: LogUrl
     instances: InstancesUrl
     json: AsJson = False
 
     def __call__(self) -> None:
         """Runs the command."""
-        platform = operations.Platform(instances_url=self.instances)
+        platform = operations.Platform(log_url=self.log, instances_url=self.instances)
         print(asyncio.run(operations.report(self.name, platform, self.json)))
 
 
@@ -252,7 +253,7 @@
 class ReportBurn(_Report):
     """Reports service-level burn."""
 
-    name = operations.ReportName.BURN
+    name = reports.ReportName.BURN
 
 
 @cappa.command(
@@ -262,7 +263,7 @@
 class ReportFairness(_Report):
     """Reports the fairness gap."""
 
-    name = operations.ReportName.FAIRNESS
+    name = reports.ReportName.FAIRNESS
 
 
 @cappa.command(name="credits", help="Credits that will lapse unspent (tokens).")
@@ -270,7 +271,7 @@
 class ReportCredits(_Report):
     """Reports the credits that will lapse."""
 
-    name = operations.ReportName.CREDITS
+    name = reports.ReportName.CREDITS
 
 
 @cappa.command(name="report", help="Reports over the live instances.")
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -11,6 +11,7 @@
     callers,
     claims,
     configuration,
+    console,
     counters,
     digest,
     handover,
@@ -44,6 +45,7 @@
         me: Who this process is.
         secret: The secret that all peers know.
         log: The log service.
+        instance_list: The instance list's client.
         membership: The list of instances.
         follower: The configuration.
         metrics: Takes the metrics.
@@ -56,10 +58,10 @@
         self.me = link.Identity(ids.InstanceId(loaded.instance), incarnation, role)
         self.secret = loaded.secret.encode()
         self.log = registry.get(registry.Kind.LOG, loaded.log.plugin)(loaded.log.url)
-        self._instances = registry.get(
+        self.instance_list = registry.get(
             registry.Kind.INSTANCES, loaded.instances.plugin
         )(loaded.instances.url)
-        self.membership = membership.Membership(self._instances)
+        self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
         self.metrics = metrics.Metrics(loaded.statsd)
         self.host = str(loaded.host)
@@ -109,7 +111,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._admin.stop()
         await self.log.close()
-        await self._instances.close()
+        await self.instance_list.close()
         self.metrics.close()
 
     def _note_done(self, task: asyncio.Task) -> None:
@@ -174,6 +176,19 @@
     await node.stop()
 
 
+async def run_console(loaded: settings.ConsoleSettings) -> None:
+    """Runs a console until it is told to stop."""
+    node = Node(loaded, instances.Role.CONSOLE)
+    app = console.create_app(node.log, node.instance_list)
+    front = servers.HttpServer(app, node.host, loaded.port)
+    await node.start(lambda: True, dict)
+    await front.start()
+    logger.info("console listens on %s:%s", node.host, loaded.port)
+    await node.wait_stop()
+    await front.stop()
+    await node.stop()
+
+
 def _make_agent(node: Node, loaded: settings.AgentSettings) -> agent.Agent:
     service = ids.ServiceName(loaded.service)
     known = counters.Counters(0)
--- a/teaselsill/instances.py
+++ b/teaselsill/instances.py
@@ -17,6 +17,7 @@
 
     ROUTER = "router"
     AGENT = "agent"
+    CONSOLE = "console"
 
 
 class InstanceState(enum.Enum):
--- a/teaselsill/operations.py
+++ b/teaselsill/operations.py
@@ -4,7 +4,6 @@
 import collections
 import contextlib
 import dataclasses
-import enum
 import importlib
 import pathlib
 import time
@@ -15,12 +14,14 @@
 
 from teaselsill import (
     configuration,
+    daemon,
     document,
     errors,
     ids,
     instances,
     log,
     registry,
+    reports,
     settings,
 )
 
@@ -37,14 +38,6 @@
     """A file or an instance that the operator named could not be used."""
 
 
-class ReportName(enum.Enum):
-    """The reports over the live instances."""
-
-    BURN = "burn"
-    FAIRNESS = "fairness"
-    CREDITS = "credits"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Platform:
     """The addresses of the platform's services.
@@ -211,41 +204,34 @@
     return FleetStatus(statuses)
 
 
-async def report(name: ReportName, platform: Platform, as_json: bool) -> str:
+async def report(name: reports.ReportName, platform: Platform, as_json: bool) -> str:
     """Returns a report over the live instances, as a table or as JSON.
 
-    The module `teaselsill.reports` has two functions for this: the coroutine
-    `collect(instances)`, which asks the listed instances, and
-    `render(name, collected, as_json)`, which returns the text.
-
     Raises:
+        ConfigurationError: The configuration cannot be read.
         InstanceListError: The instance list cannot be read.
     """
-    reports = importlib.import_module("teaselsill.reports")
-    collected = await reports.collect(await _fetch_live(platform))
-    return reports.render(name, collected, as_json)
+    return await reports.run(
+        name.value, platform.instances_url, platform.log_url, as_json
+    )
 
 
 def run_router(path: str) -> None:
     """Runs a router with a settings file until it is told to stop."""
     loaded = settings.load(path, settings.RouterSettings)
-    asyncio.run(_import_daemon().run_router(loaded))
+    asyncio.run(daemon.run_router(loaded))
 
 
 def run_agent(path: str) -> None:
     """Runs an agent with a settings file until it is told to stop."""
     loaded = settings.load(path, settings.AgentSettings)
-    asyncio.run(_import_daemon().run_agent(loaded))
+    asyncio.run(daemon.run_agent(loaded))
 
 
 def run_console(path: str) -> None:
     """Runs a console with a settings file until it is told to stop."""
     loaded = settings.load(path, settings.ConsoleSettings)
-    asyncio.run(_import_daemon().run_console(loaded))
-
-
-def _import_daemon():
-    return importlib.import_module("teaselsill.daemon")
+    asyncio.run(daemon.run_console(loaded))
 
 
 def _read_file(path: str) -> bytes:
