Number the agents of an upstream, and use lapsing credits first

Fencing: an agent's number is the offset of a record that it appends at its start; upstreams that check numbers refuse what an earlier incarnation still sends, and the agent then says truthfully that the order has not run. An order for a service that checks waits for no number: it is refused while there is none.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -14,6 +14,7 @@
     digest,
     document,
     errors,
+    fencing,
     ids,
     invariants,
     link,
@@ -85,6 +86,7 @@
         upstream_client: Speaks to the upstream.
         follower: The configuration.
         ledger: Claims the requests that may not be repeated.
+        fence: Has this agent's fencing number.
         known: The counters of the service.
         exchange: This agent's place in the digest tree.
         policy: Chooses who goes next.
@@ -105,6 +107,7 @@
         upstream_client: upstream.Upstream,
         follower,
         ledger: claims.Ledger,
+        fence: fencing.Fence,
         known: counters.Counters,
         exchange: digest.Exchange,
         policy: policies.Policy,
@@ -120,6 +123,7 @@
         self._upstream = upstream_client
         self._follower = follower
         self._ledger = ledger
+        self._fence = fence
         self._counters = known
         self._exchange = exchange
         self._policy = policy
@@ -153,6 +157,11 @@
         """The counters of the service."""
         return self._counters
 
+    @property
+    def fence(self) -> fencing.Fence:
+        """This agent's fencing number."""
+        return self._fence
+
     @property
     def exchange(self) -> digest.Exchange:
         """This agent's place in the digest tree."""
@@ -454,8 +463,7 @@
             run.claimed = await self._claim(dispatch, run.answer)
             if run.claimed is None:
                 return
-        if time.monotonic() >= run.deadline:
-            raise _NotRunError(messages.Reason.DEADLINE)
+        self._check_before_send(run)
         try:
             stored = await self._send(run)
         except upstream.UpstreamUnreachableError as error:
@@ -471,6 +479,18 @@
             await self._ledger.record_ran(run.claimed, stored)
         run.answer.end(messages.Outcome.RAN, messages.Reason.NONE)
 
+    def _check_before_send(self, run: _Run) -> None:
+        """Checks what may have changed while this process did not run.
+
+        Raises:
+            _NotRunError: The request must not be sent any more.
+        """
+        if time.monotonic() >= run.deadline:
+            raise _NotRunError(messages.Reason.DEADLINE)
+        is_checked = self._service_now().fencing is document.Fencing.CHECKED
+        if is_checked and self._fence.number is None and not run.dispatch.repeatable:
+            raise _NotRunError(messages.Reason.LOG_UNAVAILABLE)
+
     async def _claim(self, dispatch, answer) -> claims.Claimed | None:
         """Claims a key, or answers from what is known of it and returns none."""
         try:
@@ -509,7 +529,7 @@
         headers = []
         kept = bytearray()
         run.sent = True
-        order = _make_order(run.dispatch, run.deadline)
+        order = _make_order(run.dispatch, run.deadline, self._fence.number)
         async for event in self._upstream.run(order, self._service_now()):
             match event:
                 case upstream.Started(status=status, headers=headers):
@@ -615,7 +635,9 @@
         self.reason = reason
 
 
-def _make_order(dispatch, deadline: float) -> upstream.Order:
+def _make_order(
+    dispatch: messages.Dispatch, deadline: float, number: ids.Offset | None
+) -> upstream.Order:
     return upstream.Order(
         request=dispatch.request,
         method=dispatch.method,
@@ -624,6 +646,7 @@
         body=dispatch.body,
         deadline=deadline,
         repeatable=dispatch.repeatable,
+        fencing=number,
     )
 
 
--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -23,6 +23,8 @@
 """An agent is told of at most this many waiting requests of a client account."""
 AGE_STEP_S = 0.25
 """The oldest request must be this much younger before the agent is told again."""
+STAGE_S = 0.005
+"""How much later an agent of the next rank is told of waiting work."""
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 5.0
 RESOLVE_S = 2.0
@@ -69,6 +71,7 @@
         agent: The agent, as the platform lists it.
         state: What is known of it.
         exchange_by_attempt: The attempts that it has.
+        rank: How many ranks of agents are told of waiting work before this one.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
     ):  # fmt: skip
         self.agent: instances.Instance = agent
         self.state = State.CONNECTING
+        self.rank = 0
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
         self._me = me
         self._secret = secret
@@ -107,8 +111,13 @@
 
     def tell_demand(self) -> None:
         """Has the agent told, soon, of what has changed in the backlog."""
-        if self._link is not None and self._flush_handle is None:
-            self._flush_handle = asyncio.get_running_loop().call_soon(self._flush)
+        if self._link is None or self._flush_handle is not None:
+            return
+        loop = asyncio.get_running_loop()
+        if self.rank:
+            self._flush_handle = loop.call_later(self.rank * STAGE_S, self._flush)
+        else:
+            self._flush_handle = loop.call_soon(self._flush)
 
     async def close(self) -> None:
         """Ends the connection; attempts that still run there are lost."""
--- a/teaselsill/completions.py
+++ b/teaselsill/completions.py
@@ -55,11 +55,12 @@
         stream = _Stream()
         try:
             async with self.open(order) as response:
+                early = await upstream.check_fencing(response, order)
                 yield upstream.Started(
                     response.status, upstream.end_to_end(response.headers.items())
                 )
                 if response.content_type != EVENT_STREAM:
-                    body = await response.read()
+                    body = early or await response.read()
                     yield upstream.Piece(body, 0.0)
                     yield upstream.Finished(_cost_of(_find_usage(body), service))
                     return
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -14,6 +14,7 @@
     console,
     counters,
     digest,
+    fencing,
     handover,
     ids,
     instances,
@@ -168,6 +169,7 @@
     )
     await node.start(lambda: not serving.is_leaving, lambda: _report_agent(serving))
     node.run_in_background(serving.exchange.run())
+    node.run_in_background(serving.fence.obtain())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await node.wait_stop()
     await serving.leave()
@@ -191,6 +193,7 @@
 
 def _make_agent(node: Node, loaded: settings.AgentSettings) -> agent.Agent:
     service = ids.ServiceName(loaded.service)
+    upstream = ids.UpstreamId(loaded.upstream)
     known = counters.Counters(0)
     exchange = digest.Exchange(
         node.me,
@@ -207,10 +210,11 @@
         node.me,
         node.secret,
         service,
-        ids.UpstreamId(loaded.upstream),
+        upstream,
         kind(loaded.upstream_url),
         node.follower,
         claims.Ledger(node.log, service, node.me.incarnation, time.time),
+        fencing.Fence(node.log, service, upstream, node.me.incarnation),
         known,
         exchange,
         policy(),
--- a/teaselsill/plain.py
+++ b/teaselsill/plain.py
@@ -8,8 +8,6 @@
 from teaselsill import document, registry, upstream
 
 MS_PER_S = 1000.0
-STALE_FENCING_STATUS = 409
-STALE_FENCING_MARK = b"stale fencing number"
 
 
 @registry.register(registry.Kind.UPSTREAM, "plain")
@@ -25,10 +23,11 @@
         meter = _BusyMeter()
         try:
             async with self.open(order) as response:
-                await _check_fencing(response, order)
+                early = await upstream.check_fencing(response, order)
                 yield upstream.Started(
                     response.status, upstream.end_to_end(response.headers.items())
                 )
+                yield upstream.Piece(early, meter.lap_ms())
                 async for data in response.content.iter_chunked(upstream.READ_BYTES):
                     yield upstream.Piece(data, meter.lap_ms())
         except aiohttp.ClientConnectorError as error:
@@ -51,10 +50,3 @@
         lap_s = now - self._since
         self._since = now
         return lap_s * MS_PER_S
-
-
-async def _check_fencing(response, order) -> None:
-    if order.fencing is None or response.status != STALE_FENCING_STATUS:
-        return
-    if STALE_FENCING_MARK in await response.read():
-        raise upstream.UpstreamRefusedError("the fencing number is stale")
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import datetime
 import hashlib
 import logging
 import random
@@ -16,6 +17,7 @@
     exchange,
     ids,
     instances,
+    lapses,
     link,
     membership,
     messages,
@@ -27,6 +29,8 @@
 """How often the set of agents of a service with waiting work is looked at."""
 IDLE_CLOSE_S = 60.0
 """A service without requests for this long loses its connections."""
+LAPSING_AGENTS = 2
+"""How many of the agents whose credits lapse first are always told."""
 MAX_NOT_RUN = 20
 """How often a request that has not run may be offered again."""
 MAX_LOST = 2
@@ -101,6 +105,7 @@
         for agent in self._choose(listed):
             if agent.id not in self.peer_by_agent:
                 self.peer_by_agent[agent.id] = self._router.open_peer(agent, self)
+        self._rank_peers()
 
     def is_idle(self) -> bool:
         """Tells whether the connections of this service can be closed."""
@@ -138,11 +143,33 @@
         usable = [agent for agent in listed.values() if self._is_usable(agent)]
         usable.sort(key=lambda agent: _order_of(self._router.me.instance, agent.id))
         chosen = {agent.id: agent for agent in usable[: self._width]}
+        for agent in self._lapsing_first(usable)[:LAPSING_AGENTS]:
+            chosen[agent.id] = agent
         for account in self._restricted_accounts():
             allowed = [a for a in usable if a.upstream in account.upstreams]
             chosen |= {agent.id: agent for agent in allowed[: self._width]}
         return list(chosen.values())
 
+    def _lapsing_first(self, usable) -> list[instances.Instance]:
+        """Returns the agents in the order in which their credits lapse."""
+        known = self._router.follower.document
+        today = datetime.datetime.now(datetime.UTC).date()
+        day_by_upstream = {
+            agent.upstream: lapses.lapse_of(known, self._name, agent.upstream, today)
+            for agent in usable
+        }
+        return sorted(usable, key=lambda agent: day_by_upstream[agent.upstream])
+
+    def _rank_peers(self) -> None:
+        """Has agents whose credits lapse sooner told of waiting work sooner."""
+        known = self._router.follower.document
+        today = datetime.datetime.now(datetime.UTC).date()
+        upstreams = [peer.agent.upstream for peer in self.peer_by_agent.values()]
+        for peer in self.peer_by_agent.values():
+            peer.rank = lapses.rank_of(
+                known, self._name, peer.agent.upstream, upstreams, today
+            )
+
     def _restricted_accounts(self) -> list[document.ClientAccount]:
         known = self._router.follower.document.account_by_id
         waiting = [known.get(name) for name in self.backlog.accounts]
--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -10,6 +10,9 @@
 
 FENCING_HEADER = "Teaselsill-Fencing"
 REQUEST_ID_HEADER = "X-Request-Id"
+STALE_FENCING_STATUS = 409
+STALE_FENCING_MARK = b"stale fencing number"
+"""What an upstream that checks fencing numbers answers to an old one."""
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
 
@@ -198,3 +201,20 @@
     return [
         (str(name), value) for name, value in headers if name.lower() not in HOP_BY_HOP
     ]
+
+
+async def check_fencing(response: aiohttp.ClientResponse, order: Order) -> bytes:
+    """Checks whether the upstream refused an order for its fencing number.
+
+    Returns:
+        What had to be read of the body to tell: it belongs to the answer.
+
+    Raises:
+        UpstreamRefusedError: The upstream refused; the order has not run.
+    """
+    if order.fencing is None or response.status != STALE_FENCING_STATUS:
+        return b""
+    body = await response.read()
+    if STALE_FENCING_MARK in body:
+        raise UpstreamRefusedError("the fencing number is stale")
+    return body
