--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -1,6 +1,7 @@
 """Joins the parts of each role into a process, and stops it gracefully."""
 
 import asyncio
+import dataclasses
 import logging
 import signal
 import time
@@ -15,6 +16,7 @@
     counters,
     digest,
     fencing,
+    granting,
     handover,
     ids,
     instances,
@@ -27,6 +29,7 @@
     registry,
     reports,
     router,
+    running,
     servers,
     service_levels,
     settings,
@@ -162,14 +165,19 @@
 async def run_agent(loaded: settings.AgentSettings) -> None:
     """Runs an agent until it is told to stop, then delivers every running answer."""
     node = Node(loaded, instances.Role.AGENT)
-    serving = _make_agent(node, loaded)
-    tls = peer_tls.make_server_context(loaded.peer_tls)
+    parts = _make_agent(node, loaded)
+    serving = parts.agent
     listener = await asyncio.start_server(
-        serving.accept, node.host, loaded.port, ssl=tls
+        serving.accept,
+        node.host,
+        loaded.port,
+        ssl=peer_tls.make_server_context(loaded.peer_tls),
     )
-    await node.start(lambda: not serving.is_leaving, lambda: _report_agent(serving))
-    node.run_in_background(serving.exchange.run())
-    node.run_in_background(serving.fence.obtain())
+    await node.start(
+        lambda: not serving.granting.is_leaving, lambda: _report_agent(parts, loaded)
+    )
+    node.run_in_background(parts.exchange.run())
+    node.run_in_background(parts.fence.obtain())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await node.wait_stop()
     await serving.leave()
@@ -191,7 +199,24 @@
     await node.stop()
 
 
-def _make_agent(node: Node, loaded: settings.AgentSettings) -> agent.Agent:
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentParts:
+    """The parts that an agent's process is joined of.
+
+    Attributes:
+        agent: Serves the peers.
+        known: The counters of the service.
+        exchange: The place in the digest tree.
+        fence: Has the fencing number.
+    """
+
+    agent: agent.Agent
+    known: counters.Counters
+    exchange: digest.Exchange
+    fence: fencing.Fence
+
+
+def _make_agent(node: Node, loaded: settings.AgentSettings) -> AgentParts:
     service = ids.ServiceName(loaded.service)
     upstream = ids.UpstreamId(loaded.upstream)
     known = counters.Counters(0)
@@ -204,22 +229,30 @@
         lambda: node.follower.version,
         peer_tls.make_client_context(loaded.peer_tls),
     )
-    kind = registry.get(registry.Kind.UPSTREAM, loaded.upstream_kind)
-    policy = registry.get(registry.Kind.POLICY, loaded.policy)
-    return agent.Agent(
+    policy = registry.get(registry.Kind.POLICY, loaded.policy)()
+    grants = granting.Granting(
+        service, upstream, node.follower, known, policy, node.metrics
+    )
+    fence = fencing.Fence(node.log, service, upstream, node.me.incarnation)
+    runner = running.Runner(
+        registry.get(registry.Kind.UPSTREAM, loaded.upstream_kind)(loaded.upstream_url),
+        claims.Ledger(node.log, service, node.me.incarnation, time.time),
+        fence,
+        grants,
+        node.metrics,
+    )
+    serving = agent.Agent(
         node.me,
         node.secret,
-        service,
-        upstream,
-        kind(loaded.upstream_url),
         node.follower,
-        claims.Ledger(node.log, service, node.me.incarnation, time.time),
-        fencing.Fence(node.log, service, upstream, node.me.incarnation),
+        grants,
+        runner,
         known,
         exchange,
-        policy(),
+        policy,
         node.metrics,
     )
+    return AgentParts(serving, known, exchange, fence)
 
 
 def _report_router(served: router.Router, levels: service_levels.Recorder):
@@ -231,24 +264,24 @@
     }
 
 
-def _report_agent(serving: agent.Agent):
-    backlogged = serving.counters.backlogged
-    counter_by_account = serving.counters.counter_by_account
+def _report_agent(parts: AgentParts, loaded: settings.AgentSettings):
+    service = ids.ServiceName(loaded.service)
+    used = parts.agent.granting.slots
+    backlogged = parts.known.backlogged
+    counter_by_account = parts.known.counter_by_account
     return {
         "served": [
             reports.Served(
-                serving.service,
+                service,
                 account,
                 counter_by_account.get(account, 0) / counters.UNITS_PER_COST,
                 account in backlogged,
             )
             for account in sorted({*backlogged, *counter_by_account})
         ],
-        "slots": reports.Slots(
-            serving.slots.running, serving.slots.total, serving.slots.busy_s
-        ),
-        "upstream": serving.upstream_id,
-        "service": serving.service,
-        "served_cost": serving.served_cost,
-        "control_bytes_by_type": serving.sent_bytes_by_type(),
+        "slots": reports.Slots(used.running, used.total, used.busy_s),
+        "upstream": ids.UpstreamId(loaded.upstream),
+        "service": service,
+        "served_cost": parts.agent.served_cost,
+        "control_bytes_by_type": parts.agent.sent_bytes_by_type(),
     }
--- /dev/null
+++ b/teaselsill/granting.py
@@ -0,0 +1,180 @@
+"""An agent's decisions on who goes next: offers free slots to connected routers."""
+
+import asyncio
+import time
+
+from teaselsill import (
+    counters,
+    document,
+    ids,
+    messages,
+    metrics,
+    policies,
+    router_peer,
+    slots,
+)
+
+PAUSE_MIN_S = 0.1
+PAUSE_MAX_S = 2.0
+"""How long no slots are offered after the upstream could not be reached."""
+
+
+class Granting:
+    """Offers the free slots of one upstream.
+
+    Args:
+        service: The service that the upstream belongs to.
+        upstream: The upstream's id.
+        follower: The configuration.
+        known: The counters of the service.
+        policy: Chooses who goes next.
+        sink: Takes the metrics.
+
+    Attributes:
+        slots: The upstream's slots.
+        peers: The connected peers.
+        is_leaving: Whether the agent takes no new work.
+    """
+
+    def __init__(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        follower,
+        known: counters.Counters,
+        policy: policies.Policy,
+        sink: metrics.Metrics,
+    ):
+        self.slots = slots.Slots()
+        self.peers: set[router_peer.RouterPeer] = set()
+        self.is_leaving = False
+        self._service = service
+        self._upstream = upstream
+        self._follower = follower
+        self._counters = known
+        self._policy = policy
+        self._metrics = sink
+        self._paused_until = 0.0
+        self._pause_s = PAUSE_MIN_S
+        follower.subscribe(lambda *_: self._apply_configuration())
+        self._apply_configuration()
+
+    @property
+    def service_now(self) -> document.Service | None:
+        """The service as the configuration in force describes it."""
+        known = self._follower.document
+        return known.service_by_name.get(self._service) if known else None
+
+    def allows(self, account: ids.AccountId) -> bool:
+        """Tells whether a client account may reach this upstream."""
+        known = self._follower.document
+        return known is not None and known.allows(
+            account, self._service, self._upstream
+        )
+
+    def grant_free_slots(self) -> None:
+        """Offers every free slot to the client account whose turn it is."""
+        backlogged = {a for peer in self.peers for a in peer.demand_by_account}
+        self._counters.set_backlogged(backlogged)
+        service = self.service_now
+        while service and self._may_grant() and self.slots.free > 0:
+            candidates = self._list_candidates(service)
+            if not candidates:
+                return
+            self._grant(self._policy.choose(candidates, self._counters))
+
+    def drop_peer(self, peer: router_peer.RouterPeer) -> None:
+        """Takes back the slots that were offered to a peer that is gone."""
+        self.peers.discard(peer)
+        for grant, offer in list(self.slots.offer_by_grant.items()):
+            if offer.holder is peer:
+                self._end_offer(grant)
+
+    def leave(self) -> None:
+        """Takes back all offers and makes no more."""
+        self.is_leaving = True
+        for grant in list(self.slots.offer_by_grant):
+            self._end_offer(grant)
+
+    def take_decline(self, peer: router_peer.RouterPeer, grant: ids.GrantId) -> None:
+        """Takes back a slot that a router has no use for."""
+        offer = self.slots.offer_by_grant.get(grant)
+        if offer is not None and offer.holder is peer:
+            self._end_offer(grant)
+            peer.demand_by_account.pop(offer.account, None)
+            self._metrics.count(metrics.Metric.GRANTS_DECLINED)
+
+    def free(self, offer: slots.Offer) -> None:
+        """Frees the slot of a request that was accepted and does not run."""
+        self._counters.release(offer.account, offer.expected)
+        self.slots.release()
+
+    def pause(self) -> None:
+        """Offers no slots for a while, after the upstream could not be reached."""
+        self._paused_until = time.monotonic() + self._pause_s
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._pause_s, self.grant_free_slots)
+        self._pause_s = min(self._pause_s * 2, PAUSE_MAX_S)
+
+    def note_reached(self) -> None:
+        """Notes that the upstream can be reached."""
+        self._pause_s = PAUSE_MIN_S
+
+    def _apply_configuration(self) -> None:
+        service = self.service_now
+        self.slots.resize(service.slots if service else 0)
+        if service is None:
+            return
+        accounts = self._follower.document.client_accounts
+        smallest_share = min((account.share for account in accounts), default=1.0)
+        cap = counters.debt_cap(service.expected_cost, smallest_share)
+        self._counters.set_debt_cap(cap)
+        self.grant_free_slots()
+
+    def _may_grant(self) -> bool:
+        if self.is_leaving or time.monotonic() < self._paused_until:
+            return False
+        return self._upstream not in self._follower.document.leaving_upstreams
+
+    def _list_candidates(self, service: document.Service) -> list[policies.Candidate]:
+        known = self._follower.document
+        since_by_account: dict[ids.AccountId, float] = {}
+        for peer in self.peers:
+            for account, demanded in peer.demand_by_account.items():
+                since = since_by_account.get(account, demanded.since)
+                since_by_account[account] = min(since, demanded.since)
+        now = time.monotonic()
+        return [
+            policies.Candidate(
+                account,
+                int((now - since) * 1000),
+                service.expected_cost / known.account_by_id[account].share,
+            )
+            for account, since in since_by_account.items()
+            if self.allows(account)
+        ]
+
+    def _grant(self, candidate: policies.Candidate) -> None:
+        """Offers a slot to the router that holds the account's oldest request."""
+        account = candidate.account
+        holders = [peer for peer in self.peers if account in peer.demand_by_account]
+        peer = min(holders, key=lambda holder: holder.demand_by_account[account].since)
+        peer.take_one(account)
+        self._counters.reserve(account, candidate.expected)
+        offer = self.slots.offer(account, peer, candidate.expected)
+        self._metrics.count(metrics.Metric.GRANTS)
+        peer.link.send(messages.Grant(offer.grant, account))
+        loop = asyncio.get_running_loop()
+        loop.call_later(slots.GRANT_LIFETIME_S, self._expire_offer, offer.grant)
+
+    def _end_offer(self, grant: ids.GrantId) -> bool:
+        offer = self.slots.withdraw(grant)
+        if offer is None:
+            return False
+        self._counters.release(offer.account, offer.expected)
+        return True
+
+    def _expire_offer(self, grant: ids.GrantId) -> None:
+        if self._end_offer(grant):
+            self._metrics.count(metrics.Metric.GRANTS_EXPIRED)
+            self.grant_free_slots()
