--- a/teaselsill/settings.py
+++ b/teaselsill/settings.py
@@ -146,9 +146,11 @@
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(path, [str(error)]) from error
     try:
-        plain = json5.loads(text)
+        plain = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as error:
         raise errors.SettingsError(path, [str(error)]) from error
+    except RecursionError:
+        raise errors.SettingsError(path, ["nested too deeply"]) from None
     try:
         return model.model_validate(plain)
     except pydantic.ValidationError as error:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -189,6 +189,16 @@
         fold.take(log.Record(9, configuration.pack(record)))
         self.assertEqual((1, text_of("b")), (fold.version, fold.text))
 
+    def test_restate_that_cannot_be_true_is_no_anchor(self):
+        for version, as_of in ((0, 8), (9, 9), (10, 9), (9, 8)):
+            fold = configuration.Fold()
+            fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
+            fold.take(log.Record(1, pack_publish(0, text_of("b"))))
+            fold.expire(9)
+            record = configuration.Restate(version, as_of, text_of("wrong"), "", 0.0)
+            fold.take(log.Record(9, configuration.pack(record)))
+            self.assertEqual((1, False), (fold.version, fold.is_anchored))
+
     def test_offer_that_contradicts_the_stream_is_refused(self):
         fold = configuration.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
