--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -48,6 +48,20 @@
         return await super().read(stream, start, wait_s, limit=1)
 
 
+class SlowLog(log.MemoryLog):
+    """A log whose callers overtake each other."""
+
+    async def append(self, stream, data):
+        await asyncio.sleep(0)
+        offset = await super().append(stream, data)
+        await asyncio.sleep(0)
+        return offset
+
+    async def read(self, stream, start, wait_s=0.0, limit=1000):
+        await asyncio.sleep(0)
+        return await super().read(stream, start, wait_s, limit)
+
+
 class DroppingLog(log.MemoryLog):
     """A log that loses appends, as far as their sender can tell."""
 
@@ -106,35 +120,37 @@
 
 
 class Simulation:
-    """Nodes that read one stream, beside an observer that sees every record.
+    """Nodes that read one stream, beside a model of what the records lead to.
 
     Attributes:
-        state_by_offset: The observer's version and text after each offset.
+        states: The version and text after each record, and before the first one.
     """
 
     def __init__(self):
         self.log = log.MemoryLog()
-        self.observer = configuration.Fold()
         self.folds = [configuration.Fold() for _ in range(NODES)]
-        self.state_by_offset = {-1: (ids.NO_VERSION, b"")}
+        self.states = [(ids.NO_VERSION, b"")]
         self.earliest = 0
 
+    @property
+    def end(self):
+        return len(self.states) - 1
+
     async def perform(self, action):
+        """Performs an action and returns the least versions that nodes may have."""
         versions = [fold.version for fold in self.folds]
         match action:
             case AppendPublish(back, is_valid):
-                version, _ = self.state_before(back)
-                text = text_of(f"a{self.observer.next_offset}") if is_valid else b"{}"
-                await self.append(pack_publish(version, text))
+                await self.publish(max(0, self.end - back), is_valid)
             case AppendRestate(back):
-                as_of = max(-1, self.observer.next_offset - 1 - back)
-                state = self.state_by_offset[as_of]
-                record = configuration.Restate(state[0], as_of, state[1], "", 0.0)
-                await self.append(configuration.pack(record))
+                as_of = max(-1, self.end - 1 - back)
+                version, text = self.states[as_of + 1]
+                record = configuration.Restate(version, as_of, text, "", 0.0)
+                await self.append(configuration.pack(record), self.states[-1])
             case AppendGarbage(data):
-                await self.append(data)
+                await self.append(data, self.states[-1])
             case Expire(count):
-                self.earliest = min(self.earliest + count, self.observer.next_offset)
+                self.earliest = min(self.earliest + count, self.end)
                 self.log.expire(configuration.STREAM, self.earliest)
             case Read(node):
                 await configuration.catch_up(self.log, self.folds[node], {})
@@ -146,20 +162,22 @@
                 self.folds[receiver].offer(sent.version, sent.text, 1.0)
         return versions
 
-    def state_before(self, back):
-        return self.state_by_offset[max(-1, self.observer.next_offset - 1 - back)]
+    async def publish(self, offset_of_state, is_valid):
+        based_on, _ = self.states[offset_of_state]
+        text = text_of(f"a{self.end}") if is_valid else b"{}"
+        is_accepted = is_valid and based_on == self.states[-1][0]
+        state = (self.end, text) if is_accepted else self.states[-1]
+        await self.append(pack_publish(based_on, text), state)
 
-    async def append(self, data):
+    async def append(self, data, state):
         await self.log.append(configuration.STREAM, data)
-        await configuration.catch_up(self.log, self.observer, {})
-        state = (self.observer.version, self.observer.text)
-        self.state_by_offset[self.observer.next_offset - 1] = state
+        self.states.append(state)
 
 
 class FoldPropertyTest(unittest.TestCase):
     @hypothesis.settings(max_examples=600)
     @hypothesis.given(strategies.lists(ACTION, max_size=40))
-    def test_nodes_agree_with_an_observer_of_every_record(self, actions):
+    def test_nodes_agree_with_a_model_of_every_record(self, actions):
         asyncio.run(self.check(actions))
 
     async def check(self, actions):
@@ -169,9 +187,9 @@
             for before, fold in zip(versions, simulation.folds, strict=True):
                 self.assertGreaterEqual(fold.version, before)
                 state = (fold.version, fold.text)
-                self.assertIn(state, simulation.state_by_offset.values())
+                self.assertIn(state, simulation.states)
                 if fold.is_anchored:
-                    expected = simulation.state_by_offset[fold.next_offset - 1]
+                    expected = simulation.states[fold.next_offset]
                     self.assertEqual(expected, state)
 
     @hypothesis.given(
@@ -199,6 +217,14 @@
             fold.take(log.Record(9, configuration.pack(record)))
             self.assertEqual((1, False), (fold.version, fold.is_anchored))
 
+    def test_restate_of_the_same_version_changes_no_text(self):
+        fold = configuration.Fold()
+        fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
+        fold.expire(9)
+        record = configuration.Restate(0, 8, text_of("wrong"), "", 0.0)
+        fold.take(log.Record(9, configuration.pack(record)))
+        self.assertEqual((text_of("a"), True), (fold.text, fold.is_anchored))
+
     def test_offer_that_contradicts_the_stream_is_refused(self):
         fold = configuration.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
@@ -225,7 +251,7 @@
         )
 
     async def test_racing_operators_have_one_winner_each_time(self):
-        service = log.MemoryLog()
+        service = SlowLog()
         version = ids.NO_VERSION
         for race in range(200):
             results = await asyncio.gather(
