--- a/teaselsill/commands.py
+++ b/teaselsill/commands.py
@@ -10,7 +10,7 @@
 
 import cappa
 
-from teaselsill import configuration, errors, ids, operations
+from teaselsill import configuration_fold, errors, ids, operations
 
 EXIT_FAILED = 1
 EXIT_INTERRUPTED = 130
@@ -318,11 +318,12 @@
         print(f"not confirmed: {status.instance.id} ({said})")
 
 
-def format_entry(entry: configuration.Entry) -> str:
+def format_entry(entry: configuration_fold.Entry) -> str:
     """Returns one line of the history."""
     moment = datetime.datetime.fromtimestamp(entry.at, datetime.UTC)
     return (
         f"{entry.version}\t{moment:%Y-%m-%dT%H:%M:%SZ}\t{entry.publisher}"
+        f"\tpublish id {entry.publish_id}"
         f"\tbased on {entry.based_on}\t{entry.verdict.value}"
         + (f": {entry.detail}" if entry.detail else "")
     )
--- a/teaselsill/operations.py
+++ b/teaselsill/operations.py
@@ -15,6 +15,7 @@
 
 from teaselsill import (
     configuration,
+    configuration_fold,
     document,
     errors,
     ids,
@@ -190,7 +191,7 @@
         return await configuration.show(service)
 
 
-async def configuration_history(platform: Platform) -> list[configuration.Entry]:
+async def configuration_history(platform: Platform) -> list[configuration_fold.Entry]:
     """Returns what became of each kept publication, oldest first."""
     async with _open_log(platform) as service:
         return await configuration.history(service)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -134,7 +134,9 @@
         self.assertEqual((0, EMPTY), (status, json.loads(out)))
         self.assertIn("version 0", err)
         _, out, _ = self.run_command("config", "history", "--log", "http://log")
-        self.assertRegex(out, r"^0\t\S+Z\tida\tbased on -1\taccepted\n$")
+        self.assertRegex(
+            out, r"^0\t\S+Z\tida\tpublish id \S+\tbased on -1\taccepted\n$"
+        )
 
     def test_status_exits_1_when_an_instance_is_silent(self):
         self.start_instance("r1", 4)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from teaselsill import configuration, document, errors, ids, log
+from teaselsill import configuration, configuration_fold, document, errors, ids, log
 
 NODES = 3
 
@@ -28,8 +28,10 @@
 
 
 def pack_publish(based_on, text, publisher="kim"):
-    record = configuration.Publish(based_on, text, publisher, ids.new_random_id(), 0.0)
-    return configuration.pack(record)
+    record = configuration_fold.Publish(
+        based_on, text, publisher, ids.new_random_id(), 0.0
+    )
+    return configuration_fold.pack(record)
 
 
 class PagedLog(log.MemoryLog):
@@ -128,7 +130,7 @@
 
     def __init__(self):
         self.log = log.MemoryLog()
-        self.folds = [configuration.Fold() for _ in range(NODES)]
+        self.folds = [configuration_fold.Fold() for _ in range(NODES)]
         self.states = [(ids.NO_VERSION, b"")]
         self.earliest = 0
 
@@ -145,18 +147,18 @@
             case AppendRestate(back):
                 as_of = max(-1, self.end - 1 - back)
                 version, text = self.states[as_of + 1]
-                record = configuration.Restate(version, as_of, text, "", 0.0)
-                await self.append(configuration.pack(record), self.states[-1])
+                record = configuration_fold.Restate(version, as_of, text, "", 0.0)
+                await self.append(configuration_fold.pack(record), self.states[-1])
             case AppendGarbage(data):
                 await self.append(data, self.states[-1])
             case Expire(count):
                 self.earliest = min(self.earliest + count, self.end)
-                self.log.expire(configuration.STREAM, self.earliest)
+                self.log.expire(configuration_fold.STREAM, self.earliest)
             case Read(node):
                 await configuration.catch_up(self.log, self.folds[node], {})
             case Restart(node):
                 versions[node] = ids.NO_VERSION
-                self.folds[node] = configuration.Fold()
+                self.folds[node] = configuration_fold.Fold()
             case Offer(sender, receiver):
                 sent = self.folds[sender]
                 self.folds[receiver].offer(sent.version, sent.text, 1.0)
@@ -170,7 +172,7 @@
         await self.append(pack_publish(based_on, text), state)
 
     async def append(self, data, state):
-        await self.log.append(configuration.STREAM, data)
+        await self.log.append(configuration_fold.STREAM, data)
         self.states.append(state)
 
 
@@ -196,37 +198,39 @@
         strategies.integers(-1, 3), strategies.integers(-1, 3), strategies.booleans()
     )
     def test_wrong_restate_changes_no_anchored_node(self, version, as_of, is_valid):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
         fold.take(log.Record(1, pack_publish(0, text_of("b"))))
         text = text_of("wrong") if is_valid else b"{"
-        record = configuration.Restate(version, as_of, text, "", 0.0)
-        fold.take(log.Record(2, configuration.pack(record)))
+        record = configuration_fold.Restate(version, as_of, text, "", 0.0)
+        fold.take(log.Record(2, configuration_fold.pack(record)))
         self.assertEqual((1, text_of("b")), (fold.version, fold.text))
         fold.expire(9)
-        fold.take(log.Record(9, configuration.pack(record)))
+        fold.take(log.Record(9, configuration_fold.pack(record)))
         self.assertEqual((1, text_of("b")), (fold.version, fold.text))
 
     def test_restate_that_cannot_be_true_is_no_anchor(self):
         for version, as_of in ((0, 8), (9, 9), (10, 9), (9, 8)):
-            fold = configuration.Fold()
+            fold = configuration_fold.Fold()
             fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
             fold.take(log.Record(1, pack_publish(0, text_of("b"))))
             fold.expire(9)
-            record = configuration.Restate(version, as_of, text_of("wrong"), "", 0.0)
-            fold.take(log.Record(9, configuration.pack(record)))
+            record = configuration_fold.Restate(
+                version, as_of, text_of("wrong"), "", 0.0
+            )
+            fold.take(log.Record(9, configuration_fold.pack(record)))
             self.assertEqual((1, False), (fold.version, fold.is_anchored))
 
     def test_restate_of_the_same_version_changes_no_text(self):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
         fold.expire(9)
-        record = configuration.Restate(0, 8, text_of("wrong"), "", 0.0)
-        fold.take(log.Record(9, configuration.pack(record)))
+        record = configuration_fold.Restate(0, 8, text_of("wrong"), "", 0.0)
+        fold.take(log.Record(9, configuration_fold.pack(record)))
         self.assertEqual((text_of("a"), True), (fold.text, fold.is_anchored))
 
     def test_offer_that_contradicts_the_stream_is_refused(self):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
         fold.take(log.Record(1, pack_publish(-1, text_of("b"))))
         self.assertFalse(fold.offer(1, text_of("b"), 1.0))
@@ -235,13 +239,13 @@
     @hypothesis.given(strategies.binary(max_size=300))
     def test_garbage_is_a_record_error(self, data):
         try:
-            configuration.unpack(data)
-        except configuration.RecordError:
+            configuration_fold.unpack(data)
+        except configuration_fold.RecordError:
             return
 
     def test_large_document_is_refused(self):
-        with self.assertRaises(configuration.RecordError):
-            pack_publish(-1, bytes(configuration.MAX_DOCUMENT_BYTES + 1))
+        with self.assertRaises(configuration_fold.RecordError):
+            pack_publish(-1, bytes(configuration_fold.MAX_DOCUMENT_BYTES + 1))
 
 
 class PublishTest(unittest.IsolatedAsyncioTestCase):
@@ -309,12 +313,12 @@
         service = log.MemoryLog()
         for based_on, text in ((-1, text_of("a")), (-1, text_of("b")), (0, b"{}")):
             data = pack_publish(based_on, text)
-            await service.append(configuration.STREAM, data)
+            await service.append(configuration_fold.STREAM, data)
         verdicts = [entry.verdict for entry in await configuration.history(service)]
         expected = [
-            configuration.Verdict.ACCEPTED,
-            configuration.Verdict.CONFLICT,
-            configuration.Verdict.INVALID,
+            configuration_fold.Verdict.ACCEPTED,
+            configuration_fold.Verdict.CONFLICT,
+            configuration_fold.Verdict.INVALID,
         ]
         self.assertEqual(expected, verdicts)
 
@@ -389,7 +393,7 @@
         self.now += 160
         await self.publish(0, "b")
         await self.wait_for(lambda: self.end_of_stream() > 2)
-        self.log.expire(configuration.STREAM, 2)
+        self.log.expire(configuration_fold.STREAM, 2)
         late = self.follow()
         await late.wait_ready()
         self.assertEqual((1, text_of("b")), (late.version, late.text))
@@ -397,7 +401,7 @@
     async def test_without_an_anchor_a_reader_is_not_ready(self):
         await self.publish(-1)
         await self.publish(0, "b")
-        self.log.expire(configuration.STREAM, 1)
+        self.log.expire(configuration_fold.STREAM, 1)
         follower = self.follow()
         await asyncio.sleep(0.05)
         self.assertEqual((False, -1), (follower.is_ready, follower.version))
@@ -410,21 +414,23 @@
         await self.wait_for(lambda: all(f.is_ready for f in followers))
         for _ in range(130):
             self.now += 20
-            await self.log.append(configuration.STREAM, b"wakes the readers")
+            await self.log.append(configuration_fold.STREAM, b"wakes the readers")
             await asyncio.sleep(0.002)
         restated = 0
-        for record in (await self.log.read_to_end(configuration.STREAM, 0)).records:
+        for record in (
+            await self.log.read_to_end(configuration_fold.STREAM, 0)
+        ).records:
             restated += record.data != b"wakes the readers"
         self.assertTrue(2 <= restated - 1 <= 10, restated - 1)
 
     def end_of_stream(self):
-        return len(self.log._records_by_stream[configuration.STREAM])
+        return len(self.log._records_by_stream[configuration_fold.STREAM])
 
 
 class InvariantTest(unittest.TestCase):
     def test_version_that_would_fall_raises_and_is_counted(self):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.offer(5, text_of("a"), 1.0)
-        with self.assertRaises(configuration.RevertedConfigurationError):
+        with self.assertRaises(configuration_fold.RevertedConfigurationError):
             fold._set(4, text_of("b"), document.parse(text_of("b")), "")
         self.assertEqual((5, 1), (fold.version, fold.reverts))
