--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from teaselsill import configuration, document, errors, ids, log
+from teaselsill import configuration, configuration_fold, document, errors, ids, log
 
 NODES = 3
 
@@ -28,8 +28,10 @@
 
 
 def pack_publish(based_on, text, publisher="kim"):
-    record = configuration.Publish(based_on, text, publisher, ids.new_random_id(), 0.0)
-    return configuration.pack(record)
+    record = configuration_fold.Publish(
+        based_on, text, publisher, ids.new_random_id(), 0.0
+    )
+    return configuration_fold.pack(record)
 
 
 class PagedLog(log.MemoryLog):
@@ -48,6 +50,20 @@
         return await super().read(stream, start, wait_s, limit=1)
 
 
+class SlowLog(log.MemoryLog):
+    """A log whose callers overtake each other."""
+
+    async def append(self, stream, data):
+        await asyncio.sleep(0)
+        offset = await super().append(stream, data)
+        await asyncio.sleep(0)
+        return offset
+
+    async def read(self, stream, start, wait_s=0.0, limit=1000):
+        await asyncio.sleep(0)
+        return await super().read(stream, start, wait_s, limit)
+
+
 class DroppingLog(log.MemoryLog):
     """A log that loses appends, as far as their sender can tell."""
 
@@ -106,60 +122,64 @@
 
 
 class Simulation:
-    """Nodes that read one stream, beside an observer that sees every record.
+    """Nodes that read one stream, beside a model of what the records lead to.
 
     Attributes:
-        state_by_offset: The observer's version and text after each offset.
+        states: The version and text after each record, and before the first one.
     """
 
     def __init__(self):
         self.log = log.MemoryLog()
-        self.observer = configuration.Fold()
-        self.folds = [configuration.Fold() for _ in range(NODES)]
-        self.state_by_offset = {-1: (ids.NO_VERSION, b"")}
+        self.folds = [configuration_fold.Fold() for _ in range(NODES)]
+        self.states = [(ids.NO_VERSION, b"")]
         self.earliest = 0
 
+    @property
+    def end(self):
+        return len(self.states) - 1
+
     async def perform(self, action):
+        """Performs an action and returns the least versions that nodes may have."""
         versions = [fold.version for fold in self.folds]
         match action:
             case AppendPublish(back, is_valid):
-                version, _ = self.state_before(back)
-                text = text_of(f"a{self.observer.next_offset}") if is_valid else b"{}"
-                await self.append(pack_publish(version, text))
+                await self.publish(max(0, self.end - back), is_valid)
             case AppendRestate(back):
-                as_of = max(-1, self.observer.next_offset - 1 - back)
-                state = self.state_by_offset[as_of]
-                record = configuration.Restate(state[0], as_of, state[1], "", 0.0)
-                await self.append(configuration.pack(record))
+                as_of = max(-1, self.end - 1 - back)
+                version, text = self.states[as_of + 1]
+                record = configuration_fold.Restate(version, as_of, text, "", 0.0)
+                await self.append(configuration_fold.pack(record), self.states[-1])
             case AppendGarbage(data):
-                await self.append(data)
+                await self.append(data, self.states[-1])
             case Expire(count):
-                self.earliest = min(self.earliest + count, self.observer.next_offset)
-                self.log.expire(configuration.STREAM, self.earliest)
+                self.earliest = min(self.earliest + count, self.end)
+                self.log.expire(configuration_fold.STREAM, self.earliest)
             case Read(node):
                 await configuration.catch_up(self.log, self.folds[node], {})
             case Restart(node):
                 versions[node] = ids.NO_VERSION
-                self.folds[node] = configuration.Fold()
+                self.folds[node] = configuration_fold.Fold()
             case Offer(sender, receiver):
                 sent = self.folds[sender]
                 self.folds[receiver].offer(sent.version, sent.text, 1.0)
         return versions
 
-    def state_before(self, back):
-        return self.state_by_offset[max(-1, self.observer.next_offset - 1 - back)]
+    async def publish(self, offset_of_state, is_valid):
+        based_on, _ = self.states[offset_of_state]
+        text = text_of(f"a{self.end}") if is_valid else b"{}"
+        is_accepted = is_valid and based_on == self.states[-1][0]
+        state = (self.end, text) if is_accepted else self.states[-1]
+        await self.append(pack_publish(based_on, text), state)
 
-    async def append(self, data):
-        await self.log.append(configuration.STREAM, data)
-        await configuration.catch_up(self.log, self.observer, {})
-        state = (self.observer.version, self.observer.text)
-        self.state_by_offset[self.observer.next_offset - 1] = state
+    async def append(self, data, state):
+        await self.log.append(configuration_fold.STREAM, data)
+        self.states.append(state)
 
 
 class FoldPropertyTest(unittest.TestCase):
     @hypothesis.settings(max_examples=600)
     @hypothesis.given(strategies.lists(ACTION, max_size=40))
-    def test_nodes_agree_with_an_observer_of_every_record(self, actions):
+    def test_nodes_agree_with_a_model_of_every_record(self, actions):
         asyncio.run(self.check(actions))
 
     async def check(self, actions):
@@ -169,28 +189,48 @@
             for before, fold in zip(versions, simulation.folds, strict=True):
                 self.assertGreaterEqual(fold.version, before)
                 state = (fold.version, fold.text)
-                self.assertIn(state, simulation.state_by_offset.values())
+                self.assertIn(state, simulation.states)
                 if fold.is_anchored:
-                    expected = simulation.state_by_offset[fold.next_offset - 1]
+                    expected = simulation.states[fold.next_offset]
                     self.assertEqual(expected, state)
 
     @hypothesis.given(
         strategies.integers(-1, 3), strategies.integers(-1, 3), strategies.booleans()
     )
     def test_wrong_restate_changes_no_anchored_node(self, version, as_of, is_valid):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
         fold.take(log.Record(1, pack_publish(0, text_of("b"))))
         text = text_of("wrong") if is_valid else b"{"
-        record = configuration.Restate(version, as_of, text, "", 0.0)
-        fold.take(log.Record(2, configuration.pack(record)))
+        record = configuration_fold.Restate(version, as_of, text, "", 0.0)
+        fold.take(log.Record(2, configuration_fold.pack(record)))
         self.assertEqual((1, text_of("b")), (fold.version, fold.text))
         fold.expire(9)
-        fold.take(log.Record(9, configuration.pack(record)))
+        fold.take(log.Record(9, configuration_fold.pack(record)))
         self.assertEqual((1, text_of("b")), (fold.version, fold.text))
 
+    def test_restate_that_cannot_be_true_is_no_anchor(self):
+        for version, as_of in ((0, 8), (9, 9), (10, 9), (9, 8)):
+            fold = configuration_fold.Fold()
+            fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
+            fold.take(log.Record(1, pack_publish(0, text_of("b"))))
+            fold.expire(9)
+            record = configuration_fold.Restate(
+                version, as_of, text_of("wrong"), "", 0.0
+            )
+            fold.take(log.Record(9, configuration_fold.pack(record)))
+            self.assertEqual((1, False), (fold.version, fold.is_anchored))
+
+    def test_restate_of_the_same_version_changes_no_text(self):
+        fold = configuration_fold.Fold()
+        fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
+        fold.expire(9)
+        record = configuration_fold.Restate(0, 8, text_of("wrong"), "", 0.0)
+        fold.take(log.Record(9, configuration_fold.pack(record)))
+        self.assertEqual((text_of("a"), True), (fold.text, fold.is_anchored))
+
     def test_offer_that_contradicts_the_stream_is_refused(self):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
         fold.take(log.Record(1, pack_publish(-1, text_of("b"))))
         self.assertFalse(fold.offer(1, text_of("b"), 1.0))
@@ -199,13 +239,13 @@
     @hypothesis.given(strategies.binary(max_size=300))
     def test_garbage_is_a_record_error(self, data):
         try:
-            configuration.unpack(data)
-        except configuration.RecordError:
+            configuration_fold.unpack(data)
+        except configuration_fold.RecordError:
             return
 
     def test_large_document_is_refused(self):
-        with self.assertRaises(configuration.RecordError):
-            pack_publish(-1, bytes(configuration.MAX_DOCUMENT_BYTES + 1))
+        with self.assertRaises(configuration_fold.RecordError):
+            pack_publish(-1, bytes(configuration_fold.MAX_DOCUMENT_BYTES + 1))
 
 
 class PublishTest(unittest.IsolatedAsyncioTestCase):
@@ -215,7 +255,7 @@
         )
 
     async def test_racing_operators_have_one_winner_each_time(self):
-        service = log.MemoryLog()
+        service = SlowLog()
         version = ids.NO_VERSION
         for race in range(200):
             results = await asyncio.gather(
@@ -273,12 +313,12 @@
         service = log.MemoryLog()
         for based_on, text in ((-1, text_of("a")), (-1, text_of("b")), (0, b"{}")):
             data = pack_publish(based_on, text)
-            await service.append(configuration.STREAM, data)
+            await service.append(configuration_fold.STREAM, data)
         verdicts = [entry.verdict for entry in await configuration.history(service)]
         expected = [
-            configuration.Verdict.ACCEPTED,
-            configuration.Verdict.CONFLICT,
-            configuration.Verdict.INVALID,
+            configuration_fold.Verdict.ACCEPTED,
+            configuration_fold.Verdict.CONFLICT,
+            configuration_fold.Verdict.INVALID,
         ]
         self.assertEqual(expected, verdicts)
 
@@ -353,7 +393,7 @@
         self.now += 160
         await self.publish(0, "b")
         await self.wait_for(lambda: self.end_of_stream() > 2)
-        self.log.expire(configuration.STREAM, 2)
+        self.log.expire(configuration_fold.STREAM, 2)
         late = self.follow()
         await late.wait_ready()
         self.assertEqual((1, text_of("b")), (late.version, late.text))
@@ -361,7 +401,7 @@
     async def test_without_an_anchor_a_reader_is_not_ready(self):
         await self.publish(-1)
         await self.publish(0, "b")
-        self.log.expire(configuration.STREAM, 1)
+        self.log.expire(configuration_fold.STREAM, 1)
         follower = self.follow()
         await asyncio.sleep(0.05)
         self.assertEqual((False, -1), (follower.is_ready, follower.version))
@@ -374,21 +414,23 @@
         await self.wait_for(lambda: all(f.is_ready for f in followers))
         for _ in range(130):
             self.now += 20
-            await self.log.append(configuration.STREAM, b"wakes the readers")
+            await self.log.append(configuration_fold.STREAM, b"wakes the readers")
             await asyncio.sleep(0.002)
         restated = 0
-        for record in (await self.log.read_to_end(configuration.STREAM, 0)).records:
+        for record in (
+            await self.log.read_to_end(configuration_fold.STREAM, 0)
+        ).records:
             restated += record.data != b"wakes the readers"
         self.assertTrue(2 <= restated - 1 <= 10, restated - 1)
 
     def end_of_stream(self):
-        return len(self.log._records_by_stream[configuration.STREAM])
+        return len(self.log._records_by_stream[configuration_fold.STREAM])
 
 
 class InvariantTest(unittest.TestCase):
     def test_version_that_would_fall_raises_and_is_counted(self):
-        fold = configuration.Fold()
+        fold = configuration_fold.Fold()
         fold.offer(5, text_of("a"), 1.0)
-        with self.assertRaises(configuration.RevertedConfigurationError):
+        with self.assertRaises(configuration_fold.RevertedConfigurationError):
             fold._set(4, text_of("b"), document.parse(text_of("b")), "")
         self.assertEqual((5, 1), (fold.version, fold.reverts))
