--- /dev/null
+++ b/standins/demo_load.py
@@ -0,0 +1,170 @@
+"""The callers of the demo: client accounts that keep a deployment busy."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import time
+
+from standins import fleet, shapes
+
+LOAD_S = 4.0
+"""How long the client accounts keep asking, in seconds."""
+WARM_UP_S = 1.0
+"""How long they ask before the demo counts the tokens, in seconds."""
+MAX_TOKENS = 30
+PROMPT = "Write a short note about the weather."
+PLAIN_PATH = "/availability"
+ORDER_KEY = "order-1"
+ORDER_PATH = "/orders/1"
+OUTCOME_HEADER = "Teaselsill-Outcome"
+DATA_PREFIX = b"data: "
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """A client account of the demo.
+
+    Attributes:
+        account: Its id.
+        share: Its share in the configuration.
+        streams: How many completions it asks for at a time.
+        plain_calls: How many calls of the plain service it makes at a time.
+    """
+
+    account: str
+    share: int
+    streams: int
+    plain_calls: int = 0
+
+
+CALLERS = (
+    Caller(shapes.account_name(0), shapes.LARGE_SHARE, streams=30, plain_calls=2),
+    Caller(shapes.account_name(3), 1, streams=60, plain_calls=2),
+    Caller(shapes.account_name(4), 1, streams=15),
+    Caller(shapes.account_name(5), 1, streams=0, plain_calls=1),
+)
+"""One of a large share, one that floods, one of few requests, one of plain calls."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller got.
+
+    Attributes:
+        router: The router that answered.
+        status: The HTTP status.
+        outcome: What the answer says of the run.
+        body: The body.
+    """
+
+    router: str
+    status: int
+    outcome: str
+    body: bytes
+
+    @property
+    def reason(self) -> str:
+        """The reason of a refusal, or nothing."""
+        if self.status < 400:
+            return ""
+        return json.loads(self.body)["error"]["type"]
+
+
+class Load:
+    """Sends the requests of the callers and counts what they get.
+
+    Args:
+        running: The deployment.
+
+    Attributes:
+        replies: How many replies came, by client account, status and outcome.
+        tokens_by_account: The tokens that streams delivered after the warm-up.
+    """
+
+    def __init__(self, running: fleet.Fleet):
+        self.replies: collections.Counter[tuple[str, int, str]] = collections.Counter()
+        self.tokens_by_account: collections.Counter[str] = collections.Counter()
+        self._fleet = running
+        self._routers = running.with_role(fleet.Role.ROUTER)
+        self._completions = running.shape.service_of_kind("completions")
+        self._plain = running.shape.service_of_kind("plain")
+        self._counts_tokens = False
+
+    async def run(self) -> None:
+        """Keeps the deployment busy for `LOAD_S`."""
+        until = time.monotonic() + LOAD_S
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._count_tokens_between(WARM_UP_S, LOAD_S))
+            for caller in CALLERS:
+                for number in range(caller.streams):
+                    group.create_task(self._stream(caller, number, until))
+                for number in range(caller.plain_calls):
+                    group.create_task(self._call(caller, number, until))
+
+    async def send_order(self, router: fleet.Node) -> Reply:
+        """Sends the order of the demo through a router."""
+        path = f"/services/{self._plain.name}{ORDER_PATH}"
+        headers = self._fleet.request_headers(CALLERS[0].account)
+        headers["Idempotency-Key"] = ORDER_KEY
+        url = router.url + path
+        async with self._fleet.session.post(
+            url, headers=headers, data=b"one"
+        ) as response:
+            outcome = response.headers.get(OUTCOME_HEADER, "")
+            return Reply(router.name, response.status, outcome, await response.read())
+
+    async def send_orders(self) -> list[Reply]:
+        """Sends the order through two routers at once, and then through a third."""
+        both = await asyncio.gather(*map(self.send_order, self._routers[:2]))
+        return [*both, await self.send_order(self._routers[-1])]
+
+    async def count_orders_run(self) -> int:
+        """Returns how often the upstreams ran the order."""
+        total = 0
+        for agent in self._fleet.agents_of(self._plain.name):
+            upstream = self._fleet.upstream_of(agent)
+            page = await self._fleet.get_json(f"{upstream.url}/admin/executions")
+            total += sum(page["by_request"].values())
+        return total
+
+    async def _count_tokens_between(self, since_s: float, until_s: float) -> None:
+        await asyncio.sleep(since_s)
+        self._counts_tokens = True
+        await asyncio.sleep(until_s - since_s)
+        self._counts_tokens = False
+
+    async def _stream(self, caller: Caller, number: int, until: float) -> None:
+        router = self._routers[number % len(self._routers)]
+        asked = {
+            "model": shapes.model_of(self._completions),
+            "stream": True,
+            "max_tokens": MAX_TOKENS,
+            "messages": [{"role": "user", "content": PROMPT}],
+        }
+        url = f"{router.url}/v1/chat/completions"
+        headers = self._fleet.request_headers(caller.account)
+        while time.monotonic() < until:
+            async with self._fleet.session.post(
+                url, headers=headers, json=asked
+            ) as response:
+                async for line in response.content:
+                    self._note_line(caller, line)
+                self._note_reply(caller, response)
+
+    async def _call(self, caller: Caller, number: int, until: float) -> None:
+        router = self._routers[number % len(self._routers)]
+        url = f"{router.url}/services/{self._plain.name}{PLAIN_PATH}"
+        headers = self._fleet.request_headers(caller.account)
+        while time.monotonic() < until:
+            async with self._fleet.session.get(url, headers=headers) as response:
+                await response.read()
+                self._note_reply(caller, response)
+
+    def _note_line(self, caller: Caller, line: bytes) -> None:
+        if self._counts_tokens and line.startswith(DATA_PREFIX):
+            self.tokens_by_account[caller.account] += 1
+
+    def _note_reply(self, caller: Caller, response) -> None:
+        outcome = response.headers.get(OUTCOME_HEADER, "")
+        self.replies[caller.account, response.status, outcome] += 1
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
+MAX_SHOWN_CHARS = 2000
 STREAM = "configuration"
 
 
@@ -70,6 +71,11 @@
         """The address of its admin pages."""
         return f"http://{HOST}:{self.admin_port}"
 
+    @property
+    def is_running(self) -> bool:
+        """Whether its process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
 
 class Fleet:
     """A deployment on this machine.
@@ -146,7 +152,10 @@
         errors_path = self.directory / f"{node.name}.log"
         with errors_path.open("ab") as errors_file:
             node.process = await asyncio.create_subprocess_exec(
-                *node.command, stdout=errors_file, stderr=errors_file
+                *node.command,
+                stdout=errors_file,
+                stderr=errors_file,
+                process_group=0,
             )
         if node.listing is not None and is_listed:
             await self.set_listing(node, "live")
@@ -179,6 +188,22 @@
         async with asyncio.timeout(STOP_TIMEOUT_S):
             return await node.process.wait()
 
+    async def watch(self) -> None:
+        """Returns never; fails as soon as a running process ends.
+
+        Raises:
+            FleetError: A process ended.
+        """
+        running = [node for node in self.node_by_name.values() if node.is_running]
+        ends = [asyncio.create_task(node.process.wait()) for node in running]
+        try:
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for end in ends:
+                end.cancel()
+        ended = next(node for node in running if not node.is_running)
+        raise FleetError(self._describe_end(ended))
+
     async def set_faults(self, node: Node, **faults) -> None:
         """Switches the faults of a stand-in; those that are not named go off."""
         async with self.session.put(
@@ -216,11 +241,7 @@
 
     async def close(self) -> None:
         """Stops every process that this fleet started."""
-        running = [
-            node
-            for node in self.node_by_name.values()
-            if node.process is not None and node.process.returncode is None
-        ]
+        running = [node for node in self.node_by_name.values() if node.is_running]
         for node in running:
             with contextlib.suppress(ProcessLookupError):
                 node.process.kill()
@@ -251,8 +272,7 @@
         page = "/ready" if node.listing is not None else "/admin/health"
         while True:
             if node.process.returncode is not None:
-                text = (self.directory / f"{node.name}.log").read_text()
-                raise FleetError(f"{node.name} ended: {text[-2000:]}")
+                raise FleetError(self._describe_end(node))
             try:
                 async with self.session.get(node.admin_url + page) as response:
                     if response.status == 200:
@@ -261,6 +281,11 @@
                 pass
             await asyncio.sleep(POLL_S)
 
+    def _describe_end(self, node: Node) -> str:
+        text = (self.directory / f"{node.name}.log").read_text()
+        said = text[-MAX_SHOWN_CHARS:] or "it wrote nothing"
+        return f"{node.name} ended with status {node.process.returncode}: {said}"
+
     def _plan(self) -> None:
         self._add_stand_in("log", Role.LOG, "log_service")
         self._add_stand_in(
--- a/standins/shapes.py
+++ b/standins/shapes.py
@@ -38,6 +38,10 @@
     routers: int = 3
     accounts: int = 16
 
+    def service_of_kind(self, kind: str) -> ServiceShape:
+        """Returns the first service of a kind."""
+        return next(service for service in self.services if service.kind == kind)
+
 
 CARONI = Shape(
     ("chaguanas", "couva", "freeport", "claxton"),
