--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -11,8 +11,10 @@
     callers,
     claims,
     configuration,
+    console,
     counters,
     digest,
+    fencing,
     handover,
     ids,
     instances,
@@ -44,6 +46,7 @@
         me: Who this process is.
         secret: The secret that all peers know.
         log: The log service.
+        instance_list: The instance list's client.
         membership: The list of instances.
         follower: The configuration.
         metrics: Takes the metrics.
@@ -56,10 +59,10 @@
         self.me = link.Identity(ids.InstanceId(loaded.instance), incarnation, role)
         self.secret = loaded.secret.encode()
         self.log = registry.get(registry.Kind.LOG, loaded.log.plugin)(loaded.log.url)
-        self._instances = registry.get(
+        self.instance_list = registry.get(
             registry.Kind.INSTANCES, loaded.instances.plugin
         )(loaded.instances.url)
-        self.membership = membership.Membership(self._instances)
+        self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
         self.metrics = metrics.Metrics(loaded.statsd)
         self.host = str(loaded.host)
@@ -109,7 +112,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._admin.stop()
         await self.log.close()
-        await self._instances.close()
+        await self.instance_list.close()
         self.metrics.close()
 
     def _note_done(self, task: asyncio.Task) -> None:
@@ -166,6 +169,7 @@
     )
     await node.start(lambda: not serving.is_leaving, lambda: _report_agent(serving))
     node.run_in_background(serving.exchange.run())
+    node.run_in_background(serving.fence.obtain())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await node.wait_stop()
     await serving.leave()
@@ -174,8 +178,22 @@
     await node.stop()
 
 
+async def run_console(loaded: settings.ConsoleSettings) -> None:
+    """Runs a console until it is told to stop."""
+    node = Node(loaded, instances.Role.CONSOLE)
+    app = console.create_app(node.log, node.instance_list)
+    front = servers.HttpServer(app, node.host, loaded.port)
+    await node.start(lambda: True, dict)
+    await front.start()
+    logger.info("console listens on %s:%s", node.host, loaded.port)
+    await node.wait_stop()
+    await front.stop()
+    await node.stop()
+
+
 def _make_agent(node: Node, loaded: settings.AgentSettings) -> agent.Agent:
     service = ids.ServiceName(loaded.service)
+    upstream = ids.UpstreamId(loaded.upstream)
     known = counters.Counters(0)
     exchange = digest.Exchange(
         node.me,
@@ -192,10 +210,11 @@
         node.me,
         node.secret,
         service,
-        ids.UpstreamId(loaded.upstream),
+        upstream,
         kind(loaded.upstream_url),
         node.follower,
         claims.Ledger(node.log, service, node.me.incarnation, time.time),
+        fencing.Fence(node.log, service, upstream, node.me.incarnation),
         known,
         exchange,
         policy(),
