--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the fleet as separate processes; each prints one line of JSON."""
--- /dev/null
+++ b/measurements/results.py
@@ -0,0 +1,71 @@
+"""What a measurement prints."""
+
+import os
+import typing
+
+import msgspec
+
+CORES = os.cpu_count()
+"""How many cores the machine has."""
+
+
+class Check(msgspec.Struct, frozen=True):
+    """A figure beside the target that was stated before the run.
+
+    Attributes:
+        figure: The name of the figure.
+        measured: Its value.
+        target: The limit.
+        at_most: Whether the limit is the greatest allowed value or the least.
+        met: Whether the value keeps the limit.
+    """
+
+    figure: str
+    measured: float
+    target: float
+    at_most: bool
+    met: bool
+
+
+class Result(msgspec.Struct, frozen=True):
+    """One run of a measurement.
+
+    Attributes:
+        name: The measurement.
+        seed: The seed of the random numbers.
+        settings: What the run was set to.
+        figures: What was measured.
+        checks: The figures that have a target.
+        load_before: The machine's load average over 1 minute before the run.
+        load_after: The machine's load average over 1 minute after the run.
+        cores: How many cores the machine has.
+    """
+
+    name: str
+    seed: int
+    settings: typing.Any
+    figures: typing.Any
+    checks: list[Check]
+    load_before: float
+    load_after: float
+    cores: int
+
+
+def check_at_most(figure: str, measured: float, target: float) -> Check:
+    """Returns whether a figure is at most its target."""
+    return Check(figure, measured, target, True, measured <= target)
+
+
+def check_at_least(figure: str, measured: float, target: float) -> Check:
+    """Returns whether a figure is at least its target."""
+    return Check(figure, measured, target, False, measured >= target)
+
+
+def load_average() -> float:
+    """Returns the machine's load average over 1 minute."""
+    return round(os.getloadavg()[0], 2)
+
+
+def render(result: Result) -> str:
+    """Returns a result as one line of JSON."""
+    return msgspec.json.encode(result).decode()
