--- /dev/null
+++ b/soak/answers.py
@@ -0,0 +1,102 @@
+"""What a whole answer must hold, by the kind of request."""
+
+import abc
+import dataclasses
+
+import msgspec
+
+from standins import completions
+
+EVENT_END = b"\n\n"
+DONE = b"[DONE]"
+
+
+class Expected(abc.ABC):
+    """The answer that one request must get."""
+
+    @abc.abstractmethod
+    def find_fault(self, body: bytes, request_id: str) -> str:
+        """Returns what is wrong with a body that passes for whole, or nothing."""
+
+
+class _EchoBody(msgspec.Struct):
+    method: str
+    path: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Echo(Expected):
+    """The answer of the plain service.
+
+    Attributes:
+        method: The request's method.
+        path: The request's path at the service.
+        digest: The digest of the request's body.
+    """
+
+    method: str
+    path: str
+    digest: str
+
+    def find_fault(self, body: bytes, request_id: str) -> str:
+        """Compares what the service saw."""
+        try:
+            echo = msgspec.json.decode(body, type=_EchoBody)
+        except msgspec.MsgspecError as error:
+            return f"{len(body)} bytes: {error}"
+        if (echo.method, echo.path, echo.digest) == (
+            self.method,
+            self.path,
+            self.digest,
+        ):
+            return ""
+        return f"answer to another request: {echo}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completion(Expected):
+    """The answer of the model engine.
+
+    Attributes:
+        tokens: The expected tokens.
+        is_stream: Whether it comes as a stream of events.
+    """
+
+    tokens: tuple[str, ...]
+    is_stream: bool
+
+    @classmethod
+    def make(cls, body: bytes, is_stream: bool) -> "Completion":
+        """Works out the answer to a request's body."""
+        request = msgspec.json.decode(body, type=completions.Request)
+        return cls(tuple(completions.answer_tokens(request)), is_stream)
+
+    def find_fault(self, body: bytes, request_id: str) -> str:
+        """Compares the request's id and every token."""
+        try:
+            return self._find_fault(body, request_id)
+        except (msgspec.MsgspecError, IndexError, AttributeError) as error:
+            return f"{len(body)} bytes: {type(error).__name__}: {error}"
+
+    def _find_fault(self, body: bytes, request_id: str) -> str:
+        if not self.is_stream:
+            whole = msgspec.json.decode(body, type=completions.Completion)
+            text = whole.choices[0].message.content
+            return self._compare([whole.id], text, request_id)
+        *events, rest = body.split(EVENT_END)
+        data = [event.partition(b"data: ")[2] for event in events]
+        if rest or not data or data[-1] != DONE:
+            return f"the stream ends with {body[-80:]!r}"
+        chunks = [
+            msgspec.json.decode(part, type=completions.Completion) for part in data[:-1]
+        ]
+        parts = [c.choices[0].delta.content for c in chunks if c.choices]
+        if len(parts) != len(self.tokens):
+            return f"{len(parts)} of {len(self.tokens)} tokens"
+        return self._compare([c.id for c in chunks], "".join(parts), request_id)
+
+    def _compare(self, found_ids: list[str], text: str, request_id: str) -> str:
+        if set(found_ids) != {request_id}:
+            return f"answer to {set(found_ids)}, not to {request_id}"
+        return "" if text == "".join(self.tokens) else f"other text: {text[:80]!r}"
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,231 @@
+"""What must hold in a run, checked from outside the fleet's processes."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+import aiohttp
+
+from soak import workload
+from standins import fleet
+
+POLL_S = 0.5
+PAGE_TIMEOUT_S = 1.0
+TRACEBACK = "Traceback (most recent call last)"
+MAX_LINE = 600
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """Something that must never happen, and did.
+
+    Attributes:
+        check: Which check found it.
+        at_s: When, after the start of the run, in seconds.
+        detail: The request, nodes and times.
+    """
+
+    check: str
+    at_s: float
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outage:
+    """A time in which a router could not serve: killed or frozen.
+
+    Attributes:
+        node: The router's name.
+        began_at: On the monotonic clock, in seconds.
+        ended_at: On the monotonic clock, in seconds.
+    """
+
+    node: str
+    began_at: float
+    ended_at: float
+
+    def touches(self, call: workload.Call) -> bool:
+        """Tells whether a call may have suffered from it."""
+        is_before = call.ended_at and call.ended_at < self.began_at
+        return call.router == self.node and not (
+            is_before or call.began_at > self.ended_at
+        )
+
+
+class Checks:
+    """Holds what was seen and finds violations.
+
+    Args:
+        deployment: The fleet.
+        calls: The callers' calls.
+
+    Attributes:
+        violations: What was found so far.
+        checked_by_name: How often each check was made.
+        outages: The times in which routers could not serve.
+    """
+
+    def __init__(self, deployment: fleet.Fleet, calls: list[workload.Call]):
+        self.violations: list[Violation] = []
+        self.checked_by_name: collections.Counter[str] = collections.Counter()
+        self.outages: list[Outage] = []
+        self._fleet = deployment
+        self._calls = calls
+        self._began_at = time.monotonic()
+        self._version_by_node: dict[str, int] = {}
+        self._log_position_by_node: collections.Counter[str] = collections.Counter()
+        self._known: set[tuple[str, str]] = set()
+
+    def note(self, check: str, detail: str) -> None:
+        """Notes a violation, once."""
+        if (check, detail) in self._known:
+            return
+        self._known.add((check, detail))
+        at_s = round(time.monotonic() - self._began_at, 2)
+        self.violations.append(Violation(check, at_s, detail))
+        print(f"VIOLATION at {at_s} s: {check}: {detail}", flush=True)
+
+    async def watch_versions(self) -> None:
+        """Polls the versions for ever."""
+        while True:
+            await asyncio.gather(*(self._check_version(n) for n in self.nodes()))
+            await asyncio.sleep(POLL_S)
+
+    async def check_all(self) -> None:
+        """Makes every check on what is known now."""
+        await self._check_executions()
+        self._check_calls()
+        await asyncio.gather(*(self._check_report(node) for node in self.nodes()))
+        self._check_logs()
+
+    def check_no_disturbance(self, name: str, began_at: float, router: str) -> None:
+        """Checks that calls under way since a time were not cut off.
+
+        Args:
+            name: What happened to the fleet meanwhile.
+            began_at: On the monotonic clock, in seconds.
+            router: Only calls through this router; empty for all.
+        """
+        self.checked_by_name[name] += 1
+        cut = (workload.Result.UNKNOWN, workload.Result.BROKEN)
+        for call in self._calls:
+            is_later = call.ended_at >= began_at or not call.ended_at
+            if not is_later or (router and call.router != router):
+                continue
+            if call.result in (*cut, workload.Result.NO_ANSWER) and not any(
+                outage.touches(call) for outage in self.outages
+            ):
+                self.note(name, self.describe(call))
+
+    def describe(self, call: workload.Call) -> str:
+        """Returns what is known of a call, in one line."""
+        return (
+            f"request {call.request_id or '?'} {call.kind.value} {call.order} "
+            f"of {call.account} through {call.router}, "
+            f"began {call.began_at - self._began_at:.2f} s, "
+            f"ended {call.ended_at - self._began_at:.2f} s, "
+            f"deadline {call.deadline_s} s, status {call.status}, "
+            f"outcome {call.outcome or '?'}, "
+            f"{call.result.value if call.result else 'runs'}: {call.detail[:200]}"
+        )
+
+    def nodes(self) -> list[fleet.Node]:
+        """Returns the routers and agents that run."""
+        return [
+            node
+            for node in self._fleet.node_by_name.values()
+            if node.role in (fleet.Role.ROUTER, fleet.Role.AGENT)
+            and node.process is not None
+            and node.process.returncode is None
+        ]
+
+    async def _check_executions(self) -> None:
+        ended = [call for call in self._calls if call.ended_at]
+        by_request: collections.Counter[str] = collections.Counter()
+        by_path: collections.Counter[str] = collections.Counter()
+        for node in self._fleet.with_role(fleet.Role.UPSTREAM):
+            page = await self._fleet.get_json(f"{node.url}/admin/executions")
+            by_request.update(page["by_request"])
+            by_path.update(page.get("by_path", {}))
+        self._check_repeats(by_path)
+        for call in ended:
+            self._check_truth(call, by_request, by_path)
+
+    def _check_repeats(self, by_path) -> None:
+        self.checked_by_name["at-most-once"] += 1
+        for path, count in by_path.items():
+            if path.startswith("/orders/") and count > 1:
+                calls = [c for c in self._calls if c.order == path]
+                told = "; ".join(self.describe(call) for call in calls)
+                self.note("at-most-once", f"{path} ran {count} times: {told}")
+
+    def _check_truth(self, call, by_request, by_path) -> None:
+        if call.outcome == "not-run" and call.request_id:
+            self.checked_by_name["not-run-is-true"] += 1
+            if by_request[call.request_id]:
+                self.note("not-run-is-true", self.describe(call))
+        if call.order and call.result is workload.Result.WHOLE:
+            self.checked_by_name["answered-order-ran"] += 1
+            if not by_path[call.order]:
+                self.note("answered-order-ran", self.describe(call))
+
+    def _check_calls(self) -> None:
+        for call in self._calls:
+            if not call.ended_at:
+                continue
+            self.checked_by_name["answer-whole"] += 1
+            if call.result is workload.Result.WRONG:
+                self.note("answer-whole", self.describe(call))
+            self._check_deadline(call)
+
+    def _check_deadline(self, call: workload.Call) -> None:
+        if any(outage.touches(call) for outage in self.outages):
+            return
+        self.checked_by_name["answered-by-deadline"] += 1
+        limit_s = call.deadline_s + workload.OVERDUE_S
+        if call.ended_at - call.began_at > limit_s:
+            self.note("answered-by-deadline", self.describe(call))
+
+    async def _check_version(self, node: fleet.Node) -> None:
+        page = await self._get(node, "/version")
+        if page is None or page["version"] < 0:
+            return
+        self.checked_by_name["version-never-falls"] += 1
+        known = self._version_by_node.get(node.name, -1)
+        if page["version"] < known:
+            detail = f"{node.name} went from {known} to {page['version']}"
+            self.note("version-never-falls", detail)
+        self._version_by_node[node.name] = max(known, page["version"])
+
+    async def _check_report(self, node: fleet.Node) -> None:
+        page = await self._get(node, "/report")
+        if page is None:
+            return
+        self.checked_by_name["no-invariant-violated"] += 1
+        if page["violation_count_by_name"]:
+            detail = f"{node.name}: {page['violation_count_by_name']}"
+            self.note("no-invariant-violated", detail)
+
+    def _check_logs(self) -> None:
+        for node in self._fleet.node_by_name.values():
+            if node.role not in (fleet.Role.ROUTER, fleet.Role.AGENT):
+                continue
+            self.checked_by_name["no-traceback"] += 1
+            path = self._fleet.directory / f"{node.name}.log"
+            if not path.exists():
+                continue
+            with path.open() as lines:
+                lines.seek(self._log_position_by_node[node.name])
+                text = lines.read()
+                self._log_position_by_node[node.name] = lines.tell()
+            for line in text.splitlines():
+                if TRACEBACK in line:
+                    self.note("no-traceback", f"{node.name}: {line[-MAX_LINE:]}")
+
+    async def _get(self, node: fleet.Node, page: str) -> dict | None:
+        try:
+            async with asyncio.timeout(PAGE_TIMEOUT_S):
+                return await self._fleet.get_json(node.admin_url + page)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
--- /dev/null
+++ b/soak/failures.py
@@ -0,0 +1,283 @@
+"""Makes the failures of a schedule happen to a fleet, and mends them."""
+
+import asyncio
+import contextlib
+import copy
+import itertools
+import signal
+import time
+
+import aiohttp
+
+from soak import checks, operators, schedule, workload
+from standins import fleet
+
+FROZEN_BEFORE_REPLACED_S = 0.3
+BOTH_RUN_S = 2.0
+"""How long a frozen agent that woke up runs beside its replacement."""
+LISTING_RETRY_S = 0.2
+UNDISTURBED_SINCE_S = 1.0
+LOG_DELAY_S = 1.0
+LIST_LAG_S = 5.0
+IN_FORCE_S = 4.0
+LAST_NEW_WORK_S = 3.0
+LEFT_IDLE_S = 1.5
+"""How long an upstream that has left is watched."""
+RESTART_DELAY_S = 0.5
+
+
+class Failures:
+    """Carries out one step after the other.
+
+    Args:
+        deployment: The fleet.
+        balancer: Sends callers to the routers.
+        checking: Takes the violations.
+    """
+
+    def __init__(
+        self,
+        deployment: fleet.Fleet,
+        balancer: workload.Balancer,
+        checking: checks.Checks,
+    ):
+        self._fleet = deployment
+        self._balancer = balancer
+        self._checks = checking
+        self._operators = operators.Operators(deployment)
+        self._replacements = itertools.count(1)
+        self._hit: set[str] = set()
+        self._is_alone = False
+
+    async def run_step(self, step: schedule.Step) -> None:
+        """Makes the failures of a step happen and mends them."""
+        self._hit.clear()
+        self._is_alone = len(step.failures) == 1
+        await asyncio.gather(*(self._run(failure) for failure in step.failures))
+
+    async def _run(self, failure: schedule.Failure) -> None:
+        await asyncio.sleep(failure.offset_s)
+        match failure.kind:
+            case schedule.Kind.ROUTER_KILLED:
+                await self._kill_router(failure)
+            case schedule.Kind.AGENT_KILLED:
+                await self._kill_agent(failure)
+            case schedule.Kind.ROUTER_FROZEN:
+                await self._freeze_router(failure)
+            case schedule.Kind.AGENT_FROZEN:
+                await self._freeze(self._pick(fleet.Role.AGENT, failure), failure)
+            case schedule.Kind.AGENT_REPLACED:
+                await self._replace_agent(failure)
+            case schedule.Kind.ROUTER_STOPPED:
+                await self._stop_router(failure)
+            case schedule.Kind.AGENT_STOPPED:
+                await self._stop_agent(failure)
+            case schedule.Kind.LINKS_CUT:
+                await self._cut_links(failure)
+            case schedule.Kind.LINKS_SILENT:
+                await self._silence_links(failure)
+            case schedule.Kind.OPERATORS_RACE:
+                await self._race_operators()
+            case schedule.Kind.UPSTREAM_LEAVES:
+                await self._leave_by_configuration(failure)
+            case _:
+                await self._fault_stand_in(failure)
+
+    def _pick(self, role: fleet.Role, failure: schedule.Failure) -> fleet.Node:
+        """Chooses a process that nothing else hits in this step."""
+        running = [node for node in self._checks.nodes() if node.role is role]
+        names = sorted(node.name for node in running)
+        free = [name for name in names if name not in self._hit]
+        name = free[failure.target % len(free)]
+        self._hit.add(name)
+        return self._fleet.node_by_name[name]
+
+    async def _kill_router(self, failure: schedule.Failure) -> None:
+        router = self._pick(fleet.Role.ROUTER, failure)
+        with self._note_outage(router):
+            await self._fleet.kill(router)
+            self._balancer.remove(router)
+        await asyncio.sleep(failure.hold_s)
+        await self._restart(router)
+        self._balancer.add(router)
+
+    async def _kill_agent(self, failure: schedule.Failure) -> None:
+        agent = self._pick(fleet.Role.AGENT, failure)
+        await self._fleet.kill(agent)
+        await asyncio.sleep(failure.hold_s)
+        await self._restart(agent)
+
+    async def _freeze_router(self, failure: schedule.Failure) -> None:
+        router = self._pick(fleet.Role.ROUTER, failure)
+        with self._note_outage(router):
+            await self._freeze(router, failure)
+
+    async def _freeze(self, node: fleet.Node, failure: schedule.Failure) -> None:
+        self._fleet.signal(node, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(failure.hold_s)
+        finally:
+            self._fleet.signal(node, signal.SIGCONT)
+
+    async def _replace_agent(self, failure: schedule.Failure) -> None:
+        agent = self._pick(fleet.Role.AGENT, failure)
+        name = f"{agent.name}-r{next(self._replacements)}"
+        replacement = self._fleet.plan_replacement(agent, name)
+        self._hit.add(name)
+        self._fleet.signal(agent, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(FROZEN_BEFORE_REPLACED_S)
+            await self._fleet.start(replacement, is_listed=False)
+            await self._fleet.wait_ready([replacement])
+            await self._retry_listing(self._fleet.unlist, agent)
+            await self._retry_listing(self._fleet.set_listing, replacement, "live")
+            await asyncio.sleep(failure.hold_s)
+        finally:
+            self._fleet.signal(agent, signal.SIGCONT)
+        await asyncio.sleep(BOTH_RUN_S)
+        await self._fleet.kill(agent)
+
+    async def _stop_router(self, failure: schedule.Failure) -> None:
+        router = self._pick(fleet.Role.ROUTER, failure)
+        self._balancer.remove(router)
+        began_at = time.monotonic()
+        status = await self._fleet.stop(router)
+        self._check_stop(router, status, began_at)
+        if self._is_alone:
+            name = "router-stop-cuts-nothing"
+            self._checks.check_no_disturbance(name, began_at, router.name)
+        await self._restart(router)
+        self._balancer.add(router)
+
+    async def _stop_agent(self, failure: schedule.Failure) -> None:
+        agent = self._pick(fleet.Role.AGENT, failure)
+        began_at = time.monotonic()
+        status = await self._fleet.stop(agent)
+        self._check_stop(agent, status, began_at)
+        await asyncio.sleep(UNDISTURBED_SINCE_S)
+        if self._is_alone:
+            name = "agent-stop-cuts-nothing"
+            self._checks.check_no_disturbance(name, began_at, "")
+        await self._restart(agent)
+
+    def _check_stop(self, node: fleet.Node, status: int, began_at: float) -> None:
+        self._checks.checked_by_name["planned-stop-exits-0"] += 1
+        took_s = time.monotonic() - began_at
+        print(f"{node.name} stopped in {took_s:.2f} s, status {status}", flush=True)
+        if status:
+            self._checks.note("planned-stop-exits-0", f"{node.name}: status {status}")
+
+    async def _restart(self, node: fleet.Node) -> None:
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self._fleet.start(node, is_listed=False)
+        await self._fleet.wait_ready([node])
+
+    async def _cut_links(self, failure: schedule.Failure) -> None:
+        relaying = self._relay_of(self._pick(fleet.Role.AGENT, failure))
+        ends_at = time.monotonic() + failure.hold_s
+        while time.monotonic() < ends_at:
+            relaying.cut()
+            await asyncio.sleep(failure.hold_s / 4)
+
+    async def _silence_links(self, failure: schedule.Failure) -> None:
+        relaying = self._relay_of(self._pick(fleet.Role.AGENT, failure))
+        holds_new = failure.target % 2 == 0
+        relaying.hold_new(holds_new)
+        relaying.silence()
+        await asyncio.sleep(failure.hold_s)
+        relaying.hold_new(False)
+
+    def _relay_of(self, agent: fleet.Node):
+        relays = self._fleet.relay_by_agent
+        return relays.get(agent.name) or next(iter(relays.values()))
+
+    async def _fault_stand_in(self, failure: schedule.Failure) -> None:
+        node, faults = self._choose_fault(failure)
+        await self._fleet.set_faults(node, **faults)
+        try:
+            await asyncio.sleep(failure.hold_s)
+        finally:
+            await self._fleet.set_faults(node)
+
+    def _choose_fault(self, failure: schedule.Failure):
+        log = self._fleet.node_by_name["log"]
+        listing = self._fleet.node_by_name["list"]
+        match failure.kind:
+            case schedule.Kind.LOG_DOWN:
+                return log, {"down": True}
+            case schedule.Kind.LOG_SLOW:
+                return log, {"delay_s": LOG_DELAY_S}
+            case schedule.Kind.LOG_REPLIES_LOST:
+                return log, {"lose_replies": True}
+            case schedule.Kind.LIST_DOWN:
+                return listing, {"down": True}
+            case schedule.Kind.LIST_LAGS:
+                return listing, {"lag_s": LIST_LAG_S}
+        upstreams = self._fleet.with_role(fleet.Role.UPSTREAM)
+        node = upstreams[failure.target % len(upstreams)]
+        is_engine = "model_engine" in " ".join(node.command)
+        match failure.kind:
+            case schedule.Kind.UPSTREAM_STALLS:
+                return node, {"stall": True} if is_engine else {"freeze": True}
+            case schedule.Kind.UPSTREAM_DROPS:
+                return node, (
+                    {"drop_connection": True} if is_engine else {"drop_after": True}
+                )
+        return node, {"refuse": True} if is_engine else {"drop_before": True}
+
+    async def _race_operators(self) -> None:
+        race = await self._operators.race()
+        self._checks.checked_by_name["one-winner"] += 1
+        if len(race.versions) > 1 or (self._is_alone and not race.versions):
+            self._checks.note("one-winner", str(race))
+        if race.versions and self._is_alone:
+            await self._check_in_force(race.versions[0])
+
+    async def _check_in_force(self, version: int) -> None:
+        self._checks.checked_by_name["in-force-within-4s"] += 1
+        nodes = self._checks.nodes()
+        late = await self._operators.wait_in_force(version, nodes, IN_FORCE_S)
+        if late:
+            detail = f"version {version} is not in force at {late}"
+            self._checks.note("in-force-within-4s", detail)
+
+    async def _leave_by_configuration(self, failure: schedule.Failure) -> None:
+        upstreams = self._fleet.with_role(fleet.Role.UPSTREAM)
+        node = upstreams[failure.target % len(upstreams)]
+        document = copy.deepcopy(self._fleet.document)
+        document["leaving_upstreams"] = [node.name]
+        is_published = await self._operators.publish(document)
+        if is_published and self._is_alone:
+            await asyncio.sleep(LAST_NEW_WORK_S)
+            before = await self._count_executions(node)
+            await asyncio.sleep(LEFT_IDLE_S)
+            after = await self._count_executions(node)
+            self._checks.checked_by_name["left-upstream-idle"] += 1
+            if after != before:
+                detail = f"{node.name}: {after - before} requests after 3 s"
+                self._checks.note("left-upstream-idle", detail)
+        await self._operators.publish(self._fleet.document)
+
+    async def _count_executions(self, node: fleet.Node) -> int:
+        page = await self._fleet.get_json(f"{node.url}/admin/executions")
+        return sum(page["by_request"].values())
+
+    async def _retry_listing(self, change, *arguments) -> None:
+        while True:
+            try:
+                await change(*arguments)
+                return
+            except aiohttp.ClientError:
+                await asyncio.sleep(LISTING_RETRY_S)
+
+    @contextlib.contextmanager
+    def _note_outage(self, router: fleet.Node):
+        began_at = time.monotonic()
+        index = len(self._checks.outages)
+        self._checks.outages.append(checks.Outage(router.name, began_at, float("inf")))
+        try:
+            yield
+        finally:
+            ended_at = time.monotonic() + checks.POLL_S
+            outage = checks.Outage(router.name, began_at, ended_at)
+            self._checks.outages[index] = outage
--- /dev/null
+++ b/soak/operators.py
@@ -0,0 +1,108 @@
+"""Operators who publish configurations, also against each other."""
+
+import asyncio
+import copy
+import dataclasses
+import time
+
+import aiohttp
+
+from standins import fleet, shapes
+from teaselsill import configuration, errors, http_log
+
+POLL_S = 0.1
+ATTEMPTS = 40
+RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Race:
+    """What became of conflicting publications.
+
+    Attributes:
+        versions: The versions of those that were accepted.
+        faults: Why the others were not.
+    """
+
+    versions: list[int]
+    faults: list[str]
+
+
+class Operators:
+    """Publishes through the log service of a fleet.
+
+    Args:
+        deployment: The fleet.
+    """
+
+    def __init__(self, deployment: fleet.Fleet):
+        self._fleet = deployment
+
+    async def race(self) -> Race:
+        """Has two operators publish different documents, both based on the current."""
+        service = http_log.HttpLog(self._fleet.node_by_name["log"].url)
+        try:
+            current = await configuration.show(service)
+            results = await asyncio.gather(
+                *(
+                    configuration.publish(
+                        service,
+                        self._vary(number),
+                        current.version,
+                        f"operator-{number}",
+                    )
+                    for number in range(2)
+                ),
+                return_exceptions=True,
+            )
+        except errors.TeaselsillError as error:
+            return Race([], [str(error)])
+        finally:
+            await service.close()
+        versions = [result for result in results if isinstance(result, int)]
+        faults = [str(r) for r in results if isinstance(r, BaseException)]
+        return Race(versions, faults)
+
+    async def publish(self, document: dict) -> bool:
+        """Publishes a document, for as long as it takes within bounds."""
+        service = http_log.HttpLog(self._fleet.node_by_name["log"].url)
+        text = shapes.dump(document)
+        try:
+            for _ in range(ATTEMPTS):
+                try:
+                    current = await configuration.show(service)
+                    if current.text == text:
+                        return True
+                    await configuration.publish(
+                        service, text, current.version, "operator"
+                    )
+                    return True
+                except errors.TeaselsillError:
+                    await asyncio.sleep(RETRY_S)
+        finally:
+            await service.close()
+        return False
+
+    async def wait_in_force(
+        self, version: int, nodes: list[fleet.Node], limit_s: float
+    ) -> list[str]:
+        """Waits until nodes are on a version; returns the names of the late ones."""
+        ends_at = time.monotonic() + limit_s
+        late = list(nodes)
+        while late and time.monotonic() < ends_at:
+            late = [node for node in late if await self._version_of(node) < version]
+            await asyncio.sleep(POLL_S)
+        return [node.name for node in late]
+
+    def _vary(self, number: int) -> bytes:
+        document = copy.deepcopy(self._fleet.document)
+        document["client_accounts"][-1]["share"] = 1 + number
+        return shapes.dump(document)
+
+    async def _version_of(self, node: fleet.Node) -> int:
+        try:
+            async with asyncio.timeout(1.0):
+                page = await self._fleet.get_json(f"{node.admin_url}/version")
+        except (aiohttp.ClientError, TimeoutError):
+            return -1
+        return page["version"]
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,97 @@
+"""Which failures happen when: drawn from the seed alone."""
+
+import dataclasses
+import enum
+import random
+
+MIN_HOLD_S = 0.5
+MAX_HOLD_S = 8.0
+MAX_OFFSET_S = 1.0
+SETTLE_S = 3.0
+"""How long a step goes on after its last failure has ended."""
+PAIR_PROBABILITY = 0.4
+
+
+class Kind(enum.Enum):
+    """What fails."""
+
+    ROUTER_KILLED = "router-killed"
+    AGENT_KILLED = "agent-killed"
+    ROUTER_FROZEN = "router-frozen"
+    AGENT_FROZEN = "agent-frozen"
+    AGENT_REPLACED = "frozen-agent-replaced"
+    ROUTER_STOPPED = "router-stopped"
+    AGENT_STOPPED = "agent-stopped"
+    LOG_DOWN = "log-down"
+    LOG_SLOW = "log-slow"
+    LOG_REPLIES_LOST = "log-replies-lost"
+    LIST_DOWN = "list-down"
+    LIST_LAGS = "list-lags"
+    UPSTREAM_STALLS = "upstream-stalls"
+    UPSTREAM_DROPS = "upstream-drops-connections"
+    UPSTREAM_REFUSES = "upstream-refuses"
+    LINKS_CUT = "links-cut"
+    LINKS_SILENT = "links-silent"
+    OPERATORS_RACE = "operators-race"
+    UPSTREAM_LEAVES = "upstream-leaves"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """One failure.
+
+    Attributes:
+        kind: What fails.
+        target: Chooses among the processes that it may hit.
+        offset_s: When it begins, after the start of its step, in seconds.
+        hold_s: How long it lasts, in seconds.
+    """
+
+    kind: Kind
+    target: int
+    offset_s: float
+    hold_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Failures that happen together.
+
+    Attributes:
+        at_s: When the step begins, after the start of the run, in seconds.
+        failures: One failure or two.
+    """
+
+    at_s: float
+    failures: tuple[Failure, ...]
+
+    @property
+    def duration_s(self) -> float:
+        """How long the step lasts, with the time to settle."""
+        ends = [failure.offset_s + failure.hold_s for failure in self.failures]
+        return max(ends) + SETTLE_S
+
+
+def make(seed: int, duration_s: float) -> list[Step]:
+    """Returns the steps of a run; every kind comes once before one comes again."""
+    source = random.Random(seed)
+    steps: list[Step] = []
+    waiting: list[Kind] = []
+    at_s = SETTLE_S
+    while at_s < duration_s:
+        count = 2 if source.random() < PAIR_PROBABILITY else 1
+        failures = tuple(_draw(source, waiting) for _ in range(count))
+        steps.append(Step(round(at_s, 2), failures))
+        at_s += steps[-1].duration_s
+    return steps
+
+
+def _draw(source: random.Random, waiting: list[Kind]) -> Failure:
+    if not waiting:
+        waiting.extend(source.sample(list(Kind), len(Kind)))
+    return Failure(
+        kind=waiting.pop(),
+        target=source.randrange(1000),
+        offset_s=round(source.uniform(0, MAX_OFFSET_S), 2),
+        hold_s=round(source.uniform(MIN_HOLD_S, MAX_HOLD_S), 2),
+    )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,8 @@
 import json
 import os
 import pathlib
+import random
+import shutil
 import signal
 import socket
 import sys
@@ -14,7 +16,7 @@
 
 import aiohttp
 
-from standins import shapes
+from standins import relay, shapes
 
 HOST = "127.0.0.1"
 SECRET = "a secret for demos and tests only"
@@ -22,6 +24,9 @@
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
 STREAM = "configuration"
+PORTS = (12_000, 32_000)
+
+_given_ports: set[int] = set()
 
 
 class FleetError(Exception):
@@ -82,9 +87,11 @@
         lag_s: How far the instance list lags, in seconds.
         log_level: The least level of the log lines that are kept.
         deadline_s: The services' deadline, in seconds.
+        is_relayed: Whether the agents are reached through relays of this process.
 
     Attributes:
         node_by_name: Every process.
+        relay_by_agent: The relays, by the agent's name.
         session: An HTTP client.
         directory: Where the settings and the log lines are.
     """
@@ -98,8 +105,10 @@
         lag_s: float = 0.0,
         log_level: str = "INFO",
         deadline_s: float = 30.0,
+        is_relayed: bool = False,
     ):
         self.shape = shape
+        self.relay_by_agent: dict[str, relay.Relay] = {}
         self.node_by_name: dict[str, Node] = {}
         self.session: aiohttp.ClientSession | None = None
         self._stack = contextlib.ExitStack()
@@ -110,6 +119,7 @@
         self._policy = policy
         self._lag_s = lag_s
         self._log_level = log_level
+        self._is_relayed = is_relayed
         self.document = shapes.make_document(shape, deadline_s)
 
     async def __aenter__(self) -> "Fleet":
@@ -118,6 +128,8 @@
         self.session = aiohttp.ClientSession(connector=connector)
         try:
             self._plan()
+            if self._is_relayed:
+                await self._start_relays()
             await self._start_all()
         except BaseException:
             await self.close()
@@ -208,6 +220,13 @@
             raise FleetError(f"publish failed: {output.decode()}")
         return based_on
 
+    def copy_logs(self, directory: str) -> None:
+        """Copies the log lines of all processes."""
+        target = pathlib.Path(directory)
+        target.mkdir(parents=True, exist_ok=True)
+        for path in self.directory.glob("*.log"):
+            shutil.copy(path, target)
+
     async def wait_ready(self, nodes: list[Node]) -> None:
         """Waits until processes say that they are ready."""
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -225,6 +244,8 @@
             with contextlib.suppress(ProcessLookupError):
                 node.process.kill()
         await asyncio.gather(*(node.process.wait() for node in running))
+        for relaying in self.relay_by_agent.values():
+            await relaying.close()
         await self.session.close()
         self._stack.close()
 
@@ -232,6 +253,24 @@
         """Returns the headers by which a client account names itself."""
         return {"Authorization": f"Bearer {shapes.key_of(account)}"}
 
+    def plan_replacement(self, agent: Node, name: str) -> Node:
+        """Plans another agent process for the same slot; `start` starts it."""
+        path = self.directory / f"{agent.name}.json"
+        own = json.loads(path.read_text())
+        for field in ("instance", "port", "admin_port"):
+            del own[field]
+        node = self._add_member(name, Role.AGENT, own.pop("data_centre"), own)
+        for field in ("service", "upstream"):
+            node.listing[field] = agent.listing[field]
+        return node
+
+    async def _start_relays(self) -> None:
+        for agent in self.with_role(Role.AGENT):
+            relaying = relay.Relay(HOST, agent.port, find_free_port())
+            await relaying.start()
+            self.relay_by_agent[agent.name] = relaying
+            agent.listing["port"] = relaying.port
+
     async def _start_all(self) -> None:
         stand_ins = [
             *self.with_role(Role.LOG),
@@ -350,11 +389,22 @@
 
 
 def find_free_port() -> int:
-    """Returns a TCP port that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a TCP port that nothing listens on now, and never the same one twice.
+
+    It lies below the ports that the system gives to outgoing connections.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 def _teaselsill(*arguments: str) -> list[str]:
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -21,10 +21,12 @@
     Attributes:
         down: Every call fails with status 503 and has no effect.
         delay_s: How long each call waits before it takes effect, in seconds.
+        lag_s: How much older the list is that readers see, in seconds.
     """
 
     down: bool = False
     delay_s: float = 0.0
+    lag_s: float = 0.0
 
 
 class ListBody(msgspec.Struct):
@@ -90,7 +92,7 @@
         self._drop_old_snapshots()
 
     def _drop_old_snapshots(self) -> None:
-        visible_s = time.monotonic() - self._lag_s
+        visible_s = time.monotonic() - self._lag_s - self.faults.lag_s
         while len(self._snapshots) > 1 and self._snapshots[1].time_s <= visible_s:
             self._snapshots.popleft()
 
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -68,10 +68,12 @@
     Attributes:
         by_request: The number by `X-Request-Id`.
         by_key: The number by `Idempotency-Key`.
+        by_path: The number by the path without the query.
     """
 
     by_request: dict[str, int]
     by_key: dict[str, int]
+    by_path: dict[str, int]
 
 
 class PlainService:
@@ -94,6 +96,7 @@
         self._executions = 0
         self._executions_by_request = collections.Counter()
         self._executions_by_key = collections.Counter()
+        self._executions_by_path = collections.Counter()
 
     async def serve(self, request: requests.Request) -> responses.Response:
         """Runs a request, with the faults in force."""
@@ -113,7 +116,11 @@
     async def executions(self, request: requests.Request) -> responses.Response:
         """Reports the executions."""
         return faults.json_reply(
-            ExecutionsBody(self._executions_by_request, self._executions_by_key)
+            ExecutionsBody(
+                self._executions_by_request,
+                self._executions_by_key,
+                self._executions_by_path,
+            )
         )
 
     def _duration_s(self, request: requests.Request) -> float:
@@ -127,6 +134,7 @@
 
     def _count(self, request: requests.Request) -> None:
         self._executions += 1
+        self._executions_by_path[request.url.path] += 1
         if (request_id := request.headers.get("X-Request-Id")) is not None:
             self._executions_by_request[request_id] += 1
         if (key := request.headers.get("Idempotency-Key")) is not None:
