--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import collections
+import collections.abc
+import dataclasses
 import enum
 import itertools
 import logging
 import random
+import ssl
 import time
 
 from teaselsill import (
     backlog,
+    configuration,
     errors,
     exchange,
     ids,
@@ -17,6 +21,7 @@
     invariants,
     link,
     messages,
+    metrics,
 )
 
 TOLD_LIMIT = 32
@@ -54,18 +59,35 @@
         return ids.AttemptId(f"{self._incarnation}:{next(self._numbers)}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What all connections of one router share.
+
+    Attributes:
+        me: Who this router is.
+        secret: The secret that all peers know.
+        numbers: Makes attempt ids.
+        follower: The configuration.
+        sink: Takes the metrics.
+        tls: An `ssl.SSLContext` for the connections, or none.
+    """
+
+    me: link.Identity
+    secret: bytes
+    numbers: AttemptNumbers
+    follower: configuration.Follower
+    sink: metrics.Metrics
+    tls: ssl.SSLContext | None = None
+
+
 class AgentPeer:
     """One agent, as a router deals with it.
 
     Args:
         agent: The agent, as the platform lists it.
-        me: Who this router is.
-        secret: The secret that all peers know.
+        context: What all connections of this router share.
         waiting: The backlog of the agent's service.
-        numbers: Makes attempt ids.
-        follower: The configuration of this router.
         on_change: Called when the state of the agent changes.
-        tls: An `ssl.SSLContext`, or none.
 
     Attributes:
         agent: The agent, as the platform lists it.
@@ -75,20 +97,20 @@
     """
 
     def __init__(
-        self, agent, me, secret, waiting: backlog.Backlog, numbers, follower, on_change,
-        tls=None,
-    ):  # fmt: skip
-        self.agent: instances.Instance = agent
+        self,
+        agent: instances.Instance,
+        context: Context,
+        waiting: backlog.Backlog,
+        on_change: collections.abc.Callable[["AgentPeer"], None],
+    ):
+        self.agent = agent
         self.state = State.CONNECTING
         self.rank = 0
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
-        self._me = me
-        self._secret = secret
+        self._context = context
+        self._follower = context.follower
         self._backlog = waiting
-        self._numbers = numbers
-        self._follower = follower
         self._on_change = on_change
-        self._tls = tls
         self._link: link.Link | None = None
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._told_by_account: dict[ids.AccountId, int] = {}
@@ -132,7 +154,11 @@
         while self._wanted:
             try:
                 connected = await link.connect(
-                    self.agent.host, self.agent.port, self._secret, self._me, self._tls
+                    self.agent.host,
+                    self.agent.port,
+                    self._context.secret,
+                    self._context.me,
+                    self._context.tls,
                 )
                 delay_s = RETRY_MIN_S
                 try:
@@ -175,7 +201,7 @@
         try:
             self._take(message)
         except errors.InvariantError as error:
-            invariants.report(error, reraise=False)
+            invariants.report(error, reraise=False, sink=self._context.sink)
             raise link.UnexpectedMessageError(str(error)) from error
 
     def _take(self, message: messages.Message) -> None:
@@ -212,7 +238,7 @@
             self._told_by_account.pop(account, None)
             self._link.send(messages.Decline(grant))
             return
-        attempt = self._numbers.next()
+        attempt = self._context.numbers.next()
         connected = self._link
         running = exchange.Exchange(
             attempt,
@@ -284,6 +310,8 @@
 
     def _forget_link(self, connected: link.Link) -> None:
         connected.abort()
+        if self.state is State.CONNECTED and self._wanted:
+            self._context.sink.count(metrics.Metric.PEERS_LOST)
         self._closed_bytes_by_type.update(connected.bytes_sent_by_type)
         self._link = None
         self._told_by_account.clear()
--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -355,6 +355,8 @@
     async def refuse(self, refusal: Refusal) -> None:
         """Tells the caller of an error, in the way that is still open."""
         self._note(refusal.outcome, ok=False, refusal=refusal)
+        if refusal.outcome is messages.Outcome.NOT_RUN:
+            self._metrics.count(metrics.Metric.REQUESTS_REFUSED)
         if self._status:
             await self._break_off(refusal)
             return
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -9,6 +9,7 @@
 from teaselsill import (
     admin,
     agent,
+    agent_peer,
     callers,
     claims,
     configuration,
@@ -24,12 +25,14 @@
     link,
     logs,
     membership,
+    metered_log,
     metrics,
     peer_tls,
     registry,
     reports,
     router,
     running,
+    sampling,
     servers,
     service_levels,
     settings,
@@ -61,13 +64,14 @@
         incarnation = ids.Incarnation(ids.new_random_id())
         self.me = link.Identity(ids.InstanceId(loaded.instance), incarnation, role)
         self.secret = loaded.secret.encode()
-        self.log = registry.get(registry.Kind.LOG, loaded.log.plugin)(loaded.log.url)
+        self.metrics = metrics.Metrics(loaded.statsd)
+        client = registry.get(registry.Kind.LOG, loaded.log.plugin)(loaded.log.url)
+        self.log = metered_log.MeteredLog(client, self.metrics)
         self.instance_list = registry.get(
             registry.Kind.INSTANCES, loaded.instances.plugin
         )(loaded.instances.url)
         self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
-        self.metrics = metrics.Metrics(loaded.statsd)
         self.host = str(loaded.host)
         self._settings = loaded
         self._started_at = time.monotonic()
@@ -140,19 +144,22 @@
     """Runs a router until it is told to stop, then finishes every request in hand."""
     node = Node(loaded, instances.Role.ROUTER)
     levels = service_levels.Recorder(time.monotonic)
-    served = router.Router(
+    context = agent_peer.Context(
         node.me,
         node.secret,
+        agent_peer.AttemptNumbers(node.me.incarnation),
         node.follower,
-        node.membership,
-        loaded.agents_per_service,
+        node.metrics,
         peer_tls.make_client_context(loaded.peer_tls),
     )
+    served = router.Router(context, node.membership, loaded.agents_per_service)
     node.follower.subscribe(lambda: levels.set_targets(node.follower.document))
     app = callers.Callers(served, levels, node.metrics, loaded.max_body_bytes)
     front = servers.HttpServer(app.create_app(), node.host, loaded.port, loaded.tls)
     await node.start(lambda: True, lambda: _report_router(served, levels))
     node.run_in_background(served.run())
+    sampler = sampling.Sampler(node.metrics, served.gauges, served.sent_bytes_by_type)
+    node.run_in_background(sampler.run())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await front.start()
     await node.wait_stop()
@@ -178,6 +185,8 @@
     )
     node.run_in_background(parts.exchange.run())
     node.run_in_background(parts.fence.obtain())
+    sampler = sampling.Sampler(node.metrics, parts.gauges, serving.sent_bytes_by_type)
+    node.run_in_background(sampler.run())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await node.wait_stop()
     await serving.leave()
@@ -215,6 +224,19 @@
     exchange: digest.Exchange
     fence: fencing.Fence
 
+    def gauges(self) -> dict[metrics.Metric, float]:
+        """Returns the use of the slots, the connections and the fairness gap."""
+        used = self.agent.granting.slots
+        counter_by_account = self.known.fleet_counter_by_account
+        gap = max(counter_by_account.values(), default=0)
+        gap -= min(counter_by_account.values(), default=0)
+        return {
+            metrics.Metric.SLOTS_BUSY: used.running,
+            metrics.Metric.SLOTS_TOTAL: used.total,
+            metrics.Metric.PEERS_CONNECTED: len(self.agent.granting.peers),
+            metrics.Metric.FAIRNESS_GAP: gap / counters.UNITS_PER_COST,
+        }
+
 
 def _make_agent(node: Node, loaded: settings.AgentSettings) -> AgentParts:
     service = ids.ServiceName(loaded.service)
--- a/teaselsill/messages.py
+++ b/teaselsill/messages.py
@@ -256,6 +256,9 @@
     document: bytes
 
 
+DATA_TYPES = frozenset({"Dispatch", "Head", "Body", "End", "DocumentHandover"})
+"""The messages that carry requests, answers and documents; the others coordinate."""
+
 AnyMessage = (
     Hello
     | Challenge
--- a/teaselsill/metrics.py
+++ b/teaselsill/metrics.py
@@ -38,7 +38,7 @@
     REQUESTS_UNKNOWN = ("requests.unknown", Kind.COUNT, "requests")
     """Requests whose outcome was `unknown`."""
     REQUESTS_REFUSED = ("requests.refused", Kind.COUNT, "requests")
-    """Requests that were refused before they waited."""
+    """Requests that were answered with a refusal: a part of `requests.not_run`."""
     REQUESTS_CANCELLED = ("requests.cancelled", Kind.COUNT, "requests")
     """Requests whose caller went away."""
     REQUEST_DURATION = ("request.duration", Kind.TIMING, "ms")
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -21,6 +21,7 @@
     link,
     membership,
     messages,
+    metrics,
 )
 
 WIDEN_AFTER_S = 0.1
@@ -231,12 +232,9 @@
     """Takes callers' requests to agents and brings the answers back.
 
     Args:
-        me: Who this router is.
-        secret: The secret that all peers know.
-        follower: The configuration.
+        context: What the connections to agents share.
         members: The list of instances.
         agents_per_service: How many agents are told of waiting work at first.
-        tls: An `ssl.SSLContext` for the peer connections, or none.
 
     Attributes:
         me: Who this router is.
@@ -248,25 +246,21 @@
 
     def __init__(
         self,
-        me: link.Identity,
-        secret: bytes,
-        follower,
+        context: agent_peer.Context,
         members: membership.Membership,
         agents_per_service: int,
-        tls=None,
     ):
-        self.me = me
-        self.follower = follower
+        self.me = context.me
+        self.follower = context.follower
         self.membership = members
         self.agents_per_service = agents_per_service
         self.desk_by_service: dict[ids.ServiceName, ServiceDesk] = {}
-        self._secret = secret
-        self._tls = tls
-        self._numbers = agent_peer.AttemptNumbers(me.incarnation)
+        self._context = context
+        self._metrics = context.sink
         self._budget = RetryBudget()
         self._tasks: set[asyncio.Task] = set()
         members.subscribe(self._tend_all)
-        follower.subscribe(lambda *_: self._tend_all())
+        context.follower.subscribe(lambda *_: self._tend_all())
 
     async def run(self) -> None:
         """Tends the connections for ever."""
@@ -287,15 +281,22 @@
         """Connects to an agent."""
         return agent_peer.AgentPeer(
             agent,
-            self.me,
-            self._secret,
+            self._context,
             desk.backlog,
-            self._numbers,
-            self.follower,
             lambda peer: self._note_change(desk, peer),
-            self._tls,
         )
 
+    def gauges(self) -> dict[metrics.Metric, float]:
+        """Returns how many requests wait and how many agents are connected."""
+        desks = self.desk_by_service.values()
+        peers = [peer for desk in desks for peer in desk.peer_by_agent.values()]
+        connected = [p for p in peers if p.state is agent_peer.State.CONNECTED]
+        return {
+            metrics.Metric.REQUESTS_WAITING: sum(len(desk.backlog) for desk in desks),
+            metrics.Metric.PEERS_CONNECTED: len(connected),
+            metrics.Metric.CONFIGURATION_VERSION: self.follower.version,
+        }
+
     def sent_bytes_by_type(self) -> dict[str, int]:
         """Returns the bytes sent to connected agents, by the type of message."""
         total = collections.Counter()
@@ -340,13 +341,22 @@
         """Waits for the request's turn and for the head of its answer."""
         try:
             peer, running = await self._wait_turn(desk, waiting)
-            tries.attempts += 1
+            self._note_attempt(waiting, tries)
             head = await self._wait_head(running, waiting.request)
             return Answer(head, peer, running, tries.attempts)
         except BaseException:
             self._abandon(desk, waiting)
             raise
 
+    def _note_attempt(self, waiting: backlog.Waiting, tries: _Tries) -> None:
+        tries.attempts += 1
+        self._metrics.count(metrics.Metric.ATTEMPTS)
+        if tries.attempts > 1:
+            self._metrics.count(metrics.Metric.ATTEMPTS_RETRIED)
+            return
+        waited_s = time.monotonic() - waiting.since
+        self._metrics.timing(metrics.Metric.REQUEST_WAIT, waited_s)
+
     def _abandon(self, desk: ServiceDesk, waiting: backlog.Waiting) -> None:
         """Takes back what was asked for a request, wherever it stands now."""
         desk.backlog.remove(waiting)
