--- a/teaselsill/document.py
+++ b/teaselsill/document.py
@@ -7,6 +7,7 @@
 import functools
 import hashlib
 import typing
+import urllib.parse
 
 import pydantic
 
@@ -75,6 +76,13 @@
     methods: list[str] = pydantic.Field(min_length=1)
     path: str = "*"
 
+    def covers(self, method: str, paths: set[str]) -> bool:
+        """Tells whether the rule covers a call, in any of its path's spellings."""
+        methods = {name.upper() for name in self.methods}
+        return method.upper() in methods and any(
+            fnmatch.fnmatchcase(path, self.path) for path in paths
+        )
+
 
 class Target(settings.Section):
     """A service-level target.
@@ -121,11 +129,14 @@
     target: Target = Target(within_s=5.0, ratio=0.95)
 
     def is_repeatable(self, method: str, path: str) -> bool:
-        """Tells whether a call may run more than once."""
-        return not any(
-            method in rule.methods and fnmatch.fnmatchcase(path, rule.path)
-            for rule in self.unrepeatable
-        )
+        """Tells whether a call may run more than once.
+
+        Args:
+            method: The HTTP method.
+            path: The path as the caller wrote it, without the query.
+        """
+        paths = _spellings_of(path)
+        return not any(rule.covers(method, paths) for rule in self.unrepeatable)
 
 
 class Credits(settings.Section):
@@ -198,6 +209,27 @@
         return not account.upstreams or upstream in account.upstreams
 
 
+def _spellings_of(path: str) -> set[str]:
+    """Returns the ways in which a service may read a path.
+
+    A service undoes the percent-encoding, and many resolve dots and empty segments.
+    """
+    decoded = urllib.parse.unquote(path, errors="surrogateescape")
+    return {path, decoded, _resolve(path), _resolve(decoded)}
+
+
+def _resolve(path: str) -> str:
+    """Returns a path without dot segments and empty segments."""
+    segments = []
+    for segment in path.split("/"):
+        if segment == "..":
+            del segments[-1:]
+        elif segment not in ("", "."):
+            segments.append(segment)
+    end = "/" if segments and path.endswith("/") else ""
+    return "/" + "/".join(segments) + end
+
+
 def hash_key(key: str) -> str:
     """Returns the form in which the document holds an API key."""
     return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,120 @@
+import asyncio
+import json
+import time
+import types
+import unittest
+
+import aiohttp
+import yarl
+
+from standins import shapes
+from teaselsill import callers, document, metrics, service_levels
+from tests import support
+
+SHAPE = shapes.Shape(
+    ("oslo-a",),
+    (
+        shapes.ServiceShape("engines", "completions", 1),
+        shapes.ServiceShape("bookings", "plain", 1),
+        shapes.ServiceShape("closed", "plain", 1),
+    ),
+    accounts=1,
+)
+ACCOUNT = shapes.account_name(0)
+KEY = {"Authorization": f"Bearer {shapes.key_of(ACCOUNT)}"}
+MAX_BODY_BYTES = 300_000
+CHAT = "/v1/chat/completions"
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+class StubAnswer:
+    """A whole answer."""
+
+    status = 200
+    upstream = "bookings-0"
+    attempts = 1
+
+    def __init__(self, headers=()):
+        self.headers = list(headers)
+
+    async def body(self):
+        yield b"whole"
+
+    def close(self):
+        pass
+
+
+class StubRouter:
+    """Keeps the requests that reach it, and answers them or fails."""
+
+    def __init__(self):
+        plain = shapes.make_document(SHAPE)
+        plain["client_accounts"][0]["services"].remove("closed")
+        self.follower = types.SimpleNamespace(
+            document=document.parse(shapes.dump(plain))
+        )
+        self.requests = []
+        self.answer = StubAnswer()
+        self.error = None
+
+    async def serve(self, request, max_waiting):
+        self.requests.append(request)
+        if self.error:
+            raise self.error
+        return self.answer
+
+
+def make_app(router):
+    levels = service_levels.Recorder(time.monotonic)
+    sink = metrics.Metrics("")
+    return callers.Callers(router, levels, sink, MAX_BODY_BYTES).create_app()
+
+
+class CallersCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.router = StubRouter()
+        app = make_app(self.router)
+        self.url, self.server = await self.enterAsyncContext(support.serve(app))
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+
+    async def send(self, method, path, headers=KEY, body=b""):
+        """Returns the response and its body; the path is sent as it stands."""
+        url = yarl.URL(self.url + path, encoded=True)
+        async with (
+            asyncio.timeout(5),
+            self.session.request(
+                method, url, headers=headers, data=body, allow_redirects=False
+            ) as response,
+        ):
+            return response, await response.read()
+
+    def check_refusal(self, response, body, status, reason, outcome="not-run"):
+        self.assertEqual(status, response.status)
+        self.assertEqual(outcome, response.headers["Teaselsill-Outcome"])
+        self.assertTrue(response.headers["X-Request-Id"])
+        self.assertEqual(reason, json.loads(body)["error"]["type"])
+        self.assertNotIn(b"Traceback", body)
+
+
+class PassingOnTest(CallersCase):
+    async def test_order_in_another_spelling_is_still_an_order(self):
+        for path in ("/orders/1", "/%6Frders/1", "/x/../orders/1", "//orders/1",
+                     "/./orders/1", "/x/%2E%2E/orders/1"):  # fmt: skip
+            with self.subTest(path=path):
+                await self.send("POST", "/services/bookings" + path)
+                self.assertFalse(self.router.requests[-1].repeatable)
+        await self.send("GET", "/services/bookings/orders/1")
+        self.assertTrue(self.router.requests[-1].repeatable)
+
+    async def test_path_and_query_go_on_as_written(self):
+        await self.send("GET", "/services/bookings/a%20b%2Fc?d=%26&e")
+        self.assertEqual("/a%20b%2Fc?d=%26&e", self.router.requests[-1].path)
+
+    async def test_key_and_own_headers_stay_here(self):
+        own = {"Idempotency-Key": "k", "Teaselsill-Deadline": "5", "X-Request-Id": "r"}
+        await self.send("POST", "/services/bookings/x", KEY | own | {"X-Mine": "1"})
+        request = self.router.requests[-1]
+        names = {name.lower() for name, _ in request.headers}
+        self.assertIn("x-mine", names)
+        self.assertFalse(names & {name.lower() for name in KEY | own})
+        self.assertEqual("k", request.key)
