Refuse unknown paths and methods in the form of every other refusal

Cause: an unknown path or method got the framework's plain text, without Teaselsill-Outcome and request id; /v1/models/ and /services/x got a redirect. An encoded slash in /services%2Fbookings%2Fx/y made the request fail with 500, and in /services/bookings%2Fx/y cut x off the path. A 401 lacked the WWW-Authenticate header that RFC 9110 asks for. Change: 404 unknown-path and 405 unknown-method are refusals like the others, paths are not redirected, and a service's name must end with a plain slash. A 401 names the scheme.

--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 import time
+import urllib.parse
 
 import msgspec
 from starlette import applications, requests, responses, routing
@@ -54,6 +55,14 @@
     """There is no such service or model."""
 
 
+class UnknownPathError(errors.RequestError):
+    """Nothing is served under the path."""
+
+
+class UnknownMethodError(errors.RequestError):
+    """The path does not take the method."""
+
+
 class BodyTooLargeError(errors.RequestError):
     """The body is larger than the router takes."""
 
@@ -117,6 +126,10 @@
             return Refusal(403, "not-allowed", text)
         case UnknownServiceError():
             return Refusal(404, "unknown-service", text)
+        case UnknownPathError():
+            return Refusal(404, "unknown-path", text)
+        case UnknownMethodError():
+            return Refusal(405, "unknown-method", text)
         case BodyTooLargeError():
             return Refusal(413, "body-too-large", text)
         case backlog.BacklogFullError():
@@ -199,7 +212,7 @@
     def create_app(self) -> applications.Starlette:
         """Returns the application for the callers' port."""
         completions = _Endpoint(self._serve_completion)
-        return applications.Starlette(
+        app = applications.Starlette(
             routes=[
                 routing.Route("/v1/chat/completions", completions, methods=["POST"]),
                 routing.Route("/v1/completions", completions, methods=["POST"]),
@@ -209,8 +222,11 @@
                     _Endpoint(self._serve_plain),
                     methods=ALL_METHODS,
                 ),
-            ]
+            ],
+            exception_handlers={404: _refuse_path, 405: _refuse_method},
         )
+        app.router.redirect_slashes = False
+        return app
 
     async def _list_models(self, request: requests.Request) -> responses.Response:
         try:
@@ -274,7 +290,7 @@
         service = self._router.follower.document.service_by_name.get(name)
         if service is None or service.kind is not document.ServiceKind.PLAIN:
             raise UnknownServiceError(f"no plain service is named {name!r}")
-        path = "/" + _raw_path(request).split("/", 3)[3]
+        path = _path_at_service(request, name)
         body = await self._read_body(request)
         return _make_request(request, account, service, path, body, request_id)
 
@@ -487,12 +503,38 @@
     return f"{path}?{query}" if query else path
 
 
+def _path_at_service(request: requests.Request, service: str) -> str:
+    """Returns the path and query behind the service's name, as written.
+
+    Raises:
+        UnknownPathError: An encoded slash hides where the name ends.
+    """
+    parts = _raw_path(request).split("/", 3)
+    if len(parts) < 4 or urllib.parse.unquote(parts[2]) != service:
+        raise UnknownPathError("the service's name must end with a plain slash")
+    return "/" + parts[3]
+
+
+async def _refuse_path(request: requests.Request, _) -> responses.Response:
+    error = UnknownPathError("nothing is served under this path")
+    return _refuse(describe(error), ids.RequestId(ids.new_random_id()))
+
+
+async def _refuse_method(request: requests.Request, error) -> responses.Response:
+    refusal = describe(UnknownMethodError("the path does not take this method"))
+    response = _refuse(refusal, ids.RequestId(ids.new_random_id()))
+    response.headers.update(error.headers or {})
+    return response
+
+
 def _fault_body(refusal: Refusal) -> bytes:
     return msgspec.json.encode(_FaultBody(_Fault(refusal.reason, refusal.text)))
 
 
 def _refuse(refusal: Refusal, request_id: ids.RequestId) -> responses.Response:
     headers = {OUTCOME_HEADER: refusal.outcome.value, REQUEST_ID_HEADER: request_id}
+    if refusal.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
     if refusal.retry_after_s:
         headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
     return responses.Response(_fault_body(refusal), refusal.status, headers, JSON_TYPE)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -96,6 +96,51 @@
         self.assertNotIn(b"Traceback", body)
 
 
+class RefusalTest(CallersCase):
+    async def test_requests_that_reach_nothing(self):
+        plain = "/services/bookings/x"
+        cases = [
+            ("GET", plain, {}, 401, "unknown-client-account"),
+            ("GET", plain, {"Authorization": "Basic eA=="}, 401,
+             "unknown-client-account"),
+            ("GET", plain, {"Authorization": "Bearer nobody"}, 401,
+             "unknown-client-account"),
+            ("GET", "/v1/models", {}, 401, "unknown-client-account"),
+            ("GET", "/services/closed/x", KEY, 403, "not-allowed"),
+            ("GET", "/services/nothing/x", KEY, 404, "unknown-service"),
+            ("GET", "/services/engines/x", KEY, 404, "unknown-service"),
+            ("GET", "/services/bookings", KEY, 404, "unknown-path"),
+            ("GET", "/services%2Fbookings%2Fx/y", KEY, 404, "unknown-path"),
+            ("GET", "/services/bookings%2Fx/y", KEY, 404, "unknown-path"),
+            ("GET", "/v1/models/", KEY, 404, "unknown-path"),
+            ("GET", "/", {}, 404, "unknown-path"),
+            ("POST", "/v1/models", KEY, 405, "unknown-method"),
+            ("GET", CHAT, KEY, 405, "unknown-method"),
+            ("PROPFIND", plain, KEY, 405, "unknown-method"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "soon"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "nan"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "-1"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "1e9"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Idempotency-Key": "k" * 256}, 400, "bad-request"),
+        ]  # fmt: skip
+        for method, path, headers, status, reason in cases:
+            with self.subTest(method=method, path=path, headers=headers):
+                response, body = await self.send(method, path, headers)
+                self.check_refusal(response, body, status, reason)
+        self.assertEqual([], self.router.requests)
+
+    async def test_unknown_key_is_told_how_to_name_itself(self):
+        response, _ = await self.send("GET", "/services/bookings/x", {})
+        self.assertEqual("Bearer", response.headers["WWW-Authenticate"])
+
+    async def test_router_without_configuration_asks_to_come_back(self):
+        self.router.follower.document = None
+        for path in ("/services/bookings/x", "/v1/models"):
+            response, body = await self.send("GET", path)
+            self.check_refusal(response, body, 503, "not-ready")
+            self.assertEqual("1", response.headers["Retry-After"])
+
+
 class PassingOnTest(CallersCase):
     async def test_order_in_another_spelling_is_still_an_order(self):
         for path in ("/orders/1", "/%6Frders/1", "/x/../orders/1", "//orders/1",
