Answer every failed request with its outcome

Cause: a completion request nested 100,000 deep raised RecursionError in the decoder, and any error that is not one of ours went past the application: the caller got a bare 500 without Teaselsill-Outcome, and no request line was logged. Change: deep nesting is a bad request. Any other error is logged and told as 500 internal, outcome unknown, without its text.

--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -256,7 +256,7 @@
             call.note_gone()
         except errors.RequestError as error:
             await call.refuse(describe(error))
-        except errors.TeaselsillError:
+        except Exception:
             logger.exception("request failed", extra={"request": call.id})
             await call.refuse(describe(errors.RequestError()))
 
@@ -278,6 +278,8 @@
             asked = msgspec.json.decode(body, type=_CompletionRequest)
         except msgspec.MsgspecError as error:
             raise BadRequestError(f"body: {error}") from error
+        except RecursionError as error:
+            raise BadRequestError("body: nested too deeply") from error
         service = self._router.follower.document.service_by_model.get(asked.model)
         if service is None:
             raise UnknownServiceError(f"no service has the model {asked.model!r}")
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,7 +5,9 @@
 import unittest
 
 import aiohttp
+import hypothesis
 import yarl
+from hypothesis import strategies
 
 from standins import shapes
 from teaselsill import callers, document, metrics, service_levels
@@ -129,6 +131,24 @@
                 self.check_refusal(response, body, status, reason)
         self.assertEqual([], self.router.requests)
 
+    async def test_bodies_that_are_no_completion_request(self):
+        cases = [
+            (b"", 400, "bad-request"),
+            (b"{", 400, "bad-request"),
+            (b"[]", 400, "bad-request"),
+            (b'{"model": 3}', 400, "bad-request"),
+            (b'{"model": "engines-model", "stream": "yes"}', 400, "bad-request"),
+            (b'{"model": "\xff"}', 400, "bad-request"),
+            (b'{"model": "a", "messages": ' + NESTED + b"}", 400, "bad-request"),
+            (b'{"model": "unknown"}', 404, "unknown-service"),
+            (b"x" * (MAX_BODY_BYTES + 1), 413, "body-too-large"),
+        ]
+        for sent, status, reason in cases:
+            with self.subTest(sent=sent[:40]):
+                response, body = await self.send("POST", CHAT, body=sent)
+                self.check_refusal(response, body, status, reason)
+        self.assertEqual([], self.router.requests)
+
     async def test_unknown_key_is_told_how_to_name_itself(self):
         response, _ = await self.send("GET", "/services/bookings/x", {})
         self.assertEqual("Bearer", response.headers["WWW-Authenticate"])
@@ -140,6 +160,13 @@
             self.check_refusal(response, body, 503, "not-ready")
             self.assertEqual("1", response.headers["Retry-After"])
 
+    async def test_fault_of_the_program_is_told_without_a_traceback(self):
+        self.router.error = RuntimeError("secret detail")
+        with self.assertLogs("teaselsill.callers", "ERROR"):
+            response, body = await self.send("GET", "/services/bookings/x")
+        self.check_refusal(response, body, 500, "internal", "unknown")
+        self.assertNotIn(b"secret detail", body)
+
 
 class PassingOnTest(CallersCase):
     async def test_order_in_another_spelling_is_still_an_order(self):
@@ -163,3 +190,48 @@
         self.assertIn("x-mine", names)
         self.assertFalse(names & {name.lower() for name in KEY | own})
         self.assertEqual("k", request.key)
+
+
+class FuzzTest(unittest.TestCase):
+    """Any body and any path get an answer of ours."""
+
+    @hypothesis.given(
+        strategies.sampled_from(["GET", "POST"]),
+        strategies.sampled_from([b"/", b"/services/", b"/v1/", CHAT.encode()]),
+        strategies.binary(max_size=30),
+        strategies.binary(max_size=200),
+        strategies.binary(max_size=20),
+    )
+    def test_every_answer_says_what_is_known_of_the_run(
+        self, method, prefix, tail, body, header
+    ):
+        answer = asyncio.run(self.call(method, prefix + tail, body, header))
+        headers = dict(answer["headers"])
+        self.assertIn(headers[b"teaselsill-outcome"], (b"not-run", b"ran"))
+        self.assertNotEqual(500, answer["status"])
+
+    async def call(self, method, path, body, header):
+        sent = []
+        messages = [{"type": "http.request", "body": body}]
+
+        async def receive():
+            return messages.pop() if messages else await asyncio.Event().wait()
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path.decode("utf-8", "replace"),
+            "raw_path": path,
+            "query_string": header,
+            "headers": [
+                (b"authorization", KEY["Authorization"].encode()),
+                (b"idempotency-key", header),
+                (b"teaselsill-deadline", header or b"1"),
+            ],
+        }
+        async with asyncio.timeout(5):
+            await make_app(StubRouter())(scope, receive, send)
+        return sent[0]
