Give a request's body 30 s to arrive

Cause: a caller that stopped in the middle of its body held its request for ever, and with it a planned stop of the router. Change: after 30 s the request is refused with 408 body-timeout, and the connection closes, as it does after 413. Before: the new test timed out. After: it passes.

--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -29,9 +29,13 @@
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_S = 3600.0
+BODY_TIMEOUT_S = 30.0
+"""How long the body of a request may take to arrive."""
 DROPPED_HEADERS = frozenset(
     {"authorization", "idempotency-key", "teaselsill-deadline", "x-request-id"}
 )
+UNREAD_STATUSES = frozenset({408, 413})
+"""The refusals after which the rest of the body may still come."""
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 JSON_TYPE = "application/json"
 EVENT_STREAM = "text/event-stream"
@@ -67,6 +71,10 @@
     """The body is larger than the router takes."""
 
 
+class BodyTimeoutError(errors.RequestError):
+    """The body did not come in time."""
+
+
 class NotReadyError(backlog.RefusedError):
     """The router has no configuration yet."""
 
@@ -132,6 +140,8 @@
             return Refusal(405, "unknown-method", text)
         case BodyTooLargeError():
             return Refusal(413, "body-too-large", text)
+        case BodyTimeoutError():
+            return Refusal(408, "body-timeout", text)
         case backlog.BacklogFullError():
             return Refusal(429, "too-many-waiting", text, retry_after_s=_wait_of(error))
         case backlog.DeadlineHopelessError():
@@ -297,6 +307,15 @@
         return _make_request(request, account, service, path, body, request_id)
 
     async def _read_body(self, request: requests.Request) -> bytes:
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                return await self._read_chunks(request)
+        except TimeoutError:
+            raise BodyTimeoutError(
+                f"the body took longer than {BODY_TIMEOUT_S:g} s"
+            ) from None
+
+    async def _read_chunks(self, request: requests.Request) -> bytes:
         chunks = []
         size = 0
         async for chunk in request.stream():
@@ -535,6 +554,8 @@
 
 def _refuse(refusal: Refusal, request_id: ids.RequestId) -> responses.Response:
     headers = {OUTCOME_HEADER: refusal.outcome.value, REQUEST_ID_HEADER: request_id}
+    if refusal.status in UNREAD_STATUSES:
+        headers["Connection"] = "close"
     if refusal.status == 401:
         headers["WWW-Authenticate"] = "Bearer"
     if refusal.retry_after_s:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,6 +3,7 @@
 import time
 import types
 import unittest
+from unittest import mock
 
 import aiohttp
 import hypothesis
@@ -167,6 +168,35 @@
         self.check_refusal(response, body, 500, "internal", "unknown")
         self.assertNotIn(b"secret detail", body)
 
+    async def test_body_that_stops_coming(self):
+        head = f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+        head += f"Authorization: {KEY['Authorization']}\r\n\r\n{{"
+        with mock.patch.object(callers, "BODY_TIMEOUT_S", 0.05):
+            answer = await self.send_raw(head.encode())
+        self.assertIn(b"408 ", answer.splitlines()[0])
+        self.assertIn(b"body-timeout", answer)
+
+    async def test_garbage_on_the_callers_port(self):
+        for sent in (
+            b"\0\xff\r\n\r\n",
+            b"GET\r\n\r\n",
+            b"GET / HTTP/1.1\r\nA B\r\n\r\n",
+        ):
+            answer = await self.send_raw(sent)
+            self.assertIn(b"400 ", answer.splitlines()[0])
+        response, _ = await self.send("GET", "/services/bookings/x")
+        self.assertEqual(200, response.status)
+
+    async def send_raw(self, data):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", yarl.URL(self.url).port
+        )
+        writer.write(data)
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
 
 class PassingOnTest(CallersCase):
     async def test_order_in_another_spelling_is_still_an_order(self):
