Pass header values on in any encoding, and add none for the caller

Cause: an answer's header value beyond Latin-1, such as a place name in UTF-8, failed the request in the router after it had run; a caller's value in UTF-8 reached the upstream encoded twice. aiohttp added Accept-Encoding for callers that had sent none, so they could get a compressed body that they had not asked for. Change: header values are held as one character for each byte between the upstream and the caller, and aiohttp adds no headers of its own.

--- a/teaselsill/completions.py
+++ b/teaselsill/completions.py
@@ -57,7 +57,7 @@
             async with self.open(order) as response:
                 early = await upstream.check_fencing(response, order)
                 yield upstream.Started(
-                    response.status, upstream.end_to_end(response.headers.items())
+                    response.status, upstream.answer_headers(response)
                 )
                 if response.content_type != EVENT_STREAM:
                     body = early or await response.read()
--- a/teaselsill/plain.py
+++ b/teaselsill/plain.py
@@ -25,7 +25,7 @@
             async with self.open(order) as response:
                 early = await upstream.check_fencing(response, order)
                 yield upstream.Started(
-                    response.status, upstream.end_to_end(response.headers.items())
+                    response.status, upstream.answer_headers(response)
                 )
                 yield upstream.Piece(early, meter.lap_ms())
                 async for data in response.content.iter_chunked(upstream.READ_BYTES):
--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -15,6 +15,8 @@
 """What an upstream that checks fencing numbers answers to an old one."""
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
+AIOHTTP_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+"""Headers that aiohttp would add to a request without them."""
 
 
 class UpstreamUnreachableError(errors.UpstreamError):
@@ -144,7 +146,8 @@
             self._session = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False
             )
-        headers = [*order.headers, (REQUEST_ID_HEADER, order.request)]
+        headers = [(name, _as_utf_8(value)) for name, value in order.headers]
+        headers.append((REQUEST_ID_HEADER, order.request))
         if order.fencing is not None:
             headers.append((FENCING_HEADER, str(order.fencing)))
         return self._session.request(
@@ -152,6 +155,7 @@
             url or self._url + order.path,
             headers=headers,
             data=order.body or None,
+            skip_auto_headers=AIOHTTP_HEADERS,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
             middlewares=() if order.repeatable else (SendOnce(),),
@@ -203,6 +207,25 @@
     ]
 
 
+def answer_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    """Returns an answer's headers that may be passed on, a character for each byte."""
+    return end_to_end(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in response.raw_headers
+    )
+
+
+def _as_utf_8(value: str) -> str:
+    """Returns the text of a header value that has a character for each byte.
+
+    aiohttp sends text as UTF-8, so a value in another encoding changes into that.
+    """
+    try:
+        return value.encode("latin-1").decode("utf-8")
+    except UnicodeError:
+        return value
+
+
 async def check_fencing(response: aiohttp.ClientResponse, order: Order) -> bytes:
     """Checks whether the upstream refused an order for its fencing number.
 
