--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -36,6 +36,8 @@
 )
 UNREAD_STATUSES = frozenset({408, 413})
 """The refusals after which the rest of the body may still come."""
+DATE_HEADER = "date"
+"""The router's HTTP server sets it on every answer."""
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 JSON_TYPE = "application/json"
 EVENT_STREAM = "text/event-stream"
@@ -424,6 +426,7 @@
         raw = [
             (name.lower().encode("latin-1"), value.encode("latin-1"))
             for name, value in [*headers, *own]
+            if name.lower() != DATE_HEADER
         ]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": raw}
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -221,6 +221,18 @@
         self.assertFalse(names & {name.lower() for name in KEY | own})
         self.assertEqual("k", request.key)
 
+    async def test_header_in_any_alphabet_comes_back(self):
+        place = "Grünerløkka €"
+        self.router.answer = StubAnswer([("X-Place", place.encode().decode("latin-1"))])
+        response, body = await self.send("GET", "/services/bookings/x")
+        self.assertEqual((200, b"whole"), (response.status, body))
+        self.assertEqual(place, response.headers["X-Place"])
+
+    async def test_one_date_header(self):
+        self.router.answer = StubAnswer([("Date", "Thu, 03 Dec 2026 23:39:11 GMT")])
+        response, _ = await self.send("GET", "/services/bookings/x")
+        self.assertEqual(1, len(response.headers.getall("Date")))
+
 
 class FuzzTest(unittest.TestCase):
     """Any body and any path get an answer of ours."""
