Bound the handshake in bytes and check its nonces

Cause: a nonce of any length was taken, an empty one too, and the bound on a handshake message held for the unpacker's buffer only, which empties while it reads a list: a stranger could fill memory until the timeout. Change: nonces have 32 bytes, and a handshake message comes within 1024 bytes or the connection is dropped.

--- a/teaselsill/link.py
+++ b/teaselsill/link.py
@@ -221,6 +221,7 @@
     nonce = secrets.token_bytes(NONCE_BYTES)
     writer.write(wire.pack(messages.Hello(messages.PROTOCOL, nonce)))
     challenge, _ = await _receive_first(reader, unpacker, messages.Challenge)
+    _check_nonce(challenge.nonce)
     proof = _prove(secret, b"connects", nonce, challenge.nonce, me)
     writer.write(wire.pack(messages.Proof(proof, me.instance, me.incarnation, me.role)))
     welcome, more = await _receive_first(reader, unpacker, messages.Welcome)
@@ -234,6 +235,7 @@
     hello, _ = await _receive_first(reader, unpacker, messages.Hello)
     if hello.protocol != messages.PROTOCOL:
         raise UnsupportedProtocolError(f"protocol {hello.protocol}")
+    _check_nonce(hello.nonce)
     nonce = secrets.token_bytes(NONCE_BYTES)
     writer.write(wire.pack(messages.Challenge(nonce)))
     offered, _ = await _receive_first(reader, unpacker, messages.Proof)
@@ -248,8 +250,10 @@
 
 async def _receive_first(reader, unpacker, kind):
     """Returns the next message, which must be of a kind, and those behind it."""
-    while True:
+    size = 0
+    while size <= MAX_HANDSHAKE_BYTES:
         data = await reader.read(MAX_HANDSHAKE_BYTES)
+        size += len(data)
         if not data:
             raise PeerClosedError("the peer closed the connection in the handshake")
         received = unpacker.feed(data)
@@ -257,6 +261,7 @@
             raise HandshakeError(f"expected {kind.__name__}")
         if received:
             return received[0], received[1:]
+    raise HandshakeError(f"no message in {MAX_HANDSHAKE_BYTES} bytes")
 
 
 def _prove(secret, side, connecting_nonce, accepting_nonce, who: Identity) -> bytes:
@@ -266,6 +271,11 @@
     return hmac.digest(secret, covered, hashlib.sha256)
 
 
+def _check_nonce(nonce: bytes) -> None:
+    if len(nonce) != NONCE_BYTES:
+        raise HandshakeError(f"a nonce of {len(nonce)} bytes")
+
+
 def _check(offered: bytes, expected: bytes) -> None:
     if not hmac.compare_digest(offered, expected):
         raise HandshakeError("the peer does not know the secret")
