Decode peer messages in one step

Cause: msgspec.convert builds the type of the union of all messages anew at each call, 38 us for a message of any size; 8% of the router's and 9% of the agent's processor time in a profile of plain calls. A typed decoder that is made once takes 0.3 us, and finding the end of a message 0.3 us.

--- a/teaselsill/wire.py
+++ b/teaselsill/wire.py
@@ -13,10 +13,12 @@
     """The peer sent bytes that are no message of this protocol."""
 
 
+_DECODER = msgspec.msgpack.Decoder(messages.AnyMessage)
+
+
 def pack(message: messages.Message) -> bytes:
     """Packs one message."""
-    plain = msgspec.to_builtins(message, builtin_types=(bytes,))
-    return msgpack.packb(plain)
+    return msgspec.msgpack.encode(message)
 
 
 class Unpacker:
@@ -27,7 +29,9 @@
     """
 
     def __init__(self, max_bytes: int = MAX_MESSAGE_BYTES):
-        self._unpacker = msgpack.Unpacker(max_buffer_size=max_bytes)
+        self._scanner = msgpack.Unpacker(max_buffer_size=max_bytes)
+        self._buffer = bytearray()
+        self._buffer_offset = 0
 
     def feed(self, data: bytes) -> list[messages.Message]:
         """Takes the next bytes and returns the messages that are now whole.
@@ -36,13 +40,34 @@
             MalformedMessageError: The bytes are no message, or one too large.
         """
         try:
-            self._unpacker.feed(data)
-            return [_convert(plain) for plain in self._unpacker]
+            self._scanner.feed(data)
+            return [_DECODER.decode(packed) for packed in self._split(data)]
         except msgpack.exceptions.BufferFull as error:
             raise MalformedMessageError("message too large") from error
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
+        except (
+            ValueError,
+            TypeError,
+            RecursionError,
+            msgspec.MsgspecError,
+            msgpack.UnpackException,
+        ) as error:
             raise MalformedMessageError(f"malformed message: {error}") from error
 
+    def _split(self, data: bytes) -> list[bytearray]:
+        """Returns the packed messages that are whole and keeps the rest."""
+        self._buffer += data
+        whole = []
+        start = 0
+        while (end := self._find_end()) is not None:
+            whole.append(self._buffer[start:end])
+            start = end
+        del self._buffer[:start]
+        self._buffer_offset += start
+        return whole
 
-def _convert(plain):
-    return msgspec.convert(plain, messages.AnyMessage, builtin_types=(bytes,))
+    def _find_end(self) -> int | None:
+        try:
+            self._scanner.skip()
+        except msgpack.OutOfData:
+            return None
+        return self._scanner.tell() - self._buffer_offset
