Write the messages of one event-loop step together

Cause: each message to a peer was a system call of its own; writes to sockets were 23% of the router's and 13% of the agent's processor time in a profile of plain calls, and the demand, or head, body and end of a short answer, leave in one step of the event loop.

--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -255,6 +255,7 @@
                 account, self.agent.service, self.agent.upstream
             ):
                 self._tell_account(account)
+        self._link.flush()
 
     def _tell_account(self, account: ids.AccountId) -> None:
         waiting = min(self._backlog.count(account), TOLD_LIMIT)
--- a/teaselsill/link.py
+++ b/teaselsill/link.py
@@ -71,6 +71,8 @@
         self._writer = writer
         self._unpacker = unpacker
         self._received = list(received)
+        self._queued: list[bytes] = []
+        self._flush_handle: asyncio.Handle | None = None
         self._heard_at = time.monotonic()
         self._pinged_at = self._heard_at
         self._closed = False
@@ -81,20 +83,35 @@
         return self._closed
 
     def send(self, message: messages.Message) -> None:
-        """Queues one message; sending on a closed link has no effect."""
+        """Queues one message; sending on a closed link has no effect.
+
+        Messages that are sent in one step of the event loop are written together.
+        """
         if self._closed or self._writer.is_closing():
             return
         data = wire.pack(message)
         name = type(message).__name__
         self.bytes_sent_by_type[name] = self.bytes_sent_by_type.get(name, 0) + len(data)
-        self._writer.write(data)
+        self._queued.append(data)
+        if self._flush_handle is None:
+            self._flush_handle = asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Writes what is queued, now."""
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        queued, self._queued = self._queued, []
+        if queued and not self._writer.is_closing():
+            self._writer.write(b"".join(queued))
 
     async def drain(self) -> None:
-        """Waits while too much is queued.
+        """Writes what is queued and waits while too much of it is not sent.
 
         Raises:
             PeerClosedError: The connection is gone.
         """
+        self.flush()
         try:
             await self._writer.drain()
         except OSError as error:
@@ -152,11 +169,13 @@
 
     def close(self) -> None:
         """Closes the connection without waiting."""
+        self.flush()
         self._closed = True
         self._writer.close()
 
     def abort(self) -> None:
         """Drops the connection and what is queued on it."""
+        self._queued.clear()
         self._closed = True
         self._writer.transport.abort()
 
