Keep offered slots valid when the configuration shrinks them

Cause: release() worked out the allowance over the total from the running requests alone, so an offer made before shrinking broke the check, and the count stayed raised. accept() also dropped an offer that had expired, so its timer found nothing and the reserved cost was never given back. Ruled out: the check itself; more running than slots is still a violation. Change: the allowance is what was taken at the change and falls with it; an expired offer stays until withdraw().

--- a/teaselsill/slots.py
+++ b/teaselsill/slots.py
@@ -51,6 +51,7 @@
         self.running = 0
         self.offer_by_grant: dict[ids.GrantId, Offer] = {}
         self._clock = clock
+        self._limit = 0
         self._numbers = itertools.count(1)
         self._busy_s = 0.0
         self._counted_at = clock()
@@ -58,7 +59,7 @@
     @property
     def free(self) -> int:
         """How many slots can be offered."""
-        return self.total - self.running - len(self.offer_by_grant)
+        return self.total - self._taken
 
     @property
     def busy_s(self) -> float:
@@ -76,40 +77,53 @@
 
     def withdraw(self, grant: ids.GrantId) -> Offer | None:
         """Ends an offer; returns it, or none if it had ended already."""
-        return self.offer_by_grant.pop(grant, None)
+        offer = self.offer_by_grant.pop(grant, None)
+        self._lower_limit()
+        return offer
 
     def accept(self, grant: ids.GrantId, holder) -> Offer | None:
         """Turns an offer into a running request.
 
         Returns:
-            The offer, or none if it has expired or is not this holder's.
+            The offer, or none if it has expired or is not this holder's. An offer
+            that has expired is left to `withdraw`.
+
+        Raises:
+            SlotsOverbookedError: As many requests run as there are slots.
         """
         offer = self.offer_by_grant.get(grant)
         if offer is None or offer.holder is not holder:
             return None
-        del self.offer_by_grant[grant]
         if self._clock() >= offer.expires_at:
             return None
+        if self.running >= self._limit:
+            raise SlotsOverbookedError(
+                f"{self.running + 1} requests in {self.total} slots"
+            )
+        del self.offer_by_grant[grant]
         self._count_busy()
         self.running += 1
-        if self.running > self.total + self._over_by_shrinking:
-            raise SlotsOverbookedError(f"{self.running} requests in {self.total} slots")
         return offer
 
     def release(self) -> None:
         """Frees the slot of a request that has ended."""
         self._count_busy()
         self.running -= 1
-        self._over_by_shrinking = max(0, self.running - self.total)
+        self._lower_limit()
 
     def resize(self, total: int) -> None:
-        """Sets the number of slots; running requests keep theirs."""
+        """Sets the number of slots; running requests and offers keep theirs."""
         self._count_busy()
         self.total = total
-        open_count = self.running + len(self.offer_by_grant)
-        self._over_by_shrinking = max(0, open_count - total)
+        self._limit = max(total, self._taken)
+
+    @property
+    def _taken(self) -> int:
+        return self.running + len(self.offer_by_grant)
 
-    _over_by_shrinking = 0
+    def _lower_limit(self) -> None:
+        """Takes back what was allowed over the total as slots become free."""
+        self._limit = max(self.total, min(self._limit, self._taken))
 
     def _count_busy(self) -> None:
         now = self._clock()
