End an answer at its deadline when the agent is out of reach

Cause: only the agent watched the deadline of a body; a router waited for a silent agent until the connection was given up and could not be replaced. Ruled out: the wait for the head, which had its own limit.

--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import hashlib
 import logging
@@ -170,18 +171,31 @@
         attempts: How many attempts were made.
     """
 
-    def __init__(self, head: messages.Head, peer, running, attempts: int):
+    def __init__(
+        self, head: messages.Head, peer, running, deadline: float, attempts: int
+    ):
         self.status = head.status
         self.headers = head.headers
         self.upstream = peer.agent.upstream
         self.attempts = attempts
         self._peer = peer
         self._running = running
+        self._deadline = deadline
         self._ended = False
 
     async def body(self):
-        """Yields the pieces of the body; see `Exchange.body`."""
-        async for data in self._running.body():
+        """Yields the pieces of the body; see `Exchange.body`.
+
+        Raises:
+            AnswerBrokenError: As there, and also if an agent that is out of reach has
+                not ended the answer at its deadline.
+        """
+        pieces = self._running.body()
+        while True:
+            async with _answer_deadline(self._deadline):
+                data = await anext(pieces, None)
+            if data is None:
+                break
             yield data
         self._ended = True
 
@@ -315,7 +329,8 @@
             peer, running = await self._wait_turn(desk, waiting)
             tries.attempts += 1
             head = await self._wait_head(running, waiting.request)
-            return Answer(head, peer, running, tries.attempts)
+            deadline = waiting.request.deadline
+            return Answer(head, peer, running, deadline, tries.attempts)
         except BaseException:
             self._abandon(desk, waiting)
             raise
@@ -348,14 +363,8 @@
 
     async def _wait_head(self, running, request) -> messages.Head:
         """Waits for the head; past the deadline the agent ends the attempt."""
-        left_s = request.deadline - time.monotonic() + link.BUSY_SILENCE_S
-        try:
-            async with asyncio.timeout(max(0, left_s)):
-                return await running.head()
-        except TimeoutError:
-            raise exchange.AnswerBrokenError(
-                messages.Reason.DEADLINE, messages.Outcome.UNKNOWN
-            ) from None
+        async with _answer_deadline(request.deadline):
+            return await running.head()
 
     async def _consider_not_run(self, error, tries: _Tries, request) -> None:
         """Returns if the request may be offered again, after a short delay."""
@@ -406,6 +415,23 @@
     return hashlib.blake2b(f"{router}\0{agent}".encode(), digest_size=8).digest()
 
 
+@contextlib.asynccontextmanager
+async def _answer_deadline(deadline: float):
+    """Ends a wait for an agent that has not ended an answer at its deadline.
+
+    Raises:
+        AnswerBrokenError: The deadline came, and the agent was given time besides.
+    """
+    left_s = deadline - time.monotonic() + link.BUSY_SILENCE_S
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            yield
+    except TimeoutError:
+        raise exchange.AnswerBrokenError(
+            messages.Reason.DEADLINE, messages.Outcome.UNKNOWN
+        ) from None
+
+
 def _differs_in_state_only(listed, known: instances.Instance) -> bool:
     if listed is None:
         return False
