Say unknown, not "not run", when an earlier attempt was lost

Cause: after a lost attempt that may have run, the error of the last attempt was told to the caller as it was, also if that one had certainly not run (the log was down at its claim, or the deadline came while it waited). Ruled out: the agents' own words; each was true of its attempt. Change: once an attempt was lost, the outcome of the request is unknown.

--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -311,6 +311,17 @@
         desk = self._get_desk(request.service)
         waiting = desk.backlog.add(request, max_waiting)
         tries = _Tries()
+        try:
+            return await self._serve_waiting(desk, waiting, tries)
+        except (exchange.NotRunError, DeadlineError) as error:
+            if tries.lost:
+                raise _make_unknown(error) from error
+            raise
+
+    async def _serve_waiting(
+        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: _Tries
+    ) -> Answer:
+        request = waiting.request
         while True:
             try:
                 return await self._try(desk, waiting, tries)
@@ -415,6 +426,15 @@
     return hashlib.blake2b(f"{router}\0{agent}".encode(), digest_size=8).digest()
 
 
+def _make_unknown(error: errors.RequestError) -> errors.RequestError:
+    """Returns what to tell of a last attempt that has not run, after a lost one."""
+    match error:
+        case DeadlineError():
+            reason = messages.Reason.DEADLINE
+            return exchange.AnswerBrokenError(reason, messages.Outcome.UNKNOWN)
+    return exchange.AgentLostError("an earlier attempt may have run")
+
+
 @contextlib.asynccontextmanager
 async def _answer_deadline(deadline: float):
     """Ends a wait for an agent that has not ended an answer at its deadline.
