Retry a repeatable request as soon as its agent cannot be reached

Cause: all attempts at a lost agent waited RESOLVE_S (2 s) for it to come back, also those that can go to another agent because nothing has come of them. Ruled out: losing them with the link; a cut link is resumed within 50 ms and would cost a retry for each running request. Change: they are given up at the first connection that fails.

--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -115,31 +115,38 @@
         self._wanted = False
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        self._lose_exchanges()
+        self._lose_exchanges(True)
 
     async def _run(self) -> None:
         delay_s = RETRY_MIN_S
         lost_at = time.monotonic()
         while self._wanted:
-            try:
-                connected = await link.connect(
-                    self.agent.host, self.agent.port, self._secret, self._me, self._tls
-                )
-                delay_s = RETRY_MIN_S
-                try:
-                    await self._converse(connected)
-                finally:
-                    lost_at = time.monotonic()
-                    self._forget_link(connected)
-            except errors.LinkError as error:
-                logger.info("link to agent %s: %s", self.agent.id, error)
+            was_connected = await self._connect()
             self._set_state(State.UNREACHABLE)
-            if time.monotonic() - lost_at >= RESOLVE_S:
-                self._lose_exchanges()
+            if was_connected:
+                delay_s = RETRY_MIN_S
+                lost_at = time.monotonic()
+            else:
+                self._lose_exchanges(time.monotonic() - lost_at >= RESOLVE_S)
             await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
             limit_s = RETRY_MIN_S * 4 if self.exchange_by_attempt else RETRY_MAX_S
             delay_s = min(delay_s * 2, limit_s)
 
+    async def _connect(self) -> bool:
+        """Connects once, until the connection is lost; tells whether there was one."""
+        connected = None
+        try:
+            connected = await link.connect(
+                self.agent.host, self.agent.port, self._secret, self._me, self._tls
+            )
+            await self._converse(connected)
+        except errors.LinkError as error:
+            logger.info("link to agent %s: %s", self.agent.id, error)
+        finally:
+            if connected is not None:
+                self._forget_link(connected)
+        return connected is not None
+
     async def _converse(self, connected: link.Link) -> None:
         self._link = connected
         self._told_by_account.clear()
@@ -209,6 +216,7 @@
             attempt,
             connected.peer.incarnation,
             lambda through: self._acknowledge(attempt, through),
+            waiting.request.repeatable,
         )
         self.exchange_by_attempt[attempt] = running
         self._note_dispatched(account)
@@ -284,10 +292,16 @@
             self.state = state
             self._on_change(self)
 
-    def _lose_exchanges(self) -> None:
-        for running in self.exchange_by_attempt.values():
-            running.lose()
-        self.exchange_by_attempt.clear()
+    def _lose_exchanges(self, lose_all: bool) -> None:
+        """Gives up the attempts at an agent that cannot be reached.
+
+        Args:
+            lose_all: Whether to give up also those that can only be resumed.
+        """
+        for attempt, running in list(self.exchange_by_attempt.items()):
+            if lose_all or running.can_restart:
+                running.lose()
+                del self.exchange_by_attempt[attempt]
 
 
 def _make_dispatch(grant, attempt, waiting: backlog.Waiting, version):
--- a/teaselsill/exchange.py
+++ b/teaselsill/exchange.py
@@ -48,6 +48,7 @@
         attempt: The attempt's id.
         incarnation: The run of the agent process that has the attempt.
         acknowledge: Called with the sequence number that the agent may forget.
+        repeatable: Whether the request may run more than once.
 
     Attributes:
         attempt: The attempt's id.
@@ -59,10 +60,12 @@
         attempt: ids.AttemptId,
         incarnation: ids.Incarnation,
         acknowledge: collections.abc.Callable[[int], None],
+        repeatable: bool = False,
     ):
         self.attempt = attempt
         self.incarnation = incarnation
         self._acknowledge = acknowledge
+        self._repeatable = repeatable
         self._assembly = answers.Assembly(attempt)
         self._events: asyncio.Queue = asyncio.Queue()
         self._unacknowledged_bytes = 0
@@ -72,6 +75,11 @@
         """The sequence number of the next frame that is missing."""
         return self._assembly.next_sequence
 
+    @property
+    def can_restart(self) -> bool:
+        """Whether the request can go to another agent: nothing has come of it."""
+        return self._repeatable and self.next_sequence == 0
+
     def take(self, message: messages.Message) -> None:
         """Takes a frame of the answer, in any order and any number of times.
 
--- /dev/null
+++ b/tests/bench.py
@@ -0,0 +1,243 @@
+"""Routers and agents in one process, with small fakes around them."""
+
+import asyncio
+import collections
+import time
+
+from standins import relay
+from teaselsill import (
+    agent,
+    backlog,
+    claims,
+    counters,
+    digest,
+    document,
+    ids,
+    instances,
+    link,
+    log,
+    membership,
+    messages,
+    metrics,
+    policies,
+    router,
+    upstream,
+    wire,
+)
+
+HOST = "127.0.0.1"
+SECRET = b"a secret for tests only"
+SERVICE = ids.ServiceName("bookings")
+ACCOUNT = ids.AccountId("schools")
+ORDER = "/orders/1"
+LOOKUP = "/rooms/1"
+
+DOCUMENT = {
+    "client_accounts": [{"id": ACCOUNT, "share": 1, "services": [SERVICE]}],
+    "services": [
+        {
+            "name": SERVICE,
+            "kind": "plain",
+            "slots": 2,
+            "expected_cost": 20,
+            "unrepeatable": [{"methods": ["POST"], "path": "/orders/*"}],
+        }
+    ],
+}
+
+
+class FixedFollower:
+    """A configuration that is there from the start."""
+
+    def __init__(self, plain=DOCUMENT, version=0):
+        self.version = ids.Version(version)
+        self.document = document.Document.model_validate(plain)
+        self.text = b""
+        self.callbacks = []
+
+    def subscribe(self, callback):
+        self.callbacks.append(callback)
+
+    def offer(self, version, text):
+        return False
+
+    def change(self, plain):
+        self.version = ids.Version(self.version + 1)
+        self.document = document.Document.model_validate(plain)
+        for callback in self.callbacks:
+            callback()
+
+
+class FakeUpstream(upstream.Upstream):
+    """Counts executions, and answers with pieces when it is let."""
+
+    def __init__(self):
+        super().__init__("http://nowhere")
+        self.count_by_path = collections.Counter()
+        self.status = 200
+        self.pieces = [b"one ", b"two ", b"three"]
+        self.error_before = None
+        self.error_after = None
+        self.may_start = asyncio.Event()
+        self.may_start.set()
+        self.may_go_on = asyncio.Event()
+        self.may_go_on.set()
+
+    async def run(self, order, service):
+        if self.error_before is not None:
+            raise self.error_before
+        self.count_by_path[order.path] += 1
+        if self.error_after is not None:
+            raise self.error_after
+        await self.may_start.wait()
+        yield upstream.Started(self.status, [("x-answer", order.path)])
+        yield upstream.Piece(self.pieces[0], 1.0)
+        await self.may_go_on.wait()
+        for piece in self.pieces[1:]:
+            yield upstream.Piece(piece, 1.0)
+        yield upstream.Finished(0.0)
+
+
+class AgentBench:
+    """One agent behind a relay."""
+
+    def __init__(self, name, log_service, plain=DOCUMENT):
+        self.follower = FixedFollower(plain)
+        self.upstream = FakeUpstream()
+        self.relay = None
+        self.listing = None
+        me = _identity(name, instances.Role.AGENT)
+        known = counters.Counters(0)
+        exchange = digest.Exchange(
+            me, SECRET, SERVICE, list, known, lambda: self.follower.version, None
+        )
+        self.agent = agent.Agent(
+            me,
+            SECRET,
+            SERVICE,
+            ids.UpstreamId(f"upstream-of-{name}"),
+            self.upstream,
+            self.follower,
+            claims.Ledger(log_service, SERVICE, me.incarnation, time.time),
+            known,
+            exchange,
+            policies.LeastService(),
+            metrics.Metrics(""),
+        )
+        self._name = name
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self.agent.accept, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.relay = relay.Relay(HOST, port)
+        await self.relay.start()
+        self.listing = instances.Instance(
+            id=ids.InstanceId(self._name),
+            role=instances.Role.AGENT,
+            data_centre=ids.DataCentre("oslo-a"),
+            host=HOST,
+            port=self.relay.port,
+            service=SERVICE,
+            upstream=self.agent.upstream_id,
+        )
+
+    async def kill(self):
+        """Takes the agent's port and connections away for good."""
+        self._server.close()
+        await self.relay.close()
+
+
+class Bench:
+    """One router and some agents.
+
+    Attributes:
+        agents: The agents.
+        router: The router.
+        log: The log service.
+    """
+
+    def __init__(self, agents=1, plain=DOCUMENT):
+        self.log = log.MemoryLog()
+        self.agents = [AgentBench(f"agent-{n}", self.log, plain) for n in range(agents)]
+        self.follower = FixedFollower(plain)
+        self.router = None
+        self._running = None
+
+    async def __aenter__(self):
+        for bench in self.agents:
+            await bench.start()
+        self.members = membership.Membership(None)
+        self.members.by_id = {b.listing.id: b.listing for b in self.agents}
+        self.router = self.make_router("router-0")
+        self._running = asyncio.create_task(self.router.run())
+        return self
+
+    async def __aexit__(self, *_):
+        self._running.cancel()
+        await self.router.close()
+        for bench in self.agents:
+            await bench.agent.close()
+            await bench.kill()
+
+    def make_router(self, name):
+        me = _identity(name, instances.Role.ROUTER)
+        return router.Router(me, SECRET, self.follower, self.members, 4)
+
+    def count(self, path):
+        """Returns how often a request ran, over all upstreams."""
+        return sum(bench.upstream.count_by_path[path] for bench in self.agents)
+
+    async def call(self, path, key="", deadline_s=5.0, through=None):
+        """Sends a request and returns the status and body of the whole answer."""
+        request = make_request(path, key, deadline_s)
+        answer = await (through or self.router).serve(request, 100)
+        try:
+            body = b"".join([data async for data in answer.body()])
+        finally:
+            answer.close()
+        return answer.status, body
+
+
+def make_request(path, key="", deadline_s=5.0):
+    return backlog.Request(
+        id=ids.RequestId(ids.new_random_id()),
+        account=ACCOUNT,
+        service=SERVICE,
+        method="POST" if path.startswith("/orders/") else "GET",
+        path=path,
+        headers=[],
+        body=b"",
+        deadline=time.monotonic() + deadline_s,
+        repeatable=not path.startswith("/orders/"),
+        key=key,
+    )
+
+
+class OnMessage:
+    """Has a relay act once, when a message of a kind passes.
+
+    Args:
+        kind: The class of the message.
+        action: What the relay does.
+    """
+
+    def __init__(self, kind: type[messages.Message], action: relay.Action):
+        self.done = asyncio.Event()
+        self._kind = kind
+        self._action = action
+        self._unpacker_by_way = {}
+
+    def __call__(self, connection, direction, data):
+        way = (connection, direction)
+        unpacker = self._unpacker_by_way.setdefault(way, wire.Unpacker())
+        found = any(isinstance(m, self._kind) for m in unpacker.feed(data))
+        if self.done.is_set() or not found:
+            return relay.Action.PASS
+        self.done.set()
+        return self._action
+
+
+def _identity(name, role):
+    incarnation = ids.Incarnation(ids.new_random_id())
+    return link.Identity(ids.InstanceId(name), incarnation, role)
--- /dev/null
+++ b/tests/test_failures_lost.py
@@ -0,0 +1,62 @@
+import asyncio
+import time
+import unittest
+
+from teaselsill import callers, errors, messages
+from tests import bench
+
+WHOLE = (200, b"one two three")
+
+
+class LostTest(unittest.IsolatedAsyncioTestCase):
+    """An agent goes away for good with a request."""
+
+    async def begin(self, fleet, path, key="", deadline_s=5.0):
+        """Starts a call; returns it and the agent that runs it and does not answer."""
+        for member in fleet.agents:
+            member.upstream.may_start.clear()
+        call = asyncio.create_task(fleet.call(path, key, deadline_s))
+        async with asyncio.timeout(2):
+            while not fleet.count(path):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        for member in fleet.agents:
+            if not member.upstream.count_by_path[path]:
+                member.upstream.may_start.set()
+        return call, next(a for a in fleet.agents if a.upstream.count_by_path[path])
+
+    async def outcome_of(self, call):
+        with self.assertRaises(errors.RequestError) as caught:
+            await call
+        return callers.describe(caught.exception).outcome
+
+    async def test_unknown_is_not_told_as_not_run(self):
+        async with bench.Bench(agents=2) as fleet:
+            call, holder = await self.begin(fleet, bench.ORDER, "key-1")
+            fleet.log.down = True
+            await holder.kill()
+            self.assertEqual(messages.Outcome.UNKNOWN, await self.outcome_of(call))
+
+    async def test_unknown_stays_unknown_at_the_deadline(self):
+        async with bench.Bench() as fleet:
+            call, holder = await self.begin(fleet, bench.LOOKUP, deadline_s=3.0)
+            await holder.kill()
+            self.assertEqual(messages.Outcome.UNKNOWN, await self.outcome_of(call))
+
+    async def test_answer_is_broken_off_at_the_deadline(self):
+        async with bench.Bench() as fleet:
+            fleet.agents[0].upstream.may_go_on.clear()
+            began_at = time.monotonic()
+            call = asyncio.create_task(fleet.call(bench.ORDER, deadline_s=0.5))
+            await asyncio.sleep(0.2)
+            fleet.agents[0].relay.hold_new(True)
+            fleet.agents[0].relay.silence()
+            self.assertEqual(messages.Outcome.UNKNOWN, await self.outcome_of(call))
+            self.assertLess(time.monotonic() - began_at, 0.5 + 2.0)
+
+    async def test_lookup_goes_elsewhere_at_once(self):
+        async with bench.Bench(agents=2) as fleet:
+            call, holder = await self.begin(fleet, bench.LOOKUP)
+            began_at = time.monotonic()
+            await holder.kill()
+            self.assertEqual(WHOLE, await call)
+            self.assertLess(time.monotonic() - began_at, 1.0)
