Offer a repeatable request again after its upstream fails it

Cause: an answer that broke before its head, and an upstream's 503, went straight to the caller although another upstream could have answered. Ruled out: retrying in the agent, which stands beside the failing upstream. Change: the router offers it again within the retry budget, with jitter; the agent offers no slots for 0.1 to 2 s, so the work goes elsewhere.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -34,7 +34,8 @@
 """How long an answer is kept for a router that does not come back."""
 PAUSE_MIN_S = 0.1
 PAUSE_MAX_S = 2.0
-"""How long no slots are offered after the upstream could not be reached."""
+"""How long no slots are offered after the upstream has failed."""
+BUSY_STATUS = 503
 
 logger = logging.getLogger(__name__)
 
@@ -466,7 +467,7 @@
         except upstream.UpstreamRefusedError as error:
             await self._release(run)
             raise _NotRunError(messages.Reason.UPSTREAM_FAILED) from error
-        self._pause_s = PAUSE_MIN_S
+        self._note_answered(stored.status)
         if run.claimed is not None:
             await self._ledger.record_ran(run.claimed, stored)
         run.answer.end(messages.Outcome.RAN, messages.Reason.NONE)
@@ -539,6 +540,8 @@
             self._end_not_run(run, reason)
         elif not run.answer.is_ended:
             run.answer.end(messages.Outcome.UNKNOWN, reason)
+            if reason is messages.Reason.UPSTREAM_FAILED:
+                self._pause()
 
     def _finish(self, run: _Run) -> None:
         attempt = run.dispatch.attempt
@@ -599,8 +602,16 @@
         self._metrics.count(metrics.Metric.ATTEMPTS_RESUMED)
         answer.attach(peer.link.send, sequence)
 
+    def _note_answered(self, status: int) -> None:
+        if status == BUSY_STATUS:
+            self._pause()
+        else:
+            self._pause_s = PAUSE_MIN_S
+
     def _pause(self) -> None:
-        """Offers no slots for a while, after the upstream could not be reached."""
+        """Offers no slots for a while, after the upstream has failed."""
+        if time.monotonic() < self._paused_until:
+            return
         self._paused_until = time.monotonic() + self._pause_s
         loop = asyncio.get_running_loop()
         loop.call_later(self._pause_s, self._grant_free_slots)
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -32,6 +32,14 @@
 """How often a request that has not run may be offered again."""
 MAX_LOST = 2
 """How often a request that may have run, and may run again, is offered again."""
+FAILED_DELAY_S = 0.05
+"""How long a request waits, at most, after an upstream has failed it."""
+BUSY_STATUS = 503
+FAILED_REASONS = (
+    messages.Reason.UPSTREAM_FAILED,
+    messages.Reason.STREAM_STALLED,
+    messages.Reason.ANSWER_DROPPED,
+)
 RETRY_BUDGET_RATIO = 0.1
 """Retries after a lost attempt, as a part of all requests."""
 RETRY_BUDGET_MIN = 10.0
@@ -49,6 +57,10 @@
     """The deadline came while the request waited; it has not run."""
 
 
+class UpstreamBusyError(errors.RequestError):
+    """The upstream refused a request that may be offered again."""
+
+
 class RouterLeavingError(backlog.RefusedError):
     """The router stops and takes no new requests."""
 
@@ -329,6 +341,10 @@
                 await self._consider_not_run(error, tries, request)
             except exchange.AgentLostError:
                 self._consider_lost(tries, request)
+            except exchange.AnswerBrokenError as error:
+                await self._consider_broken(error, tries, request)
+            except UpstreamBusyError:
+                await self._pause_after_failure(tries)
             waiting = backlog.Waiting(request, waiting.since)
             desk.backlog.put_back(waiting)
 
@@ -340,6 +356,8 @@
             peer, running = await self._wait_turn(desk, waiting)
             tries.attempts += 1
             head = await self._wait_head(running, waiting.request)
+            if head.status == BUSY_STATUS and self._may_repeat(tries, waiting.request):
+                raise UpstreamBusyError("the upstream refuses requests")
             deadline = waiting.request.deadline
             return Answer(head, peer, running, deadline, tries.attempts)
         except BaseException:
@@ -404,6 +422,20 @@
         if not safe or tries.lost > MAX_LOST or not self._budget.spend():
             raise exchange.AgentLostError("the agent is gone")
 
+    def _may_repeat(self, tries: _Tries, request) -> bool:
+        """Takes a retry for a request that failed, if there is one for it."""
+        return request.repeatable and tries.lost < MAX_LOST and self._budget.spend()
+
+    async def _consider_broken(self, error, tries: _Tries, request) -> None:
+        """Returns if a request that an upstream failed may be offered again."""
+        if error.reason not in FAILED_REASONS or not self._may_repeat(tries, request):
+            raise error
+        await self._pause_after_failure(tries)
+
+    async def _pause_after_failure(self, tries: _Tries) -> None:
+        tries.lost += 1
+        await asyncio.sleep(FAILED_DELAY_S * random.uniform(0.5, 1.0))
+
     def _note_change(self, desk: ServiceDesk, peer: agent_peer.AgentPeer) -> None:
         if peer.state is not agent_peer.State.CONNECTED:
             desk.tend()
