Mend two races: cancel after dispatch, dispatch at the deadline

Cause 1: Dispatch and Cancel read together cancelled the task before its first step, so it never ended: the slot was taken for good, and leave() never returned. Change: the task is cancelled after its first step. Cause 2: a grant taken in the same turn of the loop as the deadline was sent to the agent, and the caller was told "not run". Change: such a request goes on to wait for its answer. Ruled out: a check in the agent alone; the dispatch is already under way. Before: both tests of tests.test_failures_races failed; after: they pass.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -579,7 +579,9 @@
     def _cancel(self, attempt: ids.AttemptId) -> None:
         """Stops an attempt that nobody waits for, unless it may not be repeated."""
         if attempt in self._repeatable and attempt in self._task_by_attempt:
-            self._task_by_attempt[attempt].cancel()
+            task = self._task_by_attempt[attempt]
+            # A task that is cancelled before its first step would never finish.
+            asyncio.get_running_loop().call_soon(task.cancel)
         answer = self._answer_by_attempt.get(attempt)
         if answer is not None:
             answer.discard()
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -388,6 +388,8 @@
             async with asyncio.timeout(left_s):
                 return await waiting.turn
         except TimeoutError:
+            if waiting.turn.done() and not waiting.turn.cancelled():
+                return waiting.turn.result()
             raise DeadlineError("the deadline came before a free slot") from None
 
     async def _wait_head(self, running, request) -> messages.Head:
--- /dev/null
+++ b/tests/test_failures_races.py
@@ -0,0 +1,55 @@
+import asyncio
+import time
+import unittest
+
+from teaselsill import backlog, messages
+from tests import bench
+
+
+class RaceTest(unittest.IsolatedAsyncioTestCase):
+    """Two things happen in the same turn of the event loop."""
+
+    async def test_cancel_right_after_dispatch_frees_the_slot(self):
+        async with bench.Bench() as fleet:
+            await fleet.call(bench.LOOKUP)
+            serving = fleet.agents[0].agent
+            (peer,) = serving._peers
+            sent = []
+            peer.link.send = sent.append
+            serving._take(peer, messages.Demand(bench.ACCOUNT, 1, 0))
+            serving._grant_free_slots()
+            dispatch = _make_dispatch(sent[-1].grant)
+            serving._take(peer, dispatch)
+            serving._take(peer, messages.Cancel(dispatch.attempt))
+            await asyncio.sleep(0.05)
+            self.assertEqual(0, serving.slots.running)
+
+    async def test_dispatch_at_the_deadline_is_not_told_as_not_run(self):
+        async with bench.Bench() as fleet:
+            desk = fleet.router._get_desk(bench.SERVICE)
+            request = bench.make_request(bench.ORDER, deadline_s=0.05)
+            waiting = backlog.Waiting(request, time.monotonic())
+            turn = asyncio.create_task(fleet.router._wait_turn(desk, waiting))
+            await asyncio.sleep(0)
+            dispatched = (object(), object())
+            loop = asyncio.get_running_loop()
+            loop.call_soon(waiting.turn.set_result, dispatched)
+            time.sleep(0.1)  # noqa: ASYNC251
+            self.assertIs(dispatched, await turn)
+
+
+def _make_dispatch(grant):
+    return messages.Dispatch(
+        grant=grant,
+        attempt="router-x:1",
+        request="request-x",
+        account=bench.ACCOUNT,
+        method="GET",
+        path=bench.LOOKUP,
+        headers=[],
+        body=b"",
+        budget_ms=5000,
+        repeatable=True,
+        key="",
+        version=0,
+    )
