--- a/teaselsill/granting.py
+++ b/teaselsill/granting.py
@@ -16,7 +16,7 @@
 
 PAUSE_MIN_S = 0.1
 PAUSE_MAX_S = 2.0
-"""How long no slots are offered after the upstream could not be reached."""
+"""How long no slots are offered after the upstream has failed."""
 
 
 class Granting:
@@ -110,7 +110,9 @@
         self.slots.release()
 
     def pause(self) -> None:
-        """Offers no slots for a while, after the upstream could not be reached."""
+        """Offers no slots for a while, after the upstream has failed."""
+        if time.monotonic() < self._paused_until:
+            return
         self._paused_until = time.monotonic() + self._pause_s
         loop = asyncio.get_running_loop()
         loop.call_later(self._pause_s, self.grant_free_slots)
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import datetime
 import hashlib
@@ -36,6 +37,14 @@
 """How often a request that has not run may be offered again."""
 MAX_LOST = 2
 """How often a request that may have run, and may run again, is offered again."""
+FAILED_DELAY_S = 0.05
+"""How long a request waits, at most, after an upstream has failed it."""
+BUSY_STATUS = 503
+FAILED_REASONS = (
+    messages.Reason.UPSTREAM_FAILED,
+    messages.Reason.STREAM_STALLED,
+    messages.Reason.ANSWER_DROPPED,
+)
 RETRY_BUDGET_RATIO = 0.1
 """Retries after a lost attempt, as a part of all requests."""
 RETRY_BUDGET_MIN = 10.0
@@ -53,6 +62,10 @@
     """The deadline came while the request waited; it has not run."""
 
 
+class UpstreamBusyError(errors.RequestError):
+    """The upstream refused a request that may be offered again."""
+
+
 class RouterLeavingError(backlog.RefusedError):
     """The router stops and takes no new requests."""
 
@@ -198,18 +211,31 @@
         attempts: How many attempts were made.
     """
 
-    def __init__(self, head: messages.Head, peer, running, attempts: int):
+    def __init__(
+        self, head: messages.Head, peer, running, deadline: float, attempts: int
+    ):
         self.status = head.status
         self.headers = head.headers
         self.upstream = peer.agent.upstream
         self.attempts = attempts
         self._peer = peer
         self._running = running
+        self._deadline = deadline
         self._ended = False
 
     async def body(self):
-        """Yields the pieces of the body; see `Exchange.body`."""
-        async for data in self._running.body():
+        """Yields the pieces of the body; see `Exchange.body`.
+
+        Raises:
+            AnswerBrokenError: As there, and also if an agent that is out of reach has
+                not ended the answer at its deadline.
+        """
+        pieces = self._running.body()
+        while True:
+            async with _answer_deadline(self._deadline):
+                data = await anext(pieces, None)
+            if data is None:
+                break
             yield data
         self._ended = True
 
@@ -325,6 +351,17 @@
         desk = self._get_desk(request.service)
         waiting = desk.backlog.add(request, max_waiting)
         tries = _Tries()
+        try:
+            return await self._serve_waiting(desk, waiting, tries)
+        except (exchange.NotRunError, DeadlineError) as error:
+            if tries.lost:
+                raise _make_unknown(error) from error
+            raise
+
+    async def _serve_waiting(
+        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: _Tries
+    ) -> Answer:
+        request = waiting.request
         while True:
             try:
                 return await self._try(desk, waiting, tries)
@@ -332,6 +369,10 @@
                 await self._consider_not_run(error, tries, request)
             except exchange.AgentLostError:
                 self._consider_lost(tries, request)
+            except exchange.AnswerBrokenError as error:
+                await self._consider_broken(error, tries, request)
+            except UpstreamBusyError:
+                await self._pause_after_failure(tries)
             waiting = backlog.Waiting(request, waiting.since)
             desk.backlog.put_back(waiting)
 
@@ -343,7 +384,10 @@
             peer, running = await self._wait_turn(desk, waiting)
             self._note_attempt(waiting, tries)
             head = await self._wait_head(running, waiting.request)
-            return Answer(head, peer, running, tries.attempts)
+            if head.status == BUSY_STATUS and self._may_repeat(tries, waiting.request):
+                raise UpstreamBusyError("the upstream refuses requests")
+            deadline = waiting.request.deadline
+            return Answer(head, peer, running, deadline, tries.attempts)
         except BaseException:
             self._abandon(desk, waiting)
             raise
@@ -381,18 +425,14 @@
             async with asyncio.timeout(left_s):
                 return await waiting.turn
         except TimeoutError:
+            if waiting.turn.done() and not waiting.turn.cancelled():
+                return waiting.turn.result()
             raise DeadlineError("the deadline came before a free slot") from None
 
     async def _wait_head(self, running, request) -> messages.Head:
         """Waits for the head; past the deadline the agent ends the attempt."""
-        left_s = request.deadline - time.monotonic() + link.BUSY_SILENCE_S
-        try:
-            async with asyncio.timeout(max(0, left_s)):
-                return await running.head()
-        except TimeoutError:
-            raise exchange.AnswerBrokenError(
-                messages.Reason.DEADLINE, messages.Outcome.UNKNOWN
-            ) from None
+        async with _answer_deadline(request.deadline):
+            return await running.head()
 
     async def _consider_not_run(self, error, tries: _Tries, request) -> None:
         """Returns if the request may be offered again, after a short delay."""
@@ -421,6 +461,20 @@
         if not safe or tries.lost > MAX_LOST or not self._budget.spend():
             raise exchange.AgentLostError("the agent is gone")
 
+    def _may_repeat(self, tries: _Tries, request) -> bool:
+        """Takes a retry for a request that failed, if there is one for it."""
+        return request.repeatable and tries.lost < MAX_LOST and self._budget.spend()
+
+    async def _consider_broken(self, error, tries: _Tries, request) -> None:
+        """Returns if a request that an upstream failed may be offered again."""
+        if error.reason not in FAILED_REASONS or not self._may_repeat(tries, request):
+            raise error
+        await self._pause_after_failure(tries)
+
+    async def _pause_after_failure(self, tries: _Tries) -> None:
+        tries.lost += 1
+        await asyncio.sleep(FAILED_DELAY_S * random.uniform(0.5, 1.0))
+
     def _note_change(self, desk: ServiceDesk, peer: agent_peer.AgentPeer) -> None:
         if peer.state is not agent_peer.State.CONNECTED:
             desk.tend()
@@ -443,6 +497,32 @@
     return hashlib.blake2b(f"{router}\0{agent}".encode(), digest_size=8).digest()
 
 
+def _make_unknown(error: errors.RequestError) -> errors.RequestError:
+    """Returns what to tell of a last attempt that has not run, after a lost one."""
+    match error:
+        case DeadlineError():
+            reason = messages.Reason.DEADLINE
+            return exchange.AnswerBrokenError(reason, messages.Outcome.UNKNOWN)
+    return exchange.AgentLostError("an earlier attempt may have run")
+
+
+@contextlib.asynccontextmanager
+async def _answer_deadline(deadline: float):
+    """Ends a wait for an agent that has not ended an answer at its deadline.
+
+    Raises:
+        AnswerBrokenError: The deadline came, and the agent was given time besides.
+    """
+    left_s = deadline - time.monotonic() + link.BUSY_SILENCE_S
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            yield
+    except TimeoutError:
+        raise exchange.AnswerBrokenError(
+            messages.Reason.DEADLINE, messages.Outcome.UNKNOWN
+        ) from None
+
+
 def _differs_in_state_only(listed, known: instances.Instance) -> bool:
     if listed is None:
         return False
--- a/teaselsill/running.py
+++ b/teaselsill/running.py
@@ -18,6 +18,9 @@
     upstream,
 )
 
+BUSY_STATUS = 503
+"""What an upstream answers that takes no more requests for now."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -102,7 +105,7 @@
         except upstream.UpstreamRefusedError as error:
             await self.release(run)
             raise NotRunError(messages.Reason.UPSTREAM_FAILED) from error
-        self._grants.note_reached()
+        self._note_answered(stored.status)
         if run.claimed is not None:
             await self._ledger.record_ran(run.claimed, stored)
         run.answer.end(messages.Outcome.RAN, messages.Reason.NONE)
@@ -116,6 +119,12 @@
         """Closes the connections to the upstream."""
         await self._client.close()
 
+    def _note_answered(self, status: int) -> None:
+        if status == BUSY_STATUS:
+            self._grants.pause()
+        else:
+            self._grants.note_reached()
+
     def _check_before_send(self, run: Run) -> None:
         """Checks what may have changed while this process did not run.
 
