Drop only the link of a peer that sends nonsense

Cause: a proved peer's invalid document, or a Resume with a malformed attempt id, raised an error that is none of the link's. In an agent it ended the connection's task with a traceback; in a router it ended the task that connects to the agent, so the router never came back to it. A dispatch of one client account used up a slot that was granted to another, which the fairness counters then charged. Change: both are UnexpectedMessageError, which drops the link and is logged in one line. A dispatch must be of the account of its grant. Before: 4 cases of test_agent and one test of test_agent_peer failed. After: they pass.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -156,6 +156,10 @@
         except errors.InvariantError as error:
             invariants.report(error, reraise=False, sink=self._metrics)
             raise link.UnexpectedMessageError(str(error)) from error
+        except (attempts.AttemptError, errors.ConfigurationError) as error:
+            raise link.UnexpectedMessageError(
+                f"{type(message).__name__}: {type(error).__name__}: {error}"
+            ) from error
 
     def _take(self, peer: router_peer.RouterPeer, message) -> None:
         match message:
@@ -234,16 +238,12 @@
         if offer is None:
             raise DispatchRefusedError(messages.Reason.GRANT_EXPIRED)
         try:
+            _check_account(dispatch, offer)
             self._check_rules(peer, dispatch)
             self._attempts.begin(dispatch.attempt)
-        except DispatchRefusedError:
+        except errors.TeaselsillError:
             self.granting.free(offer)
             raise
-        except attempts.AttemptError as error:
-            self.granting.free(offer)
-            raise link.UnexpectedMessageError(
-                f"attempt {dispatch.attempt}: {type(error).__name__}"
-            ) from error
         return offer
 
     def _check_rules(self, peer, dispatch: messages.Dispatch) -> None:
@@ -367,6 +367,14 @@
         answer.attach(peer.link.send, sequence)
 
 
+def _check_account(dispatch: messages.Dispatch, offer: slots.Offer) -> None:
+    """Checks that a dispatch is of the client account that the slot was offered to."""
+    if dispatch.account != offer.account:
+        raise link.UnexpectedMessageError(
+            f"dispatch of {dispatch.account} for a grant to {offer.account}"
+        )
+
+
 def _loop_time(deadline: float) -> float:
     """Returns a monotonic deadline on the event loop's clock."""
     return asyncio.get_running_loop().time() + deadline - time.monotonic()
--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -177,6 +177,10 @@
         except errors.InvariantError as error:
             invariants.report(error, reraise=False)
             raise link.UnexpectedMessageError(str(error)) from error
+        except errors.ConfigurationError as error:
+            raise link.UnexpectedMessageError(
+                f"{type(message).__name__}: {type(error).__name__}: {error}"
+            ) from error
 
     def _take(self, message: messages.Message) -> None:
         match message:
