--- /dev/null
+++ b/scripts/measure_policies.py
@@ -0,0 +1,366 @@
+"""Measures the fairness gap of the policies over a digest tree with a virtual clock.
+
+Agents with slots serve client accounts whose requests have costs that nobody knows
+before they end. The counters, the digest tree and the policies are the product's;
+the requests and the clock are not. Prints one JSON line per policy and seed.
+
+Example:
+    .venv/bin/python scripts/measure_policies.py --seeds 5 --set seen=0.5
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import random
+import statistics
+
+from teaselsill import counters, digest, fairness, ids, policies, registry
+
+TICK_S = 0.1
+SAMPLE_S = 1.0
+RATE_PER_SLOT = 100.0
+"""The cost that one slot serves in a second."""
+HINT_FACTOR = 4.0
+COST_SIGMA = 1.0
+LARGEST_COST = 16_000.0
+MEAN_COSTS = (200.0, 1600.0)
+SHARES = (1.0, 1.0, 1.0, 4.0)
+DEFAULT_EXPECTED = 800.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """One setting of the measurement.
+
+    Attributes:
+        agents: The number of agents.
+        slots: The slots of each agent.
+        accounts: The number of client accounts.
+        seen: The part of the agents at which a client account's work waits.
+        on_off_s: The mean length of a client account's busy and idle times, or 0.
+        restricted: How many client accounts may reach the first agent only.
+        run_s: The length of the run.
+        warm_up_s: The time before the gap is measured.
+        period_s: How often nodes report.
+        hints: Whether requests carry a hint of their cost, wrong by up to 4x.
+        fan_out: The children of a node in the digest tree.
+        rejoin_s: For this long in the middle of the run no link crosses between two
+            halves of the agents.
+    """
+
+    agents: int = 9
+    slots: int = 16
+    accounts: int = 16
+    seen: float = 0.5
+    on_off_s: float = 0.0
+    restricted: int = 0
+    run_s: float = 600.0
+    warm_up_s: float = 30.0
+    period_s: float = 1.0
+    hints: bool = True
+    fan_out: int = digest.FAN_OUT
+    rejoin_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Account:
+    """A client account with endless work while it is on."""
+
+    id: ids.AccountId
+    share: float
+    mean_cost: float
+    agents: frozenset[int]
+    waits_since: float = 0.0
+    toggles_at: float = float("inf")
+    is_on: bool = True
+
+
+@dataclasses.dataclass
+class Running:
+    """A request in a slot."""
+
+    account: Account
+    left: float
+    reserved: float
+
+
+@dataclasses.dataclass
+class Agent:
+    """An agent with its copy of the counters and its place in the tree."""
+
+    index: int
+    known: counters.Counters
+    node: digest.Node
+    policy: policies.Policy
+    reports_at: float
+    parent: "Agent | None" = None
+    children: list["Agent"] = dataclasses.field(default_factory=list)
+    running: list[Running] = dataclasses.field(default_factory=list)
+
+
+class Run:
+    """One run of one policy with one seed."""
+
+    def __init__(self, policy: str, seed: int, settings: Settings):
+        self._settings = settings
+        self._random = random.Random(seed)
+        self._now = 0.0
+        self._accounts = [self._make_account(n) for n in range(settings.accounts)]
+        self._agents = [self._make_agent(n, policy) for n in range(settings.agents)]
+        self._served_by_account = {account.id: 0.0 for account in self._accounts}
+        self._meter = fairness.GapMeter(self._reach)
+        self._steady = set()
+        self._largest_cost = 0.0
+        self._largest_expected = 0.0
+        self._most_in_flight = 0
+        self._busy = 0
+        self._free = 0
+        self._place_agents(range(settings.agents))
+
+    def _make_account(self, number: int) -> Account:
+        settings = self._settings
+        share = SHARES[number % len(SHARES)]
+        mean = MEAN_COSTS[number // 2 % len(MEAN_COSTS)]
+        count = max(1, round(settings.seen * settings.agents))
+        seen = self._random.sample(range(settings.agents), count)
+        if number < settings.restricted:
+            seen = [0]
+        account = Account(ids.AccountId(f"c{number:02}"), share, mean, frozenset(seen))
+        if settings.on_off_s:
+            account.toggles_at = self._random.expovariate(1 / settings.on_off_s)
+        return account
+
+    def _make_agent(self, number: int, policy: str) -> Agent:
+        cap = counters.debt_cap(DEFAULT_EXPECTED, min(SHARES))
+        known = counters.Counters(cap, lambda: self._now)
+        source = random.Random(self._random.random())
+        chooser = registry.get(registry.Kind.POLICY, policy)(source)
+        reports_at = self._random.uniform(0, self._settings.period_s)
+        return Agent(number, known, digest.Node(known), chooser, reports_at)
+
+    def _place_agents(self, *sides) -> None:
+        for side in sides:
+            names = [f"{number:04}" for number in side]
+            for number in side:
+                parent = digest.parent_of(f"{number:04}", names, self._settings.fan_out)
+                self._place(self._agents[number], parent)
+
+    def _place(self, agent: Agent, parent: str | None) -> None:
+        if agent.parent is not None:
+            agent.parent.children.remove(agent)
+            agent.parent.node.forget(agent.index)
+        agent.parent = self._agents[int(parent)] if parent else None
+        agent.node.start_link()
+        if agent.parent is not None:
+            agent.parent.children.append(agent)
+
+    def _reach(self, account: ids.AccountId) -> bool:
+        return int(account[1:]) < self._settings.restricted
+
+    def measure(self) -> dict:
+        """Returns the settings and figures of the run."""
+        settings = self._settings
+        ticks = round(settings.run_s / TICK_S)
+        for tick in range(ticks):
+            self._now = tick * TICK_S
+            self._toggle()
+            for agent in self._agents:
+                self._serve(agent)
+                self._fill(agent)
+            self._exchange()
+            if tick % round(SAMPLE_S / TICK_S) == 0:
+                self._sample()
+            self._part_and_rejoin(tick, ticks)
+        return self._figures()
+
+    def _part_and_rejoin(self, tick: int, ticks: int) -> None:
+        settings = self._settings
+        if not settings.rejoin_s:
+            return
+        parted_for = tick - ticks // 3
+        if parted_for == 0:
+            middle = settings.agents // 2
+            halves = range(middle), range(middle, settings.agents)
+            self._place_agents(*halves)
+        if parted_for == round(settings.rejoin_s / TICK_S):
+            self._place_agents(range(settings.agents))
+
+    def _toggle(self) -> None:
+        for account in self._accounts:
+            if self._now >= account.toggles_at:
+                account.is_on = not account.is_on
+                account.waits_since = self._now
+                self._steady.discard(account.id)
+                length = self._random.expovariate(1 / self._settings.on_off_s)
+                account.toggles_at = self._now + length
+
+    def _serve(self, agent: Agent) -> None:
+        still = []
+        for running in agent.running:
+            cost = min(running.left, RATE_PER_SLOT * TICK_S)
+            running.left -= cost
+            self._meter_cost(agent, running, cost)
+            if running.left > 0:
+                still.append(running)
+            else:
+                agent.known.release(running.account.id, running.reserved)
+        agent.running = still
+
+    def _meter_cost(self, agent: Agent, running: Running, cost: float) -> None:
+        account = running.account
+        normalised = cost / account.share
+        self._served_by_account[account.id] += normalised
+        agent.known.add_served(account.id, normalised)
+        agent.policy.add_served(account.id, normalised)
+        released = min(running.reserved, normalised)
+        if released > 0:
+            running.reserved -= released
+            agent.known.release(account.id, released)
+
+    def _fill(self, agent: Agent) -> None:
+        waiting = [a for a in self._accounts if a.is_on and agent.index in a.agents]
+        agent.known.set_backlogged([account.id for account in waiting])
+        while waiting and len(agent.running) < self._settings.slots:
+            self._start(agent, waiting)
+        if waiting:
+            self._busy += len(agent.running)
+        self._free += self._settings.slots - len(agent.running) if waiting else 0
+
+    def _start(self, agent: Agent, waiting: list[Account]) -> None:
+        candidates = [self._describe(account) for account in waiting]
+        chosen = agent.policy.choose(candidates, agent.known)
+        account = waiting[candidates.index(chosen)]
+        account.waits_since = self._now
+        cost = self._draw_cost(account)
+        reserved = self._expect(account, cost) / account.share
+        agent.known.reserve(account.id, reserved)
+        agent.running.append(Running(account, cost, reserved))
+        self._largest_cost = max(self._largest_cost, cost / account.share)
+        self._largest_expected = max(self._largest_expected, reserved)
+
+    def _describe(self, account: Account) -> policies.Candidate:
+        oldest_ms = round((self._now - account.waits_since) * 1000)
+        expected = DEFAULT_EXPECTED / account.share
+        return policies.Candidate(account.id, oldest_ms, expected)
+
+    def _draw_cost(self, account: Account) -> float:
+        location = -COST_SIGMA * COST_SIGMA / 2
+        factor = self._random.lognormvariate(location, COST_SIGMA)
+        return min(LARGEST_COST, max(1.0, account.mean_cost * factor))
+
+    def _expect(self, account: Account, cost: float) -> float:
+        wrong_by = HINT_FACTOR ** self._random.uniform(-1, 1)
+        return cost * wrong_by if self._settings.hints else DEFAULT_EXPECTED
+
+    def _exchange(self) -> None:
+        for agent in self._agents:
+            if self._now < agent.reports_at:
+                continue
+            agent.reports_at += self._settings.period_s
+            if agent.parent is None:
+                agent.node.settle()
+                self._send_digests(agent)
+                continue
+            report = agent.node.next_report()
+            if report is not None:
+                agent.parent.node.take_report(agent.index, report)
+
+    def _send_digests(self, agent: Agent) -> None:
+        if not agent.node.is_digest_due:
+            return
+        for child in agent.children:
+            child.node.take_digest(agent.node.digest_for(child.index))
+            self._send_digests(child)
+        agent.node.end_digest()
+
+    def _sample(self) -> None:
+        in_flight = {}
+        for agent in self._agents:
+            for running in agent.running:
+                key = running.account.id
+                in_flight[key] = in_flight.get(key, 0) + 1
+        self._most_in_flight = max(self._most_in_flight, *in_flight.values(), 0)
+        if self._now >= self._settings.warm_up_s:
+            self._meter.sample(self._served_by_account, self._steady)
+        self._steady = {account.id for account in self._accounts if account.is_on}
+
+    def _figures(self) -> dict:
+        settings = self._settings
+        depth, last = 0, settings.agents - 1
+        while last > 0:
+            depth, last = depth + 1, (last - 1) // settings.fan_out
+        load = fairness.Load(
+            in_flight=self._most_in_flight,
+            largest_cost=max(self._largest_cost, self._largest_expected),
+            digest_age_s=fairness.digest_age_s(depth, settings.period_s),
+            rate=settings.agents * settings.slots * RATE_PER_SLOT / min(SHARES),
+        )
+        gap = self._meter.greatest
+        target = min(fairness.gap_bound(load), 2 * self._largest_cost)
+        return {
+            "gap": round(gap),
+            "largest_request": round(self._largest_cost),
+            "bound": round(fairness.gap_bound(load)),
+            "target": round(target),
+            "met": gap <= target,
+            "busy_ratio": round(self._busy / max(1, self._busy + self._free), 4),
+        }
+
+
+def run(policy: str, seed: int, settings: Settings) -> dict:
+    """Runs one policy with one seed and returns its line."""
+    figures = Run(policy, seed, settings).measure()
+    return {
+        "policy": policy,
+        "seed": seed,
+        "settings": dataclasses.asdict(settings),
+        **figures,
+    }
+
+
+def parse_settings(pairs: list[str]) -> Settings:
+    """Returns the settings with the given fields changed."""
+    changes = {}
+    for pair in pairs:
+        name, _, value = pair.partition("=")
+        changes[name] = json.loads(value)
+    return dataclasses.replace(Settings(), **changes)
+
+
+def main() -> None:
+    """Prints a JSON line for each run, and one for each policy over all seeds."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--policies", default="")
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--set", nargs="*", default=[], metavar="FIELD=VALUE")
+    options = parser.parse_args()
+    names = [name for name in options.policies.split(",") if name]
+    names = names or registry.names(registry.Kind.POLICY)
+    settings = parse_settings(options.set)
+    with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
+        for name in names:
+            seeds = range(options.seeds)
+            count = len(seeds)
+            lines = list(pool.map(run, [name] * count, seeds, [settings] * count))
+            for line in lines:
+                print(json.dumps(line), flush=True)
+            print(json.dumps(summarise(name, lines)), flush=True)
+
+
+def summarise(name: str, lines: list[dict]) -> dict:
+    """Returns the medians and extremes of one policy's runs."""
+    gaps = [line["gap"] for line in lines]
+    return {
+        "policy": name,
+        "seeds": len(lines),
+        "median_gap": statistics.median(gaps),
+        "worst_gap": max(gaps),
+        "median_target": statistics.median(line["target"] for line in lines),
+        "met": sum(line["met"] for line in lines),
+    }
+
+
+if __name__ == "__main__":
+    main()
--- a/teaselsill/counters.py
+++ b/teaselsill/counters.py
@@ -61,9 +61,16 @@
         self._used_at_by_account: dict[ids.AccountId, float] = {}
         self._lag_by_account: CounterByAccount = {}
         self._backlogged: frozenset[ids.AccountId] = frozenset()
-        self._backlogged_lately: frozenset[ids.AccountId] = frozenset()
+        self._waiting_since_report: frozenset[ids.AccountId] = frozenset()
+        self._reported_backlogged: frozenset[ids.AccountId] = frozenset()
         self._fleet_backlogged: frozenset[ids.AccountId] = frozenset()
         self._level = 0
+        self._merges = 0
+
+    @property
+    def merges(self) -> int:
+        """How often counters from below were ahead of this root's."""
+        return self._merges
 
     @property
     def backlogged(self) -> frozenset[ids.AccountId]:
@@ -130,7 +137,7 @@
         accounts = frozenset(accounts)
         new = accounts - self._backlogged
         self._backlogged = accounts
-        self._backlogged_lately |= accounts
+        self._waiting_since_report &= accounts
         self._touch(accounts)
         self._lift(new - self._fleet_backlogged)
 
@@ -142,11 +149,16 @@
             units += served_by_account.get(account, 0)
         return units / UNITS_PER_COST + self.reserved(account)
 
-    def take_backlogged_lately(self) -> frozenset[ids.AccountId]:
-        """Returns the client accounts that have waited here since the last call."""
-        lately = self._backlogged_lately
-        self._backlogged_lately = self._backlogged
-        return lately
+    def take_backlogged(self) -> frozenset[ids.AccountId]:
+        """Returns the client accounts to report as backlogged.
+
+        Two reports in a row name a client account only if it waited all the time in
+        between. One whose queue ran empty is left out once, so that the root lifts it.
+        """
+        new = self._backlogged - self._reported_backlogged
+        self._reported_backlogged = self._waiting_since_report | new
+        self._waiting_since_report = self._backlogged
+        return self._reported_backlogged
 
     def take_pending(self, sequence: int) -> CounterByAccount:
         """Moves the pending service into the report with a sequence number."""
@@ -196,7 +208,7 @@
         """
         backlogged = frozenset(backlogged)
         self.fold_sent()
-        raise_to(self._counter_by_account, self.take_known())
+        self._merge_known()
         pending, self._pending_by_account = self._pending_by_account, {}
         add(self._counter_by_account, pending)
         self._keep_lag(self._fleet_backlogged - backlogged)
@@ -213,6 +225,11 @@
         oldest, second = sorted(self._sent_by_sequence)[:2]
         add(self._sent_by_sequence[second], self._sent_by_sequence.pop(oldest))
 
+    def _merge_known(self) -> None:
+        before = dict(self._counter_by_account)
+        raise_to(self._counter_by_account, self.take_known())
+        self._merges += before != self._counter_by_account
+
     def _greatest(self) -> int:
         return max(self.fleet_counter_by_account.values(), default=0)
 
--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -168,8 +168,8 @@
         self._is_digest_due = False
 
     def _take_backlogged(self) -> frozenset[ids.AccountId]:
-        lately = self._counters.take_backlogged_lately()
-        return lately.union(*self._backlogged_by_child.values())
+        own = self._counters.take_backlogged()
+        return own.union(*self._backlogged_by_child.values())
 
     def _take_known(self) -> counters.CounterByAccount:
         known = self._counters.take_known()
