--- /dev/null
+++ b/tests/test_digest.py
@@ -0,0 +1,303 @@
+import asyncio
+import contextlib
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from teaselsill import counters, digest, ids, instances, link, messages
+
+ACCOUNT = "a"
+COUNT = 7
+FAN_OUT = 2
+UNITS = counters.UNITS_PER_COST
+
+
+class ParentTest(unittest.TestCase):
+    def test_small_service_is_a_star(self):
+        agents = ["a3", "a1", "a5", "a2", "a4"]
+        parents = [digest.parent_of(agent, agents) for agent in sorted(agents)]
+        self.assertEqual([None, "a1", "a1", "a1", "a1"], parents)
+
+    @hypothesis.given(
+        strategies.sets(strategies.text(min_size=1), min_size=1),
+        strategies.text(min_size=1),
+    )
+    def test_parents_sort_before_children_whatever_the_list_says(self, agents, me):
+        parent = digest.parent_of(me, agents)
+        self.assertEqual(parent is None, me <= min(agents))
+        if parent is not None:
+            self.assertLess(parent, me)
+
+
+class Fleet:
+    """Nodes with links that can break and lose what is on its way."""
+
+    def __init__(self):
+        self.served = 0
+        self.nodes = {}
+        self.parents = {}
+        self.queues = {}
+        self.links = 0
+        for number in range(COUNT):
+            self.restart(number)
+        self.connect(set(range(COUNT)))
+
+    def restart(self, number):
+        known = counters.Counters(1e12, lambda: 0.0)
+        known.set_backlogged([ACCOUNT])
+        self.nodes[number] = (known, digest.Node(known))
+        for child, (parent, _) in list(self.parents.items()):
+            if number in (child, parent):
+                self.cut(child)
+
+    def cut(self, child):
+        parent, key = self.parents.pop(child)
+        self.queues.pop(key)
+        self.nodes[parent][1].forget(key)
+        self.nodes[child][1].start_link()
+
+    def connect(self, side):
+        """Links the nodes of a side in a tree, and the others in another one."""
+        for members in (side, set(range(COUNT)) - side):
+            for number in members:
+                names = [str(member) for member in members]
+                parent = digest.parent_of(str(number), names, FAN_OUT)
+                self.attach(number, parent)
+
+    def attach(self, number, name):
+        parent = None if name is None else int(name)
+        if number in self.parents:
+            if self.parents[number][0] == parent:
+                return
+            self.cut(number)
+        if parent is not None:
+            self.links += 1
+            self.parents[number] = (parent, self.links)
+            self.queues[self.links] = ([], [])
+            self.nodes[number][1].start_link()
+
+    def serve(self, number, units):
+        self.served += units
+        self.nodes[number][0].add_served(ACCOUNT, units / UNITS)
+
+    def tick(self, number):
+        node = self.nodes[number][1]
+        if number not in self.parents:
+            node.settle()
+            self.pass_down(number)
+            return
+        report = node.next_report()
+        if report is not None:
+            self.queues[self.parents[number][1]][0].append(report)
+
+    def pass_down(self, number):
+        node = self.nodes[number][1]
+        if not node.is_digest_due:
+            return
+        for parent, key in self.parents.values():
+            if parent == number:
+                self.queues[key][1].append(node.digest_for(key))
+        node.end_digest()
+
+    def deliver(self, number):
+        if number not in self.parents:
+            return
+        parent, key = self.parents[number]
+        up, down = self.queues[key]
+        if up:
+            self.nodes[parent][1].take_report(key, up.pop(0))
+        if down:
+            self.nodes[number][1].take_digest(down.pop(0))
+            self.pass_down(number)
+
+    def quiesce(self):
+        for _ in range(8):
+            for number in range(COUNT):
+                self.tick(number)
+            for _ in range(12):
+                for number in range(COUNT):
+                    self.deliver(number)
+
+    def estimates(self):
+        return {
+            number: round(known.estimate(ACCOUNT) * UNITS)
+            for number, (known, _) in self.nodes.items()
+        }
+
+
+NODES = strategies.integers(0, COUNT - 1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    name: str
+    node: int
+    units: int = 0
+    side: frozenset = frozenset()
+
+
+CALM = strategies.builds(
+    Step,
+    strategies.sampled_from(["serve", "tick", "tick", "deliver", "deliver"]),
+    NODES,
+    strategies.integers(1, 50),
+)
+FAULT = strategies.builds(
+    Step,
+    strategies.sampled_from(["restart", "cut", "connect"]),
+    NODES,
+    side=strategies.frozensets(NODES),
+)
+
+
+def apply(fleet, step):
+    match step.name:
+        case "serve":
+            fleet.serve(step.node, step.units)
+        case "connect":
+            fleet.connect(step.side)
+        case "cut":
+            if step.node in fleet.parents:
+                fleet.cut(step.node)
+        case other:
+            getattr(fleet, other)(step.node)
+
+
+class TreeTest(unittest.TestCase):
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(strategies.lists(CALM, max_size=80))
+    def test_without_faults_all_service_counts_exactly_once(self, steps):
+        fleet = Fleet()
+        for step in steps:
+            apply(fleet, step)
+            self.assertLessEqual(max(fleet.estimates().values()), fleet.served)
+        fleet.quiesce()
+        self.assertEqual({fleet.served}, set(fleet.estimates().values()))
+
+    @hypothesis.settings(max_examples=600)
+    @hypothesis.given(strategies.lists(CALM | CALM | CALM | FAULT, max_size=120))
+    def test_with_faults_estimates_never_fall_nor_exceed_what_was_served(self, steps):
+        fleet = Fleet()
+        for step in steps:
+            before = fleet.estimates()
+            apply(fleet, step)
+            after = fleet.estimates()
+            self.assertLessEqual(max(after.values()), fleet.served)
+            for number in range(COUNT):
+                if (step.name, step.node) != ("restart", number):
+                    self.assertGreaterEqual(after[number], before[number])
+        greatest = max(fleet.estimates().values())
+        fleet.connect(set(range(COUNT)))
+        fleet.quiesce()
+        estimates = set(fleet.estimates().values())
+        self.assertEqual(1, len(estimates))
+        self.assertLessEqual(greatest, min(estimates))
+
+    def test_restarted_root_goes_on_from_its_childrens_copies(self):
+        fleet = Fleet()
+        fleet.serve(5, 40)
+        fleet.quiesce()
+        fleet.restart(0)
+        fleet.connect(set(range(COUNT)))
+        fleet.quiesce()
+        self.assertEqual({40}, set(fleet.estimates().values()))
+
+    def test_two_roots_merge_by_the_greater_value(self):
+        fleet = Fleet()
+        fleet.serve(0, 100)
+        fleet.quiesce()
+        fleet.connect({0, 1, 2})
+        fleet.serve(1, 10)
+        fleet.serve(6, 30)
+        fleet.quiesce()
+        self.assertEqual({110, 130}, set(fleet.estimates().values()))
+        fleet.connect(set(range(COUNT)))
+        fleet.quiesce()
+        self.assertEqual({130}, set(fleet.estimates().values()))
+
+
+class SilenceTest(unittest.TestCase):
+    def test_idle_nodes_send_nothing_once_the_backlog_is_told(self):
+        fleet = Fleet()
+        fleet.serve(3, 5)
+        fleet.quiesce()
+        for known, _ in fleet.nodes.values():
+            known.set_backlogged([])
+        fleet.quiesce()
+        for number in range(COUNT):
+            fleet.tick(number)
+        self.assertFalse(any(up or down for up, down in fleet.queues.values()))
+
+
+SECRET = b"0123456789abcdef0123456789abcdef"
+SERVICE = ids.ServiceName("assistant-pool")
+
+
+class AgentDouble:
+    """The part of an agent that the exchange needs: a port and a peer loop."""
+
+    def __init__(self, name, listed):
+        self.me = link.Identity(name, ids.new_random_id(), instances.Role.AGENT)
+        self.known = counters.Counters(1e12)
+        self.links = set()
+        self.listed = listed
+        self.exchange = digest.Exchange(
+            self.me, SECRET, SERVICE, lambda: listed, self.known
+        )
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.instance = instances.Instance(
+            self.me.instance, self.me.role, "couva", "127.0.0.1", port, service=SERVICE
+        )
+        self.listed.append(self.instance)
+        self.task = asyncio.create_task(self.exchange.run())
+
+    async def serve(self, reader, writer):
+        child = await link.accept(reader, writer, SECRET, self.me)
+        self.links.add(child)
+        with contextlib.suppress(link.PeerClosedError):
+            while not child.is_closed:
+                for message in await child.receive(lambda: False, lambda: -1):
+                    if isinstance(message, messages.Report):
+                        self.exchange.take(child, message)
+        self.exchange.forget(child)
+        child.abort()
+
+    async def stop(self):
+        self.listed.remove(self.instance)
+        self.task.cancel()
+        self.server.close()
+        for child in self.links:
+            child.abort()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    async def until(self, agents, expected):
+        for _ in range(300):
+            estimates = {agent.known.estimate(ACCOUNT) for agent in agents}
+            if estimates == {expected}:
+                return
+            await asyncio.sleep(0.05)
+        self.fail(f"estimates are {estimates}")
+
+    async def test_agents_agree_again_after_the_root_dies(self):
+        listed = []
+        agents = [AgentDouble(f"agent-{number}", listed) for number in range(6)]
+        for agent in agents:
+            await agent.start()
+            agent.known.set_backlogged([ACCOUNT])
+            agent.known.add_served(ACCOUNT, 10)
+        await self.until(agents, 60)
+        self.assertEqual("agent-1", agents[5].exchange.parent)
+        root, *others = agents
+        await root.stop()
+        for agent in others:
+            agent.known.add_served(ACCOUNT, 1)
+        await self.until(others, 65)
+        for agent in others:
+            await agent.stop()
