--- a/tests/test_agent_peer.py
+++ b/tests/test_agent_peer.py
@@ -10,6 +10,7 @@
     link,
     log,
     messages,
+    metrics,
 )
 
 SECRET = b"a secret that both sides know"
@@ -39,9 +40,10 @@
             )
             follower = configuration.Follower(log.MemoryLog())
             numbers = agent_peer.AttemptNumbers(ROUTER.incarnation)
-            peer = agent_peer.AgentPeer(
-                listed, ROUTER, SECRET, backlog.Backlog(), numbers, follower, id
+            context = agent_peer.Context(
+                ROUTER, SECRET, numbers, follower, metrics.Metrics("")
             )
+            peer = agent_peer.AgentPeer(listed, context, backlog.Backlog(), id)
             async with asyncio.timeout(5):
                 await accepted.get()
                 await accepted.get()
--- a/tests/test_failures_races.py
+++ b/tests/test_failures_races.py
@@ -17,7 +17,7 @@
             sent = []
             peer.link.send = sent.append
             serving._take(peer, messages.Demand(bench.ACCOUNT, 1, 0))
-            serving._grant_free_slots()
+            serving.granting.grant_free_slots()
             dispatch = _make_dispatch(sent[-1].grant)
             serving._take(peer, dispatch)
             serving._take(peer, messages.Cancel(dispatch.attempt))
