--- a/teaselsill/answers.py
+++ b/teaselsill/answers.py
@@ -237,7 +237,8 @@
     def _check_count(self, frame, sequence):
         match frame:
             case messages.End():
-                fits = sequence >= self.next_sequence or frame == self.end
+                is_first = self.end is None and sequence >= self.next_sequence
+                fits = is_first or frame == self.end
             case _:
                 fits = self.end is None or sequence < self.end.sequence
         if not fits:
--- a/teaselsill/attempts.py
+++ b/teaselsill/attempts.py
@@ -39,7 +39,7 @@
 @dataclasses.dataclass(slots=True)
 class _Router:
     heard_at: float
-    floor: int
+    floor: int | None
     attempts: int = 0
 
 
@@ -64,8 +64,9 @@
       tombstone, and the agent refuses an expired grant by its own clock. The retention
       time must exceed the expiry of a grant and the life of a silent connection.
     - A router that was frozen may ask about an attempt whose floor is gone. Once any
-      floor has been dropped, an unknown router incarnation therefore starts with one:
-      what it asks about first, and what came before its first dispatch, is uncertain.
+      floor has been dropped, that of an unknown router incarnation is therefore
+      unknown, and nothing that it asks about is called "not run", until it dispatches
+      again: an attempt with a valid grant was numbered after all that was forgotten.
 
     Args:
         limit: How many attempts that do not run are remembered.
@@ -101,6 +102,8 @@
     def begin(self, attempt: ids.AttemptId) -> None:
         """Marks an attempt as running; call it before anything is sent.
 
+        Call it only for a dispatch whose grant has not expired by the agent's clock.
+
         Raises:
             AttemptRefusedError: It was refused and "not run" may have been told.
             AttemptRepeatedError: It may have run; "not run" must not be told.
@@ -112,7 +115,9 @@
                 raise AttemptRefusedError(attempt)
             case State.RUNNING | State.ENDED:
                 raise AttemptRepeatedError(attempt)
-        router = self._hear(incarnation, counter - 1)
+        router = self._hear(incarnation)
+        if router.floor is None:
+            router.floor = counter - 1
         if counter <= router.floor:
             raise AttemptRepeatedError(attempt)
         router.attempts += 1
@@ -134,8 +139,8 @@
         state = self.state_of(attempt)
         if state is not None:
             return state is State.REFUSED
-        router = self._hear(incarnation, counter)
-        if counter <= router.floor:
+        router = self._hear(incarnation)
+        if router.floor is None or counter <= router.floor:
             return False
         router.attempts += 1
         self._remember(attempt, State.REFUSED)
@@ -145,10 +150,10 @@
         self._past_by_id[attempt] = _Attempt(state, self._clock())
         self._forget_old()
 
-    def _hear(self, incarnation, uncertain_through):
+    def _hear(self, incarnation):
         router = self._router_by_incarnation.pop(incarnation, None)
         if router is None:
-            floor = uncertain_through if self._has_dropped_router else NO_FLOOR
+            floor = None if self._has_dropped_router else NO_FLOOR
             router = _Router(self._clock(), floor)
         router.heard_at = self._clock()
         self._router_by_incarnation[incarnation] = router
