--- /dev/null
+++ b/teaselsill/agent.py
@@ -0,0 +1,372 @@
+"""An agent: the process beside an upstream, its connections and its attempts."""
+
+import asyncio
+import collections
+import logging
+import time
+
+from teaselsill import (
+    answers,
+    attempts,
+    counters,
+    digest,
+    errors,
+    granting,
+    ids,
+    invariants,
+    link,
+    messages,
+    meter,
+    metrics,
+    policies,
+    router_peer,
+    running,
+    slots,
+    upstream,
+)
+
+WINDOW_BYTES = 256 * 1024
+"""How much of an answer may stay unacknowledged before the upstream is held back."""
+MAX_ATTEMPTS = 100_000
+ATTEMPT_RETENTION_S = 600.0
+ORPHAN_S = 30.0
+"""How long an answer is kept for a router that does not come back."""
+
+logger = logging.getLogger(__name__)
+
+
+class DispatchRefusedError(errors.RequestError):
+    """A dispatch is refused before anything has run.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When another attempt is worth while, in seconds.
+    """
+
+    def __init__(self, reason: messages.Reason, retry_after_s: float = 0.0):
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Agent:
+    """The process beside one upstream, and the only way to it.
+
+    Args:
+        me: Who this agent is.
+        secret: The secret that all peers know.
+        follower: The configuration.
+        grants: Decides who goes next.
+        runner: Runs the attempts.
+        known: The counters of the service.
+        exchange: This agent's place in the digest tree.
+        policy: Learns of the service that is metered.
+        sink: Takes the metrics.
+
+    Attributes:
+        granting: Decides who goes next.
+        served_cost: The cost served in this run, in the service's unit.
+    """
+
+    def __init__(
+        self,
+        me: link.Identity,
+        secret: bytes,
+        follower,
+        grants: granting.Granting,
+        runner: running.Runner,
+        known: counters.Counters,
+        exchange: digest.Exchange,
+        policy: policies.Policy,
+        sink: metrics.Metrics,
+    ):
+        self.granting = grants
+        self.served_cost = 0.0
+        self._me = me
+        self._secret = secret
+        self._follower = follower
+        self._runner = runner
+        self._counters = known
+        self._exchange = exchange
+        self._policy = policy
+        self._metrics = sink
+        self._attempts = attempts.Attempts(
+            MAX_ATTEMPTS, ATTEMPT_RETENTION_S, time.monotonic
+        )
+        self._answer_by_attempt: dict[ids.AttemptId, answers.Answer] = {}
+        self._task_by_attempt: dict[ids.AttemptId, asyncio.Task] = {}
+        self._repeatable: set[ids.AttemptId] = set()
+        self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
+        self._idle = asyncio.Event()
+
+    def sent_bytes_by_type(self) -> dict[str, int]:
+        """Returns the bytes sent to peers in this run, by the type of message."""
+        total = collections.Counter(self._closed_bytes_by_type)
+        for peer in self.granting.peers:
+            total.update(peer.link.bytes_sent_by_type)
+        return dict(total)
+
+    async def accept(self, reader, writer) -> None:
+        """Serves one connection until it ends."""
+        try:
+            connected = await link.accept(reader, writer, self._secret, self._me)
+        except errors.LinkError as error:
+            self._metrics.count(metrics.Metric.PEERS_REFUSED)
+            logger.warning("peer refused: %s: %s", type(error).__name__, error)
+            return
+        peer = router_peer.RouterPeer(connected)
+        self.granting.peers.add(peer)
+        try:
+            await self._converse(peer)
+        except errors.LinkError as error:
+            logger.info("link to %s: %s", connected.peer.instance, error)
+        finally:
+            self._drop(peer)
+
+    async def leave(self) -> None:
+        """Takes no new work, and returns when every running answer is delivered."""
+        self.granting.leave()
+        for peer in self.granting.peers:
+            peer.link.send(messages.Leaving())
+        while self._answer_by_attempt or self._task_by_attempt:
+            self._idle.clear()
+            await self._idle.wait()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for peer in list(self.granting.peers):
+            peer.link.close()
+        await self._runner.close()
+
+    async def _converse(self, peer: router_peer.RouterPeer) -> None:
+        if self.granting.is_leaving:
+            peer.link.send(messages.Leaving())
+        while True:
+            received = await peer.link.receive(
+                lambda: peer.is_busy, lambda: self._follower.version
+            )
+            for message in received:
+                self._take_checked(peer, message)
+            self.granting.grant_free_slots()
+            await peer.link.drain()
+
+    def _take_checked(self, peer, message) -> None:
+        try:
+            self._take(peer, message)
+        except errors.InvariantError as error:
+            invariants.report(error, reraise=False, sink=self._metrics)
+            raise link.UnexpectedMessageError(str(error)) from error
+
+    def _take(self, peer: router_peer.RouterPeer, message) -> None:
+        match message:
+            case messages.Demand():
+                peer.take_demand(message)
+            case messages.Dispatch():
+                self._take_dispatch(peer, message)
+            case messages.Decline(grant=grant):
+                self.granting.take_decline(peer, grant)
+            case messages.Ack(attempt=attempt, through=through):
+                self._take_ack(attempt, through)
+            case messages.Cancel(attempt=attempt):
+                self._cancel(attempt)
+            case messages.Resume(attempt=attempt, sequence=sequence):
+                self._resume(peer, attempt, sequence)
+            case messages.Report():
+                self._exchange.take(peer.link, message)
+            case messages.Ping(version=version) | messages.Pong(version=version):
+                if version > self._follower.version:
+                    peer.link.send(messages.DocumentWanted())
+            case messages.DocumentWanted():
+                self._hand_over(peer)
+            case messages.DocumentHandover(version=version, document=text):
+                self._follower.offer(version, text)
+            case _:
+                raise link.UnexpectedMessageError(type(message).__name__)
+
+    def _hand_over(self, peer: router_peer.RouterPeer) -> None:
+        if self._follower.document is None:
+            return
+        peer.link.send(
+            messages.DocumentHandover(self._follower.version, self._follower.text)
+        )
+
+    def _drop(self, peer: router_peer.RouterPeer) -> None:
+        peer.link.abort()
+        self.granting.drop_peer(peer)
+        self._exchange.forget(peer.link)
+        self._closed_bytes_by_type.update(peer.link.bytes_sent_by_type)
+        for attempt in peer.attempts:
+            answer = self._answer_by_attempt.get(attempt)
+            if answer is not None:
+                answer.detach(peer.link.send)
+                asyncio.get_running_loop().call_later(
+                    ORPHAN_S, self._drop_orphan, attempt, answer
+                )
+        self.granting.grant_free_slots()
+
+    def _take_dispatch(self, peer, dispatch: messages.Dispatch) -> None:
+        try:
+            offer = self._check_dispatch(peer, dispatch)
+        except DispatchRefusedError as error:
+            self._refuse(peer, dispatch.attempt, error.reason, error.retry_after_s)
+            return
+        answer = answers.Answer(dispatch.attempt, WINDOW_BYTES)
+        answer.attach(peer.link.send, 0)
+        peer.attempts.add(dispatch.attempt)
+        self._answer_by_attempt[dispatch.attempt] = answer
+        if dispatch.repeatable:
+            self._repeatable.add(dispatch.attempt)
+        run = running.Run(
+            dispatch,
+            answer,
+            meter.Meter(self._counters, self._policy, offer, self._follower.document),
+            time.monotonic() + dispatch.budget_ms / 1000,
+        )
+        self._task_by_attempt[dispatch.attempt] = asyncio.create_task(self._run(run))
+
+    def _check_dispatch(self, peer, dispatch: messages.Dispatch) -> slots.Offer:
+        """Returns the offer that a dispatch uses up.
+
+        Raises:
+            DispatchRefusedError: The attempt must not run.
+        """
+        offer = self.granting.slots.accept(dispatch.grant, peer)
+        if offer is None:
+            raise DispatchRefusedError(messages.Reason.GRANT_EXPIRED)
+        try:
+            self._check_rules(peer, dispatch)
+            self._attempts.begin(dispatch.attempt)
+        except DispatchRefusedError:
+            self.granting.free(offer)
+            raise
+        except attempts.AttemptError as error:
+            self.granting.free(offer)
+            raise link.UnexpectedMessageError(
+                f"attempt {dispatch.attempt}: {type(error).__name__}"
+            ) from error
+        return offer
+
+    def _check_rules(self, peer, dispatch: messages.Dispatch) -> None:
+        if self.granting.is_leaving:
+            raise DispatchRefusedError(messages.Reason.LEAVING)
+        if dispatch.version < self._follower.version:
+            self._hand_over(peer)
+            raise DispatchRefusedError(messages.Reason.OLD_CONFIGURATION)
+        if dispatch.version > self._follower.version:
+            peer.link.send(messages.DocumentWanted())
+            raise DispatchRefusedError(messages.Reason.OLD_CONFIGURATION)
+        if not self.granting.allows(dispatch.account):
+            raise DispatchRefusedError(messages.Reason.NOT_ALLOWED)
+
+    def _refuse(self, peer, attempt, reason, retry_after_s=0.0, sequence=0) -> None:
+        """Tells a router that an attempt has not run, and sees that it never will."""
+        if self._attempts.refuse(attempt):
+            retry_after_ms = int(retry_after_s * 1000)
+            peer.link.send(messages.NotRun(attempt, reason, retry_after_ms))
+            return
+        dropped = messages.Reason.ANSWER_DROPPED
+        end = messages.End(attempt, sequence, messages.Outcome.UNKNOWN, dropped)
+        peer.link.send(end)
+
+    async def _run(self, run: running.Run) -> None:
+        """Runs one attempt to its end; its slot is free when the upstream is done."""
+        try:
+            async with asyncio.timeout_at(_loop_time(run.deadline)):
+                await self._runner.run(run)
+        except running.NotRunError as error:
+            self._end_not_run(run, error.reason)
+        except TimeoutError:
+            await self._end_broken(run, messages.Reason.DEADLINE)
+        except upstream.StreamStalledError:
+            await self._end_broken(run, messages.Reason.STREAM_STALLED)
+        except errors.TeaselsillError as error:
+            logger.warning("attempt %s failed: %s", run.dispatch.attempt, error)
+            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+        except asyncio.CancelledError:
+            await self._end_broken(run, messages.Reason.CANCELLED)
+        except Exception:
+            logger.exception("attempt %s failed", run.dispatch.attempt)
+            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+        finally:
+            self._finish(run)
+
+    def _end_not_run(self, run: running.Run, reason: messages.Reason) -> None:
+        """Says that an accepted attempt has not run, on whichever link there is."""
+        attempt = run.dispatch.attempt
+        self._attempts.end(attempt, has_run=False)
+        for peer in self.granting.peers:
+            if attempt in peer.attempts:
+                peer.link.send(messages.NotRun(attempt, reason, 0))
+        self._forget_answer(attempt)
+
+    async def _end_broken(self, run: running.Run, reason: messages.Reason) -> None:
+        """Ends an answer that is not whole."""
+        if not run.sent and not run.answer.has_head:
+            await self._runner.release(run)
+            self._end_not_run(run, reason)
+        elif not run.answer.is_ended:
+            run.answer.end(messages.Outcome.UNKNOWN, reason)
+
+    def _finish(self, run: running.Run) -> None:
+        attempt = run.dispatch.attempt
+        run.meter.close()
+        self.served_cost += run.meter.cost
+        self._metrics.count(metrics.Metric.COST_SERVED, round(run.meter.cost))
+        self.granting.slots.release()
+        if self._attempts.state_of(attempt) is attempts.State.RUNNING:
+            self._attempts.end(attempt)
+        self._task_by_attempt.pop(attempt, None)
+        self._repeatable.discard(attempt)
+        if run.answer.is_delivered:
+            self._forget_answer(attempt)
+        self._note_idle()
+        self.granting.grant_free_slots()
+
+    def _take_ack(self, attempt: ids.AttemptId, through: int) -> None:
+        answer = self._answer_by_attempt.get(attempt)
+        if answer is None:
+            return
+        answer.acknowledge(through)
+        if answer.is_delivered:
+            self._forget_answer(attempt)
+
+    def _forget_answer(self, attempt: ids.AttemptId) -> None:
+        self._answer_by_attempt.pop(attempt, None)
+        for peer in self.granting.peers:
+            peer.attempts.discard(attempt)
+        self._note_idle()
+
+    def _note_idle(self) -> None:
+        if not self._answer_by_attempt and not self._task_by_attempt:
+            self._idle.set()
+
+    def _cancel(self, attempt: ids.AttemptId) -> None:
+        """Stops an attempt that nobody waits for, unless it may not be repeated."""
+        if attempt in self._repeatable and attempt in self._task_by_attempt:
+            self._task_by_attempt[attempt].cancel()
+        answer = self._answer_by_attempt.get(attempt)
+        if answer is not None:
+            answer.discard()
+        self._forget_answer(attempt)
+
+    def _drop_orphan(self, attempt: ids.AttemptId, answer: answers.Answer) -> None:
+        is_held = any(attempt in peer.attempts for peer in self.granting.peers)
+        if self._answer_by_attempt.get(attempt) is answer and not is_held:
+            self._cancel(attempt)
+
+    def _resume(self, peer, attempt: ids.AttemptId, sequence: int) -> None:
+        answer = self._answer_by_attempt.get(attempt)
+        if answer is None:
+            reason = messages.Reason.NEVER_SEEN
+            self._refuse(peer, attempt, reason, sequence=sequence)
+            return
+        for other in self.granting.peers:
+            other.attempts.discard(attempt)
+        peer.attempts.add(attempt)
+        self._metrics.count(metrics.Metric.ATTEMPTS_RESUMED)
+        answer.attach(peer.link.send, sequence)
+
+
+def _loop_time(deadline: float) -> float:
+    """Returns a monotonic deadline on the event loop's clock."""
+    return asyncio.get_running_loop().time() + deadline - time.monotonic()
--- a/teaselsill/link.py
+++ b/teaselsill/link.py
@@ -71,6 +71,8 @@
         self._writer = writer
         self._unpacker = unpacker
         self._received = list(received)
+        self._queued: list[bytes] = []
+        self._flush_handle: asyncio.Handle | None = None
         self._heard_at = time.monotonic()
         self._pinged_at = self._heard_at
         self._closed = False
@@ -81,20 +83,35 @@
         return self._closed
 
     def send(self, message: messages.Message) -> None:
-        """Queues one message; sending on a closed link has no effect."""
+        """Queues one message; sending on a closed link has no effect.
+
+        Messages that are sent in one step of the event loop are written together.
+        """
         if self._closed or self._writer.is_closing():
             return
         data = wire.pack(message)
         name = type(message).__name__
         self.bytes_sent_by_type[name] = self.bytes_sent_by_type.get(name, 0) + len(data)
-        self._writer.write(data)
+        self._queued.append(data)
+        if self._flush_handle is None:
+            self._flush_handle = asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Writes what is queued, now."""
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        queued, self._queued = self._queued, []
+        if queued and not self._writer.is_closing():
+            self._writer.write(b"".join(queued))
 
     async def drain(self) -> None:
-        """Waits while too much is queued.
+        """Writes what is queued and waits while too much of it is not sent.
 
         Raises:
             PeerClosedError: The connection is gone.
         """
+        self.flush()
         try:
             await self._writer.drain()
         except OSError as error:
@@ -152,11 +169,13 @@
 
     def close(self) -> None:
         """Closes the connection without waiting."""
+        self.flush()
         self._closed = True
         self._writer.close()
 
     def abort(self) -> None:
         """Drops the connection and what is queued on it."""
+        self._queued.clear()
         self._closed = True
         self._writer.transport.abort()
 
@@ -221,6 +240,7 @@
     nonce = secrets.token_bytes(NONCE_BYTES)
     writer.write(wire.pack(messages.Hello(messages.PROTOCOL, nonce)))
     challenge, _ = await _receive_first(reader, unpacker, messages.Challenge)
+    _check_nonce(challenge.nonce)
     proof = _prove(secret, b"connects", nonce, challenge.nonce, me)
     writer.write(wire.pack(messages.Proof(proof, me.instance, me.incarnation, me.role)))
     welcome, more = await _receive_first(reader, unpacker, messages.Welcome)
@@ -234,6 +254,7 @@
     hello, _ = await _receive_first(reader, unpacker, messages.Hello)
     if hello.protocol != messages.PROTOCOL:
         raise UnsupportedProtocolError(f"protocol {hello.protocol}")
+    _check_nonce(hello.nonce)
     nonce = secrets.token_bytes(NONCE_BYTES)
     writer.write(wire.pack(messages.Challenge(nonce)))
     offered, _ = await _receive_first(reader, unpacker, messages.Proof)
@@ -248,8 +269,10 @@
 
 async def _receive_first(reader, unpacker, kind):
     """Returns the next message, which must be of a kind, and those behind it."""
-    while True:
+    size = 0
+    while size <= MAX_HANDSHAKE_BYTES:
         data = await reader.read(MAX_HANDSHAKE_BYTES)
+        size += len(data)
         if not data:
             raise PeerClosedError("the peer closed the connection in the handshake")
         received = unpacker.feed(data)
@@ -257,6 +280,7 @@
             raise HandshakeError(f"expected {kind.__name__}")
         if received:
             return received[0], received[1:]
+    raise HandshakeError(f"no message in {MAX_HANDSHAKE_BYTES} bytes")
 
 
 def _prove(secret, side, connecting_nonce, accepting_nonce, who: Identity) -> bytes:
@@ -266,6 +290,11 @@
     return hmac.digest(secret, covered, hashlib.sha256)
 
 
+def _check_nonce(nonce: bytes) -> None:
+    if len(nonce) != NONCE_BYTES:
+        raise HandshakeError(f"a nonce of {len(nonce)} bytes")
+
+
 def _check(offered: bytes, expected: bytes) -> None:
     if not hmac.compare_digest(offered, expected):
         raise HandshakeError("the peer does not know the secret")
--- a/teaselsill/messages.py
+++ b/teaselsill/messages.py
@@ -34,6 +34,8 @@
     LOG_UNAVAILABLE = "log-unavailable"
     KEY_RAN = "key-ran"
     KEY_IN_PROGRESS = "key-in-progress"
+    KEY_REUSED = "key-reused"
+    ANSWER_DROPPED = "answer-dropped"
     CANCELLED = "cancelled"
 
 
@@ -254,6 +256,9 @@
     document: bytes
 
 
+DATA_TYPES = frozenset({"Dispatch", "Head", "Body", "End", "DocumentHandover"})
+"""The messages that carry requests, answers and documents; the others coordinate."""
+
 AnyMessage = (
     Hello
     | Challenge
