--- a/teaselsill/running.py
+++ b/teaselsill/running.py
@@ -6,6 +6,7 @@
 
 from teaselsill import (
     answers,
+    claim_records,
     claims,
     document,
     errors,
@@ -170,7 +171,7 @@
                     await run.answer.put_head(status, headers)
                 case upstream.Piece(data=data, cost=cost):
                     run.meter.add(cost)
-                    if len(kept) <= claims.MAX_STORED_BODY_BYTES:
+                    if len(kept) <= claim_records.MAX_STORED_BODY_BYTES:
                         kept += data
                     await run.answer.put_body(data)
                 case upstream.Finished(cost=cost):
@@ -193,8 +194,8 @@
     )
 
 
-def _digest_request(dispatch: messages.Dispatch) -> claims.Digest:
+def _digest_request(dispatch: messages.Dispatch) -> claim_records.Digest:
     """Returns a digest of what the request asks for."""
-    return claims.digest_parts(
+    return claim_records.digest_parts(
         dispatch.method.encode(), dispatch.path.encode(), dispatch.body
     )
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -68,7 +68,9 @@
         strategies.integers(1, 2),
         strategies.lists(
             strategies.tuples(
-                strategies.sampled_from(["begin", "run", "end", "refuse", "wait"]),
+                strategies.sampled_from(
+                    ["begin", "run", "fail", "end", "refuse", "wait"]
+                ),
                 strategies.sampled_from(["r", "s"]),
                 strategies.integers(0, 3),
             ),
@@ -97,9 +99,9 @@
                 first_seen.setdefault(attempt, self.now)
                 if self.begins(memory, name):
                     self.assertNotIn(attempt, ran | not_run)
-                    ran.add(attempt)
-                    if step == "run":
-                        memory.end(name)
+                    (not_run if step == "fail" else ran).add(attempt)
+                    if step != "begin":
+                        memory.end(name, has_run=step == "run")
 
     def may_have_valid_grant(self, attempt, first_seen):
         """Tells whether the router can have made this dispatch a short time ago."""
