Answer dispatches under way before an agent stops

Cause: an idle agent that was told to stop returned from leave() at once and closed its connections, so a dispatch for a grant sent just before was never answered; the router called the order unknown. Ruled out: the withdrawal of the grants, which a dispatch can cross.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,8 @@
 PAGE_TIMEOUT_S = 1.0
 TRACEBACK = "Traceback (most recent call last)"
 MAX_LINE = 600
+KEY_IN_USE_STATUS = 409
+"""Another call with the same idempotency key runs: an answer, not a cut."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,14 +110,18 @@
             router: Only calls through this router; empty for all.
         """
         self.checked_by_name[name] += 1
-        cut = (workload.Result.UNKNOWN, workload.Result.BROKEN)
+        cut = (
+            workload.Result.UNKNOWN,
+            workload.Result.BROKEN,
+            workload.Result.NO_ANSWER,
+        )
         for call in self._calls:
             is_later = call.ended_at >= began_at or not call.ended_at
             if not is_later or (router and call.router != router):
                 continue
-            if call.result in (*cut, workload.Result.NO_ANSWER) and not any(
-                outage.touches(call) for outage in self.outages
-            ):
+            if call.status == KEY_IN_USE_STATUS or call.result not in cut:
+                continue
+            if not any(outage.touches(call) for outage in self.outages):
                 self.note(name, self.describe(call))
 
     def describe(self, call: workload.Call) -> str:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -144,5 +144,7 @@
         self._open.add(connection)
         try:
             await connection.run(reader, writer, self._host, self._target_port)
+        except asyncio.CancelledError:
+            pass  # The loop ends; the server has no use for the error.
         finally:
             self._open.discard(connection)
--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -136,6 +136,7 @@
         self._paused_until = 0.0
         self._pause_s = PAUSE_MIN_S
         self._idle = asyncio.Event()
+        self._unsettled: set[router_peer.RouterPeer] = set()
         follower.subscribe(lambda *_: self._apply_configuration())
         self._apply_configuration()
 
@@ -184,13 +185,21 @@
             self._drop(peer)
 
     async def leave(self) -> None:
-        """Takes no new work, and returns when every running answer is delivered."""
+        """Takes no new work, and returns when every running answer is delivered.
+
+        A dispatch that was under way is refused before this returns: the peers answer
+        a ping only after it.
+        """
         self.is_leaving = True
+        self._unsettled = set(self._peers)
         for peer in self._peers:
             peer.link.send(messages.Leaving())
+            peer.link.ping(self._follower.version)
         for grant in list(self.slots.offer_by_grant):
             self._end_offer(grant)
-        while self._answer_by_attempt or self._task_by_attempt:
+        loop = asyncio.get_running_loop()
+        loop.call_later(link.BUSY_SILENCE_S, self._settle_all)
+        while not self._is_idle:
             self._idle.clear()
             await self._idle.wait()
 
@@ -211,6 +220,8 @@
             )
             for message in received:
                 self._take_checked(peer, message)
+            if not peer.link.unanswered_pings:
+                self._settle(peer)
             self._grant_free_slots()
             await peer.link.drain()
 
@@ -257,6 +268,7 @@
     def _drop(self, peer: router_peer.RouterPeer) -> None:
         peer.link.abort()
         self._peers.discard(peer)
+        self._settle(peer)
         self._exchange.forget(peer.link)
         self._closed_bytes_by_type.update(peer.link.bytes_sent_by_type)
         for grant, offer in list(self.slots.offer_by_grant.items()):
@@ -572,10 +584,23 @@
             peer.attempts.discard(attempt)
         self._note_idle()
 
+    @property
+    def _is_idle(self) -> bool:
+        return not (self._answer_by_attempt or self._task_by_attempt or self._unsettled)
+
     def _note_idle(self) -> None:
-        if not self._answer_by_attempt and not self._task_by_attempt:
+        if self._is_idle:
             self._idle.set()
 
+    def _settle(self, peer: router_peer.RouterPeer) -> None:
+        """Notes that no dispatch is under way from a peer of a leaving agent."""
+        self._unsettled.discard(peer)
+        self._note_idle()
+
+    def _settle_all(self) -> None:
+        self._unsettled.clear()
+        self._note_idle()
+
     def _cancel(self, attempt: ids.AttemptId) -> None:
         """Stops an attempt that nobody waits for, unless it may not be repeated."""
         if attempt in self._repeatable and attempt in self._task_by_attempt:
--- a/teaselsill/link.py
+++ b/teaselsill/link.py
@@ -62,11 +62,13 @@
     Attributes:
         peer: Who stands at the other end.
         bytes_sent_by_type: Bytes of the messages sent, by message class name.
+        unanswered_pings: How many signs of life were asked for and have not come.
     """
 
     def __init__(self, reader, writer, unpacker, peer: Identity, received=()):
         self.peer = peer
         self.bytes_sent_by_type: dict[str, int] = {}
+        self.unanswered_pings = 0
         self._reader = reader
         self._writer = writer
         self._unpacker = unpacker
@@ -89,6 +91,11 @@
         self.bytes_sent_by_type[name] = self.bytes_sent_by_type.get(name, 0) + len(data)
         self._writer.write(data)
 
+    def ping(self, version: ids.Version) -> None:
+        """Asks for a sign of life; what the peer sent before it arrives before it."""
+        self.unanswered_pings += 1
+        self.send(messages.Ping(version))
+
     async def drain(self) -> None:
         """Waits while too much is queued.
 
@@ -118,8 +125,11 @@
                 data = await self._read(is_busy, version)
                 received = self._unpacker.feed(data)
             for message in received:
-                if isinstance(message, messages.Ping):
-                    self.send(messages.Pong(version()))
+                match message:
+                    case messages.Ping():
+                        self.send(messages.Pong(version()))
+                    case messages.Pong():
+                        self.unanswered_pings -= 1
             if received:
                 return received
 
@@ -148,7 +158,7 @@
             raise PeerSilentError(f"{self.peer.instance} is silent")
         if now - max(self._heard_at, self._pinged_at) >= ping_s and not unanswered:
             self._pinged_at = now
-            self.send(messages.Ping(version))
+            self.ping(version)
 
     def close(self) -> None:
         """Closes the connection without waiting."""
