Answer callers before the log has taken the record of a run

Cause: the agent waited for the append of Ran before it ended a whole answer, and for the append of Release before it said "not run" at a deadline: with a slow log callers waited up to 3 s, the slot stayed taken, and the deadline could turn a whole answer into an unknown one. Ruled out: running without a claim; claims still come before the run. Change: both are written in the background; a planned stop waits for them. An order that was provably not sent is told as not run also if its release is slow. The fleet runner's ports no longer collide between processes.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,10 +4,10 @@
 import contextlib
 import dataclasses
 import enum
+import itertools
 import json
 import os
 import pathlib
-import random
 import shutil
 import signal
 import socket
@@ -24,9 +24,10 @@
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
 STREAM = "configuration"
-PORTS = (12_000, 32_000)
+PORTS = range(12_000, 32_000)
+PORTS_PER_PROCESS = 137
 
-_given_ports: set[int] = set()
+_ports_given = itertools.count()
 
 
 class FleetError(Exception):
@@ -389,15 +390,15 @@
 
 
 def find_free_port() -> int:
-    """Returns a TCP port that nothing listens on now, and never the same one twice.
+    """Returns a TCP port that nothing listens on now, and rarely the same one twice.
 
-    It lies below the ports that the system gives to outgoing connections.
+    It lies below the ports that the system gives to outgoing connections, and other
+    processes that look for ports begin elsewhere.
     """
     while True:
-        port = random.randrange(*PORTS)
-        if port in _given_ports:
-            continue
-        _given_ports.add(port)
+        port = PORTS[
+            (os.getpid() * PORTS_PER_PROCESS + next(_ports_given)) % len(PORTS)
+        ]
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -139,6 +139,7 @@
         self._pause_s = PAUSE_MIN_S
         self._idle = asyncio.Event()
         self._unsettled: set[router_peer.RouterPeer] = set()
+        self._records: set[asyncio.Task] = set()
         follower.subscribe(lambda *_: self._apply_configuration())
         self._apply_configuration()
 
@@ -204,6 +205,7 @@
         while not self._is_idle:
             self._idle.clear()
             await self._idle.wait()
+        await asyncio.gather(*self._records, return_exceptions=True)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -451,17 +453,17 @@
         except _NotRunError as error:
             self._end_not_run(run, error.reason)
         except TimeoutError:
-            await self._end_broken(run, messages.Reason.DEADLINE)
+            self._end_broken(run, messages.Reason.DEADLINE)
         except upstream.StreamStalledError:
-            await self._end_broken(run, messages.Reason.STREAM_STALLED)
+            self._end_broken(run, messages.Reason.STREAM_STALLED)
         except errors.TeaselsillError as error:
             logger.warning("attempt %s failed: %s", run.dispatch.attempt, error)
-            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+            self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
         except asyncio.CancelledError:
-            await self._end_broken(run, messages.Reason.CANCELLED)
+            self._end_broken(run, messages.Reason.CANCELLED)
         except Exception:
             logger.exception("attempt %s failed", run.dispatch.attempt)
-            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+            self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
         finally:
             self._finish(run)
 
@@ -478,16 +480,18 @@
             stored = await self._send(run)
         except upstream.UpstreamUnreachableError as error:
             logger.warning("upstream unreachable: %s", error)
+            run.sent = False
             await self._release(run)
             self._pause()
             raise _NotRunError(messages.Reason.UPSTREAM_UNREACHABLE) from error
         except upstream.UpstreamRefusedError as error:
+            run.sent = False
             await self._release(run)
             raise _NotRunError(messages.Reason.UPSTREAM_FAILED) from error
         self._note_answered(stored.status)
-        if run.claimed is not None:
-            await self._ledger.record_ran(run.claimed, stored)
         run.answer.end(messages.Outcome.RAN, messages.Reason.NONE)
+        if run.claimed is not None:
+            self._record(self._ledger.record_ran(run.claimed, stored))
 
     async def _claim(self, dispatch, answer) -> claims.Claimed | None:
         """Claims a key, or answers from what is known of it and returns none."""
@@ -517,6 +521,12 @@
         self._metrics.count(metrics.Metric.CLAIMS_REPEATED)
         return None
 
+    def _record(self, writing) -> None:
+        """Writes to the log in the background; nobody waits for it but `leave`."""
+        task = asyncio.create_task(writing)
+        self._records.add(task)
+        task.add_done_callback(self._records.discard)
+
     async def _release(self, run: _Run) -> None:
         if run.claimed is not None:
             await self._ledger.release(run.claimed)
@@ -550,11 +560,12 @@
                 peer.link.send(messages.NotRun(attempt, reason, 0))
         self._forget_answer(attempt)
 
-    async def _end_broken(self, run: _Run, reason: messages.Reason) -> None:
+    def _end_broken(self, run: _Run, reason: messages.Reason) -> None:
         """Ends an answer that is not whole."""
         if not run.sent and not run.answer.has_head:
-            await self._release(run)
             self._end_not_run(run, reason)
+            if run.claimed is not None:
+                self._record(self._ledger.release(run.claimed))
         elif not run.answer.is_ended:
             run.answer.end(messages.Outcome.UNKNOWN, reason)
             if reason is messages.Reason.UPSTREAM_FAILED:
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -157,8 +157,8 @@
         log: The log service.
     """
 
-    def __init__(self, agents=1, plain=DOCUMENT):
-        self.log = log.MemoryLog()
+    def __init__(self, agents=1, plain=DOCUMENT, log_service=None):
+        self.log = log_service or log.MemoryLog()
         self.agents = [AgentBench(f"agent-{n}", self.log, plain) for n in range(agents)]
         self.follower = FixedFollower(plain)
         self.router = None
