--- a/teaselsill/logs.py
+++ b/teaselsill/logs.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 
-from pythonjsonlogger import json as json_logger
+from pythonjsonlogger import msgspec as json_logger
 
 from teaselsill import ids, instances, messages
 
@@ -36,7 +36,7 @@
 
 def build_formatter(role: str, instance: str) -> logging.Formatter:
     """Returns the formatter that writes a record as one JSON object."""
-    return json_logger.JsonFormatter(
+    return json_logger.MsgspecFormatter(
         FORMAT,
         style="{",
         timestamp=True,
@@ -75,6 +75,7 @@
 
     def write(self, logger: logging.Logger) -> None:
         """Writes the line at level INFO."""
-        fields = dataclasses.asdict(self)
+        names = [field.name for field in dataclasses.fields(self)]
+        fields = {name: getattr(self, name) for name in names}
         fields["outcome"] = self.outcome.value
         logger.info("request", extra=fields)
