--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from standins import shapes
-from teaselsill import callers, document, metrics, service_levels
+from teaselsill import callers, document, exchange, metrics, service_levels
 from tests import support
 
 SHAPE = shapes.Shape(
@@ -41,7 +41,7 @@
         self.headers = list(headers)
 
     async def body(self):
-        yield b"whole"
+        yield exchange.Piece(b"whole", is_last=True)
 
     def close(self):
         pass
