Try TLS with real certificates, and name what hinders a start

Cause: nobody had run the tls and peer_tls settings. peer_tls without an authority fell back on the system's authorities, so that any certificate bought anywhere passed; a stalled TLS handshake was kept for 60 s; a missing certificate file or a taken port ended the process with a traceback.

--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -167,11 +167,11 @@
     node = Node(loaded, instances.Role.AGENT)
     parts = _make_agent(node, loaded)
     serving = parts.agent
-    listener = await asyncio.start_server(
+    listener = await servers.listen(
         serving.accept,
         node.host,
         loaded.port,
-        ssl=peer_tls.make_server_context(loaded.peer_tls),
+        peer_tls.make_server_context(loaded.peer_tls),
     )
     await node.start(
         lambda: not serving.granting.is_leaving, lambda: _report_agent(parts, loaded)
--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -2,10 +2,39 @@
 
 import asyncio
 import contextlib
+import ssl
 
 import uvicorn
 
+from teaselsill import certificates, errors
+
 START_POLL_S = 0.005
+TLS_HANDSHAKE_TIMEOUT_S = 1.0
+
+
+class ListenError(errors.TeaselsillError):
+    """A port cannot be opened."""
+
+
+async def listen(serve, host: str, port: int, tls=None) -> asyncio.Server:
+    """Opens a port for connections between peers.
+
+    Args:
+        serve: The coroutine function that gets each connection's reader and writer.
+        host: The IP number to listen on.
+        port: The TCP port.
+        tls: An `ssl.SSLContext`, or none.
+
+    Raises:
+        ListenError: The port cannot be opened.
+    """
+    options = {}
+    if tls is not None:
+        options = {"ssl": tls, "ssl_handshake_timeout": TLS_HANDSHAKE_TIMEOUT_S}
+    try:
+        return await asyncio.start_server(serve, host, port, **options)
+    except OSError as error:
+        raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
 
 
 class Server(uvicorn.Server):
@@ -25,11 +54,16 @@
         host: The IP number to listen on.
         port: The TCP port.
         tls: The certificate settings, or none.
+
+    Raises:
+        CertificateError: A certificate file cannot be used.
     """
 
     def __init__(self, app, host: str, port: int, tls=None):
+        self._address = f"{host}:{port}"
         options = {}
         if tls is not None:
+            certificates.load_chain(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), tls)
             options = {"ssl_certfile": tls.certificate, "ssl_keyfile": tls.key}
         config = uvicorn.Config(
             app,
@@ -49,13 +83,13 @@
         """Returns when the port is open.
 
         Raises:
-            OSError: The port cannot be opened.
+            ListenError: The port cannot be opened.
         """
         self._task = asyncio.create_task(self._serve())
         while not self._server.started:
             if self._task.done():
                 self._task.result()
-                raise OSError("the server did not start")
+                raise ListenError(f"cannot listen on {self._address}")
             await asyncio.sleep(START_POLL_S)
 
     async def stop(self) -> None:
@@ -67,4 +101,6 @@
         try:
             await self._server.serve()
         except SystemExit as error:
-            raise OSError("the port cannot be opened") from error
+            raise ListenError(
+                f"cannot listen on {self._address}: the port is taken or not allowed"
+            ) from error
--- a/teaselsill/settings.py
+++ b/teaselsill/settings.py
@@ -31,17 +31,25 @@
 
 
 class TlsSection(Section):
-    """The certificate files of one listener or of the peer connections.
+    """The files of a certificate.
 
     Attributes:
         certificate: The path of a PEM file with the certificate chain.
         key: The path of a PEM file with the private key.
-        authority: The path of a PEM file with the authority that peers are checked by.
     """
 
     certificate: str
     key: str
-    authority: str = ""
+
+
+class PeerTlsSection(TlsSection):
+    """The certificate files of the peer connections.
+
+    Attributes:
+        authority: The path of a PEM file with the authority that peers are checked by.
+    """
+
+    authority: str
 
 
 class CommonSettings(Section):
@@ -89,7 +97,7 @@
     stop_delay_s: float = pydantic.Field(default=2.0, ge=0)
     max_body_bytes: int = pydantic.Field(default=4 * 1024 * 1024, ge=1)
     tls: TlsSection | None = None
-    peer_tls: TlsSection | None = None
+    peer_tls: PeerTlsSection | None = None
 
 
 class AgentSettings(CommonSettings):
@@ -111,7 +119,7 @@
     upstream_url: str
     upstream_kind: str = "completions"
     policy: str = "least-service"
-    peer_tls: TlsSection | None = None
+    peer_tls: PeerTlsSection | None = None
 
 
 class ConsoleSettings(CommonSettings):
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,139 @@
+import asyncio
+import pathlib
+import ssl
+import tempfile
+import unittest
+from unittest import mock
+
+import aiohttp
+import trustme
+
+from standins import fleet, plain_service
+from teaselsill import (
+    certificates,
+    errors,
+    instances,
+    link,
+    peer_tls,
+    servers,
+    settings,
+)
+
+SECRET = b"a secret that both sides know"
+ROUTER = link.Identity("router-0", "run-r", instances.Role.ROUTER)
+AGENT = link.Identity("agent-0", "run-a", instances.Role.AGENT)
+
+
+class TlsCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.authority = trustme.CA()
+
+    def make_section(self, authority=None, name="peer"):
+        """Writes the files of one process; its peers' authority stays the same."""
+        issued = (authority or self.authority).issue_cert("127.0.0.1")
+        certificate = self.directory / f"{name}.pem"
+        key = self.directory / f"{name}.key"
+        trusted = self.directory / "authority.pem"
+        chain = b"".join(blob.bytes() for blob in issued.cert_chain_pems)
+        certificate.write_bytes(chain)
+        issued.private_key_pem.write_to_path(key)
+        self.authority.cert_pem.write_to_path(trusted)
+        return settings.PeerTlsSection(
+            certificate=str(certificate), key=str(key), authority=str(trusted)
+        )
+
+
+class CallersTest(TlsCase):
+    def make_server(self, section):
+        app = plain_service.create_app()
+        port = fleet.find_free_port()
+        return servers.HttpServer(app, "127.0.0.1", port, section), port
+
+    async def test_callers_port_speaks_tls(self):
+        server, port = self.make_server(self.make_section())
+        await server.start()
+        context = ssl.create_default_context()
+        self.authority.configure_trust(context)
+        async with aiohttp.ClientSession() as session:
+            url = f"https://127.0.0.1:{port}/x"
+            async with session.get(url, ssl=context) as response:
+                self.assertEqual(200, response.status)
+            with self.assertRaises(aiohttp.ClientError):
+                await session.get(f"http://127.0.0.1:{port}/x")
+        await server.stop()
+
+    def test_missing_file_is_named(self):
+        section = self.make_section()
+        pathlib.Path(section.key).unlink()
+        with self.assertRaisesRegex(certificates.CertificateError, section.key):
+            self.make_server(section)
+
+
+class PeersTest(TlsCase):
+    async def connect(self, section):
+        """Connects to an agent's port that shows a certificate of the authority."""
+
+        async def serve(reader, writer):
+            try:
+                accepted = await link.accept(reader, writer, SECRET, AGENT)
+                await accepted.receive(lambda: True, lambda: 0)
+            except errors.LinkError:
+                writer.transport.abort()
+
+        tls = peer_tls.make_server_context(self.make_section(name="agent"))
+        server = await servers.listen(serve, "127.0.0.1", 0, tls)
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+        context = peer_tls.make_client_context(section)
+        connected = await link.connect("127.0.0.1", self.port, SECRET, ROUTER, context)
+        connected.abort()
+        return connected.peer
+
+    async def test_peers_with_certificates_of_the_authority(self):
+        section = self.make_section(name="router")
+        self.assertEqual(AGENT, await self.connect(section))
+
+    async def test_peer_with_a_certificate_of_another_authority(self):
+        section = self.make_section(trustme.CA(), name="router")
+        with self.assertRaises(errors.LinkError):
+            await self.connect(section)
+
+    async def test_peer_without_tls(self):
+        with self.assertRaises(errors.LinkError):
+            await self.connect(None)
+
+    async def test_tls_handshake_that_stalls(self):
+        await self.connect(self.make_section(name="router"))
+        with mock.patch.object(servers, "TLS_HANDSHAKE_TIMEOUT_S", 0.05):
+            await self.connect(self.make_section(name="router"))
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        async with asyncio.timeout(2):
+            self.assertEqual(b"", await reader.read())
+        writer.close()
+
+    def test_missing_file_is_named(self):
+        section = self.make_section()
+        pathlib.Path(section.authority).unlink()
+        for make_context in (
+            peer_tls.make_client_context,
+            peer_tls.make_server_context,
+        ):
+            with self.assertRaisesRegex(
+                certificates.CertificateError, section.authority
+            ):
+                make_context(section)
+
+
+class PortTest(unittest.IsolatedAsyncioTestCase):
+    """A port that another process has is named in one line."""
+
+    async def test_taken_port(self):
+        taken = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(taken.close)
+        port = taken.sockets[0].getsockname()[1]
+        server = servers.HttpServer(plain_service.create_app(), "127.0.0.1", port)
+        with self.assertRaisesRegex(servers.ListenError, f"127.0.0.1:{port}"):
+            await server.start()
+        with self.assertRaisesRegex(servers.ListenError, f"127.0.0.1:{port}"):
+            await servers.listen(lambda *_: None, "127.0.0.1", port)
