--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import collections
+import collections.abc
+import dataclasses
 import enum
 import itertools
 import logging
 import random
+import ssl
 import time
 
 from teaselsill import (
     backlog,
+    configuration,
     errors,
     exchange,
     ids,
@@ -17,6 +21,7 @@
     invariants,
     link,
     messages,
+    metrics,
 )
 
 TOLD_LIMIT = 32
@@ -54,18 +59,35 @@
         return ids.AttemptId(f"{self._incarnation}:{next(self._numbers)}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What all connections of one router share.
+
+    Attributes:
+        me: Who this router is.
+        secret: The secret that all peers know.
+        numbers: Makes attempt ids.
+        follower: The configuration.
+        sink: Takes the metrics.
+        tls: An `ssl.SSLContext` for the connections, or none.
+    """
+
+    me: link.Identity
+    secret: bytes
+    numbers: AttemptNumbers
+    follower: configuration.Follower
+    sink: metrics.Metrics
+    tls: ssl.SSLContext | None = None
+
+
 class AgentPeer:
     """One agent, as a router deals with it.
 
     Args:
         agent: The agent, as the platform lists it.
-        me: Who this router is.
-        secret: The secret that all peers know.
+        context: What all connections of this router share.
         waiting: The backlog of the agent's service.
-        numbers: Makes attempt ids.
-        follower: The configuration of this router.
         on_change: Called when the state of the agent changes.
-        tls: An `ssl.SSLContext`, or none.
 
     Attributes:
         agent: The agent, as the platform lists it.
@@ -75,20 +97,20 @@
     """
 
     def __init__(
-        self, agent, me, secret, waiting: backlog.Backlog, numbers, follower, on_change,
-        tls=None,
-    ):  # fmt: skip
-        self.agent: instances.Instance = agent
+        self,
+        agent: instances.Instance,
+        context: Context,
+        waiting: backlog.Backlog,
+        on_change: collections.abc.Callable[["AgentPeer"], None],
+    ):
+        self.agent = agent
         self.state = State.CONNECTING
         self.rank = 0
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
-        self._me = me
-        self._secret = secret
+        self._context = context
+        self._follower = context.follower
         self._backlog = waiting
-        self._numbers = numbers
-        self._follower = follower
         self._on_change = on_change
-        self._tls = tls
         self._link: link.Link | None = None
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._told_by_account: dict[ids.AccountId, int] = {}
@@ -124,31 +146,42 @@
         self._wanted = False
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        self._lose_exchanges()
+        self._lose_exchanges(True)
 
     async def _run(self) -> None:
         delay_s = RETRY_MIN_S
         lost_at = time.monotonic()
         while self._wanted:
-            try:
-                connected = await link.connect(
-                    self.agent.host, self.agent.port, self._secret, self._me, self._tls
-                )
-                delay_s = RETRY_MIN_S
-                try:
-                    await self._converse(connected)
-                finally:
-                    lost_at = time.monotonic()
-                    self._forget_link(connected)
-            except errors.LinkError as error:
-                logger.info("link to agent %s: %s", self.agent.id, error)
+            was_connected = await self._connect()
             self._set_state(State.UNREACHABLE)
-            if time.monotonic() - lost_at >= RESOLVE_S:
-                self._lose_exchanges()
+            if was_connected:
+                delay_s = RETRY_MIN_S
+                lost_at = time.monotonic()
+            else:
+                self._lose_exchanges(time.monotonic() - lost_at >= RESOLVE_S)
             await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
             limit_s = RETRY_MIN_S * 4 if self.exchange_by_attempt else RETRY_MAX_S
             delay_s = min(delay_s * 2, limit_s)
 
+    async def _connect(self) -> bool:
+        """Connects once, until the connection is lost; tells whether there was one."""
+        connected = None
+        try:
+            connected = await link.connect(
+                self.agent.host,
+                self.agent.port,
+                self._context.secret,
+                self._context.me,
+                self._context.tls,
+            )
+            await self._converse(connected)
+        except errors.LinkError as error:
+            logger.info("link to agent %s: %s", self.agent.id, error)
+        finally:
+            if connected is not None:
+                self._forget_link(connected)
+        return connected is not None
+
     async def _converse(self, connected: link.Link) -> None:
         self._link = connected
         self._told_by_account.clear()
@@ -175,7 +208,7 @@
         try:
             self._take(message)
         except errors.InvariantError as error:
-            invariants.report(error, reraise=False)
+            invariants.report(error, reraise=False, sink=self._context.sink)
             raise link.UnexpectedMessageError(str(error)) from error
         except errors.ConfigurationError as error:
             raise link.UnexpectedMessageError(
@@ -216,12 +249,13 @@
             self._told_by_account.pop(account, None)
             self._link.send(messages.Decline(grant))
             return
-        attempt = self._numbers.next()
+        attempt = self._context.numbers.next()
         connected = self._link
         running = exchange.Exchange(
             attempt,
             connected.peer.incarnation,
             lambda through: self._acknowledge(attempt, through),
+            waiting.request.repeatable,
         )
         self.exchange_by_attempt[attempt] = running
         self._note_dispatched(account)
@@ -268,6 +302,7 @@
                 account, self.agent.service, self.agent.upstream
             ):
                 self._tell_account(account)
+        self._link.flush()
 
     def _tell_account(self, account: ids.AccountId) -> None:
         waiting = min(self._backlog.count(account), TOLD_LIMIT)
@@ -288,6 +323,8 @@
 
     def _forget_link(self, connected: link.Link) -> None:
         connected.abort()
+        if self.state is State.CONNECTED and self._wanted:
+            self._context.sink.count(metrics.Metric.PEERS_LOST)
         self._closed_bytes_by_type.update(connected.bytes_sent_by_type)
         self._link = None
         self._told_by_account.clear()
@@ -297,10 +334,16 @@
             self.state = state
             self._on_change(self)
 
-    def _lose_exchanges(self) -> None:
-        for running in self.exchange_by_attempt.values():
-            running.lose()
-        self.exchange_by_attempt.clear()
+    def _lose_exchanges(self, lose_all: bool) -> None:
+        """Gives up the attempts at an agent that cannot be reached.
+
+        Args:
+            lose_all: Whether to give up also those that can only be resumed.
+        """
+        for attempt, running in list(self.exchange_by_attempt.items()):
+            if lose_all or running.can_restart:
+                running.lose()
+                del self.exchange_by_attempt[attempt]
 
 
 def _make_dispatch(grant, attempt, waiting: backlog.Waiting, version):
