Hold a router unready until it has a configuration

Cause: /ready said 200 from the start, so the balancer sent callers to a router that refused each of them with 503 not-ready. Change: a router is ready once it has a configuration. Before: the new check of test_whole_path failed (200 in place of 503). After: it passes.

--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -156,7 +156,10 @@
     node.follower.subscribe(lambda: levels.set_targets(node.follower.document))
     app = callers.Callers(served, levels, node.metrics, loaded.max_body_bytes)
     front = servers.HttpServer(app.create_app(), node.host, loaded.port, loaded.tls)
-    await node.start(lambda: True, lambda: _report_router(served, levels))
+    await node.start(
+        lambda: node.follower.document is not None,
+        lambda: _report_router(served, levels),
+    )
     node.run_in_background(served.run())
     sampler = sampling.Sampler(node.metrics, served.gauges, served.sent_bytes_by_type)
     node.run_in_background(sampler.run())
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+import aiohttp
+
 from standins import fleet, shapes
 
 SHAPE = shapes.Shape(
@@ -35,6 +37,7 @@
         await self.check_plain_call()
         await self.check_order_sent_twice()
         await self.check_refusals()
+        await self.check_router_without_configuration()
         await self.check_planned_stop()
 
     async def check_stream(self):
@@ -93,6 +96,29 @@
             self.assertEqual("not-run", response.headers["Teaselsill-Outcome"])
             self.assertIn(b'"error"', body)
 
+    async def check_router_without_configuration(self):
+        """The balancer sends nothing to a router that has no configuration."""
+        platform = [self.fleet.node_by_name[name] for name in ("log", "list")]
+        for node in platform:
+            await self.fleet.set_faults(node, down=True)
+        router = self.fleet.add_router(9)
+        await self.fleet.start(router, is_listed=False)
+        self.assertEqual(503, await self.wait_status(router, "/ready"))
+        self.assertEqual(200, await self.wait_status(router, "/live"))
+        for node in platform:
+            await self.fleet.set_faults(node)
+        await self.fleet.wait_ready([router])
+
+    async def wait_status(self, node, page):
+        """Returns the status of an admin page, once the port is open."""
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    async with self.fleet.session.get(node.admin_url + page) as got:
+                        return got.status
+                except aiohttp.ClientConnectionError:
+                    await asyncio.sleep(0.05)
+
     async def check_planned_stop(self):
         for node in (self.routers[0], self.fleet.agents_of("bookings")[0]):
             self.assertEqual(0, await self.fleet.stop(node))
