--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -31,6 +31,8 @@
 ATTEMPT_RETENTION_S = 600.0
 ORPHAN_S = 30.0
 """How long an answer is kept for a router that does not come back."""
+RESUME_S = 2.0
+"""How long an answer is kept for a router that is back and does not ask for it."""
 
 logger = logging.getLogger(__name__)
 
@@ -98,6 +100,7 @@
         self._repeatable: set[ids.AttemptId] = set()
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._idle = asyncio.Event()
+        self._unsettled: set[router_peer.RouterPeer] = set()
 
     def sent_bytes_by_type(self) -> dict[str, int]:
         """Returns the bytes sent to peers in this run, by the type of message."""
@@ -124,13 +127,22 @@
             self._drop(peer)
 
     async def leave(self) -> None:
-        """Takes no new work, and returns when every running answer is delivered."""
+        """Takes no new work, and returns when every running answer is delivered.
+
+        A dispatch that was under way is refused before this returns: the peers answer
+        a ping only after it.
+        """
         self.granting.leave()
+        self._unsettled = set(self.granting.peers)
         for peer in self.granting.peers:
             peer.link.send(messages.Leaving())
-        while self._answer_by_attempt or self._task_by_attempt:
+            peer.link.ping(self._follower.version)
+        loop = asyncio.get_running_loop()
+        loop.call_later(link.BUSY_SILENCE_S, self._settle_all)
+        while not self._is_idle:
             self._idle.clear()
             await self._idle.wait()
+        await self._runner.flush()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -141,12 +153,16 @@
     async def _converse(self, peer: router_peer.RouterPeer) -> None:
         if self.granting.is_leaving:
             peer.link.send(messages.Leaving())
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESUME_S, self._drop_unresumed, peer)
         while True:
             received = await peer.link.receive(
                 lambda: peer.is_busy, lambda: self._follower.version
             )
             for message in received:
                 self._take_checked(peer, message)
+            if not peer.link.unanswered_pings:
+                self._settle(peer)
             self.granting.grant_free_slots()
             await peer.link.drain()
 
@@ -197,15 +213,18 @@
     def _drop(self, peer: router_peer.RouterPeer) -> None:
         peer.link.abort()
         self.granting.drop_peer(peer)
+        self._settle(peer)
         self._exchange.forget(peer.link)
         self._closed_bytes_by_type.update(peer.link.bytes_sent_by_type)
         for attempt in peer.attempts:
             answer = self._answer_by_attempt.get(attempt)
             if answer is not None:
                 answer.detach(peer.link.send)
-                asyncio.get_running_loop().call_later(
-                    ORPHAN_S, self._drop_orphan, attempt, answer
-                )
+        peers = self.granting.peers
+        is_back = any(other.link.peer == peer.link.peer for other in peers)
+        asyncio.get_running_loop().call_later(
+            RESUME_S if is_back else ORPHAN_S, self._drop_orphans, peer.attempts
+        )
         self.granting.grant_free_slots()
 
     def _take_dispatch(self, peer, dispatch: messages.Dispatch) -> None:
@@ -239,8 +258,12 @@
             raise DispatchRefusedError(messages.Reason.GRANT_EXPIRED)
         try:
             _check_account(dispatch, offer)
-            self._check_rules(peer, dispatch)
             self._attempts.begin(dispatch.attempt)
+            self._check_rules(peer, dispatch)
+        except DispatchRefusedError:
+            self._attempts.end(dispatch.attempt, has_run=False)
+            self.granting.free(offer)
+            raise
         except errors.TeaselsillError:
             self.granting.free(offer)
             raise
@@ -276,17 +299,17 @@
         except running.NotRunError as error:
             self._end_not_run(run, error.reason)
         except TimeoutError:
-            await self._end_broken(run, messages.Reason.DEADLINE)
+            self._end_broken(run, messages.Reason.DEADLINE)
         except upstream.StreamStalledError:
-            await self._end_broken(run, messages.Reason.STREAM_STALLED)
+            self._end_broken(run, messages.Reason.STREAM_STALLED)
         except errors.TeaselsillError as error:
             logger.warning("attempt %s failed: %s", run.dispatch.attempt, error)
-            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+            self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
         except asyncio.CancelledError:
-            await self._end_broken(run, messages.Reason.CANCELLED)
+            self._end_broken(run, messages.Reason.CANCELLED)
         except Exception:
             logger.exception("attempt %s failed", run.dispatch.attempt)
-            await self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+            self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
         finally:
             self._finish(run)
 
@@ -299,11 +322,11 @@
                 peer.link.send(messages.NotRun(attempt, reason, 0))
         self._forget_answer(attempt)
 
-    async def _end_broken(self, run: running.Run, reason: messages.Reason) -> None:
+    def _end_broken(self, run: running.Run, reason: messages.Reason) -> None:
         """Ends an answer that is not whole."""
         if not run.sent and not run.answer.has_head:
-            await self._runner.release(run)
             self._end_not_run(run, reason)
+            self._runner.release_soon(run)
         elif not run.answer.is_ended:
             run.answer.end(messages.Outcome.UNKNOWN, reason)
             if reason is messages.Reason.UPSTREAM_FAILED:
@@ -338,10 +361,23 @@
             peer.attempts.discard(attempt)
         self._note_idle()
 
+    @property
+    def _is_idle(self) -> bool:
+        return not (self._answer_by_attempt or self._task_by_attempt or self._unsettled)
+
     def _note_idle(self) -> None:
-        if not self._answer_by_attempt and not self._task_by_attempt:
+        if self._is_idle:
             self._idle.set()
 
+    def _settle(self, peer: router_peer.RouterPeer) -> None:
+        """Notes that no dispatch is under way from a peer of a leaving agent."""
+        self._unsettled.discard(peer)
+        self._note_idle()
+
+    def _settle_all(self) -> None:
+        self._unsettled.clear()
+        self._note_idle()
+
     def _cancel(self, attempt: ids.AttemptId) -> None:
         """Stops an attempt that nobody waits for, unless it may not be repeated."""
         if attempt in self._repeatable and attempt in self._task_by_attempt:
@@ -353,10 +389,20 @@
             answer.discard()
         self._forget_answer(attempt)
 
-    def _drop_orphan(self, attempt: ids.AttemptId, answer: answers.Answer) -> None:
-        is_held = any(attempt in peer.attempts for peer in self.granting.peers)
-        if self._answer_by_attempt.get(attempt) is answer and not is_held:
-            self._cancel(attempt)
+    def _drop_orphans(self, attempts_left: set[ids.AttemptId]) -> None:
+        """Cancels those of some attempts that no connected router has asked for."""
+        peers = self.granting.peers
+        held = {attempt for peer in peers for attempt in peer.attempts}
+        for attempt in attempts_left - held:
+            if attempt in self._answer_by_attempt:
+                self._cancel(attempt)
+
+    def _drop_unresumed(self, peer: router_peer.RouterPeer) -> None:
+        """Cancels what a router that came back has not asked for."""
+        if peer not in self.granting.peers:
+            return
+        prefix = f"{peer.link.peer.incarnation}:"
+        self._drop_orphans({a for a in self._answer_by_attempt if a.startswith(prefix)})
 
     def _resume(self, peer, attempt: ids.AttemptId, sequence: int) -> None:
         answer = self._answer_by_attempt.get(attempt)
