Give an agent that the platform lists as leaving no new work

Cause: a router that was connected to an agent went on telling it of waiting work after the instance list had said that it leaves, and, under load, also after the list no longer had it. The agent did not look at its own place in the list. Change: the router takes its demand back from an agent that leaves or is not listed any more, and the agent grants nothing while it is listed as leaving.

--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -296,6 +296,9 @@
         self._flush_handle = None
         if self._link is None or self.state is State.LEAVING:
             return
+        if self.agent.state is instances.InstanceState.LEAVING:
+            self._withdraw_demand()
+            return
         document = self._follower.document
         for account in {*self._backlog.accounts, *self._told_by_account}:
             if document is not None and document.allows(
@@ -304,6 +307,14 @@
                 self._tell_account(account)
         self._link.flush()
 
+    def _withdraw_demand(self) -> None:
+        """Tells the agent that nothing waits for it any longer."""
+        for account in self._told_by_account:
+            self._link.send(messages.Demand(account, 0, 0))
+        self._told_by_account.clear()
+        self._told_since_by_account.clear()
+        self._link.flush()
+
     def _tell_account(self, account: ids.AccountId) -> None:
         waiting = min(self._backlog.count(account), TOLD_LIMIT)
         told = self._told_by_account.get(account, 0)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -177,6 +177,7 @@
     node = Node(loaded, instances.Role.AGENT)
     parts = _make_agent(node, loaded)
     serving = parts.agent
+    node.membership.subscribe(lambda: _note_listing(node, serving.granting))
     listener = await servers.listen(
         serving.accept,
         node.host,
@@ -211,6 +212,15 @@
     await node.stop()
 
 
+def _note_listing(node: Node, grants: granting.Granting) -> None:
+    """Has an agent grant nothing while the platform lists it as leaving."""
+    listed = node.membership.by_id.get(node.me.instance)
+    grants.is_listed_leaving = (
+        listed is not None and listed.state is instances.InstanceState.LEAVING
+    )
+    grants.grant_free_slots()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentParts:
     """The parts that an agent's process is joined of.
--- a/teaselsill/granting.py
+++ b/teaselsill/granting.py
@@ -33,7 +33,8 @@
     Attributes:
         slots: The upstream's slots.
         peers: The connected peers.
-        is_leaving: Whether the agent takes no new work.
+        is_leaving: Whether the agent takes no new work, for good.
+        is_listed_leaving: Whether the platform says that its instance leaves.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.slots = slots.Slots()
         self.peers: set[router_peer.RouterPeer] = set()
         self.is_leaving = False
+        self.is_listed_leaving = False
         self._service = service
         self._upstream = upstream
         self._follower = follower
@@ -134,7 +136,9 @@
         self.grant_free_slots()
 
     def _may_grant(self) -> bool:
-        if self.is_leaving or time.monotonic() < self._paused_until:
+        if self.is_leaving or self.is_listed_leaving:
+            return False
+        if time.monotonic() < self._paused_until:
             return False
         return self._upstream not in self._follower.document.leaving_upstreams
 
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -10,6 +10,8 @@
 import random
 import time
 
+import msgspec
+
 from teaselsill import (
     agent_peer,
     backlog,
@@ -134,10 +136,14 @@
 
     def _drop_unlisted(self, listed) -> None:
         for agent_id, peer in list(self.peer_by_agent.items()):
-            if listed.get(agent_id) == peer.agent or peer.exchange_by_attempt:
+            now_listed = listed.get(agent_id)
+            if now_listed == peer.agent:
+                continue
+            if _differs_in_state_only(now_listed, peer.agent):
+                peer.agent = now_listed
                 continue
-            if _differs_in_state_only(listed.get(agent_id), peer.agent):
-                peer.agent = listed[agent_id]
+            if peer.exchange_by_attempt:
+                peer.agent = _as_leaving(peer.agent)
                 continue
             self._router.spawn(peer.close())
             del self.peer_by_agent[agent_id]
@@ -523,6 +529,11 @@
         ) from None
 
 
+def _as_leaving(agent: instances.Instance) -> instances.Instance:
+    """Returns an agent that is no longer listed, as one that gets no new work."""
+    return msgspec.structs.replace(agent, state=instances.InstanceState.LEAVING)
+
+
 def _differs_in_state_only(listed, known: instances.Instance) -> bool:
     if listed is None:
         return False
