--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -12,7 +12,7 @@
 import time
 import typing
 
-from teaselsill import counters, errors, ids, instances, link, messages
+from teaselsill import counters, errors, fairness, ids, instances, link, messages
 
 FAN_OUT = 4
 """How many children a node of the tree has."""
@@ -191,6 +191,7 @@
         known: The counters of the service at this agent.
         version: Returns this process's configuration version.
         tls: An `ssl.SSLContext` for outgoing links, or none.
+        meter: Measures the fairness gap while this agent is the root.
     """
 
     def __init__(
@@ -202,7 +203,11 @@
         known: counters.Counters,
         version: typing.Callable[[], ids.Version] = lambda: ids.NO_VERSION,
         tls=None,
+        meter: fairness.GapMeter | None = None,
     ):
+        self.meter = meter or fairness.GapMeter()
+        self._known = known
+        self._merges = known.merges
         self._me = me
         self._secret = secret
         self._service = service
@@ -247,6 +252,7 @@
                 self._report()
             elif self._is_root():
                 self._node.settle()
+                self._measure()
                 self._send_digests()
 
     async def _keep_uplink(self) -> None:
@@ -263,6 +269,7 @@
                 parent.host, parent.port, self._secret, self._me, self._tls
             )
             self._node.start_link()
+            self.meter.restart()
             self._report()
             await self._take_digests(self._uplink)
         except errors.LinkError:
@@ -283,6 +290,16 @@
         if report is not None:
             self._uplink.send(report)
 
+    def _measure(self) -> None:
+        if self._known.merges != self._merges:
+            self._merges = self._known.merges
+            self.meter.restart()
+        service_by_account = {
+            account: units / counters.UNITS_PER_COST
+            for account, units in self._known.fleet_counter_by_account.items()
+        }
+        self.meter.sample(service_by_account, service_by_account)
+
     def _send_digests(self) -> None:
         if not self._node.is_digest_due:
             return
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -311,23 +311,40 @@
         await asyncio.gather(self.task, return_exceptions=True)
 
 
+def estimates_of(agents):
+    return {agent.known.estimate(ACCOUNT) for agent in agents}
+
+
 class ExchangeTest(unittest.IsolatedAsyncioTestCase):
-    async def until(self, agents, expected):
+    async def until(self, read, expected):
         for _ in range(300):
-            estimates = {agent.known.estimate(ACCOUNT) for agent in agents}
-            if estimates == {expected}:
+            if read() == expected:
                 return
             await asyncio.sleep(0.05)
-        self.fail(f"estimates are {estimates}")
+        self.assertEqual(expected, read())
+
+    async def start(self, count, listed):
+        agents = [AgentDouble(f"agent-{number}", listed) for number in range(count)]
+        for agent in agents:
+            await agent.start()
+            agent.known.set_backlogged([ACCOUNT, "b"])
+        return agents
+
+    async def test_root_measures_the_gap_of_the_fleet(self):
+        agents = await self.start(2, [])
+        meter = agents[0].exchange.meter
+        await self.until(lambda: agents[1].known.fleet_backlogged, {ACCOUNT, "b"})
+        agents[1].known.add_served("b", 9)
+        await self.until(lambda: meter.greatest, 9)
+        for agent in agents:
+            await agent.stop()
 
     async def test_nothing_is_lost_when_the_root_dies_and_the_list_lags(self):
         listed = []
-        agents = [AgentDouble(f"agent-{number}", listed) for number in range(6)]
+        agents = await self.start(6, listed)
         for agent in agents:
-            await agent.start()
-            agent.known.set_backlogged([ACCOUNT])
             agent.known.add_served(ACCOUNT, 10)
-        await self.until(agents, 60)
+        await self.until(lambda: estimates_of(agents), {60})
         self.assertEqual("agent-1", agents[5].exchange.parent)
         root, *others = agents
         await root.stop()
@@ -335,6 +352,6 @@
             agent.known.add_served(ACCOUNT, 1)
         await asyncio.sleep(LIST_LAG_S)
         listed.remove(root.instance)
-        await self.until(others, 65)
+        await self.until(lambda: estimates_of(others), {65})
         for agent in others:
             await agent.stop()
