Let the digest set the time of the reports, and expect an account's mean cost

Cause 1: each node reported on its own clock, so service waited up to a period at every hop; with 45 agents (3 hops) the root's counters were up to 7 s old. Change: the deepest nodes report first and each hop 0.1 s later, so that all of it reaches the root just before its next digest. Cause 2: hints wrong by up to 4x made one agent hold back a client account for a request that was never so large. Change: expect the mean of its past costs.

Ruled out: a digest that always sets the time anew. A late report keeps its time now, and a test holds that.

--- a/scripts/measure_policies.py
+++ b/scripts/measure_policies.py
@@ -16,7 +16,7 @@
 import random
 import statistics
 
-from teaselsill import counters, digest, fairness, ids, policies, registry
+from teaselsill import counters, digest, expectation, fairness, ids, policies, registry
 
 TICK_S = 0.1
 SAMPLE_S = 1.0
@@ -44,8 +44,10 @@
         run_s: The length of the run.
         warm_up_s: The time before the gap is measured.
         period_s: How often nodes report.
-        hints: Whether requests carry a hint of their cost, wrong by up to 4x.
+        expect: What a request is expected to cost: `hint` that is wrong by up to 4x,
+            `clipped` hint within 4x of the account's mean, `mean`, or `default`.
         fan_out: The children of a node in the digest tree.
+        timed: Whether digests set the time of the reports, or each node its own.
         rejoin_s: For this long in the middle of the run no link crosses between two
             halves of the agents.
     """
@@ -59,8 +61,9 @@
     run_s: float = 600.0
     warm_up_s: float = 30.0
     period_s: float = 1.0
-    hints: bool = True
+    expect: str = "mean"
     fan_out: int = digest.FAN_OUT
+    timed: bool = True
     rejoin_s: float = 0.0
 
 
@@ -82,6 +85,7 @@
     """A request in a slot."""
 
     account: Account
+    cost: float
     left: float
     reserved: float
 
@@ -94,7 +98,10 @@
     known: counters.Counters
     node: digest.Node
     policy: policies.Policy
+    expectation: expectation.Expectation
     reports_at: float
+    depth: int = 0
+    has_reported: bool = False
     parent: "Agent | None" = None
     children: list["Agent"] = dataclasses.field(default_factory=list)
     running: list[Running] = dataclasses.field(default_factory=list)
@@ -152,13 +159,18 @@
         source = random.Random(self._random.random())
         chooser = registry.get(registry.Kind.POLICY, policy)(source)
         reports_at = self._random.uniform(0, self._settings.period_s)
-        return Agent(number, known, digest.Node(known), chooser, reports_at)
+        learned = expectation.Expectation(DEFAULT_EXPECTED)
+        node = digest.Node(known)
+        return Agent(number, known, node, chooser, learned, reports_at)
 
     def _place_agents(self, *sides) -> None:
         for side in sides:
             names = [f"{number:04}" for number in side]
             for number in side:
                 parent = digest.parent_of(f"{number:04}", names, self._settings.fan_out)
+                self._agents[number].depth = digest.depth_of(
+                    f"{number:04}", names, self._settings.fan_out
+                )
                 self._place(self._agents[number], parent)
 
     def _place(self, agent: Agent, parent: str | None) -> None:
@@ -220,6 +232,7 @@
                 still.append(running)
             else:
                 agent.known.release(running.account.id, running.reserved)
+                agent.expectation.learn(running.account.id, running.cost)
         agent.running = still
 
     def _meter_cost(self, agent: Agent, running: Running, cost: float) -> None:
@@ -243,20 +256,20 @@
         self._free += self._settings.slots - len(agent.running) if waiting else 0
 
     def _start(self, agent: Agent, waiting: list[Account]) -> None:
-        candidates = [self._describe(account) for account in waiting]
+        candidates = [self._describe(agent, account) for account in waiting]
         chosen = agent.policy.choose(candidates, agent.known)
         account = waiting[candidates.index(chosen)]
         account.waits_since = self._now
         cost = self._draw_cost(account)
-        reserved = self._expect(account, cost) / account.share
+        reserved = self._expect(agent, account, cost) / account.share
         agent.known.reserve(account.id, reserved)
-        agent.running.append(Running(account, cost, reserved))
+        agent.running.append(Running(account, cost, cost, reserved))
         self._largest_cost = max(self._largest_cost, cost / account.share)
         self._largest_expected = max(self._largest_expected, reserved)
 
-    def _describe(self, account: Account) -> policies.Candidate:
+    def _describe(self, agent: Agent, account: Account) -> policies.Candidate:
         oldest_ms = round((self._now - account.waits_since) * 1000)
-        expected = DEFAULT_EXPECTED / account.share
+        expected = agent.expectation.expect(account.id) / account.share
         return policies.Candidate(account.id, oldest_ms, expected)
 
     def _draw_cost(self, account: Account) -> float:
@@ -264,9 +277,17 @@
         factor = self._random.lognormvariate(location, COST_SIGMA)
         return min(LARGEST_COST, max(1.0, account.mean_cost * factor))
 
-    def _expect(self, account: Account, cost: float) -> float:
-        wrong_by = HINT_FACTOR ** self._random.uniform(-1, 1)
-        return cost * wrong_by if self._settings.hints else DEFAULT_EXPECTED
+    def _expect(self, agent: Agent, account: Account, cost: float) -> float:
+        hint = cost * HINT_FACTOR ** self._random.uniform(-1, 1)
+        mean = agent.expectation.expect(account.id)
+        match self._settings.expect:
+            case "hint":
+                return hint
+            case "clipped":
+                return min(max(hint, mean / HINT_FACTOR), mean * HINT_FACTOR)
+            case "mean":
+                return mean
+        return DEFAULT_EXPECTED
 
     def _exchange(self) -> None:
         for agent in self._agents:
@@ -277,6 +298,7 @@
                 agent.node.settle()
                 self._send_digests(agent)
                 continue
+            agent.has_reported = True
             report = agent.node.next_report()
             if report is not None:
                 agent.parent.node.take_report(agent.index, report)
@@ -286,6 +308,11 @@
             return
         for child in agent.children:
             child.node.take_digest(agent.node.digest_for(child.index))
+            if self._settings.timed and child.has_reported:
+                child.has_reported = False
+                period_s = self._settings.period_s
+                delay_s = digest.report_delay_s(child.depth, period_s)
+                child.reports_at = self._now + delay_s - TICK_S / 2
             self._send_digests(child)
         agent.node.end_digest()
 
@@ -302,9 +329,7 @@
 
     def _figures(self) -> dict:
         settings = self._settings
-        depth, last = 0, settings.agents - 1
-        while last > 0:
-            depth, last = depth + 1, (last - 1) // settings.fan_out
+        depth = max(agent.depth for agent in self._agents)
         load = fairness.Load(
             in_flight=self._most_in_flight,
             largest_cost=max(self._largest_cost, self._largest_expected),
@@ -328,6 +353,8 @@
 
     That is so if no set of agents holds more than its part of the shares captive.
     """
+    if all(account.agents >= set(agents) for account in accounts):
+        return True
     total = sum(account.share for account in accounts)
     for size in range(1, len(agents)):
         for places in itertools.combinations(agents, size):
@@ -354,7 +381,8 @@
     changes = {}
     for pair in pairs:
         name, _, value = pair.partition("=")
-        changes[name] = json.loads(value)
+        kind = type(getattr(Settings, name))
+        changes[name] = kind(json.loads(value) if kind is bool else value)
     return dataclasses.replace(Settings(), **changes)
 
 
--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -18,6 +18,8 @@
 """How many children a node of the tree has."""
 PERIOD_S = 1.0
 """How often a node reports."""
+HOP_S = 0.1
+"""How much earlier than its parent a node reports, so that the report goes along."""
 RETRY_JITTER_S = 1.0
 """A lost parent is tried again after a random part of this time."""
 GRACE_S = 3.0
@@ -51,6 +53,29 @@
     return ordered[(position - 1) // fan_out] if position else None
 
 
+def depth_of(
+    me: ids.InstanceId,
+    agents: collections.abc.Iterable[ids.InstanceId],
+    fan_out: int = FAN_OUT,
+) -> int:
+    """Returns how many links lie between an agent and the root."""
+    position = sorted({me, *agents}).index(me)
+    depth = 0
+    while position:
+        position = (position - 1) // fan_out
+        depth += 1
+    return depth
+
+
+def report_delay_s(depth: int, period_s: float = PERIOD_S) -> float:
+    """Returns how long after a digest a node reports.
+
+    The deepest report first and each of the others after its children, so that what
+    all have served reaches the root just before its next digest.
+    """
+    return max(period_s / 2, period_s - depth * HOP_S)
+
+
 class Node:
     """The bookkeeping of one agent's place in the tree, without input or output.
 
@@ -217,6 +242,9 @@
         self._node = Node(known)
         self._uplink: link.Link | None = None
         self._orphaned_at = time.monotonic()
+        self._reports_at = 0.0
+        self._has_reported = False
+        self._digest_came = asyncio.Event()
         self._children: set[link.Link] = set()
 
     @property
@@ -245,7 +273,7 @@
 
     async def _report_each_period(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await self._wait_for_turn()
             if self._uplink and not self._is_parent(self._uplink):
                 self._uplink.abort()
             elif self._uplink:
@@ -255,6 +283,18 @@
                 self._measure()
                 self._send_digests()
 
+    async def _wait_for_turn(self) -> None:
+        """Waits for a period, or for less if a digest sets the time."""
+        self._digest_came.clear()
+        self._reports_at = time.monotonic() + PERIOD_S
+        while (left_s := self._reports_at - time.monotonic()) > 0:
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._digest_came.wait()
+            except TimeoutError:
+                return
+            self._digest_came.clear()
+
     async def _keep_uplink(self) -> None:
         while True:
             parent = self._find_parent()
@@ -283,9 +323,23 @@
             for message in received:
                 if isinstance(message, messages.Digest):
                     self._node.take_digest(message)
+                    self._set_time()
             self._send_digests()
 
+    def _set_time(self) -> None:
+        """Sets the time of the next report from the digest that has come.
+
+        A report that is late already is not put off again.
+        """
+        if not self._has_reported:
+            return
+        self._has_reported = False
+        depth = depth_of(self._me.instance, self._agent_by_id())
+        self._reports_at = time.monotonic() + report_delay_s(depth)
+        self._digest_came.set()
+
     def _report(self) -> None:
+        self._has_reported = True
         report = self._node.next_report()
         if report is not None:
             self._uplink.send(report)
@@ -323,12 +377,14 @@
         return is_alone or self._find_parent() is None
 
     def _find_parent(self) -> instances.Instance | None:
-        agent_by_id = {
+        agent_by_id = self._agent_by_id()
+        return agent_by_id.get(parent_of(self._me.instance, agent_by_id))
+
+    def _agent_by_id(self) -> dict[ids.InstanceId, instances.Instance]:
+        return {
             instance.id: instance
             for instance in self._list_agents()
             if instance.role is instances.Role.AGENT
             and instance.service == self._service
             and instance.state is instances.InstanceState.LIVE
         }
-        parent = parent_of(self._me.instance, agent_by_id)
-        return agent_by_id.get(parent)
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -31,6 +31,28 @@
             self.assertLess(parent, me)
 
 
+class TimingTest(unittest.TestCase):
+    @hypothesis.given(strategies.integers(1, 200), strategies.integers(1, 5))
+    def test_children_report_before_their_parents(self, count, fan_out):
+        agents = [f"{number:04}" for number in range(count)]
+        for me in agents[1:]:
+            parent = digest.parent_of(me, agents, fan_out)
+            depth = digest.depth_of(me, agents, fan_out)
+            self.assertEqual(depth - 1, digest.depth_of(parent, agents, fan_out))
+            earlier = digest.report_delay_s(depth) < digest.report_delay_s(depth - 1)
+            self.assertTrue(earlier or depth * digest.HOP_S > digest.PERIOD_S / 2)
+
+    def test_digest_does_not_put_off_a_late_report(self):
+        me = link.Identity("agent-1", "i", instances.Role.AGENT)
+        known = counters.Counters(1.0)
+        exchange = digest.Exchange(me, SECRET, SERVICE, list, known)
+        exchange._has_reported = True
+        exchange._set_time()
+        due_at = exchange._reports_at
+        exchange._set_time()
+        self.assertEqual(due_at, exchange._reports_at)
+
+
 def report(sequence, units, backlogged=(ACCOUNT,)):
     return messages.Report(sequence, {ACCOUNT: units}, list(backlogged), {})
 
