--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import collections
+import collections.abc
+import dataclasses
 import enum
 import itertools
 import logging
 import random
+import ssl
 import time
 
 from teaselsill import (
     backlog,
+    configuration,
     errors,
     exchange,
     ids,
@@ -17,12 +21,15 @@
     invariants,
     link,
     messages,
+    metrics,
 )
 
 TOLD_LIMIT = 32
 """An agent is told of at most this many waiting requests of a client account."""
 AGE_STEP_S = 0.25
 """The oldest request must be this much younger before the agent is told again."""
+STAGE_S = 0.005
+"""How much later an agent of the next rank is told of waiting work."""
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 5.0
 RESOLVE_S = 2.0
@@ -52,39 +59,58 @@
         return ids.AttemptId(f"{self._incarnation}:{next(self._numbers)}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What all connections of one router share.
+
+    Attributes:
+        me: Who this router is.
+        secret: The secret that all peers know.
+        numbers: Makes attempt ids.
+        follower: The configuration.
+        sink: Takes the metrics.
+        tls: An `ssl.SSLContext` for the connections, or none.
+    """
+
+    me: link.Identity
+    secret: bytes
+    numbers: AttemptNumbers
+    follower: configuration.Follower
+    sink: metrics.Metrics
+    tls: ssl.SSLContext | None = None
+
+
 class AgentPeer:
     """One agent, as a router deals with it.
 
     Args:
         agent: The agent, as the platform lists it.
-        me: Who this router is.
-        secret: The secret that all peers know.
+        context: What all connections of this router share.
         waiting: The backlog of the agent's service.
-        numbers: Makes attempt ids.
-        follower: The configuration of this router.
         on_change: Called when the state of the agent changes.
-        tls: An `ssl.SSLContext`, or none.
 
     Attributes:
         agent: The agent, as the platform lists it.
         state: What is known of it.
         exchange_by_attempt: The attempts that it has.
+        rank: How many ranks of agents are told of waiting work before this one.
     """
 
     def __init__(
-        self, agent, me, secret, waiting: backlog.Backlog, numbers, follower, on_change,
-        tls=None,
-    ):  # fmt: skip
-        self.agent: instances.Instance = agent
+        self,
+        agent: instances.Instance,
+        context: Context,
+        waiting: backlog.Backlog,
+        on_change: collections.abc.Callable[["AgentPeer"], None],
+    ):
+        self.agent = agent
         self.state = State.CONNECTING
+        self.rank = 0
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
-        self._me = me
-        self._secret = secret
+        self._context = context
+        self._follower = context.follower
         self._backlog = waiting
-        self._numbers = numbers
-        self._follower = follower
         self._on_change = on_change
-        self._tls = tls
         self._link: link.Link | None = None
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._told_by_account: dict[ids.AccountId, int] = {}
@@ -107,39 +133,55 @@
 
     def tell_demand(self) -> None:
         """Has the agent told, soon, of what has changed in the backlog."""
-        if self._link is not None and self._flush_handle is None:
-            self._flush_handle = asyncio.get_running_loop().call_soon(self._flush)
+        if self._link is None or self._flush_handle is not None:
+            return
+        loop = asyncio.get_running_loop()
+        if self.rank:
+            self._flush_handle = loop.call_later(self.rank * STAGE_S, self._flush)
+        else:
+            self._flush_handle = loop.call_soon(self._flush)
 
     async def close(self) -> None:
         """Ends the connection; attempts that still run there are lost."""
         self._wanted = False
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        self._lose_exchanges()
+        self._lose_exchanges(True)
 
     async def _run(self) -> None:
         delay_s = RETRY_MIN_S
         lost_at = time.monotonic()
         while self._wanted:
-            try:
-                connected = await link.connect(
-                    self.agent.host, self.agent.port, self._secret, self._me, self._tls
-                )
-                delay_s = RETRY_MIN_S
-                try:
-                    await self._converse(connected)
-                finally:
-                    lost_at = time.monotonic()
-                    self._forget_link(connected)
-            except errors.LinkError as error:
-                logger.info("link to agent %s: %s", self.agent.id, error)
+            was_connected = await self._connect()
             self._set_state(State.UNREACHABLE)
-            if time.monotonic() - lost_at >= RESOLVE_S:
-                self._lose_exchanges()
+            if was_connected:
+                delay_s = RETRY_MIN_S
+                lost_at = time.monotonic()
+            else:
+                self._lose_exchanges(time.monotonic() - lost_at >= RESOLVE_S)
             await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
             limit_s = RETRY_MIN_S * 4 if self.exchange_by_attempt else RETRY_MAX_S
             delay_s = min(delay_s * 2, limit_s)
 
+    async def _connect(self) -> bool:
+        """Connects once, until the connection is lost; tells whether there was one."""
+        connected = None
+        try:
+            connected = await link.connect(
+                self.agent.host,
+                self.agent.port,
+                self._context.secret,
+                self._context.me,
+                self._context.tls,
+            )
+            await self._converse(connected)
+        except errors.LinkError as error:
+            logger.info("link to agent %s: %s", self.agent.id, error)
+        finally:
+            if connected is not None:
+                self._forget_link(connected)
+        return connected is not None
+
     async def _converse(self, connected: link.Link) -> None:
         self._link = connected
         self._told_by_account.clear()
@@ -166,8 +208,12 @@
         try:
             self._take(message)
         except errors.InvariantError as error:
-            invariants.report(error, reraise=False)
+            invariants.report(error, reraise=False, sink=self._context.sink)
             raise link.UnexpectedMessageError(str(error)) from error
+        except errors.ConfigurationError as error:
+            raise link.UnexpectedMessageError(
+                f"{type(message).__name__}: {type(error).__name__}: {error}"
+            ) from error
 
     def _take(self, message: messages.Message) -> None:
         match message:
@@ -203,12 +249,13 @@
             self._told_by_account.pop(account, None)
             self._link.send(messages.Decline(grant))
             return
-        attempt = self._numbers.next()
+        attempt = self._context.numbers.next()
         connected = self._link
         running = exchange.Exchange(
             attempt,
             connected.peer.incarnation,
             lambda through: self._acknowledge(attempt, through),
+            waiting.request.repeatable,
         )
         self.exchange_by_attempt[attempt] = running
         self._note_dispatched(account)
@@ -276,6 +323,8 @@
 
     def _forget_link(self, connected: link.Link) -> None:
         connected.abort()
+        if self.state is State.CONNECTED and self._wanted:
+            self._context.sink.count(metrics.Metric.PEERS_LOST)
         self._closed_bytes_by_type.update(connected.bytes_sent_by_type)
         self._link = None
         self._told_by_account.clear()
@@ -285,10 +334,16 @@
             self.state = state
             self._on_change(self)
 
-    def _lose_exchanges(self) -> None:
-        for running in self.exchange_by_attempt.values():
-            running.lose()
-        self.exchange_by_attempt.clear()
+    def _lose_exchanges(self, lose_all: bool) -> None:
+        """Gives up the attempts at an agent that cannot be reached.
+
+        Args:
+            lose_all: Whether to give up also those that can only be resumed.
+        """
+        for attempt, running in list(self.exchange_by_attempt.items()):
+            if lose_all or running.can_restart:
+                running.lose()
+                del self.exchange_by_attempt[attempt]
 
 
 def _make_dispatch(grant, attempt, waiting: backlog.Waiting, version):
--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 import time
+import urllib.parse
 
 import msgspec
 from starlette import applications, requests, responses, routing
@@ -28,9 +29,15 @@
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_S = 3600.0
+BODY_TIMEOUT_S = 30.0
+"""How long the body of a request may take to arrive."""
 DROPPED_HEADERS = frozenset(
     {"authorization", "idempotency-key", "teaselsill-deadline", "x-request-id"}
 )
+UNREAD_STATUSES = frozenset({408, 413})
+"""The refusals after which the rest of the body may still come."""
+DATE_HEADER = "date"
+"""The router's HTTP server sets it on every answer."""
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 JSON_TYPE = "application/json"
 EVENT_STREAM = "text/event-stream"
@@ -54,10 +61,22 @@
     """There is no such service or model."""
 
 
+class UnknownPathError(errors.RequestError):
+    """Nothing is served under the path."""
+
+
+class UnknownMethodError(errors.RequestError):
+    """The path does not take the method."""
+
+
 class BodyTooLargeError(errors.RequestError):
     """The body is larger than the router takes."""
 
 
+class BodyTimeoutError(errors.RequestError):
+    """The body did not come in time."""
+
+
 class NotReadyError(backlog.RefusedError):
     """The router has no configuration yet."""
 
@@ -117,8 +136,14 @@
             return Refusal(403, "not-allowed", text)
         case UnknownServiceError():
             return Refusal(404, "unknown-service", text)
+        case UnknownPathError():
+            return Refusal(404, "unknown-path", text)
+        case UnknownMethodError():
+            return Refusal(405, "unknown-method", text)
         case BodyTooLargeError():
             return Refusal(413, "body-too-large", text)
+        case BodyTimeoutError():
+            return Refusal(408, "body-timeout", text)
         case backlog.BacklogFullError():
             return Refusal(429, "too-many-waiting", text, retry_after_s=_wait_of(error))
         case backlog.DeadlineHopelessError():
@@ -199,7 +224,7 @@
     def create_app(self) -> applications.Starlette:
         """Returns the application for the callers' port."""
         completions = _Endpoint(self._serve_completion)
-        return applications.Starlette(
+        app = applications.Starlette(
             routes=[
                 routing.Route("/v1/chat/completions", completions, methods=["POST"]),
                 routing.Route("/v1/completions", completions, methods=["POST"]),
@@ -209,8 +234,11 @@
                     _Endpoint(self._serve_plain),
                     methods=ALL_METHODS,
                 ),
-            ]
+            ],
+            exception_handlers={404: _refuse_path, 405: _refuse_method},
         )
+        app.router.redirect_slashes = False
+        return app
 
     async def _list_models(self, request: requests.Request) -> responses.Response:
         try:
@@ -240,7 +268,7 @@
             call.note_gone()
         except errors.RequestError as error:
             await call.refuse(describe(error))
-        except errors.TeaselsillError:
+        except Exception:
             logger.exception("request failed", extra={"request": call.id})
             await call.refuse(describe(errors.RequestError()))
 
@@ -262,6 +290,8 @@
             asked = msgspec.json.decode(body, type=_CompletionRequest)
         except msgspec.MsgspecError as error:
             raise BadRequestError(f"body: {error}") from error
+        except RecursionError as error:
+            raise BadRequestError("body: nested too deeply") from error
         service = self._router.follower.document.service_by_model.get(asked.model)
         if service is None:
             raise UnknownServiceError(f"no service has the model {asked.model!r}")
@@ -274,11 +304,20 @@
         service = self._router.follower.document.service_by_name.get(name)
         if service is None or service.kind is not document.ServiceKind.PLAIN:
             raise UnknownServiceError(f"no plain service is named {name!r}")
-        path = "/" + _raw_path(request).split("/", 3)[3]
+        path = _path_at_service(request, name)
         body = await self._read_body(request)
         return _make_request(request, account, service, path, body, request_id)
 
     async def _read_body(self, request: requests.Request) -> bytes:
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                return await self._read_chunks(request)
+        except TimeoutError:
+            raise BodyTimeoutError(
+                f"the body took longer than {BODY_TIMEOUT_S:g} s"
+            ) from None
+
+    async def _read_chunks(self, request: requests.Request) -> bytes:
         chunks = []
         size = 0
         async for chunk in request.stream():
@@ -354,6 +393,8 @@
     async def refuse(self, refusal: Refusal) -> None:
         """Tells the caller of an error, in the way that is still open."""
         self._note(refusal.outcome, ok=False, refusal=refusal)
+        if refusal.outcome is messages.Outcome.NOT_RUN:
+            self._metrics.count(metrics.Metric.REQUESTS_REFUSED)
         if self._status:
             await self._break_off(refusal)
             return
@@ -386,6 +427,7 @@
         raw = [
             (name.lower().encode("latin-1"), value.encode("latin-1"))
             for name, value in [*headers, *own]
+            if name.lower() != DATE_HEADER
         ]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": raw}
@@ -486,12 +528,40 @@
     return f"{path}?{query}" if query else path
 
 
+def _path_at_service(request: requests.Request, service: str) -> str:
+    """Returns the path and query behind the service's name, as written.
+
+    Raises:
+        UnknownPathError: An encoded slash hides where the name ends.
+    """
+    parts = _raw_path(request).split("/", 3)
+    if len(parts) < 4 or urllib.parse.unquote(parts[2]) != service:
+        raise UnknownPathError("the service's name must end with a plain slash")
+    return "/" + parts[3]
+
+
+async def _refuse_path(request: requests.Request, _) -> responses.Response:
+    error = UnknownPathError("nothing is served under this path")
+    return _refuse(describe(error), ids.RequestId(ids.new_random_id()))
+
+
+async def _refuse_method(request: requests.Request, error) -> responses.Response:
+    refusal = describe(UnknownMethodError("the path does not take this method"))
+    response = _refuse(refusal, ids.RequestId(ids.new_random_id()))
+    response.headers.update(error.headers or {})
+    return response
+
+
 def _fault_body(refusal: Refusal) -> bytes:
     return msgspec.json.encode(_FaultBody(_Fault(refusal.reason, refusal.text)))
 
 
 def _refuse(refusal: Refusal, request_id: ids.RequestId) -> responses.Response:
     headers = {OUTCOME_HEADER: refusal.outcome.value, REQUEST_ID_HEADER: request_id}
+    if refusal.status in UNREAD_STATUSES:
+        headers["Connection"] = "close"
+    if refusal.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
     if refusal.retry_after_s:
         headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
     return responses.Response(_fault_body(refusal), refusal.status, headers, JSON_TYPE)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -1,6 +1,7 @@
 """Joins the parts of each role into a process, and stops it gracefully."""
 
 import asyncio
+import dataclasses
 import logging
 import signal
 import time
@@ -8,11 +9,15 @@
 from teaselsill import (
     admin,
     agent,
+    agent_peer,
     callers,
     claims,
     configuration,
+    console,
     counters,
     digest,
+    fencing,
+    granting,
     handover,
     ids,
     instances,
@@ -20,11 +25,14 @@
     link,
     logs,
     membership,
+    metered_log,
     metrics,
     peer_tls,
     registry,
     reports,
     router,
+    running,
+    sampling,
     servers,
     service_levels,
     settings,
@@ -44,6 +52,7 @@
         me: Who this process is.
         secret: The secret that all peers know.
         log: The log service.
+        instance_list: The instance list's client.
         membership: The list of instances.
         follower: The configuration.
         metrics: Takes the metrics.
@@ -55,13 +64,14 @@
         incarnation = ids.Incarnation(ids.new_random_id())
         self.me = link.Identity(ids.InstanceId(loaded.instance), incarnation, role)
         self.secret = loaded.secret.encode()
-        self.log = registry.get(registry.Kind.LOG, loaded.log.plugin)(loaded.log.url)
-        self._instances = registry.get(
+        self.metrics = metrics.Metrics(loaded.statsd)
+        client = registry.get(registry.Kind.LOG, loaded.log.plugin)(loaded.log.url)
+        self.log = metered_log.MeteredLog(client, self.metrics)
+        self.instance_list = registry.get(
             registry.Kind.INSTANCES, loaded.instances.plugin
         )(loaded.instances.url)
-        self.membership = membership.Membership(self._instances)
+        self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
-        self.metrics = metrics.Metrics(loaded.statsd)
         self.host = str(loaded.host)
         self._settings = loaded
         self._started_at = time.monotonic()
@@ -109,7 +119,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._admin.stop()
         await self.log.close()
-        await self._instances.close()
+        await self.instance_list.close()
         self.metrics.close()
 
     def _note_done(self, task: asyncio.Task) -> None:
@@ -134,19 +144,22 @@
     """Runs a router until it is told to stop, then finishes every request in hand."""
     node = Node(loaded, instances.Role.ROUTER)
     levels = service_levels.Recorder(time.monotonic)
-    served = router.Router(
+    context = agent_peer.Context(
         node.me,
         node.secret,
+        agent_peer.AttemptNumbers(node.me.incarnation),
         node.follower,
-        node.membership,
-        loaded.agents_per_service,
+        node.metrics,
         peer_tls.make_client_context(loaded.peer_tls),
     )
+    served = router.Router(context, node.membership, loaded.agents_per_service)
     node.follower.subscribe(lambda: levels.set_targets(node.follower.document))
     app = callers.Callers(served, levels, node.metrics, loaded.max_body_bytes)
     front = servers.HttpServer(app.create_app(), node.host, loaded.port, loaded.tls)
     await node.start(lambda: True, lambda: _report_router(served, levels))
     node.run_in_background(served.run())
+    sampler = sampling.Sampler(node.metrics, served.gauges, served.sent_bytes_by_type)
+    node.run_in_background(sampler.run())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await front.start()
     await node.wait_stop()
@@ -159,13 +172,21 @@
 async def run_agent(loaded: settings.AgentSettings) -> None:
     """Runs an agent until it is told to stop, then delivers every running answer."""
     node = Node(loaded, instances.Role.AGENT)
-    serving = _make_agent(node, loaded)
-    tls = peer_tls.make_server_context(loaded.peer_tls)
+    parts = _make_agent(node, loaded)
+    serving = parts.agent
     listener = await asyncio.start_server(
-        serving.accept, node.host, loaded.port, ssl=tls
+        serving.accept,
+        node.host,
+        loaded.port,
+        ssl=peer_tls.make_server_context(loaded.peer_tls),
     )
-    await node.start(lambda: not serving.is_leaving, lambda: _report_agent(serving))
-    node.run_in_background(serving.exchange.run())
+    await node.start(
+        lambda: not serving.granting.is_leaving, lambda: _report_agent(parts, loaded)
+    )
+    node.run_in_background(parts.exchange.run())
+    node.run_in_background(parts.fence.obtain())
+    sampler = sampling.Sampler(node.metrics, parts.gauges, serving.sent_bytes_by_type)
+    node.run_in_background(sampler.run())
     node.run_in_background(handover.fetch_until_ready(node, loaded.peer_tls))
     await node.wait_stop()
     await serving.leave()
@@ -174,8 +195,52 @@
     await node.stop()
 
 
-def _make_agent(node: Node, loaded: settings.AgentSettings) -> agent.Agent:
+async def run_console(loaded: settings.ConsoleSettings) -> None:
+    """Runs a console until it is told to stop."""
+    node = Node(loaded, instances.Role.CONSOLE)
+    app = console.create_app(node.log, node.instance_list)
+    front = servers.HttpServer(app, node.host, loaded.port)
+    await node.start(lambda: True, dict)
+    await front.start()
+    logger.info("console listens on %s:%s", node.host, loaded.port)
+    await node.wait_stop()
+    await front.stop()
+    await node.stop()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentParts:
+    """The parts that an agent's process is joined of.
+
+    Attributes:
+        agent: Serves the peers.
+        known: The counters of the service.
+        exchange: The place in the digest tree.
+        fence: Has the fencing number.
+    """
+
+    agent: agent.Agent
+    known: counters.Counters
+    exchange: digest.Exchange
+    fence: fencing.Fence
+
+    def gauges(self) -> dict[metrics.Metric, float]:
+        """Returns the use of the slots, the connections and the fairness gap."""
+        used = self.agent.granting.slots
+        counter_by_account = self.known.fleet_counter_by_account
+        gap = max(counter_by_account.values(), default=0)
+        gap -= min(counter_by_account.values(), default=0)
+        return {
+            metrics.Metric.SLOTS_BUSY: used.running,
+            metrics.Metric.SLOTS_TOTAL: used.total,
+            metrics.Metric.PEERS_CONNECTED: len(self.agent.granting.peers),
+            metrics.Metric.FAIRNESS_GAP: gap / counters.UNITS_PER_COST,
+        }
+
+
+def _make_agent(node: Node, loaded: settings.AgentSettings) -> AgentParts:
     service = ids.ServiceName(loaded.service)
+    upstream = ids.UpstreamId(loaded.upstream)
     known = counters.Counters(0)
     exchange = digest.Exchange(
         node.me,
@@ -186,21 +251,30 @@
         lambda: node.follower.version,
         peer_tls.make_client_context(loaded.peer_tls),
     )
-    kind = registry.get(registry.Kind.UPSTREAM, loaded.upstream_kind)
-    policy = registry.get(registry.Kind.POLICY, loaded.policy)
-    return agent.Agent(
+    policy = registry.get(registry.Kind.POLICY, loaded.policy)()
+    grants = granting.Granting(
+        service, upstream, node.follower, known, policy, node.metrics
+    )
+    fence = fencing.Fence(node.log, service, upstream, node.me.incarnation)
+    runner = running.Runner(
+        registry.get(registry.Kind.UPSTREAM, loaded.upstream_kind)(loaded.upstream_url),
+        claims.Ledger(node.log, service, node.me.incarnation, time.time),
+        fence,
+        grants,
+        node.metrics,
+    )
+    serving = agent.Agent(
         node.me,
         node.secret,
-        service,
-        ids.UpstreamId(loaded.upstream),
-        kind(loaded.upstream_url),
         node.follower,
-        claims.Ledger(node.log, service, node.me.incarnation, time.time),
+        grants,
+        runner,
         known,
         exchange,
-        policy(),
+        policy,
         node.metrics,
     )
+    return AgentParts(serving, known, exchange, fence)
 
 
 def _report_router(served: router.Router, levels: service_levels.Recorder):
@@ -212,24 +286,24 @@
     }
 
 
-def _report_agent(serving: agent.Agent):
-    backlogged = serving.counters.backlogged
-    counter_by_account = serving.counters.counter_by_account
+def _report_agent(parts: AgentParts, loaded: settings.AgentSettings):
+    service = ids.ServiceName(loaded.service)
+    used = parts.agent.granting.slots
+    backlogged = parts.known.backlogged
+    counter_by_account = parts.known.counter_by_account
     return {
         "served": [
             reports.Served(
-                serving.service,
+                service,
                 account,
                 counter_by_account.get(account, 0) / counters.UNITS_PER_COST,
                 account in backlogged,
             )
             for account in sorted({*backlogged, *counter_by_account})
         ],
-        "slots": reports.Slots(
-            serving.slots.running, serving.slots.total, serving.slots.busy_s
-        ),
-        "upstream": serving.upstream_id,
-        "service": serving.service,
-        "served_cost": serving.served_cost,
-        "control_bytes_by_type": serving.sent_bytes_by_type(),
+        "slots": reports.Slots(used.running, used.total, used.busy_s),
+        "upstream": ids.UpstreamId(loaded.upstream),
+        "service": service,
+        "served_cost": parts.agent.served_cost,
+        "control_bytes_by_type": parts.agent.sent_bytes_by_type(),
     }
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,16 +1,10 @@
 import asyncio
-import dataclasses
-import json
 import logging
 import random
 import unittest
 
-import hypothesis
-from hypothesis import strategies
-
-from teaselsill import configuration, document, errors, ids, log
-
-NODES = 3
+from teaselsill import configuration, configuration_fold, errors, ids, log
+from tests import configurations
 
 
 def setUpModule():
@@ -21,17 +15,6 @@
     logging.disable(logging.NOTSET)
 
 
-def text_of(name):
-    """Returns a valid document that is told apart by its only client account."""
-    account = {"id": name, "share": 1, "services": []}
-    return json.dumps({"client_accounts": [account], "services": []}).encode()
-
-
-def pack_publish(based_on, text, publisher="kim"):
-    record = configuration.Publish(based_on, text, publisher, ids.new_random_id(), 0.0)
-    return configuration.pack(record)
-
-
 class PagedLog(log.MemoryLog):
     """A log that hands out one record a page and fails at chosen reads."""
 
@@ -48,174 +31,36 @@
         return await super().read(stream, start, wait_s, limit=1)
 
 
-class DroppingLog(log.MemoryLog):
-    """A log that loses appends, as far as their sender can tell."""
-
-    async def append(self, stream, data):
-        raise log.LogUnavailableError("no reply")
-
-
-@dataclasses.dataclass(frozen=True)
-class AppendPublish:
-    back: int
-    is_valid: bool
-
-
-@dataclasses.dataclass(frozen=True)
-class AppendRestate:
-    back: int
-
-
-@dataclasses.dataclass(frozen=True)
-class AppendGarbage:
-    data: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class Expire:
-    count: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Read:
-    node: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Restart:
-    node: int
+class PausingLog(log.MemoryLog):
+    """A log whose next reader is paused with a page in its hands."""
 
+    def __init__(self):
+        super().__init__()
+        self.during_pause = None
 
-@dataclasses.dataclass(frozen=True)
-class Offer:
-    sender: int
-    receiver: int
-
-
-NODE = strategies.integers(0, NODES - 1)
-BACK = strategies.one_of(strategies.just(0), strategies.integers(0, 6))
-ACTION = strategies.one_of(
-    strategies.builds(AppendPublish, BACK, strategies.booleans()),
-    strategies.builds(AppendRestate, BACK),
-    strategies.builds(AppendGarbage, strategies.binary(max_size=8)),
-    strategies.builds(Expire, strategies.integers(1, 4)),
-    strategies.builds(Read, NODE),
-    strategies.builds(Restart, NODE),
-    strategies.builds(Offer, NODE, NODE),
-)
-
+    async def read(self, stream, start, wait_s=0.0, limit=1000):
+        page = await super().read(stream, start, wait_s, limit)
+        if self.during_pause is not None:
+            during_pause, self.during_pause = self.during_pause, None
+            await during_pause()
+        return page
 
-class Simulation:
-    """Nodes that read one stream, beside an observer that sees every record.
 
-    Attributes:
-        state_by_offset: The observer's version and text after each offset.
-    """
+class DroppingLog(log.MemoryLog):
+    """A log that loses appends, as far as their sender can tell."""
 
-    def __init__(self):
-        self.log = log.MemoryLog()
-        self.observer = configuration.Fold()
-        self.folds = [configuration.Fold() for _ in range(NODES)]
-        self.state_by_offset = {-1: (ids.NO_VERSION, b"")}
-        self.earliest = 0
-
-    async def perform(self, action):
-        versions = [fold.version for fold in self.folds]
-        match action:
-            case AppendPublish(back, is_valid):
-                version, _ = self.state_before(back)
-                text = text_of(f"a{self.observer.next_offset}") if is_valid else b"{}"
-                await self.append(pack_publish(version, text))
-            case AppendRestate(back):
-                as_of = max(-1, self.observer.next_offset - 1 - back)
-                state = self.state_by_offset[as_of]
-                record = configuration.Restate(state[0], as_of, state[1], "", 0.0)
-                await self.append(configuration.pack(record))
-            case AppendGarbage(data):
-                await self.append(data)
-            case Expire(count):
-                self.earliest = min(self.earliest + count, self.observer.next_offset)
-                self.log.expire(configuration.STREAM, self.earliest)
-            case Read(node):
-                await configuration.catch_up(self.log, self.folds[node], {})
-            case Restart(node):
-                versions[node] = ids.NO_VERSION
-                self.folds[node] = configuration.Fold()
-            case Offer(sender, receiver):
-                sent = self.folds[sender]
-                self.folds[receiver].offer(sent.version, sent.text, 1.0)
-        return versions
-
-    def state_before(self, back):
-        return self.state_by_offset[max(-1, self.observer.next_offset - 1 - back)]
-
-    async def append(self, data):
-        await self.log.append(configuration.STREAM, data)
-        await configuration.catch_up(self.log, self.observer, {})
-        state = (self.observer.version, self.observer.text)
-        self.state_by_offset[self.observer.next_offset - 1] = state
-
-
-class FoldPropertyTest(unittest.TestCase):
-    @hypothesis.settings(max_examples=600)
-    @hypothesis.given(strategies.lists(ACTION, max_size=40))
-    def test_nodes_agree_with_an_observer_of_every_record(self, actions):
-        asyncio.run(self.check(actions))
-
-    async def check(self, actions):
-        simulation = Simulation()
-        for action in actions:
-            versions = await simulation.perform(action)
-            for before, fold in zip(versions, simulation.folds, strict=True):
-                self.assertGreaterEqual(fold.version, before)
-                state = (fold.version, fold.text)
-                self.assertIn(state, simulation.state_by_offset.values())
-                if fold.is_anchored:
-                    expected = simulation.state_by_offset[fold.next_offset - 1]
-                    self.assertEqual(expected, state)
-
-    @hypothesis.given(
-        strategies.integers(-1, 3), strategies.integers(-1, 3), strategies.booleans()
-    )
-    def test_wrong_restate_changes_no_anchored_node(self, version, as_of, is_valid):
-        fold = configuration.Fold()
-        fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
-        fold.take(log.Record(1, pack_publish(0, text_of("b"))))
-        text = text_of("wrong") if is_valid else b"{"
-        record = configuration.Restate(version, as_of, text, "", 0.0)
-        fold.take(log.Record(2, configuration.pack(record)))
-        self.assertEqual((1, text_of("b")), (fold.version, fold.text))
-        fold.expire(9)
-        fold.take(log.Record(9, configuration.pack(record)))
-        self.assertEqual((1, text_of("b")), (fold.version, fold.text))
-
-    def test_offer_that_contradicts_the_stream_is_refused(self):
-        fold = configuration.Fold()
-        fold.take(log.Record(0, pack_publish(-1, text_of("a"))))
-        fold.take(log.Record(1, pack_publish(-1, text_of("b"))))
-        self.assertFalse(fold.offer(1, text_of("b"), 1.0))
-        self.assertEqual(0, fold.version)
-
-    @hypothesis.given(strategies.binary(max_size=300))
-    def test_garbage_is_a_record_error(self, data):
-        try:
-            configuration.unpack(data)
-        except configuration.RecordError:
-            return
-
-    def test_large_document_is_refused(self):
-        with self.assertRaises(configuration.RecordError):
-            pack_publish(-1, bytes(configuration.MAX_DOCUMENT_BYTES + 1))
+    async def append(self, stream, data):
+        raise log.LogUnavailableError("no reply")
 
 
 class PublishTest(unittest.IsolatedAsyncioTestCase):
     async def publish(self, service, based_on, name="a", publisher="kim"):
         return await configuration.publish(
-            service, text_of(name), based_on, publisher, resolve_s=0.0
+            service, configurations.text_of(name), based_on, publisher, resolve_s=0.0
         )
 
     async def test_racing_operators_have_one_winner_each_time(self):
-        service = log.MemoryLog()
+        service = configurations.SlowLog()
         version = ids.NO_VERSION
         for race in range(200):
             results = await asyncio.gather(
@@ -266,26 +111,32 @@
                 return offset
 
             service.append = append_and_two_more
-            published = configuration.publish(service, text_of("b"), 0, "kim")
+            published = configuration.publish(
+                service, configurations.text_of("b"), 0, "kim"
+            )
             self.assertEqual(1, await published)
 
     async def test_history_tells_each_verdict(self):
         service = log.MemoryLog()
-        for based_on, text in ((-1, text_of("a")), (-1, text_of("b")), (0, b"{}")):
-            data = pack_publish(based_on, text)
-            await service.append(configuration.STREAM, data)
+        for based_on, text in (
+            (-1, configurations.text_of("a")),
+            (-1, configurations.text_of("b")),
+            (0, b"{}"),
+        ):
+            data = configurations.pack_publish(based_on, text)
+            await service.append(configuration_fold.STREAM, data)
         verdicts = [entry.verdict for entry in await configuration.history(service)]
         expected = [
-            configuration.Verdict.ACCEPTED,
-            configuration.Verdict.CONFLICT,
-            configuration.Verdict.INVALID,
+            configuration_fold.Verdict.ACCEPTED,
+            configuration_fold.Verdict.CONFLICT,
+            configuration_fold.Verdict.INVALID,
         ]
         self.assertEqual(expected, verdicts)
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.log = log.MemoryLog()
+        self.log = configurations.SlowLog()
         self.now = 1000.0
         self.tasks = []
 
@@ -307,7 +158,9 @@
         return follower
 
     async def publish(self, based_on, name="a"):
-        return await configuration.publish(self.log, text_of(name), based_on, "kim")
+        return await configuration.publish(
+            self.log, configurations.text_of(name), based_on, "kim"
+        )
 
     async def wait_for(self, condition):
         for _ in range(500):
@@ -334,8 +187,8 @@
         self.assertFalse(follower.is_ready)
         with self.assertRaises(errors.ConfigurationError):
             follower.offer(0, b"{}")
-        self.assertTrue(follower.offer(0, text_of("a")))
-        self.assertFalse(follower.offer(0, text_of("a")))
+        self.assertTrue(follower.offer(0, configurations.text_of("a")))
+        self.assertFalse(follower.offer(0, configurations.text_of("a")))
         await follower.wait_ready()
         self.log.down = False
         version = await self.publish(0, "b")
@@ -353,15 +206,15 @@
         self.now += 160
         await self.publish(0, "b")
         await self.wait_for(lambda: self.end_of_stream() > 2)
-        self.log.expire(configuration.STREAM, 2)
+        self.log.expire(configuration_fold.STREAM, 2)
         late = self.follow()
-        await late.wait_ready()
-        self.assertEqual((1, text_of("b")), (late.version, late.text))
+        await self.wait_for(lambda: late.is_ready)
+        self.assertEqual((1, configurations.text_of("b")), (late.version, late.text))
 
     async def test_without_an_anchor_a_reader_is_not_ready(self):
         await self.publish(-1)
         await self.publish(0, "b")
-        self.log.expire(configuration.STREAM, 1)
+        self.log.expire(configuration_fold.STREAM, 1)
         follower = self.follow()
         await asyncio.sleep(0.05)
         self.assertEqual((False, -1), (follower.is_ready, follower.version))
@@ -374,21 +227,33 @@
         await self.wait_for(lambda: all(f.is_ready for f in followers))
         for _ in range(130):
             self.now += 20
-            await self.log.append(configuration.STREAM, b"wakes the readers")
+            await self.log.append(configuration_fold.STREAM, b"wakes the readers")
             await asyncio.sleep(0.002)
         restated = 0
-        for record in (await self.log.read_to_end(configuration.STREAM, 0)).records:
+        for record in (
+            await self.log.read_to_end(configuration_fold.STREAM, 0)
+        ).records:
             restated += record.data != b"wakes the readers"
         self.assertTrue(2 <= restated - 1 <= 10, restated - 1)
 
-    def end_of_stream(self):
-        return len(self.log._records_by_stream[configuration.STREAM])
+    async def test_follower_that_was_paused_checks_again_before_it_restates(self):
+        self.log = PausingLog()
+        await self.publish(-1)
+        follower = self.follow(restate_after_s=100)
+        await follower.wait_ready()
+        self.log.during_pause = self.let_another_node_restate
+        await self.log.append(configuration_fold.STREAM, b"wakes the reader")
+        await asyncio.sleep(0.05)
+        self.assertIsNone(self.log.during_pause)
+        self.assertEqual(3, self.end_of_stream())
 
+    async def let_another_node_restate(self):
+        self.now += 160
+        record = configuration_fold.Restate(
+            0, 1, configurations.text_of("a"), "", self.now
+        )
+        data = configuration_fold.pack(record)
+        await self.log.append(configuration_fold.STREAM, data)
 
-class InvariantTest(unittest.TestCase):
-    def test_version_that_would_fall_raises_and_is_counted(self):
-        fold = configuration.Fold()
-        fold.offer(5, text_of("a"), 1.0)
-        with self.assertRaises(configuration.RevertedConfigurationError):
-            fold._set(4, text_of("b"), document.parse(text_of("b")), "")
-        self.assertEqual((5, 1), (fold.version, fold.reverts))
+    def end_of_stream(self):
+        return len(self.log._records_by_stream[configuration_fold.STREAM])
