--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -7,18 +7,21 @@
 
 import cappa
 
-from measurements import latency, results
+from measurements import fairness, latency, results
 
 
 class Name(enum.Enum):
     """The measurements."""
 
+    FAIRNESS = "fairness"
     LATENCY = "latency"
 
 
 async def measure(name: Name, seed: int) -> results.Result:
     """Runs a measurement."""
     match name:
+        case Name.FAIRNESS:
+            return await fairness.measure(seed)
         case Name.LATENCY:
             return await latency.measure(seed)
 
--- a/teaselsill/counters.py
+++ b/teaselsill/counters.py
@@ -52,6 +52,7 @@
     def __init__(self, cap: float, now: typing.Callable[[], float] = time.monotonic):
         self.set_debt_cap(cap)
         self._now = now
+        self._metered_by_account: dict[ids.AccountId, float] = {}
         self._counter_by_account: CounterByAccount = {}
         self._pending_by_account: CounterByAccount = {}
         self._sent_by_sequence: dict[int, CounterByAccount] = {}
@@ -99,6 +100,11 @@
             for account in sorted(self._fleet_backlogged)
         }
 
+    @property
+    def metered_by_account(self) -> dict[ids.AccountId, float]:
+        """A copy of what this process has metered in its run, in normalised cost."""
+        return dict(self._metered_by_account)
+
     @property
     def has_pending(self) -> bool:
         """Whether there is service that no report has taken along."""
@@ -106,6 +112,8 @@
 
     def add_served(self, account: ids.AccountId, normalised: float) -> None:
         """Adds metered service, in normalised cost."""
+        metered = self._metered_by_account.get(account, 0.0) + max(0.0, normalised)
+        self._metered_by_account[account] = metered
         exact = self._fraction_by_account.get(account, 0.0)
         exact += max(0.0, normalised) * UNITS_PER_COST
         units = math.floor(exact)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -291,6 +291,8 @@
     used = parts.agent.granting.slots
     backlogged = parts.known.backlogged
     counter_by_account = parts.known.counter_by_account
+    metered_by_account = parts.known.metered_by_account
+    listed = {*backlogged, *counter_by_account, *metered_by_account}
     return {
         "served": [
             reports.Served(
@@ -298,8 +300,9 @@
                 account,
                 counter_by_account.get(account, 0) / counters.UNITS_PER_COST,
                 account in backlogged,
+                metered_by_account.get(account, 0.0),
             )
-            for account in sorted({*backlogged, *counter_by_account})
+            for account in sorted(listed)
         ],
         "slots": reports.Slots(used.running, used.total, used.busy_s),
         "upstream": ids.UpstreamId(loaded.upstream),
--- a/teaselsill/reports.py
+++ b/teaselsill/reports.py
@@ -39,12 +39,14 @@
         account: The client account.
         normalised: The fleet-wide counter that the agent knows: cost over share.
         is_backlogged: Whether requests of the client account wait.
+        metered: What this agent has metered itself in this run: cost over share.
     """
 
     service: ids.ServiceName
     account: ids.AccountId
     normalised: float
     is_backlogged: bool
+    metered: float = 0.0
 
 
 class Slots(msgspec.Struct, frozen=True):
