Give no new work to an agent that the list calls leaving

Cause: a connected agent whose listing changed to leaving, or that was no longer listed, kept its connection and was told of waiting work for as long as requests ran there, so under load for ever. Leaving by configuration worked only because the agent itself refuses. Ruled out: the list's lag (1 s) and the poll; 3 requests came after 3 s and went on. Change: such a peer is retired: the router takes its demand back and declines its grants, also between the decision to close the connection and its end. Before: LeavingTest.test_by_list saw 40 executions instead of 37; after: none.

--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -69,6 +69,7 @@
         agent: The agent, as the platform lists it.
         state: What is known of it.
         exchange_by_attempt: The attempts that it has.
+        is_retired: Whether it gets no new work, as the platform or the operators say.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self.agent: instances.Instance = agent
         self.state = State.CONNECTING
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
+        self.is_retired = False
         self._me = me
         self._secret = secret
         self._backlog = waiting
@@ -113,6 +115,7 @@
     async def close(self) -> None:
         """Ends the connection; attempts that still run there are lost."""
         self._wanted = False
+        self.is_retired = True
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         self._lose_exchanges(True)
@@ -205,7 +208,7 @@
             self._link.send(messages.DocumentHandover(version, text))
 
     def _take_grant(self, grant: ids.GrantId, account: ids.AccountId) -> None:
-        waiting = self._backlog.take(account)
+        waiting = None if self.is_retired else self._backlog.take(account)
         if waiting is None:
             self._told_by_account.pop(account, None)
             self._link.send(messages.Decline(grant))
@@ -257,6 +260,9 @@
         self._flush_handle = None
         if self._link is None or self.state is State.LEAVING:
             return
+        if self.is_retired:
+            self._withdraw_demand()
+            return
         document = self._follower.document
         for account in {*self._backlog.accounts, *self._told_by_account}:
             if document is not None and document.allows(
@@ -264,6 +270,12 @@
             ):
                 self._tell_account(account)
 
+    def _withdraw_demand(self) -> None:
+        for account in self._told_by_account:
+            self._link.send(messages.Demand(account, 0, 0))
+        self._told_by_account.clear()
+        self._told_since_by_account.clear()
+
     def _tell_account(self, account: ids.AccountId) -> None:
         waiting = min(self._backlog.count(account), TOLD_LIMIT)
         told = self._told_by_account.get(account, 0)
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -127,14 +127,17 @@
         self.peer_by_agent.clear()
 
     def _drop_unlisted(self, listed) -> None:
+        """Gives no new work to agents that are not listed as live, and drops them."""
         for agent_id, peer in list(self.peer_by_agent.items()):
-            if listed.get(agent_id) == peer.agent or peer.exchange_by_attempt:
+            found = listed.get(agent_id)
+            if found is not None and _is_at_same_address(found, peer.agent):
+                peer.agent = found
+                peer.is_retired = self._is_leaving(found)
                 continue
-            if _differs_in_state_only(listed.get(agent_id), peer.agent):
-                peer.agent = listed[agent_id]
-                continue
-            self._router.spawn(peer.close())
-            del self.peer_by_agent[agent_id]
+            peer.is_retired = True
+            if not peer.exchange_by_attempt:
+                self._router.spawn(peer.close())
+                del self.peer_by_agent[agent_id]
 
     def _adapt_width(self, listed_count: int) -> None:
         now = time.monotonic()
@@ -161,10 +164,13 @@
         waiting = [known.get(name) for name in self.backlog.accounts]
         return [account for account in waiting if account and account.upstreams]
 
+    def _is_leaving(self, agent: instances.Instance) -> bool:
+        known = self._router.follower.document
+        is_left = known is not None and agent.upstream in known.leaving_upstreams
+        return is_left or agent.state is instances.InstanceState.LEAVING
+
     def _is_usable(self, agent: instances.Instance) -> bool:
-        if agent.state is instances.InstanceState.LEAVING:
-            return False
-        if agent.upstream in self._router.follower.document.leaving_upstreams:
+        if self._is_leaving(agent):
             return False
         peer = self.peer_by_agent.get(agent.id)
         return peer is None or peer.state not in (
@@ -486,7 +492,5 @@
         ) from None
 
 
-def _differs_in_state_only(listed, known: instances.Instance) -> bool:
-    if listed is None:
-        return False
-    return (listed.host, listed.port) == (known.host, known.port)
+def _is_at_same_address(one: instances.Instance, other: instances.Instance) -> bool:
+    return (one.host, one.port) == (other.host, other.port)
