Test failures of processes under mixed work

Small deployments of real processes: rolling planned stops, a frozen agent and its replacement, three ways to leave, racing operators, a log that is down throughout, stalled streams, and a flood.

--- /dev/null
+++ b/tests/test_failures_processes.py
@@ -0,0 +1,277 @@
+import asyncio
+import signal
+import time
+import unittest
+
+from soak import checks, failures, schedule, workload
+from standins import fleet, shapes
+
+SHAPE = shapes.Shape(
+    ("oslo-a", "oslo-b"),
+    (
+        shapes.ServiceShape("engines", "completions", 2),
+        shapes.ServiceShape("bookings", "plain", 2),
+    ),
+    routers=2,
+    accounts=4,
+)
+LIST_LAG_S = 1.0
+LAST_NEW_WORK_S = 3.0
+AT_ONCE_S = 0.5
+SEED = 7
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """A small deployment of real processes under mixed work, with every check on."""
+
+    async def asyncSetUp(self):
+        deployment = fleet.Fleet(SHAPE, lag_s=LIST_LAG_S, is_relayed=True)
+        self.fleet = await self.enterAsyncContext(deployment)
+        self.work = workload.Workload(self.fleet, SEED)
+        self.checking = checks.Checks(self.fleet, self.work.calls)
+        self.breaking = failures.Failures(self.fleet, self.work.balancer, self.checking)
+        self.calling = asyncio.create_task(self.work.run())
+        self.addAsyncCleanup(self.finish_calls)
+        await asyncio.sleep(0.5)
+
+    async def finish_calls(self):
+        self.work.stop()
+        await self.calling
+
+    async def happen(self, *kinds, target=0, hold_s=1.0):
+        happening = tuple(schedule.Failure(kind, target, 0.0, hold_s) for kind in kinds)
+        await self.breaking.run_step(schedule.Step(0.0, happening))
+
+    async def check(self):
+        await self.finish_calls()
+        await asyncio.sleep(0.3)
+        await self.checking.check_all()
+        self.assertEqual([], self.checking.violations)
+
+    def calls_since(self, began_at, kind):
+        """Returns the calls of a kind, without further tries of earlier orders."""
+        earlier = {call.order for call in self.work.calls if call.began_at < began_at}
+        return [
+            call
+            for call in self.work.calls
+            if call.began_at >= began_at
+            and call.kind is kind
+            and not (call.order and call.order in earlier)
+            and call.result is not workload.Result.CALLER_LEFT
+        ]
+
+    async def count_runs(self, node):
+        page = await self.fleet.get_json(f"{node.url}/admin/executions")
+        return sum(page["by_request"].values())
+
+
+class PlannedStopTest(FleetCase):
+    async def test_rolling_through_all(self):
+        watching = asyncio.create_task(self.checking.watch_versions())
+        for number in range(2):
+            await self.happen(schedule.Kind.ROUTER_STOPPED, target=number)
+        for number in range(4):
+            await self.happen(schedule.Kind.AGENT_STOPPED, target=number)
+        watching.cancel()
+        await self.check()
+        self.assertEqual(6, self.checking.checked_by_name["planned-stop-exits-0"])
+        self.assertEqual(4, self.checking.checked_by_name["agent-stop-cuts-nothing"])
+        self.assertEqual(2, self.checking.checked_by_name["router-stop-cuts-nothing"])
+
+
+class FrozenAgentTest(FleetCase):
+    async def test_wakes_after_its_replacement_runs(self):
+        await self.happen(schedule.Kind.AGENT_REPLACED, target=0, hold_s=3.0)
+        await self.check()
+
+    async def test_key_is_tried_again_elsewhere_meanwhile(self):
+        agents = self.fleet.agents_of("bookings")
+        number = 0
+        for agent in agents:
+            await self.fleet.set_faults(self.fleet.upstream_of(agent), delay_s=0.5)
+        orders = [self.order(n) for n in range(8)]
+        await asyncio.sleep(0.2)
+        self.fleet.signal(agents[0], signal.SIGSTOP)
+        retries = [self.order(n, router=1) for n in range(8)]
+        await asyncio.gather(*orders, *retries)
+        self.fleet.signal(agents[0], signal.SIGCONT)
+        await asyncio.sleep(1.5)
+        pages = [
+            await self.fleet.get_json(f"{node.url}/admin/executions")
+            for node in map(self.fleet.upstream_of, agents)
+        ]
+        for number in range(8):
+            path = f"/orders/frozen-{number}"
+            runs = sum(page["by_path"].get(path, 0) for page in pages)
+            self.assertEqual(1, runs, path)
+        await self.check()
+
+    def order(self, number, router=0):
+        return asyncio.create_task(self.send_order(number, router))
+
+    async def send_order(self, number, router):
+        node = self.fleet.with_role(fleet.Role.ROUTER)[router]
+        headers = self.fleet.request_headers(shapes.account_name(0))
+        headers |= {"Idempotency-Key": f"frozen-{number}", "Teaselsill-Deadline": "4"}
+        url = f"{node.url}/services/bookings/orders/frozen-{number}"
+        async with self.fleet.session.post(url, headers=headers) as response:
+            await response.read()
+            return response.status
+
+
+class LeavingTest(FleetCase):
+    """The time to an upstream's last new work, with a list that lags."""
+
+    async def check_idle_after(self, node, began_at):
+        await asyncio.sleep(began_at + LAST_NEW_WORK_S - time.monotonic())
+        before = await self.count_runs(node)
+        await asyncio.sleep(1.0)
+        self.assertEqual(before, await self.count_runs(node))
+        await self.check()
+
+    async def test_by_list(self):
+        agent = self.fleet.agents_of("bookings")[0]
+        began_at = time.monotonic()
+        await self.fleet.set_listing(agent, "leaving")
+        await self.check_idle_after(self.fleet.upstream_of(agent), began_at)
+
+    async def test_by_signal_with_log_and_list_down(self):
+        for name in ("log", "list"):
+            await self.fleet.set_faults(self.fleet.node_by_name[name], down=True)
+        agent = self.fleet.agents_of("bookings")[0]
+        began_at = time.monotonic()
+        self.assertEqual(0, await self.fleet.stop(agent))
+        await self.check_idle_after(self.fleet.upstream_of(agent), began_at)
+
+    async def test_by_configuration(self):
+        await self.happen(schedule.Kind.UPSTREAM_LEAVES, target=3)
+        await self.check()
+        self.assertEqual(1, self.checking.checked_by_name["left-upstream-idle"])
+
+
+class ConfigurationTest(FleetCase):
+    async def test_racing_operators(self):
+        watching = asyncio.create_task(self.checking.watch_versions())
+        for _ in range(10):
+            await self.happen(schedule.Kind.OPERATORS_RACE)
+        watching.cancel()
+        await self.check()
+        self.assertEqual(10, self.checking.checked_by_name["one-winner"])
+
+
+class LogDownTest(FleetCase):
+    async def test_throughout(self):
+        log = self.fleet.node_by_name["log"]
+        await self.fleet.set_faults(log, down=True)
+        await asyncio.sleep(1.0)
+        began_at = time.monotonic()
+        await asyncio.sleep(4.0)
+        await self.check()
+        for kind in workload.Kind:
+            calls = self.calls_since(began_at, kind)
+            is_keyed = kind is workload.Kind.KEYED_ORDER
+            wanted = workload.Result.REFUSED if is_keyed else workload.Result.WHOLE
+            self.assertEqual({wanted}, {call.result for call in calls}, kind)
+        for call in self.calls_since(began_at, workload.Kind.KEYED_ORDER):
+            self.assertEqual(503, call.status)
+            self.assertLess(call.ended_at - call.began_at, AT_ONCE_S)
+
+
+class StallTest(FleetCase):
+    async def ask_for_stream(self):
+        router = self.fleet.with_role(fleet.Role.ROUTER)[0]
+        headers = self.fleet.request_headers(shapes.account_name(0))
+        asked = {
+            "model": "engines-model",
+            "stream": True,
+            "max_tokens": 60,
+            "messages": [{"role": "user", "content": "a long answer"}],
+        }
+        url = router.url + "/v1/chat/completions"
+        parts = []
+        async with self.fleet.session.post(url, json=asked, headers=headers) as reply:
+            try:
+                async for data in reply.content.iter_any():
+                    parts.append(data)
+            except fleet.aiohttp.ClientError:
+                return b"".join(parts), False
+        return b"".join(parts), True
+
+    async def test_stalled_stream_is_resumed(self):
+        for agent in self.fleet.agents_of("engines"):
+            node = self.fleet.upstream_of(agent)
+            await self.fleet.set_faults(node, stall_after=10)
+        began_at = time.monotonic()
+        body, is_whole = await self.ask_for_stream()
+        self.assertLess(time.monotonic() - began_at, 5.0)
+        self.assertTrue(is_whole)
+        self.assertEqual(60, body.count(b'"delta"'))
+        self.assertTrue(body.endswith(b"data: [DONE]\n\n"))
+        await self.check()
+
+    async def test_stalled_for_good_ends_with_an_error(self):
+        engines = map(self.fleet.upstream_of, self.fleet.agents_of("engines"))
+        stalling = asyncio.create_task(self.stall_soon(list(engines)))
+        began_at = time.monotonic()
+        body, is_whole = await self.ask_for_stream()
+        await stalling
+        self.assertLess(time.monotonic() - began_at, 15.0)
+        self.assertFalse(is_whole)
+        self.assertNotIn(b"[DONE]", body)
+        self.assertIn(b'"error"', body)
+
+    async def stall_soon(self, engines):
+        await asyncio.sleep(0.1)
+        for node in engines:
+            await self.fleet.set_faults(node, stall=True)
+
+
+class FloodTest(unittest.IsolatedAsyncioTestCase):
+    """One client account sends far more than its share."""
+
+    async def asyncSetUp(self):
+        deployment = fleet.Fleet(SHAPE, work_ms=40.0)
+        self.fleet = await self.enterAsyncContext(deployment)
+        self.refused = []
+
+    async def test_others_keep_their_pace(self):
+        quiet_s = await self.measure_others()
+        flooding = [asyncio.create_task(self.flood()) for _ in range(600)]
+        await asyncio.sleep(1.0)
+        busy_s = await self.measure_others()
+        for task in flooding:
+            task.cancel()
+        await asyncio.gather(*flooding, return_exceptions=True)
+        self.assertTrue(self.refused)
+        for duration_s, status, headers in self.refused:
+            self.assertEqual(429, status)
+            self.assertEqual("not-run", headers["Teaselsill-Outcome"])
+            self.assertIn("Retry-After", headers)
+            self.assertLess(duration_s, 2.0)
+        print(f"others waited {busy_s:.3f} s, without the flood {quiet_s:.3f} s")
+        self.assertLess(busy_s, 2.0)
+
+    async def flood(self):
+        while True:
+            duration_s, status, headers = await self.ask(0)
+            if status != 200:
+                self.refused.append((duration_s, status, headers))
+                await asyncio.sleep(0.5)
+
+    async def measure_others(self):
+        """Returns the longest of some calls of the other client accounts."""
+        longest_s = 0.0
+        for _ in range(20):
+            answers = await asyncio.gather(*(self.ask(n) for n in (1, 2, 3)))
+            self.assertEqual([200] * 3, [status for _, status, _ in answers])
+            longest_s = max(longest_s, *(duration_s for duration_s, _, _ in answers))
+        return longest_s
+
+    async def ask(self, account):
+        router = self.fleet.with_role(fleet.Role.ROUTER)[0]
+        headers = self.fleet.request_headers(shapes.account_name(account))
+        began_at = time.monotonic()
+        url = f"{router.url}/services/bookings/rooms/1"
+        async with self.fleet.session.get(url, headers=headers) as response:
+            await response.read()
+            return time.monotonic() - began_at, response.status, response.headers
