--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import collections
+import collections.abc
+import dataclasses
 import enum
 import itertools
 import logging
 import random
+import ssl
 import time
 
 from teaselsill import (
     backlog,
+    configuration,
     errors,
     exchange,
     ids,
@@ -17,12 +21,15 @@
     invariants,
     link,
     messages,
+    metrics,
 )
 
 TOLD_LIMIT = 32
 """An agent is told of at most this many waiting requests of a client account."""
 AGE_STEP_S = 0.25
 """The oldest request must be this much younger before the agent is told again."""
+STAGE_S = 0.005
+"""How much later an agent of the next rank is told of waiting work."""
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 5.0
 RESOLVE_S = 2.0
@@ -52,41 +59,60 @@
         return ids.AttemptId(f"{self._incarnation}:{next(self._numbers)}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What all connections of one router share.
+
+    Attributes:
+        me: Who this router is.
+        secret: The secret that all peers know.
+        numbers: Makes attempt ids.
+        follower: The configuration.
+        sink: Takes the metrics.
+        tls: An `ssl.SSLContext` for the connections, or none.
+    """
+
+    me: link.Identity
+    secret: bytes
+    numbers: AttemptNumbers
+    follower: configuration.Follower
+    sink: metrics.Metrics
+    tls: ssl.SSLContext | None = None
+
+
 class AgentPeer:
     """One agent, as a router deals with it.
 
     Args:
         agent: The agent, as the platform lists it.
-        me: Who this router is.
-        secret: The secret that all peers know.
+        context: What all connections of this router share.
         waiting: The backlog of the agent's service.
-        numbers: Makes attempt ids.
-        follower: The configuration of this router.
         on_change: Called when the state of the agent changes.
-        tls: An `ssl.SSLContext`, or none.
 
     Attributes:
         agent: The agent, as the platform lists it.
         state: What is known of it.
         exchange_by_attempt: The attempts that it has.
         is_retired: Whether it gets no new work, as the platform or the operators say.
+        rank: How many ranks of agents are told of waiting work before this one.
     """
 
     def __init__(
-        self, agent, me, secret, waiting: backlog.Backlog, numbers, follower, on_change,
-        tls=None,
-    ):  # fmt: skip
-        self.agent: instances.Instance = agent
+        self,
+        agent: instances.Instance,
+        context: Context,
+        waiting: backlog.Backlog,
+        on_change: collections.abc.Callable[["AgentPeer"], None],
+    ):
+        self.agent = agent
         self.state = State.CONNECTING
+        self.rank = 0
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
         self.is_retired = False
-        self._me = me
-        self._secret = secret
+        self._context = context
+        self._follower = context.follower
         self._backlog = waiting
-        self._numbers = numbers
-        self._follower = follower
         self._on_change = on_change
-        self._tls = tls
         self._link: link.Link | None = None
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._told_by_account: dict[ids.AccountId, int] = {}
@@ -109,8 +135,13 @@
 
     def tell_demand(self) -> None:
         """Has the agent told, soon, of what has changed in the backlog."""
-        if self._link is not None and self._flush_handle is None:
-            self._flush_handle = asyncio.get_running_loop().call_soon(self._flush)
+        if self._link is None or self._flush_handle is not None:
+            return
+        loop = asyncio.get_running_loop()
+        if self.rank:
+            self._flush_handle = loop.call_later(self.rank * STAGE_S, self._flush)
+        else:
+            self._flush_handle = loop.call_soon(self._flush)
 
     async def close(self) -> None:
         """Ends the connection; attempts that still run there are lost."""
@@ -140,7 +171,11 @@
         connected = None
         try:
             connected = await link.connect(
-                self.agent.host, self.agent.port, self._secret, self._me, self._tls
+                self.agent.host,
+                self.agent.port,
+                self._context.secret,
+                self._context.me,
+                self._context.tls,
             )
             await self._converse(connected)
         except errors.LinkError as error:
@@ -176,8 +211,12 @@
         try:
             self._take(message)
         except errors.InvariantError as error:
-            invariants.report(error, reraise=False)
+            invariants.report(error, reraise=False, sink=self._context.sink)
             raise link.UnexpectedMessageError(str(error)) from error
+        except errors.ConfigurationError as error:
+            raise link.UnexpectedMessageError(
+                f"{type(message).__name__}: {type(error).__name__}: {error}"
+            ) from error
 
     def _take(self, message: messages.Message) -> None:
         match message:
@@ -213,7 +252,7 @@
             self._told_by_account.pop(account, None)
             self._link.send(messages.Decline(grant))
             return
-        attempt = self._numbers.next()
+        attempt = self._context.numbers.next()
         connected = self._link
         running = exchange.Exchange(
             attempt,
@@ -269,6 +308,7 @@
                 account, self.agent.service, self.agent.upstream
             ):
                 self._tell_account(account)
+        self._link.flush()
 
     def _withdraw_demand(self) -> None:
         for account in self._told_by_account:
@@ -295,6 +335,8 @@
 
     def _forget_link(self, connected: link.Link) -> None:
         connected.abort()
+        if self.state is State.CONNECTED and self._wanted:
+            self._context.sink.count(metrics.Metric.PEERS_LOST)
         self._closed_bytes_by_type.update(connected.bytes_sent_by_type)
         self._link = None
         self._told_by_account.clear()
--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -120,8 +120,6 @@
             child: Stands for the link that the report came on.
             report: The report.
         """
-        if report.sequence <= self._taken_by_child.get(child, 0):
-            return
         self._taken_by_child[child] = report.sequence
         self._backlogged_by_child[child] = frozenset(report.backlogged)
         self._counters.add_pending(report.served_by_account)
@@ -168,8 +166,8 @@
         self._is_digest_due = False
 
     def _take_backlogged(self) -> frozenset[ids.AccountId]:
-        lately = self._counters.take_backlogged_lately()
-        return lately.union(*self._backlogged_by_child.values())
+        own = self._counters.take_backlogged()
+        return own.union(*self._backlogged_by_child.values())
 
     def _take_known(self) -> counters.CounterByAccount:
         known = self._counters.take_known()
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import dataclasses
+import datetime
 import hashlib
 import logging
 import random
@@ -17,9 +18,11 @@
     exchange,
     ids,
     instances,
+    lapses,
     link,
     membership,
     messages,
+    metrics,
 )
 
 WIDEN_AFTER_S = 0.1
@@ -28,6 +31,8 @@
 """How often the set of agents of a service with waiting work is looked at."""
 IDLE_CLOSE_S = 60.0
 """A service without requests for this long loses its connections."""
+LAPSING_AGENTS = 2
+"""How many of the agents whose credits lapse first are always told."""
 MAX_NOT_RUN = 20
 """How often a request that has not run may be offered again."""
 MAX_LOST = 2
@@ -114,6 +119,7 @@
         for agent in self._choose(listed):
             if agent.id not in self.peer_by_agent:
                 self.peer_by_agent[agent.id] = self._router.open_peer(agent, self)
+        self._rank_peers()
 
     def is_idle(self) -> bool:
         """Tells whether the connections of this service can be closed."""
@@ -154,11 +160,33 @@
         usable = [agent for agent in listed.values() if self._is_usable(agent)]
         usable.sort(key=lambda agent: _order_of(self._router.me.instance, agent.id))
         chosen = {agent.id: agent for agent in usable[: self._width]}
+        for agent in self._lapsing_first(usable)[:LAPSING_AGENTS]:
+            chosen[agent.id] = agent
         for account in self._restricted_accounts():
             allowed = [a for a in usable if a.upstream in account.upstreams]
             chosen |= {agent.id: agent for agent in allowed[: self._width]}
         return list(chosen.values())
 
+    def _lapsing_first(self, usable) -> list[instances.Instance]:
+        """Returns the agents in the order in which their credits lapse."""
+        known = self._router.follower.document
+        today = datetime.datetime.now(datetime.UTC).date()
+        day_by_upstream = {
+            agent.upstream: lapses.lapse_of(known, self._name, agent.upstream, today)
+            for agent in usable
+        }
+        return sorted(usable, key=lambda agent: day_by_upstream[agent.upstream])
+
+    def _rank_peers(self) -> None:
+        """Has agents whose credits lapse sooner told of waiting work sooner."""
+        known = self._router.follower.document
+        today = datetime.datetime.now(datetime.UTC).date()
+        upstreams = [peer.agent.upstream for peer in self.peer_by_agent.values()]
+        for peer in self.peer_by_agent.values():
+            peer.rank = lapses.rank_of(
+                known, self._name, peer.agent.upstream, upstreams, today
+            )
+
     def _restricted_accounts(self) -> list[document.ClientAccount]:
         known = self._router.follower.document.account_by_id
         waiting = [known.get(name) for name in self.backlog.accounts]
@@ -236,12 +264,9 @@
     """Takes callers' requests to agents and brings the answers back.
 
     Args:
-        me: Who this router is.
-        secret: The secret that all peers know.
-        follower: The configuration.
+        context: What the connections to agents share.
         members: The list of instances.
         agents_per_service: How many agents are told of waiting work at first.
-        tls: An `ssl.SSLContext` for the peer connections, or none.
 
     Attributes:
         me: Who this router is.
@@ -253,25 +278,21 @@
 
     def __init__(
         self,
-        me: link.Identity,
-        secret: bytes,
-        follower,
+        context: agent_peer.Context,
         members: membership.Membership,
         agents_per_service: int,
-        tls=None,
     ):
-        self.me = me
-        self.follower = follower
+        self.me = context.me
+        self.follower = context.follower
         self.membership = members
         self.agents_per_service = agents_per_service
         self.desk_by_service: dict[ids.ServiceName, ServiceDesk] = {}
-        self._secret = secret
-        self._tls = tls
-        self._numbers = agent_peer.AttemptNumbers(me.incarnation)
+        self._context = context
+        self._metrics = context.sink
         self._budget = RetryBudget()
         self._tasks: set[asyncio.Task] = set()
         members.subscribe(self._tend_all)
-        follower.subscribe(lambda *_: self._tend_all())
+        context.follower.subscribe(lambda *_: self._tend_all())
 
     async def run(self) -> None:
         """Tends the connections for ever."""
@@ -292,15 +313,22 @@
         """Connects to an agent."""
         return agent_peer.AgentPeer(
             agent,
-            self.me,
-            self._secret,
+            self._context,
             desk.backlog,
-            self._numbers,
-            self.follower,
             lambda peer: self._note_change(desk, peer),
-            self._tls,
         )
 
+    def gauges(self) -> dict[metrics.Metric, float]:
+        """Returns how many requests wait and how many agents are connected."""
+        desks = self.desk_by_service.values()
+        peers = [peer for desk in desks for peer in desk.peer_by_agent.values()]
+        connected = [p for p in peers if p.state is agent_peer.State.CONNECTED]
+        return {
+            metrics.Metric.REQUESTS_WAITING: sum(len(desk.backlog) for desk in desks),
+            metrics.Metric.PEERS_CONNECTED: len(connected),
+            metrics.Metric.CONFIGURATION_VERSION: self.follower.version,
+        }
+
     def sent_bytes_by_type(self) -> dict[str, int]:
         """Returns the bytes sent to connected agents, by the type of message."""
         total = collections.Counter()
@@ -360,7 +388,7 @@
         """Waits for the request's turn and for the head of its answer."""
         try:
             peer, running = await self._wait_turn(desk, waiting)
-            tries.attempts += 1
+            self._note_attempt(waiting, tries)
             head = await self._wait_head(running, waiting.request)
             if head.status == BUSY_STATUS and self._may_repeat(tries, waiting.request):
                 raise UpstreamBusyError("the upstream refuses requests")
@@ -370,6 +398,15 @@
             self._abandon(desk, waiting)
             raise
 
+    def _note_attempt(self, waiting: backlog.Waiting, tries: _Tries) -> None:
+        tries.attempts += 1
+        self._metrics.count(metrics.Metric.ATTEMPTS)
+        if tries.attempts > 1:
+            self._metrics.count(metrics.Metric.ATTEMPTS_RETRIED)
+            return
+        waited_s = time.monotonic() - waiting.since
+        self._metrics.timing(metrics.Metric.REQUEST_WAIT, waited_s)
+
     def _abandon(self, desk: ServiceDesk, waiting: backlog.Waiting) -> None:
         """Takes back what was asked for a request, wherever it stands now."""
         desk.backlog.remove(waiting)
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -7,11 +7,14 @@
 from standins import relay
 from teaselsill import (
     agent,
+    agent_peer,
     backlog,
     claims,
     counters,
     digest,
     document,
+    fencing,
+    granting,
     ids,
     instances,
     link,
@@ -21,6 +24,7 @@
     metrics,
     policies,
     router,
+    running,
     upstream,
     wire,
 )
@@ -111,18 +115,21 @@
         exchange = digest.Exchange(
             me, SECRET, SERVICE, list, known, lambda: self.follower.version, None
         )
-        self.agent = agent.Agent(
-            me,
-            SECRET,
-            SERVICE,
-            ids.UpstreamId(f"upstream-of-{name}"),
+        policy = policies.LeastService()
+        sink = metrics.Metrics("")
+        self.upstream_id = ids.UpstreamId(f"upstream-of-{name}")
+        grants = granting.Granting(
+            SERVICE, self.upstream_id, self.follower, known, policy, sink
+        )
+        runner = running.Runner(
             self.upstream,
-            self.follower,
             claims.Ledger(log_service, SERVICE, me.incarnation, time.time),
-            known,
-            exchange,
-            policies.LeastService(),
-            metrics.Metrics(""),
+            fencing.Fence(log_service, SERVICE, self.upstream_id, me.incarnation),
+            grants,
+            sink,
+        )
+        self.agent = agent.Agent(
+            me, SECRET, self.follower, grants, runner, known, exchange, policy, sink
         )
         self._name = name
         self._server = None
@@ -139,7 +146,7 @@
             host=HOST,
             port=self.relay.port,
             service=SERVICE,
-            upstream=self.agent.upstream_id,
+            upstream=self.upstream_id,
         )
 
     async def kill(self):
@@ -182,7 +189,14 @@
 
     def make_router(self, name):
         me = _identity(name, instances.Role.ROUTER)
-        return router.Router(me, SECRET, self.follower, self.members, 4)
+        context = agent_peer.Context(
+            me,
+            SECRET,
+            agent_peer.AttemptNumbers(me.incarnation),
+            self.follower,
+            metrics.Metrics(""),
+        )
+        return router.Router(context, self.members, 4)
 
     def count(self, path):
         """Returns how often a request ran, over all upstreams."""
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,279 @@
+import asyncio
+import json
+import time
+import types
+import unittest
+from unittest import mock
+
+import aiohttp
+import hypothesis
+import yarl
+from hypothesis import strategies
+
+from standins import shapes
+from teaselsill import callers, document, metrics, service_levels
+from tests import support
+
+SHAPE = shapes.Shape(
+    ("oslo-a",),
+    (
+        shapes.ServiceShape("engines", "completions", 1),
+        shapes.ServiceShape("bookings", "plain", 1),
+        shapes.ServiceShape("closed", "plain", 1),
+    ),
+    accounts=1,
+)
+ACCOUNT = shapes.account_name(0)
+KEY = {"Authorization": f"Bearer {shapes.key_of(ACCOUNT)}"}
+MAX_BODY_BYTES = 300_000
+CHAT = "/v1/chat/completions"
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+class StubAnswer:
+    """A whole answer."""
+
+    status = 200
+    upstream = "bookings-0"
+    attempts = 1
+
+    def __init__(self, headers=()):
+        self.headers = list(headers)
+
+    async def body(self):
+        yield b"whole"
+
+    def close(self):
+        pass
+
+
+class StubRouter:
+    """Keeps the requests that reach it, and answers them or fails."""
+
+    def __init__(self):
+        plain = shapes.make_document(SHAPE)
+        plain["client_accounts"][0]["services"].remove("closed")
+        self.follower = types.SimpleNamespace(
+            document=document.parse(shapes.dump(plain))
+        )
+        self.requests = []
+        self.answer = StubAnswer()
+        self.error = None
+
+    async def serve(self, request, max_waiting):
+        self.requests.append(request)
+        if self.error:
+            raise self.error
+        return self.answer
+
+
+def make_app(router):
+    levels = service_levels.Recorder(time.monotonic)
+    sink = metrics.Metrics("")
+    return callers.Callers(router, levels, sink, MAX_BODY_BYTES).create_app()
+
+
+class CallersCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.router = StubRouter()
+        app = make_app(self.router)
+        self.url, self.server = await self.enterAsyncContext(support.serve(app))
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+
+    async def send(self, method, path, headers=KEY, body=b""):
+        """Returns the response and its body; the path is sent as it stands."""
+        url = yarl.URL(self.url + path, encoded=True)
+        async with (
+            asyncio.timeout(5),
+            self.session.request(
+                method, url, headers=headers, data=body, allow_redirects=False
+            ) as response,
+        ):
+            return response, await response.read()
+
+    def check_refusal(self, response, body, status, reason, outcome="not-run"):
+        self.assertEqual(status, response.status)
+        self.assertEqual(outcome, response.headers["Teaselsill-Outcome"])
+        self.assertTrue(response.headers["X-Request-Id"])
+        self.assertEqual(reason, json.loads(body)["error"]["type"])
+        self.assertNotIn(b"Traceback", body)
+
+
+class RefusalTest(CallersCase):
+    async def test_requests_that_reach_nothing(self):
+        plain = "/services/bookings/x"
+        cases = [
+            ("GET", plain, {}, 401, "unknown-client-account"),
+            ("GET", plain, {"Authorization": "Basic eA=="}, 401,
+             "unknown-client-account"),
+            ("GET", plain, {"Authorization": "Bearer nobody"}, 401,
+             "unknown-client-account"),
+            ("GET", "/v1/models", {}, 401, "unknown-client-account"),
+            ("GET", "/services/closed/x", KEY, 403, "not-allowed"),
+            ("GET", "/services/nothing/x", KEY, 404, "unknown-service"),
+            ("GET", "/services/engines/x", KEY, 404, "unknown-service"),
+            ("GET", "/services/bookings", KEY, 404, "unknown-path"),
+            ("GET", "/services%2Fbookings%2Fx/y", KEY, 404, "unknown-path"),
+            ("GET", "/services/bookings%2Fx/y", KEY, 404, "unknown-path"),
+            ("GET", "/v1/models/", KEY, 404, "unknown-path"),
+            ("GET", "/", {}, 404, "unknown-path"),
+            ("POST", "/v1/models", KEY, 405, "unknown-method"),
+            ("GET", CHAT, KEY, 405, "unknown-method"),
+            ("PROPFIND", plain, KEY, 405, "unknown-method"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "soon"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "nan"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "-1"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Teaselsill-Deadline": "1e9"}, 400, "bad-request"),
+            ("GET", plain, KEY | {"Idempotency-Key": "k" * 256}, 400, "bad-request"),
+        ]  # fmt: skip
+        for method, path, headers, status, reason in cases:
+            with self.subTest(method=method, path=path, headers=headers):
+                response, body = await self.send(method, path, headers)
+                self.check_refusal(response, body, status, reason)
+        self.assertEqual([], self.router.requests)
+
+    async def test_bodies_that_are_no_completion_request(self):
+        cases = [
+            (b"", 400, "bad-request"),
+            (b"{", 400, "bad-request"),
+            (b"[]", 400, "bad-request"),
+            (b'{"model": 3}', 400, "bad-request"),
+            (b'{"model": "engines-model", "stream": "yes"}', 400, "bad-request"),
+            (b'{"model": "\xff"}', 400, "bad-request"),
+            (b'{"model": "a", "messages": ' + NESTED + b"}", 400, "bad-request"),
+            (b'{"model": "unknown"}', 404, "unknown-service"),
+            (b"x" * (MAX_BODY_BYTES + 1), 413, "body-too-large"),
+        ]
+        for sent, status, reason in cases:
+            with self.subTest(sent=sent[:40]):
+                response, body = await self.send("POST", CHAT, body=sent)
+                self.check_refusal(response, body, status, reason)
+        self.assertEqual([], self.router.requests)
+
+    async def test_unknown_key_is_told_how_to_name_itself(self):
+        response, _ = await self.send("GET", "/services/bookings/x", {})
+        self.assertEqual("Bearer", response.headers["WWW-Authenticate"])
+
+    async def test_router_without_configuration_asks_to_come_back(self):
+        self.router.follower.document = None
+        for path in ("/services/bookings/x", "/v1/models"):
+            response, body = await self.send("GET", path)
+            self.check_refusal(response, body, 503, "not-ready")
+            self.assertEqual("1", response.headers["Retry-After"])
+
+    async def test_fault_of_the_program_is_told_without_a_traceback(self):
+        self.router.error = RuntimeError("secret detail")
+        with self.assertLogs("teaselsill.callers", "ERROR"):
+            response, body = await self.send("GET", "/services/bookings/x")
+        self.check_refusal(response, body, 500, "internal", "unknown")
+        self.assertNotIn(b"secret detail", body)
+
+    async def test_body_that_stops_coming(self):
+        head = f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+        head += f"Authorization: {KEY['Authorization']}\r\n\r\n{{"
+        with mock.patch.object(callers, "BODY_TIMEOUT_S", 0.05):
+            answer = await self.send_raw(head.encode())
+        self.assertIn(b"408 ", answer.splitlines()[0])
+        self.assertIn(b"body-timeout", answer)
+
+    async def test_garbage_on_the_callers_port(self):
+        for sent in (
+            b"\0\xff\r\n\r\n",
+            b"GET\r\n\r\n",
+            b"GET / HTTP/1.1\r\nA B\r\n\r\n",
+        ):
+            answer = await self.send_raw(sent)
+            self.assertIn(b"400 ", answer.splitlines()[0])
+        response, _ = await self.send("GET", "/services/bookings/x")
+        self.assertEqual(200, response.status)
+
+    async def send_raw(self, data):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", yarl.URL(self.url).port
+        )
+        writer.write(data)
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+
+class PassingOnTest(CallersCase):
+    async def test_order_in_another_spelling_is_still_an_order(self):
+        for path in ("/orders/1", "/%6Frders/1", "/x/../orders/1", "//orders/1",
+                     "/./orders/1", "/x/%2E%2E/orders/1"):  # fmt: skip
+            with self.subTest(path=path):
+                await self.send("POST", "/services/bookings" + path)
+                self.assertFalse(self.router.requests[-1].repeatable)
+        await self.send("GET", "/services/bookings/orders/1")
+        self.assertTrue(self.router.requests[-1].repeatable)
+
+    async def test_path_and_query_go_on_as_written(self):
+        await self.send("GET", "/services/bookings/a%20b%2Fc?d=%26&e")
+        self.assertEqual("/a%20b%2Fc?d=%26&e", self.router.requests[-1].path)
+
+    async def test_key_and_own_headers_stay_here(self):
+        own = {"Idempotency-Key": "k", "Teaselsill-Deadline": "5", "X-Request-Id": "r"}
+        await self.send("POST", "/services/bookings/x", KEY | own | {"X-Mine": "1"})
+        request = self.router.requests[-1]
+        names = {name.lower() for name, _ in request.headers}
+        self.assertIn("x-mine", names)
+        self.assertFalse(names & {name.lower() for name in KEY | own})
+        self.assertEqual("k", request.key)
+
+    async def test_header_in_any_alphabet_comes_back(self):
+        place = "Grünerløkka €"
+        self.router.answer = StubAnswer([("X-Place", place.encode().decode("latin-1"))])
+        response, body = await self.send("GET", "/services/bookings/x")
+        self.assertEqual((200, b"whole"), (response.status, body))
+        self.assertEqual(place, response.headers["X-Place"])
+
+    async def test_one_date_header(self):
+        self.router.answer = StubAnswer([("Date", "Thu, 03 Dec 2026 23:39:11 GMT")])
+        response, _ = await self.send("GET", "/services/bookings/x")
+        self.assertEqual(1, len(response.headers.getall("Date")))
+
+
+class FuzzTest(unittest.TestCase):
+    """Any body and any path get an answer of ours."""
+
+    @hypothesis.given(
+        strategies.sampled_from(["GET", "POST"]),
+        strategies.sampled_from([b"/", b"/services/", b"/v1/", CHAT.encode()]),
+        strategies.binary(max_size=30),
+        strategies.binary(max_size=200),
+        strategies.binary(max_size=20),
+    )
+    def test_every_answer_says_what_is_known_of_the_run(
+        self, method, prefix, tail, body, header
+    ):
+        answer = asyncio.run(self.call(method, prefix + tail, body, header))
+        headers = dict(answer["headers"])
+        self.assertIn(headers[b"teaselsill-outcome"], (b"not-run", b"ran"))
+        self.assertNotEqual(500, answer["status"])
+
+    async def call(self, method, path, body, header):
+        sent = []
+        messages = [{"type": "http.request", "body": body}]
+
+        async def receive():
+            return messages.pop() if messages else await asyncio.Event().wait()
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path.decode("utf-8", "replace"),
+            "raw_path": path,
+            "query_string": header,
+            "headers": [
+                (b"authorization", KEY["Authorization"].encode()),
+                (b"idempotency-key", header),
+                (b"teaselsill-deadline", header or b"1"),
+            ],
+        }
+        async with asyncio.timeout(5):
+            await make_app(StubRouter())(scope, receive, send)
+        return sent[0]
