--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,8 +14,6 @@
 PAGE_TIMEOUT_S = 1.0
 TRACEBACK = "Traceback (most recent call last)"
 MAX_LINE = 600
-KEY_IN_USE_STATUS = 409
-"""Another call with the same idempotency key runs: an answer, not a cut."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +117,7 @@
             is_later = call.ended_at >= began_at or not call.ended_at
             if not is_later or (router and call.router != router):
                 continue
-            if call.status == KEY_IN_USE_STATUS or call.result not in cut:
+            if call.result not in cut:
                 continue
             if not any(outage.touches(call) for outage in self.outages):
                 self.note(name, self.describe(call))
--- a/soak/summary.py
+++ b/soak/summary.py
@@ -16,7 +16,9 @@
         duration_s: How long the callers called.
         requests: How many requests were sent, by kind.
         results: What the callers got, by kind and result.
-        unknown_share: The part of the orders whose outcome the caller was not told.
+        unknown_share: The part of the calls with an order whose outcome the caller was
+            not told, without those whose key another call held.
+        key_in_use_share: The part whose key another call held.
         failures_by_kind: The failures that were made to happen.
         checked_by_name: How often each invariant was checked.
         violations: What was found.
@@ -28,6 +30,7 @@
     requests: dict[str, int]
     results: dict[str, dict[str, int]]
     unknown_share: float
+    key_in_use_share: float
     failures_by_kind: dict[str, int]
     checked_by_name: dict[str, int]
     violations: list[checks.Violation]
@@ -53,14 +56,15 @@
         duration_s=round(duration_s, 1),
         requests=dict(collections.Counter(call.kind.value for call in calls)),
         results={kind: dict(counted) for kind, counted in results.items()},
-        unknown_share=round(_share_unknown(calls), 4),
+        unknown_share=_share(calls, workload.Result.UNKNOWN),
+        key_in_use_share=_share(calls, workload.Result.KEY_IN_USE),
         failures_by_kind=dict(collections.Counter(failures)),
         checked_by_name=dict(checking.checked_by_name),
         violations=checking.violations,
     )
 
 
-def _share_unknown(calls: list[workload.Call]) -> float:
+def _share(calls: list[workload.Call], result: workload.Result) -> float:
     orders = [call for call in calls if call.order]
-    unknown = [call for call in orders if call.result is workload.Result.UNKNOWN]
-    return len(unknown) / len(orders) if orders else 0.0
+    matching = [call for call in orders if call.result is result]
+    return round(len(matching) / len(orders), 4) if orders else 0.0
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -25,6 +25,8 @@
 MAX_TRIES = 4
 RETRY_PAUSE_S = 0.4
 MAX_BODY_BYTES = 400_000
+KEY_IN_USE_STATUS = 409
+"""Another call with the same idempotency key runs, or its run is unknown."""
 
 
 class Kind(enum.Enum):
@@ -55,6 +57,7 @@
     WHOLE = "whole"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    KEY_IN_USE = "key-in-use"
     RAN_WITHOUT_ANSWER = "ran-without-answer"
     UPSTREAM_ERROR = "upstream-error"
     BROKEN = "broken"
@@ -270,6 +273,8 @@
         match call.outcome:
             case "not-run":
                 call.result = Result.REFUSED
+            case "unknown" if call.status == KEY_IN_USE_STATUS:
+                call.result = Result.KEY_IN_USE
             case "unknown":
                 call.result = Result.UNKNOWN
             case "ran" if _is_our_refusal(body):
