Keep the ports of a fleet for its own processes

Two fleets on one machine could pick the same port between the probe and the start of the process: a soak run ended before it began. The ports stay bound, without listening, for as long as the runner lives.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -26,9 +27,9 @@
 MAX_SHOWN_CHARS = 2000
 STREAM = "configuration"
 PORTS = range(12_000, 32_000)
-PORTS_PER_PROCESS = 137
 
-_ports_given = itertools.count()
+_port_numbers = itertools.count(random.randrange(len(PORTS)))
+_reserved: list[socket.socket] = []
 
 
 class FleetError(Exception):
@@ -415,21 +416,22 @@
 
 
 def find_free_port() -> int:
-    """Returns a TCP port that nothing listens on now, and rarely the same one twice.
+    """Returns a TCP port that nothing uses, and keeps it for this process's children.
 
-    It lies below the ports that the system gives to outgoing connections, and other
-    processes that look for ports begin elsewhere.
+    It lies below the ports that the system gives to outgoing connections. The socket
+    that keeps it is bound but does not listen: only sockets that may reuse the address
+    can still bind to it, and other calls of this function do not.
     """
     while True:
-        port = PORTS[
-            (os.getpid() * PORTS_PER_PROCESS + next(_ports_given)) % len(PORTS)
-        ]
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+        port = PORTS[next(_port_numbers) % len(PORTS)]
+        reserving = socket.socket()
+        try:
+            reserving.bind((HOST, port))
+        except OSError:
+            reserving.close()
+            continue
+        reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reserved.append(reserving)
         return port
 
 
