--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -93,6 +93,7 @@
         agent: The agent, as the platform lists it.
         state: What is known of it.
         exchange_by_attempt: The attempts that it has.
+        is_retired: Whether it gets no new work, as the platform or the operators say.
         rank: How many ranks of agents are told of waiting work before this one.
     """
 
@@ -107,6 +108,7 @@
         self.state = State.CONNECTING
         self.rank = 0
         self.exchange_by_attempt: dict[ids.AttemptId, exchange.Exchange] = {}
+        self.is_retired = False
         self._context = context
         self._follower = context.follower
         self._backlog = waiting
@@ -144,6 +146,7 @@
     async def close(self) -> None:
         """Ends the connection; attempts that still run there are lost."""
         self._wanted = False
+        self.is_retired = True
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         self._lose_exchanges(True)
@@ -244,7 +247,7 @@
             self._link.send(messages.DocumentHandover(version, text))
 
     def _take_grant(self, grant: ids.GrantId, account: ids.AccountId) -> None:
-        waiting = self._backlog.take(account)
+        waiting = None if self.is_retired else self._backlog.take(account)
         if waiting is None:
             self._told_by_account.pop(account, None)
             self._link.send(messages.Decline(grant))
@@ -296,7 +299,7 @@
         self._flush_handle = None
         if self._link is None or self.state is State.LEAVING:
             return
-        if self.agent.state is instances.InstanceState.LEAVING:
+        if self.is_retired:
             self._withdraw_demand()
             return
         document = self._follower.document
