--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -7,23 +7,35 @@
 
 import cappa
 
-from measurements import fairness, latency, results
+from measurements import control, fairness, flood, latency, results, scale, utilisation
 
 
 class Name(enum.Enum):
     """The measurements."""
 
+    CONTROL = "control"
     FAIRNESS = "fairness"
+    FLOOD = "flood"
     LATENCY = "latency"
+    SCALE = "scale"
+    UTILISATION = "utilisation"
 
 
 async def measure(name: Name, seed: int) -> results.Result:
     """Runs a measurement."""
     match name:
+        case Name.CONTROL:
+            return await control.measure(seed)
         case Name.FAIRNESS:
             return await fairness.measure(seed)
+        case Name.FLOOD:
+            return await flood.measure(seed)
         case Name.LATENCY:
             return await latency.measure(seed)
+        case Name.SCALE:
+            return await scale.measure(seed)
+        case Name.UTILISATION:
+            return await utilisation.measure(seed)
 
 
 @cappa.command(name="measure")
--- a/measurements/workload.py
+++ b/measurements/workload.py
@@ -130,9 +130,13 @@
         """Starts the callers."""
         for account in self.accounts:
             self._spawn(self._switch(account))
-            for service in self._fleet.shape.services:
-                for _ in range(account.depth):
-                    self._spawn(self._call_always(account, service))
+            self.add_callers(account, 1)
+
+    def add_callers(self, account: Account, factor: int) -> None:
+        """Starts callers of a client account, some times its usual number."""
+        for service in self._fleet.shape.services:
+            for _ in range(account.depth * factor):
+                self._spawn(self._call_always(account, service))
 
     async def stop(self) -> None:
         """Stops the callers."""
