Count a failed subtest as one failed test

Cause: each failing subtest counted as a failure while the number of tests did not grow, so the closing line could say -2 passed. An entry in KNOWN-RED.txt could not name a test whose subtests fail. Change: failures are counted by the test around the subtest. Before: a test with three failing subtests gave -2 passed, 3 failed. After: 0 passed, 1 failed.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -25,12 +25,17 @@
     return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
 
 
+def _id_of(test):
+    """Returns the id of a test; for a subtest, that of the test around it."""
+    return getattr(test, "test_case", test).id()
+
+
 def main(names):
     """Runs the tests and returns the exit status."""
     hypothesis.settings.register_profile("ci", derandomize=True, deadline=None)
     hypothesis.settings.load_profile("ci")
     result = unittest.TextTestRunner(verbosity=1, buffer=True).run(load(names))
-    failing = {test.id() for test, _ in result.failures + result.errors}
+    failing = {_id_of(test) for test, _ in result.failures + result.errors}
     expected = known_red_ids()
     for test_id in sorted(failing & expected):
         print(f"KNOWN RED, passed over: {test_id}")
