Give the refusals a module of their own

What callers are told of an error is now in refusals.py; callers.py checks requests and writes answers.

--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -1,7 +1,6 @@
 """The HTTP application that callers reach: checks requests, writes answers."""
 
 import asyncio
-import dataclasses
 import logging
 import time
 import urllib.parse
@@ -13,19 +12,17 @@
     backlog,
     document,
     errors,
-    exchange,
     ids,
     logs,
     messages,
     metrics,
+    refusals,
     router,
     service_levels,
     upstream,
 )
 
-OUTCOME_HEADER = "Teaselsill-Outcome"
 DEADLINE_HEADER = "Teaselsill-Deadline"
-REQUEST_ID_HEADER = "X-Request-Id"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_S = 3600.0
@@ -34,81 +31,14 @@
 DROPPED_HEADERS = frozenset(
     {"authorization", "idempotency-key", "teaselsill-deadline", "x-request-id"}
 )
-UNREAD_STATUSES = frozenset({408, 413})
-"""The refusals after which the rest of the body may still come."""
 DATE_HEADER = "date"
 """The router's HTTP server sets it on every answer."""
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
-JSON_TYPE = "application/json"
 EVENT_STREAM = "text/event-stream"
 
 logger = logging.getLogger(__name__)
 
 
-class BadRequestError(errors.RequestError):
-    """The request cannot be understood."""
-
-
-class UnknownAccountError(errors.RequestError):
-    """The API key belongs to no client account."""
-
-
-class NotAllowedError(errors.RequestError):
-    """The client account may not reach the service."""
-
-
-class UnknownServiceError(errors.RequestError):
-    """There is no such service or model."""
-
-
-class UnknownPathError(errors.RequestError):
-    """Nothing is served under the path."""
-
-
-class UnknownMethodError(errors.RequestError):
-    """The path does not take the method."""
-
-
-class BodyTooLargeError(errors.RequestError):
-    """The body is larger than the router takes."""
-
-
-class BodyTimeoutError(errors.RequestError):
-    """The body did not come in time."""
-
-
-class NotReadyError(backlog.RefusedError):
-    """The router has no configuration yet."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """How an error is told to the caller.
-
-    Attributes:
-        status: The HTTP status.
-        reason: The machine-readable name of the reason.
-        text: What a person reads.
-        outcome: What is known of the run.
-        retry_after_s: When the caller may come back, or 0 if that is no use.
-    """
-
-    status: int
-    reason: str
-    text: str
-    outcome: messages.Outcome = messages.Outcome.NOT_RUN
-    retry_after_s: float = 0.0
-
-
-class _Fault(msgspec.Struct):
-    type: str
-    message: str
-
-
-class _FaultBody(msgspec.Struct):
-    error: _Fault
-
-
 class _CompletionRequest(msgspec.Struct):
     model: str
     stream: bool = False
@@ -124,81 +54,6 @@
     object: str = "list"
 
 
-def describe(error: errors.RequestError) -> Refusal:
-    """Returns how an error is told to the caller."""
-    text = str(error)
-    match error:
-        case BadRequestError():
-            return Refusal(400, "bad-request", text)
-        case UnknownAccountError():
-            return Refusal(401, "unknown-client-account", text)
-        case NotAllowedError():
-            return Refusal(403, "not-allowed", text)
-        case UnknownServiceError():
-            return Refusal(404, "unknown-service", text)
-        case UnknownPathError():
-            return Refusal(404, "unknown-path", text)
-        case UnknownMethodError():
-            return Refusal(405, "unknown-method", text)
-        case BodyTooLargeError():
-            return Refusal(413, "body-too-large", text)
-        case BodyTimeoutError():
-            return Refusal(408, "body-timeout", text)
-        case backlog.BacklogFullError():
-            return Refusal(429, "too-many-waiting", text, retry_after_s=_wait_of(error))
-        case backlog.DeadlineHopelessError():
-            return Refusal(
-                503, "deadline-hopeless", text, retry_after_s=_wait_of(error)
-            )
-        case backlog.RefusedError():
-            return Refusal(503, "not-ready", text, retry_after_s=_wait_of(error))
-        case router.DeadlineError():
-            return Refusal(504, "deadline", text, retry_after_s=1.0)
-        case exchange.NotRunError(reason=reason):
-            return _describe_not_run(reason, error.retry_after_s)
-        case exchange.AnswerBrokenError(reason=reason, outcome=outcome):
-            return _describe_broken(reason, outcome)
-        case exchange.AgentLostError():
-            return Refusal(502, "agent-lost", text, messages.Outcome.UNKNOWN)
-    return Refusal(500, "internal", "internal error", messages.Outcome.UNKNOWN)
-
-
-def _describe_not_run(reason: messages.Reason, retry_after_s: float) -> Refusal:
-    match reason:
-        case messages.Reason.NOT_ALLOWED:
-            return Refusal(403, reason.value, "the agent does not allow the request")
-        case messages.Reason.DEADLINE:
-            return Refusal(
-                504, reason.value, "the deadline came before the request ran"
-            )
-    return Refusal(
-        503,
-        reason.value,
-        "the request has not run",
-        retry_after_s=max(1.0, retry_after_s),
-    )
-
-
-def _describe_broken(reason: messages.Reason, outcome: messages.Outcome) -> Refusal:
-    match reason:
-        case messages.Reason.KEY_RAN:
-            text = "a request with this idempotency key has run; its answer is not kept"
-            return Refusal(409, reason.value, text, outcome)
-        case messages.Reason.KEY_IN_PROGRESS:
-            text = "a request with this idempotency key runs, or its run is unknown"
-            return Refusal(409, reason.value, text, outcome, retry_after_s=1.0)
-        case messages.Reason.KEY_REUSED:
-            text = "this idempotency key was used for another request"
-            return Refusal(422, reason.value, text, outcome)
-        case messages.Reason.DEADLINE:
-            return Refusal(504, reason.value, "the deadline came", outcome)
-    return Refusal(502, reason.value, "the upstream gave no whole answer", outcome)
-
-
-def _wait_of(error: backlog.RefusedError) -> float:
-    return error.retry_after_s
-
-
 class Callers:
     """Serves callers' requests.
 
@@ -244,11 +99,13 @@
         try:
             account = self._find_account(request)
         except errors.RequestError as error:
-            return _refuse(describe(error), ids.RequestId(ids.new_random_id()))
+            return refusals.describe(error).make_response(
+                ids.RequestId(ids.new_random_id())
+            )
         known = self._router.follower.document.service_by_model
         names = [m for m, service in known.items() if service.name in account.services]
         body = msgspec.json.encode(_ModelList([_Model(name) for name in names]))
-        return responses.Response(body, media_type=JSON_TYPE)
+        return responses.Response(body, media_type=refusals.JSON_TYPE)
 
     async def _serve_completion(self, request: requests.Request, send) -> None:
         await self._serve(request, send, self._read_completion)
@@ -267,21 +124,23 @@
         except requests.ClientDisconnect:
             call.note_gone()
         except errors.RequestError as error:
-            await call.refuse(describe(error))
+            await call.refuse(refusals.describe(error))
         except Exception:
             logger.exception("request failed", extra={"request": call.id})
-            await call.refuse(describe(errors.RequestError()))
+            await call.refuse(refusals.describe(errors.RequestError()))
 
     def _find_account(self, request: requests.Request) -> document.ClientAccount:
         known = self._router.follower.document
         if known is None:
-            raise NotReadyError("no configuration yet", 1.0)
+            raise refusals.NotReadyError("no configuration yet", 1.0)
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not key:
-            raise UnknownAccountError("an Authorization header with a key is needed")
+            raise refusals.UnknownAccountError(
+                "an Authorization header with a key is needed"
+            )
         account = known.account_by_key_hash.get(document.hash_key(key.strip()))
         if account is None:
-            raise UnknownAccountError("the key belongs to no client account")
+            raise refusals.UnknownAccountError("the key belongs to no client account")
         return account
 
     async def _read_completion(self, request, account, request_id) -> backlog.Request:
@@ -289,12 +148,14 @@
         try:
             asked = msgspec.json.decode(body, type=_CompletionRequest)
         except msgspec.MsgspecError as error:
-            raise BadRequestError(f"body: {error}") from error
+            raise refusals.BadRequestError(f"body: {error}") from error
         except RecursionError as error:
-            raise BadRequestError("body: nested too deeply") from error
+            raise refusals.BadRequestError("body: nested too deeply") from error
         service = self._router.follower.document.service_by_model.get(asked.model)
         if service is None:
-            raise UnknownServiceError(f"no service has the model {asked.model!r}")
+            raise refusals.UnknownServiceError(
+                f"no service has the model {asked.model!r}"
+            )
         return _make_request(
             request, account, service, request.url.path, body, request_id
         )
@@ -303,7 +164,7 @@
         name = request.path_params["service"]
         service = self._router.follower.document.service_by_name.get(name)
         if service is None or service.kind is not document.ServiceKind.PLAIN:
-            raise UnknownServiceError(f"no plain service is named {name!r}")
+            raise refusals.UnknownServiceError(f"no plain service is named {name!r}")
         path = _path_at_service(request, name)
         body = await self._read_body(request)
         return _make_request(request, account, service, path, body, request_id)
@@ -313,7 +174,7 @@
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 return await self._read_chunks(request)
         except TimeoutError:
-            raise BodyTimeoutError(
+            raise refusals.BodyTimeoutError(
                 f"the body took longer than {BODY_TIMEOUT_S:g} s"
             ) from None
 
@@ -323,7 +184,7 @@
         async for chunk in request.stream():
             size += len(chunk)
             if size > self._max_body_bytes:
-                raise BodyTooLargeError(
+                raise refusals.BodyTooLargeError(
                     f"the body is larger than {self._max_body_bytes} bytes"
                 )
             chunks.append(chunk)
@@ -391,7 +252,7 @@
         finally:
             answer.close()
 
-    async def refuse(self, refusal: Refusal) -> None:
+    async def refuse(self, refusal: refusals.Refusal) -> None:
         """Tells the caller of an error, in the way that is still open."""
         self._note(refusal.outcome, ok=False, refusal=refusal)
         if refusal.outcome is messages.Outcome.NOT_RUN:
@@ -399,7 +260,7 @@
         if self._status:
             await self._break_off(refusal)
             return
-        await _refuse(refusal, self.id)(
+        await refusal.make_response(self.id)(
             self._request.scope, self._request.receive, self._send
         )
 
@@ -408,14 +269,14 @@
         self._metrics.count(metrics.Metric.REQUESTS_CANCELLED)
         self._write_line(messages.Outcome.UNKNOWN, "caller-gone")
 
-    async def _break_off(self, refusal: Refusal) -> None:
+    async def _break_off(self, refusal: refusals.Refusal) -> None:
         """Ends a body that is not whole so that the caller can tell.
 
         A stream of events gets an error event. Then the application returns without
         the end of the body, and the server drops the connection.
         """
         if self._is_stream:
-            event = b"data: " + _fault_body(refusal) + b"\n\n"
+            event = b"data: " + refusal.make_body() + b"\n\n"
             await self._write_body(event, more=True)
 
     async def _start(self, status: int, headers, outcome: messages.Outcome) -> None:
@@ -424,7 +285,10 @@
             name.lower() == "content-type" and value.startswith(EVENT_STREAM)
             for name, value in headers
         )
-        own = [(OUTCOME_HEADER, outcome.value), (REQUEST_ID_HEADER, self.id)]
+        own = [
+            (refusals.OUTCOME_HEADER, outcome.value),
+            (refusals.REQUEST_ID_HEADER, self.id),
+        ]
         raw = [
             (name.lower().encode("latin-1"), value.encode("latin-1"))
             for name, value in [*headers, *own]
@@ -439,7 +303,7 @@
             {"type": "http.response.body", "body": data, "more_body": more}
         )
 
-    def _note(self, outcome, ok: bool, refusal: Refusal | None = None) -> None:
+    def _note(self, outcome, ok: bool, refusal: refusals.Refusal | None = None) -> None:
         duration_s = time.monotonic() - self._since
         self._metrics.count(_METRIC_BY_OUTCOME[outcome])
         self._metrics.timing(metrics.Metric.REQUEST_DURATION, duration_s)
@@ -479,10 +343,12 @@
     """Checks what the headers say and returns the request as the router holds it."""
     name = ids.ServiceName(service.name)
     if service.name not in account.services:
-        raise NotAllowedError(f"{account.id} may not reach {service.name}")
+        raise refusals.NotAllowedError(f"{account.id} may not reach {service.name}")
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_LENGTH:
-        raise BadRequestError(f"{KEY_HEADER}: longer than {MAX_KEY_LENGTH} characters")
+        raise refusals.BadRequestError(
+            f"{KEY_HEADER}: longer than {MAX_KEY_LENGTH} characters"
+        )
     deadline_s = _read_deadline(request, service)
     plain_path = path.partition("?")[0]
     return backlog.Request(
@@ -506,9 +372,11 @@
     try:
         deadline_s = float(given)
     except ValueError:
-        raise BadRequestError(f"{DEADLINE_HEADER}: {given!r} is no number") from None
+        raise refusals.BadRequestError(
+            f"{DEADLINE_HEADER}: {given!r} is no number"
+        ) from None
     if not 0 < deadline_s <= MAX_DEADLINE_S:
-        raise BadRequestError(
+        raise refusals.BadRequestError(
             f"{DEADLINE_HEADER}: not over 0 and at most {MAX_DEADLINE_S:.0f} s"
         )
     return deadline_s
@@ -537,32 +405,21 @@
     """
     parts = _raw_path(request).split("/", 3)
     if len(parts) < 4 or urllib.parse.unquote(parts[2]) != service:
-        raise UnknownPathError("the service's name must end with a plain slash")
+        raise refusals.UnknownPathError(
+            "the service's name must end with a plain slash"
+        )
     return "/" + parts[3]
 
 
 async def _refuse_path(request: requests.Request, _) -> responses.Response:
-    error = UnknownPathError("nothing is served under this path")
-    return _refuse(describe(error), ids.RequestId(ids.new_random_id()))
+    error = refusals.UnknownPathError("nothing is served under this path")
+    return refusals.describe(error).make_response(ids.RequestId(ids.new_random_id()))
 
 
 async def _refuse_method(request: requests.Request, error) -> responses.Response:
-    refusal = describe(UnknownMethodError("the path does not take this method"))
-    response = _refuse(refusal, ids.RequestId(ids.new_random_id()))
+    refusal = refusals.describe(
+        refusals.UnknownMethodError("the path does not take this method")
+    )
+    response = refusal.make_response(ids.RequestId(ids.new_random_id()))
     response.headers.update(error.headers or {})
     return response
-
-
-def _fault_body(refusal: Refusal) -> bytes:
-    return msgspec.json.encode(_FaultBody(_Fault(refusal.reason, refusal.text)))
-
-
-def _refuse(refusal: Refusal, request_id: ids.RequestId) -> responses.Response:
-    headers = {OUTCOME_HEADER: refusal.outcome.value, REQUEST_ID_HEADER: request_id}
-    if refusal.status in UNREAD_STATUSES:
-        headers["Connection"] = "close"
-    if refusal.status == 401:
-        headers["WWW-Authenticate"] = "Bearer"
-    if refusal.retry_after_s:
-        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
-    return responses.Response(_fault_body(refusal), refusal.status, headers, JSON_TYPE)
--- /dev/null
+++ b/teaselsill/refusals.py
@@ -0,0 +1,168 @@
+"""What callers are told when a request is refused or fails."""
+
+import dataclasses
+
+import msgspec
+from starlette import responses
+
+from teaselsill import backlog, errors, exchange, ids, messages, router
+
+OUTCOME_HEADER = "Teaselsill-Outcome"
+REQUEST_ID_HEADER = "X-Request-Id"
+JSON_TYPE = "application/json"
+UNREAD_STATUSES = frozenset({408, 413})
+"""The refusals after which the rest of the body may still come."""
+
+
+class BadRequestError(errors.RequestError):
+    """The request cannot be understood."""
+
+
+class UnknownAccountError(errors.RequestError):
+    """The API key belongs to no client account."""
+
+
+class NotAllowedError(errors.RequestError):
+    """The client account may not reach the service."""
+
+
+class UnknownServiceError(errors.RequestError):
+    """There is no such service or model."""
+
+
+class UnknownPathError(errors.RequestError):
+    """Nothing is served under the path."""
+
+
+class UnknownMethodError(errors.RequestError):
+    """The path does not take the method."""
+
+
+class BodyTooLargeError(errors.RequestError):
+    """The body is larger than the router takes."""
+
+
+class BodyTimeoutError(errors.RequestError):
+    """The body did not come in time."""
+
+
+class NotReadyError(backlog.RefusedError):
+    """The router has no configuration yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """How an error is told to the caller.
+
+    Attributes:
+        status: The HTTP status.
+        reason: The machine-readable name of the reason.
+        text: What a person reads.
+        outcome: What is known of the run.
+        retry_after_s: When the caller may come back, or 0 if that is no use.
+    """
+
+    status: int
+    reason: str
+    text: str
+    outcome: messages.Outcome = messages.Outcome.NOT_RUN
+    retry_after_s: float = 0.0
+
+    def make_body(self) -> bytes:
+        """Returns the JSON text that names the reason."""
+        return msgspec.json.encode(_FaultBody(_Fault(self.reason, self.text)))
+
+    def make_response(self, request_id: ids.RequestId) -> responses.Response:
+        """Returns the whole answer to the caller."""
+        headers = {OUTCOME_HEADER: self.outcome.value, REQUEST_ID_HEADER: request_id}
+        if self.status in UNREAD_STATUSES:
+            headers["Connection"] = "close"
+        if self.status == 401:
+            headers["WWW-Authenticate"] = "Bearer"
+        if self.retry_after_s:
+            headers["Retry-After"] = str(max(1, round(self.retry_after_s)))
+        return responses.Response(self.make_body(), self.status, headers, JSON_TYPE)
+
+
+class _Fault(msgspec.Struct):
+    type: str
+    message: str
+
+
+class _FaultBody(msgspec.Struct):
+    error: _Fault
+
+
+def describe(error: errors.RequestError) -> Refusal:
+    """Returns how an error is told to the caller."""
+    text = str(error)
+    match error:
+        case BadRequestError():
+            return Refusal(400, "bad-request", text)
+        case UnknownAccountError():
+            return Refusal(401, "unknown-client-account", text)
+        case NotAllowedError():
+            return Refusal(403, "not-allowed", text)
+        case UnknownServiceError():
+            return Refusal(404, "unknown-service", text)
+        case UnknownPathError():
+            return Refusal(404, "unknown-path", text)
+        case UnknownMethodError():
+            return Refusal(405, "unknown-method", text)
+        case BodyTooLargeError():
+            return Refusal(413, "body-too-large", text)
+        case BodyTimeoutError():
+            return Refusal(408, "body-timeout", text)
+        case backlog.BacklogFullError():
+            return Refusal(429, "too-many-waiting", text, retry_after_s=_wait_of(error))
+        case backlog.DeadlineHopelessError():
+            return Refusal(
+                503, "deadline-hopeless", text, retry_after_s=_wait_of(error)
+            )
+        case backlog.RefusedError():
+            return Refusal(503, "not-ready", text, retry_after_s=_wait_of(error))
+        case router.DeadlineError():
+            return Refusal(504, "deadline", text, retry_after_s=1.0)
+        case exchange.NotRunError(reason=reason):
+            return _describe_not_run(reason, error.retry_after_s)
+        case exchange.AnswerBrokenError(reason=reason, outcome=outcome):
+            return _describe_broken(reason, outcome)
+        case exchange.AgentLostError():
+            return Refusal(502, "agent-lost", text, messages.Outcome.UNKNOWN)
+    return Refusal(500, "internal", "internal error", messages.Outcome.UNKNOWN)
+
+
+def _describe_not_run(reason: messages.Reason, retry_after_s: float) -> Refusal:
+    match reason:
+        case messages.Reason.NOT_ALLOWED:
+            return Refusal(403, reason.value, "the agent does not allow the request")
+        case messages.Reason.DEADLINE:
+            return Refusal(
+                504, reason.value, "the deadline came before the request ran"
+            )
+    return Refusal(
+        503,
+        reason.value,
+        "the request has not run",
+        retry_after_s=max(1.0, retry_after_s),
+    )
+
+
+def _describe_broken(reason: messages.Reason, outcome: messages.Outcome) -> Refusal:
+    match reason:
+        case messages.Reason.KEY_RAN:
+            text = "a request with this idempotency key has run; its answer is not kept"
+            return Refusal(409, reason.value, text, outcome)
+        case messages.Reason.KEY_IN_PROGRESS:
+            text = "a request with this idempotency key runs, or its run is unknown"
+            return Refusal(409, reason.value, text, outcome, retry_after_s=1.0)
+        case messages.Reason.KEY_REUSED:
+            text = "this idempotency key was used for another request"
+            return Refusal(422, reason.value, text, outcome)
+        case messages.Reason.DEADLINE:
+            return Refusal(504, reason.value, "the deadline came", outcome)
+    return Refusal(502, reason.value, "the upstream gave no whole answer", outcome)
+
+
+def _wait_of(error: backlog.RefusedError) -> float:
+    return error.retry_after_s
--- a/tests/test_failures_leaving.py
+++ b/tests/test_failures_leaving.py
@@ -2,7 +2,7 @@
 import unittest
 
 from standins import relay
-from teaselsill import callers, errors, messages
+from teaselsill import errors, messages, refusals
 from tests import bench
 
 STOP_S = 6.0
@@ -25,7 +25,7 @@
             member.relay.inspect = stop_at_dispatch
             with self.assertRaises(errors.RequestError) as caught:
                 await fleet.call(bench.ORDER, deadline_s=1.5)
-            refusal = callers.describe(caught.exception)
+            refusal = refusals.describe(caught.exception)
             self.assertEqual(messages.Outcome.NOT_RUN, refusal.outcome)
             self.assertEqual(0, fleet.count(bench.ORDER))
 
--- a/tests/test_failures_log.py
+++ b/tests/test_failures_log.py
@@ -2,7 +2,7 @@
 import time
 import unittest
 
-from teaselsill import callers, errors, log, messages
+from teaselsill import errors, log, messages, refusals
 from tests import bench
 
 WHOLE = (200, b"one two three")
@@ -28,7 +28,7 @@
     async def refusal(self, path, key, deadline_s=5.0):
         with self.assertRaises(errors.RequestError) as caught:
             await self.fleet.call(path, key, deadline_s)
-        return callers.describe(caught.exception)
+        return refusals.describe(caught.exception)
 
     async def test_down_at_the_claim(self):
         self.fleet.log.down = True
@@ -102,6 +102,6 @@
         with self.assertRaises(errors.RequestError) as caught:
             await self.fleet.call(bench.ORDER, "key-1", deadline_s=0.5)
         self.assertLess(time.monotonic() - began_at, 0.5 + AT_ONCE_S)
-        refusal = callers.describe(caught.exception)
+        refusal = refusals.describe(caught.exception)
         self.assertEqual(messages.Outcome.NOT_RUN, refusal.outcome)
         self.assertEqual(0, self.fleet.count(bench.ORDER))
--- a/tests/test_failures_lost.py
+++ b/tests/test_failures_lost.py
@@ -2,7 +2,7 @@
 import time
 import unittest
 
-from teaselsill import callers, errors, messages
+from teaselsill import errors, messages, refusals
 from tests import bench
 
 WHOLE = (200, b"one two three")
@@ -27,7 +27,7 @@
     async def outcome_of(self, call):
         with self.assertRaises(errors.RequestError) as caught:
             await call
-        return callers.describe(caught.exception).outcome
+        return refusals.describe(caught.exception).outcome
 
     async def test_unknown_is_not_told_as_not_run(self):
         async with bench.Bench(agents=2) as fleet:
--- a/tests/test_failures_upstream.py
+++ b/tests/test_failures_upstream.py
@@ -1,6 +1,6 @@
 import unittest
 
-from teaselsill import callers, errors, messages, upstream
+from teaselsill import errors, messages, refusals, upstream
 from tests import bench
 
 WHOLE = (200, b"one two three")
@@ -19,7 +19,7 @@
         try:
             return await fleet.call(path)
         except errors.RequestError as error:
-            return callers.describe(error).outcome
+            return refusals.describe(error).outcome
 
     async def test_failed_lookup_is_retried(self):
         failed = upstream.UpstreamFailedError("dropped")
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -15,8 +15,8 @@
 
 
 def list_reasons():
-    """Yields the reasons that `callers.py` names, as the callers' page must."""
-    tree = ast.parse((ROOT / "teaselsill/callers.py").read_text())
+    """Yields the reasons that `refusals.py` names, as the callers' page must."""
+    tree = ast.parse((ROOT / "teaselsill/refusals.py").read_text())
     for node in ast.walk(tree):
         if isinstance(node, ast.Call) and getattr(node.func, "id", "") == "Refusal":
             reason = node.args[1]
