--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import datetime
 import hashlib
@@ -217,36 +216,24 @@
         attempts: How many attempts were made.
     """
 
-    def __init__(
-        self, head: messages.Head, peer, running, deadline: float, attempts: int
-    ):
+    def __init__(self, head: messages.Head, peer, running, attempts: int):
         self.status = head.status
         self.headers = head.headers
         self.upstream = peer.agent.upstream
         self.attempts = attempts
         self._peer = peer
         self._running = running
-        self._deadline = deadline
         self._ended = False
 
     async def body(self):
-        """Yields the pieces of the body; see `Exchange.body`.
-
-        Raises:
-            AnswerBrokenError: As there, and also if an agent that is out of reach has
-                not ended the answer at its deadline.
-        """
-        pieces = self._running.body()
-        while True:
-            async with _answer_deadline(self._deadline):
-                data = await anext(pieces, None)
-            if data is None:
-                break
-            yield data
+        """Yields the pieces of the body; see `Exchange.body`."""
+        async for piece in self._running.body():
+            yield piece
         self._ended = True
 
     def close(self) -> None:
         """Tells the agent if nobody waits for the rest."""
+        self._running.close()
         if not self._ended:
             self._peer.cancel(self._running)
 
@@ -389,11 +376,13 @@
         try:
             peer, running = await self._wait_turn(desk, waiting)
             self._note_attempt(waiting, tries)
-            head = await self._wait_head(running, waiting.request)
+            # Past the deadline the agent ends the attempt, if it can be reached.
+            left_s = waiting.request.deadline - time.monotonic()
+            running.expire_after(left_s + link.BUSY_SILENCE_S)
+            head = await running.head()
             if head.status == BUSY_STATUS and self._may_repeat(tries, waiting.request):
                 raise UpstreamBusyError("the upstream refuses requests")
-            deadline = waiting.request.deadline
-            return Answer(head, peer, running, deadline, tries.attempts)
+            return Answer(head, peer, running, tries.attempts)
         except BaseException:
             self._abandon(desk, waiting)
             raise
@@ -413,6 +402,7 @@
         desk.tell_all()
         if waiting.turn.done() and not waiting.turn.cancelled():
             peer, running = waiting.turn.result()
+            running.close()
             peer.cancel(running)
 
     def _get_desk(self, name: ids.ServiceName) -> ServiceDesk:
@@ -435,11 +425,6 @@
                 return waiting.turn.result()
             raise DeadlineError("the deadline came before a free slot") from None
 
-    async def _wait_head(self, running, request) -> messages.Head:
-        """Waits for the head; past the deadline the agent ends the attempt."""
-        async with _answer_deadline(request.deadline):
-            return await running.head()
-
     async def _consider_not_run(self, error, tries: _Tries, request) -> None:
         """Returns if the request may be offered again, after a short delay."""
         match error.reason:
@@ -512,23 +497,6 @@
     return exchange.AgentLostError("an earlier attempt may have run")
 
 
-@contextlib.asynccontextmanager
-async def _answer_deadline(deadline: float):
-    """Ends a wait for an agent that has not ended an answer at its deadline.
-
-    Raises:
-        AnswerBrokenError: The deadline came, and the agent was given time besides.
-    """
-    left_s = deadline - time.monotonic() + link.BUSY_SILENCE_S
-    try:
-        async with asyncio.timeout(max(0.0, left_s)):
-            yield
-    except TimeoutError:
-        raise exchange.AnswerBrokenError(
-            messages.Reason.DEADLINE, messages.Outcome.UNKNOWN
-        ) from None
-
-
 def _as_leaving(agent: instances.Instance) -> instances.Instance:
     """Returns an agent that is no longer listed, as one that gets no new work."""
     return msgspec.structs.replace(agent, state=instances.InstanceState.LEAVING)
