Widen the spread policy's choice with the number of agents

Cause: a grant shows in the counters only as it is metered, over many seconds, so 45 agents herd on the least client account far longer than one digest. Change: a random choice within one expected request for every 10 agents.

Up to 10 agents nothing changes.

--- a/scripts/measure_policies.py
+++ b/scripts/measure_policies.py
@@ -156,6 +156,7 @@
     def _make_agent(self, number: int, policy: str) -> Agent:
         cap = counters.debt_cap(DEFAULT_EXPECTED, min(SHARES))
         known = counters.Counters(cap, lambda: self._now)
+        known.agents = self._settings.agents
         source = random.Random(self._random.random())
         chooser = registry.get(registry.Kind.POLICY, policy)(source)
         reports_at = self._random.uniform(0, self._settings.period_s)
@@ -413,6 +414,7 @@
     return {
         "policy": name,
         "seeds": len(lines),
+        "settings": lines[0]["settings"],
         "median_gap": statistics.median(gaps),
         "worst_gap": max(gaps),
         "median_target": statistics.median(line["target"] for line in lines),
--- a/teaselsill/counters.py
+++ b/teaselsill/counters.py
@@ -47,11 +47,15 @@
     Args:
         cap: The debt cap in normalised cost.
         now: Tells the time in seconds.
+
+    Attributes:
+        agents: How many agents the service has.
     """
 
     def __init__(self, cap: float, now: typing.Callable[[], float] = time.monotonic):
         self._cap = max(1, round(cap * UNITS_PER_COST))
         self._now = now
+        self.agents = 1
         self._counter_by_account: CounterByAccount = {}
         self._pending_by_account: CounterByAccount = {}
         self._sent_by_sequence: dict[int, CounterByAccount] = {}
--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -274,6 +274,7 @@
     async def _report_each_period(self) -> None:
         while True:
             await self._wait_for_turn()
+            self._known.agents = len(self._agent_by_id())
             if self._uplink and not self._is_parent(self._uplink):
                 self._uplink.abort()
             elif self._uplink:
--- a/teaselsill/policies.py
+++ b/teaselsill/policies.py
@@ -8,6 +8,9 @@
 
 from teaselsill import counters, ids, registry
 
+AGENTS_PER_REQUEST = 10
+"""`Spread` widens its choice by one expected request for each so many agents."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -63,17 +66,19 @@
 
 @registry.register(registry.Kind.POLICY, "spread")
 class Spread(Policy):
-    """Takes any client account within one expected request of the least.
+    """Takes any client account within some expected requests of the least.
 
     Between two digests all agents see the same least-served client account. The
-    random choice keeps them from serving it all at once.
+    random choice keeps them from serving it all at once. The more agents there are,
+    the wider the choice.
     """
 
     def choose(self, candidates: Candidates, known: counters.Counters) -> Candidate:
         """See `Policy.choose`."""
         estimate_by_account = {c.account: known.estimate(c.account) for c in candidates}
         least = min(candidates, key=lambda c: estimate_by_account[c.account])
-        limit = estimate_by_account[least.account] + least.expected
+        requests = max(1.0, known.agents / AGENTS_PER_REQUEST)
+        limit = estimate_by_account[least.account] + requests * least.expected
         near = [c for c in candidates if estimate_by_account[c.account] <= limit]
         preferring = [c for c in near if c.prefers]
         return self._random.choice(preferring or near)
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -358,6 +358,7 @@
         await self.until(lambda: agents[1].known.fleet_backlogged, {ACCOUNT, "b"})
         agents[1].known.add_served("b", 9)
         await self.until(lambda: meter.greatest, 9)
+        self.assertEqual(2, agents[0].known.agents)
         for agent in agents:
             await agent.stop()
 
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -46,6 +46,12 @@
         served = known(a=0, b=9, c=11)
         self.assertEqual({"a", "b"}, self.choices("spread", candidates, served))
 
+    def test_spread_widens_with_the_number_of_agents(self):
+        candidates = [candidate("a"), candidate("b"), candidate("c")]
+        served = known(a=0, b=39, c=41)
+        served.agents = 4 * policies.AGENTS_PER_REQUEST
+        self.assertEqual({"a", "b"}, self.choices("spread", candidates, served))
+
     def test_spread_prefers_only_within_one_request_of_the_least(self):
         candidates = [candidate("a"), candidate("b", prefers=True)]
         self.assertEqual({"b"}, self.choices("spread", candidates, known(b=9)))
