--- a/scripts/measure_policies.py
+++ b/scripts/measure_policies.py
@@ -334,7 +334,7 @@
         load = fairness.Load(
             in_flight=self._most_in_flight,
             largest_cost=max(self._largest_cost, self._largest_expected),
-            digest_age_s=fairness.digest_age_s(depth, settings.period_s),
+            digest_age_s=fairness.digest_age_s(depth, settings.period_s, digest.HOP_S),
             rate=settings.agents * settings.slots * RATE_PER_SLOT / min(SHARES),
         )
         gap = self._meter.greatest
--- a/teaselsill/fairness.py
+++ b/teaselsill/fairness.py
@@ -54,14 +54,17 @@
     return 2 * ahead
 
 
-def digest_age_s(depth: int, period_s: float) -> float:
+def digest_age_s(depth: int, period_s: float, hop_s: float) -> float:
     """Returns the greatest age of a counter at the leaves of the digest tree.
 
+    A digest is used for a period, and a report that comes late waits for another.
+
     Args:
         depth: How many links lie between the root and the deepest agent.
         period_s: How often each node reports, and the root settles.
+        hop_s: How much earlier than its parent a node reports.
     """
-    return (2 * depth + 1) * period_s if depth else period_s
+    return 2 * period_s + depth * hop_s
 
 
 def check_gap(gap: float, load: Load) -> None:
