Check the fairness gap in the program, reserve mean costs, choose spread

The root of a service's digest tree compares the measured gap with the bound of its present load and reports a violation. Grants reserve the moving mean of a client account's costs instead of the configured expectation.

--- a/measurements/fairness.py
+++ b/measurements/fairness.py
@@ -8,8 +8,15 @@
 from measurements import gaps, results, samples, workload
 from standins import fleet, shapes
 
-POLICIES = ("least-service", "random", "first-come", "round-robin", "local-counters")
-CHOSEN = "least-service"
+POLICIES = (
+    "spread",
+    "least-service",
+    "random",
+    "first-come",
+    "round-robin",
+    "local-counters",
+)
+CHOSEN = "spread"
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -109,7 +109,7 @@
         shape: shapes.Shape,
         token_ms: float = 5.0,
         work_ms: float = 20.0,
-        policy: str = "least-service",
+        policy: str = "spread",
         lag_s: float = 0.0,
         log_level: str = "INFO",
         deadline_s: float = 30.0,
--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -67,7 +67,6 @@
 
     Attributes:
         granting: Decides who goes next.
-        served_cost: The cost served in this run, in the service's unit.
     """
 
     def __init__(
@@ -83,7 +82,6 @@
         sink: metrics.Metrics,
     ):
         self.granting = grants
-        self.served_cost = 0.0
         self._me = me
         self._secret = secret
         self._follower = follower
@@ -335,9 +333,8 @@
     def _finish(self, run: running.Run) -> None:
         attempt = run.dispatch.attempt
         run.meter.close()
-        self.served_cost += run.meter.cost
         self._metrics.count(metrics.Metric.COST_SERVED, round(run.meter.cost))
-        self.granting.slots.release()
+        self.granting.finish(run.dispatch.account, run.meter.cost)
         if self._attempts.state_of(attempt) is attempts.State.RUNNING:
             self._attempts.end(attempt)
         self._task_by_attempt.pop(attempt, None)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -17,6 +17,7 @@
     counters,
     digest,
     fencing,
+    gap_watch,
     granting,
     handover,
     ids,
@@ -188,6 +189,14 @@
         lambda: not serving.granting.is_leaving, lambda: _report_agent(parts, loaded)
     )
     node.run_in_background(parts.exchange.run())
+    service = ids.ServiceName(loaded.service)
+    watch = gap_watch.GapWatch(
+        parts.exchange,
+        serving.granting,
+        lambda: len(node.membership.agents_of(service)),
+        node.metrics,
+    )
+    node.run_in_background(watch.run())
     node.run_in_background(parts.fence.obtain())
     sampler = sampling.Sampler(node.metrics, parts.gauges, serving.sent_bytes_by_type)
     node.run_in_background(sampler.run())
@@ -238,16 +247,12 @@
     fence: fencing.Fence
 
     def gauges(self) -> dict[metrics.Metric, float]:
-        """Returns the use of the slots, the connections and the fairness gap."""
+        """Returns the use of the slots and the number of connections."""
         used = self.agent.granting.slots
-        counter_by_account = self.known.fleet_counter_by_account
-        gap = max(counter_by_account.values(), default=0)
-        gap -= min(counter_by_account.values(), default=0)
         return {
             metrics.Metric.SLOTS_BUSY: used.running,
             metrics.Metric.SLOTS_TOTAL: used.total,
             metrics.Metric.PEERS_CONNECTED: len(self.agent.granting.peers),
-            metrics.Metric.FAIRNESS_GAP: gap / counters.UNITS_PER_COST,
         }
 
 
@@ -320,6 +325,6 @@
         "slots": reports.Slots(used.running, used.total, used.busy_s),
         "upstream": ids.UpstreamId(loaded.upstream),
         "service": service,
-        "served_cost": parts.agent.served_cost,
+        "served_cost": parts.agent.granting.served_cost,
         "control_bytes_by_type": parts.agent.sent_bytes_by_type(),
     }
--- a/teaselsill/expectation.py
+++ b/teaselsill/expectation.py
@@ -15,17 +15,20 @@
 
     Args:
         default: The cost to expect from a client account that is not known yet.
+
+    Attributes:
+        default: The same.
     """
 
     def __init__(self, default: float):
-        self._default = default
+        self.default = default
         self._mean_by_account: collections.OrderedDict[ids.AccountId, float] = (
             collections.OrderedDict()
         )
 
     def expect(self, account: ids.AccountId) -> float:
         """Returns the cost to expect from a client account's next request."""
-        return self._mean_by_account.get(account, self._default)
+        return self._mean_by_account.get(account, self.default)
 
     def learn(self, account: ids.AccountId, cost: float) -> None:
         """Takes the cost of a request that has ended."""
--- a/teaselsill/granting.py
+++ b/teaselsill/granting.py
@@ -6,6 +6,7 @@
 from teaselsill import (
     counters,
     document,
+    expectation,
     ids,
     messages,
     metrics,
@@ -35,6 +36,9 @@
         peers: The connected peers.
         is_leaving: Whether the agent takes no new work, for good.
         is_listed_leaving: Whether the platform says that its instance leaves.
+        served_cost: The cost served in this run, in the service's unit.
+        largest_cost: The greatest cost of one request in this run.
+        smallest_share: The smallest share of a client account.
     """
 
     def __init__(
@@ -50,6 +54,10 @@
         self.peers: set[router_peer.RouterPeer] = set()
         self.is_leaving = False
         self.is_listed_leaving = False
+        self.served_cost = 0.0
+        self.largest_cost = 0.0
+        self.smallest_share = 0.0
+        self._expectation = expectation.Expectation(0.0)
         self._service = service
         self._upstream = upstream
         self._follower = follower
@@ -80,7 +88,7 @@
         self._counters.set_backlogged(backlogged)
         service = self.service_now
         while service and self._may_grant() and self.slots.free > 0:
-            candidates = self._list_candidates(service)
+            candidates = self._list_candidates()
             if not candidates:
                 return
             self._grant(self._policy.choose(candidates, self._counters))
@@ -111,6 +119,13 @@
         self._counters.release(offer.account, offer.expected)
         self.slots.release()
 
+    def finish(self, account: ids.AccountId, cost: float) -> None:
+        """Frees the slot of a request that has ended, and learns what it has cost."""
+        self.slots.release()
+        self.served_cost += cost
+        self.largest_cost = max(self.largest_cost, cost)
+        self._expectation.learn(account, cost)
+
     def pause(self) -> None:
         """Offers no slots for a while, after the upstream has failed."""
         if time.monotonic() < self._paused_until:
@@ -129,9 +144,10 @@
         self.slots.resize(service.slots if service else 0)
         if service is None:
             return
+        self._expectation.default = service.expected_cost
         accounts = self._follower.document.client_accounts
-        smallest_share = min((account.share for account in accounts), default=1.0)
-        cap = counters.debt_cap(service.expected_cost, smallest_share)
+        self.smallest_share = min((account.share for account in accounts), default=1.0)
+        cap = counters.debt_cap(service.expected_cost, self.smallest_share)
         self._counters.set_debt_cap(cap)
         self.grant_free_slots()
 
@@ -142,7 +158,7 @@
             return False
         return self._upstream not in self._follower.document.leaving_upstreams
 
-    def _list_candidates(self, service: document.Service) -> list[policies.Candidate]:
+    def _list_candidates(self) -> list[policies.Candidate]:
         known = self._follower.document
         since_by_account: dict[ids.AccountId, float] = {}
         for peer in self.peers:
@@ -154,7 +170,7 @@
             policies.Candidate(
                 account,
                 int((now - since) * 1000),
-                service.expected_cost / known.account_by_id[account].share,
+                self._expectation.expect(account) / known.account_by_id[account].share,
             )
             for account, since in since_by_account.items()
             if self.allows(account)
--- a/teaselsill/settings.py
+++ b/teaselsill/settings.py
@@ -118,7 +118,7 @@
     service: str = pydantic.Field(min_length=1)
     upstream_url: str
     upstream_kind: str = "completions"
-    policy: str = "least-service"
+    policy: str = "spread"
     peer_tls: PeerTlsSection | None = None
 
 
--- /dev/null
+++ b/tests/test_gap_watch.py
@@ -0,0 +1,25 @@
+import types
+import unittest
+
+from teaselsill import fairness, gap_watch, invariants, metrics
+
+
+class GapWatchTest(unittest.TestCase):
+    """One agent of four slots that has served 1,000 of cost in 10 s of slot time."""
+
+    def check(self, gap):
+        used = types.SimpleNamespace(busy_s=10.0, total=4)
+        grants = types.SimpleNamespace(
+            slots=used, served_cost=1000.0, largest_cost=50.0, smallest_share=1.0
+        )
+        exchange = types.SimpleNamespace(meter=fairness.GapMeter())
+        exchange.meter.current = gap
+        before = invariants.violation_count_by_name["GapExceededError"]
+        watch = gap_watch.GapWatch(exchange, grants, lambda: 1, metrics.Metrics())
+        watch.check()
+        return invariants.violation_count_by_name["GapExceededError"] - before
+
+    def test_gap_beyond_the_formula_is_a_violation(self):
+        # 2 * (4 requests * 50 + 2.1 s * 4 slots * 100 a second)
+        self.assertEqual(0, self.check(2 * (200 + 840)))
+        self.assertEqual(1, self.check(2 * (200 + 840) + 1))
