End an agent's connections before its event loop ends

Cause: connections that were still served when the process ended were cancelled by the loop, whose stream callback then logged a traceback at a planned stop. Ruled out: the peers' links, which close in time; it was one that had come late. Change: accept() starts the task itself, and close() waits 0.5 s for the connections, then cancels those that are left. Before: the rolling stops found the traceback, and ClosingAgentTest a connection that outlived close(); after: neither.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -34,6 +34,9 @@
 RESUME_S = 2.0
 """How long an answer is kept for a router that is back and does not ask for it."""
 
+CLOSE_S = 0.5
+"""How long the connections of an ending agent have to send what is queued."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -100,6 +103,7 @@
         self._repeatable: set[ids.AttemptId] = set()
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._idle = asyncio.Event()
+        self._serving: set[asyncio.Task] = set()
         self._unsettled: set[router_peer.RouterPeer] = set()
 
     def sent_bytes_by_type(self) -> dict[str, int]:
@@ -109,8 +113,13 @@
             total.update(peer.link.bytes_sent_by_type)
         return dict(total)
 
-    async def accept(self, reader, writer) -> None:
-        """Serves one connection until it ends."""
+    def accept(self, reader, writer) -> None:
+        """Serves one connection in a task of its own until it ends."""
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(self, reader, writer) -> None:
         try:
             connected = await link.accept(reader, writer, self._secret, self._me)
         except errors.LinkError as error:
@@ -145,9 +154,14 @@
         await self._runner.flush()
 
     async def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections and waits for them, for a bounded time."""
         for peer in list(self.granting.peers):
             peer.link.close()
+        if self._serving:
+            await asyncio.wait(self._serving, timeout=CLOSE_S)
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
         await self._runner.close()
 
     async def _converse(self, peer: router_peer.RouterPeer) -> None:
--- a/tests/test_failures_leaving.py
+++ b/tests/test_failures_leaving.py
@@ -63,3 +63,24 @@
             fleet.agents[0].upstream.may_go_on.set()
 
         await self.check(messages.Cancel, leave_early)
+
+
+class ClosingAgentTest(unittest.IsolatedAsyncioTestCase):
+    """An agent ends while peers are connected and one is in its handshake."""
+
+    async def test_connections_end_without_errors(self):
+        found = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: found.append(context))
+        async with bench.Bench() as fleet:
+            await fleet.call(bench.LOOKUP)
+            relay_port = fleet.agents[0].relay.port
+            _, writer = await asyncio.open_connection(bench.HOST, relay_port)
+            await fleet.agents[0].agent.close()
+            serving = [t for t in asyncio.all_tasks() if "Agent." in str(t.get_coro())]
+            for task in serving:
+                task.cancel()
+            await asyncio.sleep(0.05)
+            writer.close()
+        self.assertEqual([], serving)
+        self.assertEqual([], found)
