Judge planned stops without calls that ended at their deadline

check_no_disturbance blamed a stop for a stream that its own deadline had ended, 3.05 s after it began with a deadline of 3 s. Calls that end earlier are judged as before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -102,6 +102,8 @@
     def check_no_disturbance(self, name: str, began_at: float, router: str) -> None:
         """Checks that calls under way since a time were not cut off.
 
+        One that ended at its own deadline was not.
+
         Args:
             name: What happened to the fleet meanwhile.
             began_at: On the monotonic clock, in seconds.
@@ -117,7 +119,7 @@
             is_later = call.ended_at >= began_at or not call.ended_at
             if not is_later or (router and call.router != router):
                 continue
-            if call.result not in cut:
+            if call.result not in cut or call.took_s >= call.deadline_s:
                 continue
             if not any(outage.touches(call) for outage in self.outages):
                 self.note(name, self.describe(call))
@@ -188,7 +190,7 @@
             return
         self.checked_by_name["answered-by-deadline"] += 1
         limit_s = call.deadline_s + workload.OVERDUE_S
-        if call.ended_at - call.began_at > limit_s:
+        if call.took_s > limit_s:
             self.note("answered-by-deadline", self.describe(call))
 
     async def _check_version(self, node: fleet.Node) -> None:
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -99,6 +99,11 @@
     result: Result | None = None
     detail: str = ""
 
+    @property
+    def took_s(self) -> float:
+        """How long it took, in seconds; negative while it runs."""
+        return self.ended_at - self.began_at
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
