--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -311,10 +311,12 @@
         self._link.flush()
 
     def _withdraw_demand(self) -> None:
+        """Tells the agent that nothing waits for it any longer."""
         for account in self._told_by_account:
             self._link.send(messages.Demand(account, 0, 0))
         self._told_by_account.clear()
         self._told_since_by_account.clear()
+        self._link.flush()
 
     def _tell_account(self, account: ids.AccountId) -> None:
         waiting = min(self._backlog.count(account), TOLD_LIMIT)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -156,7 +156,10 @@
     node.follower.subscribe(lambda: levels.set_targets(node.follower.document))
     app = callers.Callers(served, levels, node.metrics, loaded.max_body_bytes)
     front = servers.HttpServer(app.create_app(), node.host, loaded.port, loaded.tls)
-    await node.start(lambda: True, lambda: _report_router(served, levels))
+    await node.start(
+        lambda: node.follower.document is not None,
+        lambda: _report_router(served, levels),
+    )
     node.run_in_background(served.run())
     sampler = sampling.Sampler(node.metrics, served.gauges, served.sent_bytes_by_type)
     node.run_in_background(sampler.run())
@@ -174,11 +177,12 @@
     node = Node(loaded, instances.Role.AGENT)
     parts = _make_agent(node, loaded)
     serving = parts.agent
-    listener = await asyncio.start_server(
+    node.membership.subscribe(lambda: _note_listing(node, serving.granting))
+    listener = await servers.listen(
         serving.accept,
         node.host,
         loaded.port,
-        ssl=peer_tls.make_server_context(loaded.peer_tls),
+        peer_tls.make_server_context(loaded.peer_tls),
     )
     await node.start(
         lambda: not serving.granting.is_leaving, lambda: _report_agent(parts, loaded)
@@ -208,6 +212,15 @@
     await node.stop()
 
 
+def _note_listing(node: Node, grants: granting.Granting) -> None:
+    """Has an agent grant nothing while the platform lists it as leaving."""
+    listed = node.membership.by_id.get(node.me.instance)
+    grants.is_listed_leaving = (
+        listed is not None and listed.state is instances.InstanceState.LEAVING
+    )
+    grants.grant_free_slots()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentParts:
     """The parts that an agent's process is joined of.
@@ -291,6 +304,8 @@
     used = parts.agent.granting.slots
     backlogged = parts.known.backlogged
     counter_by_account = parts.known.counter_by_account
+    metered_by_account = parts.known.metered_by_account
+    listed = {*backlogged, *counter_by_account, *metered_by_account}
     return {
         "served": [
             reports.Served(
@@ -298,8 +313,9 @@
                 account,
                 counter_by_account.get(account, 0) / counters.UNITS_PER_COST,
                 account in backlogged,
+                metered_by_account.get(account, 0.0),
             )
-            for account in sorted({*backlogged, *counter_by_account})
+            for account in sorted(listed)
         ],
         "slots": reports.Slots(used.running, used.total, used.busy_s),
         "upstream": ids.UpstreamId(loaded.upstream),
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -207,7 +207,7 @@
         request = make_request(path, key, deadline_s)
         answer = await (through or self.router).serve(request, 100)
         try:
-            body = b"".join([data async for data in answer.body()])
+            body = b"".join([piece.data async for piece in answer.body()])
         finally:
             answer.close()
         return answer.status, body
