--- a/teaselsill/link.py
+++ b/teaselsill/link.py
@@ -19,6 +19,7 @@
 """After this much silence a side with work under way gives the connection up."""
 IDLE_PING_S = 10.0
 IDLE_SILENCE_S = 25.0
+MIN_QUIET_S = 0.01
 
 
 class HandshakeError(errors.LinkError):
@@ -76,6 +77,7 @@
         self._heard_at = time.monotonic()
         self._pinged_at = self._heard_at
         self._closed = False
+        self._watch_timeout: asyncio.Timeout | None = None
 
     @property
     def is_closed(self) -> bool:
@@ -93,6 +95,7 @@
         name = type(message).__name__
         self.bytes_sent_by_type[name] = self.bytes_sent_by_type.get(name, 0) + len(data)
         self._queued.append(data)
+        self._watch_soon()
         if self._flush_handle is None:
             self._flush_handle = asyncio.get_running_loop().call_soon(self.flush)
 
@@ -142,25 +145,49 @@
 
     async def _read(self, is_busy, version) -> bytes:
         while True:
-            ping_s = BUSY_PING_S if is_busy() else IDLE_PING_S
             try:
-                async with asyncio.timeout(min(ping_s, BUSY_PING_S)):
+                async with asyncio.timeout(self._quiet_s(is_busy())) as timeout:
+                    self._watch_timeout = timeout
                     data = await self._reader.read(READ_BYTES)
             except TimeoutError:
                 self._watch(is_busy(), version())
                 continue
             except OSError as error:
                 raise PeerClosedError(str(error)) from error
+            finally:
+                self._watch_timeout = None
             if not data:
                 raise PeerClosedError(f"{self.peer.instance} closed the connection")
             self._heard_at = time.monotonic()
             return data
 
+    def _quiet_s(self, busy: bool) -> float:
+        """Returns how long the link may be quiet from now on until `_watch` is due."""
+        quiet_s = time.monotonic() - max(self._heard_at, self._pinged_at)
+        if self._is_ping_unanswered:
+            limit_s = BUSY_SILENCE_S if busy else IDLE_SILENCE_S
+        else:
+            limit_s = BUSY_PING_S if busy else IDLE_PING_S
+        return max(MIN_QUIET_S, limit_s - quiet_s)
+
+    def _watch_soon(self) -> None:
+        """Sees to it that a link which a message makes busy is watched as such."""
+        timeout = self._watch_timeout
+        if timeout is None or timeout.expired():
+            return
+        soon = asyncio.get_running_loop().time() + BUSY_PING_S
+        if timeout.when() > soon:
+            timeout.reschedule(soon)
+
+    @property
+    def _is_ping_unanswered(self) -> bool:
+        return self._pinged_at > self._heard_at
+
     def _watch(self, busy: bool, version: ids.Version) -> None:
         now = time.monotonic()
         ping_s = BUSY_PING_S if busy else IDLE_PING_S
         silence_s = BUSY_SILENCE_S if busy else IDLE_SILENCE_S
-        unanswered = self._pinged_at > self._heard_at
+        unanswered = self._is_ping_unanswered
         if unanswered and now - max(self._heard_at, self._pinged_at) >= silence_s:
             raise PeerSilentError(f"{self.peer.instance} is silent")
         if now - max(self._heard_at, self._pinged_at) >= ping_s and not unanswered:
