--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import enum
+import itertools
 import json
 import os
 import pathlib
@@ -25,9 +26,10 @@
 POLL_S = 0.05
 MAX_SHOWN_CHARS = 2000
 STREAM = "configuration"
-PORTS = (12_000, 32_000)
+PORTS = range(12_000, 32_000)
 
-_given_ports: set[int] = set()
+_port_numbers = itertools.count(random.randrange(len(PORTS)))
+_reserved: list[socket.socket] = []
 
 
 class FleetError(Exception):
@@ -414,21 +416,22 @@
 
 
 def find_free_port() -> int:
-    """Returns a TCP port that nothing listens on now, and never the same one twice.
+    """Returns a TCP port that nothing uses, and keeps it for this process's children.
 
-    It lies below the ports that the system gives to outgoing connections.
+    It lies below the ports that the system gives to outgoing connections. The socket
+    that keeps it is bound but does not listen: only sockets that may reuse the address
+    can still bind to it, and other calls of this function do not.
     """
     while True:
-        port = random.randrange(*PORTS)
-        if port in _given_ports:
+        port = PORTS[next(_port_numbers) % len(PORTS)]
+        reserving = socket.socket()
+        try:
+            reserving.bind((HOST, port))
+        except OSError:
+            reserving.close()
             continue
-        _given_ports.add(port)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+        reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reserved.append(reserving)
         return port
 
 
--- a/teaselsill/exchange.py
+++ b/teaselsill/exchange.py
@@ -83,6 +83,7 @@
         self._assembly = answers.Assembly(attempt)
         self._events: asyncio.Queue = asyncio.Queue()
         self._unacknowledged_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def next_sequence(self) -> int:
@@ -112,6 +113,17 @@
         """Gives the agent up."""
         self._events.put_nowait(AgentLostError("the agent is gone"))
 
+    def expire_after(self, delay_s: float) -> None:
+        """Gives up, after a time, an agent that has not ended the answer by itself."""
+        error = AnswerBrokenError(messages.Reason.DEADLINE, messages.Outcome.UNKNOWN)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._events.put_nowait, error)
+
+    def close(self) -> None:
+        """Stops the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
     async def head(self) -> messages.Head:
         """Waits for the start of the answer.
 
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import datetime
 import hashlib
@@ -133,14 +132,17 @@
         self.peer_by_agent.clear()
 
     def _drop_unlisted(self, listed) -> None:
+        """Gives no new work to agents that are not listed as live, and drops them."""
         for agent_id, peer in list(self.peer_by_agent.items()):
-            if listed.get(agent_id) == peer.agent or peer.exchange_by_attempt:
+            found = listed.get(agent_id)
+            if found is not None and _is_at_same_address(found, peer.agent):
+                peer.agent = found
+                peer.is_retired = self._is_leaving(found)
                 continue
-            if _differs_in_state_only(listed.get(agent_id), peer.agent):
-                peer.agent = listed[agent_id]
-                continue
-            self._router.spawn(peer.close())
-            del self.peer_by_agent[agent_id]
+            peer.is_retired = True
+            if not peer.exchange_by_attempt:
+                self._router.spawn(peer.close())
+                del self.peer_by_agent[agent_id]
 
     def _adapt_width(self, listed_count: int) -> None:
         now = time.monotonic()
@@ -189,10 +191,13 @@
         waiting = [known.get(name) for name in self.backlog.accounts]
         return [account for account in waiting if account and account.upstreams]
 
+    def _is_leaving(self, agent: instances.Instance) -> bool:
+        known = self._router.follower.document
+        is_left = known is not None and agent.upstream in known.leaving_upstreams
+        return is_left or agent.state is instances.InstanceState.LEAVING
+
     def _is_usable(self, agent: instances.Instance) -> bool:
-        if agent.state is instances.InstanceState.LEAVING:
-            return False
-        if agent.upstream in self._router.follower.document.leaving_upstreams:
+        if self._is_leaving(agent):
             return False
         peer = self.peer_by_agent.get(agent.id)
         return peer is None or peer.state not in (
@@ -211,36 +216,24 @@
         attempts: How many attempts were made.
     """
 
-    def __init__(
-        self, head: messages.Head, peer, running, deadline: float, attempts: int
-    ):
+    def __init__(self, head: messages.Head, peer, running, attempts: int):
         self.status = head.status
         self.headers = head.headers
         self.upstream = peer.agent.upstream
         self.attempts = attempts
         self._peer = peer
         self._running = running
-        self._deadline = deadline
         self._ended = False
 
     async def body(self):
-        """Yields the pieces of the body; see `Exchange.body`.
-
-        Raises:
-            AnswerBrokenError: As there, and also if an agent that is out of reach has
-                not ended the answer at its deadline.
-        """
-        pieces = self._running.body()
-        while True:
-            async with _answer_deadline(self._deadline):
-                piece = await anext(pieces, None)
-            if piece is None:
-                break
+        """Yields the pieces of the body; see `Exchange.body`."""
+        async for piece in self._running.body():
             yield piece
         self._ended = True
 
     def close(self) -> None:
         """Tells the agent if nobody waits for the rest."""
+        self._running.close()
         if not self._ended:
             self._peer.cancel(self._running)
 
@@ -383,11 +376,13 @@
         try:
             peer, running = await self._wait_turn(desk, waiting)
             self._note_attempt(waiting, tries)
-            head = await self._wait_head(running, waiting.request)
+            # Past the deadline the agent ends the attempt, if it can be reached.
+            left_s = waiting.request.deadline - time.monotonic()
+            running.expire_after(left_s + link.BUSY_SILENCE_S)
+            head = await running.head()
             if head.status == BUSY_STATUS and self._may_repeat(tries, waiting.request):
                 raise UpstreamBusyError("the upstream refuses requests")
-            deadline = waiting.request.deadline
-            return Answer(head, peer, running, deadline, tries.attempts)
+            return Answer(head, peer, running, tries.attempts)
         except BaseException:
             self._abandon(desk, waiting)
             raise
@@ -407,6 +402,7 @@
         desk.tell_all()
         if waiting.turn.done() and not waiting.turn.cancelled():
             peer, running = waiting.turn.result()
+            running.close()
             peer.cancel(running)
 
     def _get_desk(self, name: ids.ServiceName) -> ServiceDesk:
@@ -429,11 +425,6 @@
                 return waiting.turn.result()
             raise DeadlineError("the deadline came before a free slot") from None
 
-    async def _wait_head(self, running, request) -> messages.Head:
-        """Waits for the head; past the deadline the agent ends the attempt."""
-        async with _answer_deadline(request.deadline):
-            return await running.head()
-
     async def _consider_not_run(self, error, tries: _Tries, request) -> None:
         """Returns if the request may be offered again, after a short delay."""
         match error.reason:
@@ -506,24 +497,5 @@
     return exchange.AgentLostError("an earlier attempt may have run")
 
 
-@contextlib.asynccontextmanager
-async def _answer_deadline(deadline: float):
-    """Ends a wait for an agent that has not ended an answer at its deadline.
-
-    Raises:
-        AnswerBrokenError: The deadline came, and the agent was given time besides.
-    """
-    left_s = deadline - time.monotonic() + link.BUSY_SILENCE_S
-    try:
-        async with asyncio.timeout(max(0.0, left_s)):
-            yield
-    except TimeoutError:
-        raise exchange.AnswerBrokenError(
-            messages.Reason.DEADLINE, messages.Outcome.UNKNOWN
-        ) from None
-
-
-def _differs_in_state_only(listed, known: instances.Instance) -> bool:
-    if listed is None:
-        return False
-    return (listed.host, listed.port) == (known.host, known.port)
+def _is_at_same_address(one: instances.Instance, other: instances.Instance) -> bool:
+    return (one.host, one.port) == (other.host, other.port)
--- a/teaselsill/running.py
+++ b/teaselsill/running.py
@@ -1,5 +1,6 @@
 """Runs one accepted attempt: claims its key if need be, and calls the upstream."""
 
+import asyncio
 import dataclasses
 import logging
 import time
@@ -19,6 +20,8 @@
     upstream,
 )
 
+FLUSH_S = 5.0
+"""How long a planned stop waits for the log service."""
 BUSY_STATUS = 503
 """What an upstream answers that takes no more requests for now."""
 
@@ -82,6 +85,7 @@
         self._fence = fence
         self._grants = grants
         self._metrics = sink
+        self._writing: set[asyncio.Task] = set()
 
     async def run(self, run: Run) -> None:
         """Claims the request if it may not be repeated, then sends it.
@@ -100,25 +104,43 @@
             stored = await self._send(run)
         except upstream.UpstreamUnreachableError as error:
             logger.warning("upstream unreachable: %s", error)
-            await self.release(run)
+            run.sent = False
+            await self._release(run)
             self._grants.pause()
             raise NotRunError(messages.Reason.UPSTREAM_UNREACHABLE) from error
         except upstream.UpstreamRefusedError as error:
-            await self.release(run)
+            run.sent = False
+            await self._release(run)
             raise NotRunError(messages.Reason.UPSTREAM_FAILED) from error
         self._note_answered(stored.status)
-        if run.claimed is not None:
-            await self._ledger.record_ran(run.claimed, stored)
         run.answer.end(messages.Outcome.RAN, messages.Reason.NONE)
+        if run.claimed is not None:
+            self._write_soon(self._ledger.record_ran(run.claimed, stored))
 
-    async def release(self, run: Run) -> None:
-        """Frees the key of a request that has not run."""
+    def release_soon(self, run: Run) -> None:
+        """Frees the key of a request that has not run; nobody waits for it."""
         if run.claimed is not None:
-            await self._ledger.release(run.claimed)
+            self._write_soon(self._ledger.release(run.claimed))
+
+    async def flush(self) -> None:
+        """Waits, for a bounded time, until the log has every record of a run."""
+        await asyncio.gather(*self._writing, return_exceptions=True)
+        if not await self._ledger.flush(FLUSH_S):
+            logger.warning("the log has not taken every record of a run")
 
     async def close(self) -> None:
-        """Closes the connections to the upstream."""
+        """Closes the connections to the upstream and ends the background writes."""
         await self._client.close()
+        await self._ledger.close()
+
+    async def _release(self, run: Run) -> None:
+        if run.claimed is not None:
+            await self._ledger.release(run.claimed)
+
+    def _write_soon(self, writing) -> None:
+        task = asyncio.create_task(writing)
+        self._writing.add(task)
+        task.add_done_callback(self._writing.discard)
 
     def _note_answered(self, status: int) -> None:
         if status == BUSY_STATUS:
--- /dev/null
+++ b/tests/test_failures_leaving.py
@@ -0,0 +1,65 @@
+import asyncio
+import unittest
+
+from standins import relay
+from teaselsill import errors, messages, refusals
+from tests import bench
+
+STOP_S = 6.0
+
+
+class LeavingAgentTest(unittest.IsolatedAsyncioTestCase):
+    """An agent is told to stop while a dispatch is under way to it."""
+
+    async def test_dispatch_under_way_is_not_lost(self):
+        async with bench.Bench(agents=1) as fleet:
+            member = fleet.agents[0]
+            stopping = []
+
+            def stop_at_dispatch(connection, direction, data):
+                if watching(connection, direction, data) is not relay.Action.PASS:
+                    stopping.append(asyncio.create_task(self.stop(member)))
+                return relay.Action.PASS
+
+            watching = bench.OnMessage(messages.Dispatch, relay.Action.CUT_BEFORE)
+            member.relay.inspect = stop_at_dispatch
+            with self.assertRaises(errors.RequestError) as caught:
+                await fleet.call(bench.ORDER, deadline_s=1.5)
+            refusal = refusals.describe(caught.exception)
+            self.assertEqual(messages.Outcome.NOT_RUN, refusal.outcome)
+            self.assertEqual(0, fleet.count(bench.ORDER))
+
+    async def stop(self, member):
+        await member.agent.leave()
+        await member.agent.close()
+        await member.kill()
+
+
+class ForgottenAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A router no longer wants an answer, and its word for that is lost."""
+
+    async def check(self, kind, call):
+        async with bench.Bench() as fleet:
+            member = fleet.agents[0]
+            cutting = bench.OnMessage(kind, relay.Action.CUT_BEFORE)
+            member.relay.inspect = cutting
+            await call(fleet)
+            async with asyncio.timeout(1):
+                await cutting.done.wait()
+            await fleet.call(bench.LOOKUP)
+            async with asyncio.timeout(STOP_S):
+                await member.agent.leave()
+
+    async def test_lost_acknowledgement_does_not_hold_a_stop(self):
+        await self.check(messages.Ack, lambda fleet: fleet.call(bench.ORDER))
+
+    async def test_lost_cancellation_does_not_hold_a_stop(self):
+        async def leave_early(fleet):
+            fleet.agents[0].upstream.may_go_on.clear()
+            call = asyncio.create_task(fleet.call(bench.LOOKUP))
+            await asyncio.sleep(0.2)
+            call.cancel()
+            await asyncio.wait([call])
+            fleet.agents[0].upstream.may_go_on.set()
+
+        await self.check(messages.Cancel, leave_early)
