--- a/standins/demo.py
+++ b/standins/demo.py
@@ -196,9 +196,10 @@
         print(f"\nFairness of the model engines, the last {span_s:g} s:")
         header = ("client account", "share", "asked at a time", "tokens", "per share")
         print(tables.render(header, rows))
-        print(f"Gap seen by the callers: {max(normalised) - min(normalised):.0f}")
+        gap = max(normalised) - min(normalised)
+        print(f"Gap between the callers, in tokens per share: {gap:.0f}")
         for service, gap in sorted(self._gap_by_service.items()):
-            print(f"Gap reported by the agents of {service}: {gap:.0f}")
+            print(f"Gap by the agents' counters, {service}: {gap:.0f}")
 
     def _check_replies(self) -> None:
         bad = [key for key in self._load.replies if key[1:] != (200, "ran")]
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,12 +2,15 @@
 import types
 import unittest
 
+import hypothesis
 import msgpack
+from hypothesis import strategies
 
 from standins import plain_service, shapes
 from teaselsill import (
     configuration,
     daemon,
+    errors,
     ids,
     instances,
     link,
@@ -15,6 +18,7 @@
     messages,
     metrics,
     registry,
+    router_peer,
 )
 from tests import support
 
@@ -181,3 +185,78 @@
                     pass
                 broken.abort()
                 await self.check_healthy()
+
+
+class StubLink:
+    """A link that keeps nothing."""
+
+    peer = link.Identity("router-1", "run-x", instances.Role.ROUTER)
+    bytes_sent_by_type = {}
+
+    def send(self, message):
+        pass
+
+    def flush(self):
+        pass
+
+    def abort(self):
+        pass
+
+
+FEW_NUMBERS = strategies.sampled_from([-1, 0, 1, 2, 3, 2**40])
+FEW_WORDS = strategies.sampled_from(["", ACCOUNT, "run-x:1", "run-x:2", "x"])
+
+
+def _values_of(name):
+    """Returns values for a field, few enough that messages refer to each other."""
+    return FEW_WORDS if name in ("account", "attempt", "path") else FEW_NUMBERS
+
+
+ANY_MESSAGE = strategies.one_of(
+    strategies.builds(kind, **{name: _values_of(name) for name in names})
+    for kind, names in (
+        (messages.Demand, ["account", "waiting"]),
+        (messages.Grant, ["account"]),
+        (messages.Decline, ["grant"]),
+        (messages.Dispatch, ["account", "attempt", "grant", "version", "path"]),
+        (messages.Head, ["attempt"]),
+        (messages.Body, ["attempt"]),
+        (messages.End, ["attempt"]),
+        (messages.NotRun, ["attempt"]),
+        (messages.Ack, ["attempt", "through"]),
+        (messages.Cancel, ["attempt"]),
+        (messages.Resume, ["attempt", "sequence"]),
+        (messages.Leaving, []),
+        (messages.Report, []),
+        (messages.Digest, []),
+        (messages.Ping, []),
+        (messages.DocumentWanted, []),
+        (messages.DocumentHandover, []),
+    )
+)
+
+
+class FuzzTest(unittest.TestCase):
+    """Any messages of a proved peer are taken, or end its link with a link's error."""
+
+    @hypothesis.given(strategies.lists(ANY_MESSAGE, max_size=12))
+    def test_any_messages(self, sent):
+        asyncio.run(self.check(sent))
+
+    async def check(self, sent):
+        tested = make_agent("http://127.0.0.1:9")
+        peer = router_peer.RouterPeer(StubLink())
+        tested.granting.peers.add(peer)
+        for message in sent:
+            try:
+                tested._take_checked(peer, message)
+                tested.granting.grant_free_slots()
+            except errors.LinkError:
+                break
+        tested._drop(peer)
+        self.assertLessEqual(tested.granting.slots.running, 2)
+        for task in list(tested._task_by_attempt.values()):
+            task.cancel()
+        await asyncio.gather(*tested._task_by_attempt.values())
+        self.assertEqual(0, tested.granting.slots.running)
+        await tested.close()
