--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -16,6 +16,7 @@
     console,
     counters,
     digest,
+    fairness,
     fencing,
     gap_watch,
     granting,
@@ -268,6 +269,7 @@
         known,
         lambda: node.follower.version,
         peer_tls.make_client_context(loaded.peer_tls),
+        fairness.GapMeter(lambda account: _reach_of(node, account)),
     )
     policy = registry.get(registry.Kind.POLICY, loaded.policy)()
     grants = granting.Granting(
@@ -295,6 +297,13 @@
     return AgentParts(serving, known, exchange, fence)
 
 
+def _reach_of(node: Node, account: ids.AccountId) -> frozenset[str]:
+    """Returns the upstreams that a client account is limited to; empty for all."""
+    known = node.follower.document
+    found = known.account_by_id.get(account) if known else None
+    return frozenset(found.upstreams) if found else frozenset()
+
+
 def _report_router(served: router.Router, levels: service_levels.Recorder):
     count_by_outcome = {o.value: n for o, n in levels.count_by_outcome.items()}
     return {
