Assert in the program that answers are whole and refusals true

Cause: check_complete() was never called, and nothing checked that an attempt that an agent says has not run was not sent. Change: the router checks the count of frames before it passes the last piece; the agent reports FalseRefusalError and tells such an attempt as unknown.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -54,6 +54,10 @@
         self.retry_after_s = retry_after_s
 
 
+class FalseRefusalError(errors.InvariantError):
+    """An attempt that may have run was about to be told as not run."""
+
+
 class Agent:
     """The process beside one upstream, and the only way to it.
 
@@ -330,6 +334,11 @@
     def _end_not_run(self, run: running.Run, reason: messages.Reason) -> None:
         """Says that an accepted attempt has not run, on whichever link there is."""
         attempt = run.dispatch.attempt
+        if run.sent:
+            error = FalseRefusalError(f"attempt {attempt} was sent")
+            invariants.report(error, reraise=False, sink=self._metrics)
+            self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+            return
         self._attempts.end(attempt, has_run=False)
         for peer in self.granting.peers:
             if attempt in peer.attempts:
--- a/teaselsill/exchange.py
+++ b/teaselsill/exchange.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from teaselsill import answers, errors, ids, messages
+from teaselsill import answers, errors, ids, invariants, messages
 
 ACK_BYTES = 32 * 1024
 """How many bytes of an answer the router takes before it acknowledges them."""
@@ -149,6 +149,7 @@
         Raises:
             AgentLostError: The agent is gone.
             AnswerBrokenError: The answer ended before it was whole.
+            TruncatedAnswerError: It was about to pass for whole with frames missing.
         """
         while True:
             event = await self._events.get()
@@ -157,6 +158,8 @@
                 frames.append(event)
                 event = None if self._events.empty() else self._events.get_nowait()
             is_whole = _is_whole(event)
+            if is_whole:
+                self._check_complete()
             if frames or is_whole:
                 yield Piece(b"".join(frame.data for frame in frames), is_whole)
             self._note_delivered(frames)
@@ -176,6 +179,12 @@
             case error:
                 raise error
 
+    def _check_complete(self) -> None:
+        try:
+            self._assembly.check_complete()
+        except answers.TruncatedAnswerError as error:
+            invariants.report(error)
+
     def _note_delivered(self, frames: list[messages.Body]) -> None:
         for frame in frames:
             size = len(frame.data) + answers.FRAME_OVERHEAD_BYTES
