Log the attempts of requests that failed, too

Cause: the number of attempts came with the answer, so the line of a request without one said 0. Change: the caller's side hands in the counter. Test: the line of a request that failed after two attempts tells 2.

--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -216,7 +216,7 @@
         self._status = 0
         self._is_stream = False
         self._upstream = ids.UpstreamId("")
-        self._attempts = 0
+        self._tries = router.Tries()
 
     async def answer(self, served: router.Router, wanted, max_waiting: int) -> None:
         """Gets the answer and writes it, unless the caller goes away."""
@@ -239,9 +239,8 @@
                 return
 
     async def _write(self, served: router.Router, wanted, max_waiting: int) -> None:
-        answer = await served.serve(wanted, max_waiting)
+        answer = await served.serve(wanted, max_waiting, self._tries)
         self._upstream = answer.upstream
-        self._attempts = answer.attempts
         self._metrics.timing(metrics.Metric.FIRST_BYTE, time.monotonic() - self._since)
         try:
             await self._start(answer.status, answer.headers, messages.Outcome.RAN)
@@ -325,7 +324,7 @@
             method=self._request.method,
             status=self._status or self._status_to_log,
             reason=reason,
-            attempts=self._attempts,
+            attempts=self._tries.attempts,
         ).write(logger)
 
 
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -213,14 +213,12 @@
         status: The HTTP status.
         headers: The header names and values.
         upstream: The upstream that gave it.
-        attempts: How many attempts were made.
     """
 
-    def __init__(self, head: messages.Head, peer, running, attempts: int):
+    def __init__(self, head: messages.Head, peer, running):
         self.status = head.status
         self.headers = head.headers
         self.upstream = peer.agent.upstream
-        self.attempts = attempts
         self._peer = peer
         self._running = running
         self._ended = False
@@ -239,8 +237,14 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Tries:
-    """How often a request was offered."""
+class Tries:
+    """How often a request was offered.
+
+    Attributes:
+        attempts: How many times it was handed to an agent.
+        not_run: How many attempts had certainly not run.
+        lost: How many attempts failed and may have run.
+    """
 
     attempts: int = 0
     not_run: int = 0
@@ -330,9 +334,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def serve(self, request: backlog.Request, max_waiting: int) -> Answer:
+    async def serve(
+        self, request: backlog.Request, max_waiting: int, tries: Tries | None = None
+    ) -> Answer:
         """Gets the head of the answer to a request, trying again where that is safe.
 
+        Args:
+            request: The request.
+            max_waiting: How many requests of its client account may wait here.
+            tries: Counts the tries, also of a request that fails.
+
         Raises:
             RefusedError: The request has not run; come back later.
             DeadlineError: The request has not run before its deadline.
@@ -343,7 +354,7 @@
         self._budget.note_request()
         desk = self._get_desk(request.service)
         waiting = desk.backlog.add(request, max_waiting)
-        tries = _Tries()
+        tries = tries or Tries()
         try:
             return await self._serve_waiting(desk, waiting, tries)
         except (exchange.NotRunError, DeadlineError) as error:
@@ -352,7 +363,7 @@
             raise
 
     async def _serve_waiting(
-        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: _Tries
+        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: Tries
     ) -> Answer:
         request = waiting.request
         while True:
@@ -370,7 +381,7 @@
             desk.backlog.put_back(waiting)
 
     async def _try(
-        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: _Tries
+        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: Tries
     ) -> Answer:
         """Waits for the request's turn and for the head of its answer."""
         try:
@@ -382,12 +393,12 @@
             head = await running.head()
             if head.status == BUSY_STATUS and self._may_repeat(tries, waiting.request):
                 raise UpstreamBusyError("the upstream refuses requests")
-            return Answer(head, peer, running, tries.attempts)
+            return Answer(head, peer, running)
         except BaseException:
             self._abandon(desk, waiting)
             raise
 
-    def _note_attempt(self, waiting: backlog.Waiting, tries: _Tries) -> None:
+    def _note_attempt(self, waiting: backlog.Waiting, tries: Tries) -> None:
         tries.attempts += 1
         self._metrics.count(metrics.Metric.ATTEMPTS)
         if tries.attempts > 1:
@@ -425,7 +436,7 @@
                 return waiting.turn.result()
             raise DeadlineError("the deadline came before a free slot") from None
 
-    async def _consider_not_run(self, error, tries: _Tries, request) -> None:
+    async def _consider_not_run(self, error, tries: Tries, request) -> None:
         """Returns if the request may be offered again, after a short delay."""
         match error.reason:
             case messages.Reason.LOG_UNAVAILABLE | messages.Reason.DEADLINE:
@@ -442,7 +453,7 @@
         if tries.not_run > 1:
             await asyncio.sleep(delay_s)
 
-    def _consider_lost(self, tries: _Tries, request) -> None:
+    def _consider_lost(self, tries: Tries, request) -> None:
         """Returns if a request whose run is unknown may be offered again.
 
         A key makes it safe: the agents run the requests of one key at most once.
@@ -452,17 +463,17 @@
         if not safe or tries.lost > MAX_LOST or not self._budget.spend():
             raise exchange.AgentLostError("the agent is gone")
 
-    def _may_repeat(self, tries: _Tries, request) -> bool:
+    def _may_repeat(self, tries: Tries, request) -> bool:
         """Takes a retry for a request that failed, if there is one for it."""
         return request.repeatable and tries.lost < MAX_LOST and self._budget.spend()
 
-    async def _consider_broken(self, error, tries: _Tries, request) -> None:
+    async def _consider_broken(self, error, tries: Tries, request) -> None:
         """Returns if a request that an upstream failed may be offered again."""
         if error.reason not in FAILED_REASONS or not self._may_repeat(tries, request):
             raise error
         await self._pause_after_failure(tries)
 
-    async def _pause_after_failure(self, tries: _Tries) -> None:
+    async def _pause_after_failure(self, tries: Tries) -> None:
         tries.lost += 1
         await asyncio.sleep(FAILED_DELAY_S * random.uniform(0.5, 1.0))
 
