--- a/tests/test_failures_links.py
+++ b/tests/test_failures_links.py
@@ -3,11 +3,12 @@
 import unittest
 
 from standins import relay
-from teaselsill import messages
+from teaselsill import messages, wire
 from tests import bench
 
 WHOLE = (200, b"one two three")
 RECOVERY_S = 3.0
+LEAVING = bench.DOCUMENT | {"leaving_upstreams": ["upstream-of-agent-0"]}
 
 
 class CutTest(unittest.IsolatedAsyncioTestCase):
@@ -54,3 +55,60 @@
             self.assertLess(time.monotonic() - began_at, RECOVERY_S)
             self.assertTrue(silencing.done.is_set())
             self.assertEqual(1, fleet.count(bench.ORDER))
+
+
+class PartitionTest(unittest.IsolatedAsyncioTestCase):
+    """The fleet is cut in two, one router and one agent on each side, and rejoins."""
+
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(bench.Bench(agents=2))
+        self.other = self.fleet.make_router("router-1")
+        self.addAsyncCleanup(self.other.close)
+        self.routers = [self.fleet.router, self.other]
+        for number, member in enumerate(self.fleet.agents):
+            member.relay.inspect = _Partition(f"router-{1 - number}")
+
+    async def call_on_both_sides(self, path, key=""):
+        return await asyncio.gather(
+            *(self.fleet.call(path, key, through=r) for r in self.routers),
+            return_exceptions=True,
+        )
+
+    async def test_work_goes_on_and_keys_hold(self):
+        for number in range(10):
+            path = f"/orders/{number}"
+            self.assertEqual([WHOLE] * 2, await self.call_on_both_sides(bench.LOOKUP))
+            self.assertIn(WHOLE, await self.call_on_both_sides(path, path))
+            self.assertEqual(1, self.fleet.count(path))
+        self.assertEqual([10, 10], self.count_lookups())
+        for member in self.fleet.agents:
+            member.relay.inspect = relay.pass_all
+        self.fleet.agents[0].follower.change(LEAVING)
+        self.assertEqual(WHOLE, await self.fleet.call(bench.LOOKUP, deadline_s=10.0))
+        self.assertEqual([10, 11], self.count_lookups())
+
+    def count_lookups(self):
+        agents = self.fleet.agents
+        return [a.upstream.count_by_path[bench.LOOKUP] for a in agents]
+
+
+class _Partition:
+    """Has a relay silence the connections of one router.
+
+    Args:
+        instance: The router's instance id.
+    """
+
+    def __init__(self, instance):
+        self._instance = instance
+        self._unpacker_by_connection = {}
+
+    def __call__(self, connection, direction, data):
+        if direction is not relay.Direction.TO_TARGET:
+            return relay.Action.PASS
+        unpacker = self._unpacker_by_connection.setdefault(connection, wire.Unpacker())
+        for message in unpacker.feed(data):
+            is_proof = isinstance(message, messages.Proof)
+            if is_proof and message.instance == self._instance:
+                return relay.Action.SILENCE
+        return relay.Action.PASS
