Tell agents of demand only when what they believe is wrong by a factor of 2

Cause: each change of a waiting count, and each quarter second of age, went to every connected agent of the service; 84% of a router's control bytes. An agent counts down what it grants by itself, so a belief that is too low corrects itself and one that is too high costs a declined grant.

--- a/teaselsill/agent_peer.py
+++ b/teaselsill/agent_peer.py
@@ -26,8 +26,12 @@
 
 TOLD_LIMIT = 32
 """An agent is told of at most this many waiting requests of a client account."""
+TOLD_FACTOR = 2
+"""An agent is told again when what it believes is wrong by more than this factor."""
 AGE_STEP_S = 0.25
-"""The oldest request must be this much younger before the agent is told again."""
+AGE_RATIO = 0.5
+"""The oldest request must be younger by this, and by this part of its age, before
+the agent is told again."""
 STAGE_S = 0.005
 """How much later an agent of the next rank is told of waiting work."""
 RETRY_MIN_S = 0.05
@@ -322,9 +326,10 @@
         waiting = min(self._backlog.count(account), TOLD_LIMIT)
         told = self._told_by_account.get(account, 0)
         since = self._backlog.oldest_since(account)
-        aged = since - self._told_since_by_account.get(account, since) > AGE_STEP_S
-        still_enough = TOLD_LIMIT // 2 <= told <= waiting
-        if waiting == told or (still_enough and not aged):
+        younger_s = since - self._told_since_by_account.get(account, since)
+        age_s = time.monotonic() - since
+        aged = younger_s > max(AGE_STEP_S, AGE_RATIO * age_s)
+        if waiting == told or (_is_close(told, waiting) and not aged):
             return
         if waiting:
             self._told_by_account[account] = waiting
@@ -332,7 +337,7 @@
         else:
             self._told_by_account.pop(account, None)
             self._told_since_by_account.pop(account, None)
-        oldest_ms = int((time.monotonic() - since) * 1000) if waiting else 0
+        oldest_ms = int(age_s * 1000) if waiting else 0
         self._link.send(messages.Demand(account, waiting, oldest_ms))
 
     def _forget_link(self, connected: link.Link) -> None:
@@ -360,6 +365,16 @@
                 del self.exchange_by_attempt[attempt]
 
 
+def _is_close(told: int, waiting: int) -> bool:
+    """Tells whether an agent's belief of what waits will do.
+
+    Believing too little does no harm as long as some of it is left, since the router
+    tells again when the agent has granted that much. Believing too much costs a
+    declined grant now and then.
+    """
+    return 0 < told <= waiting * TOLD_FACTOR and waiting <= told * TOLD_FACTOR
+
+
 def _make_dispatch(grant, attempt, waiting: backlog.Waiting, version):
     request = waiting.request
     budget_ms = int((request.deadline - time.monotonic()) * 1000)
