Charge busy time as it passes; send the counters as often as bytes allow

Plain services were charged only when a call ended, and counters were up to two periods of 1 s old. Change: busy time is charged every 0.1 s; the period follows the number of waiting accounts under a byte budget, 0.25 s to 4 s.

--- a/measurements/gaps.py
+++ b/measurements/gaps.py
@@ -50,12 +50,14 @@
         round(meter.greatest, 1),
         round(largest, 1),
         round(2 * largest, 1),
-        round(_bound(taken, service, largest, load), 1),
+        round(_bound(taken, service, largest, load, most_waiting), 1),
         most_waiting,
     )
 
 
-def _bound(taken, service: str, largest: float, load: workload.Load) -> float:
+def _bound(
+    taken, service: str, largest: float, load: workload.Load, most_waiting: int
+) -> float:
     first = taken[0].of_service(service)
     last = taken[-1].of_service(service)
     slots = sum(report.slots.total for report in last)
@@ -63,7 +65,7 @@
     rate = served / (taken[-1].at - taken[0].at)
     smallest_share = min(account.share for account in load.accounts)
     depth = 1 if len(last) > 1 else 0
-    age_s = fairness.digest_age_s(depth, digest.PERIOD_S)
+    age_s = fairness.digest_age_s(depth, digest.period_for(most_waiting), digest.HOP_S)
     return fairness.gap_bound(
         fairness.Load(slots, largest, age_s, rate / smallest_share)
     )
--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -17,7 +17,13 @@
 FAN_OUT = 4
 """How many children a node of the tree has."""
 PERIOD_S = 1.0
-"""How often a node reports."""
+"""How often a node reports while it does not know how many client accounts wait."""
+MIN_PERIOD_S = 0.25
+MAX_PERIOD_S = 4.0
+BYTES_PER_ACCOUNT = 102
+"""What a client account adds to a node's report and to the digests to its children."""
+BYTES_PER_S = 1600
+"""What a node may send for the counters."""
 HOP_S = 0.1
 """How much earlier than its parent a node reports, so that the report goes along."""
 RETRY_JITTER_S = 1.0
@@ -67,13 +73,22 @@
     return depth
 
 
+def period_for(backlogged: int) -> float:
+    """Returns how often the counters go round while some client accounts wait.
+
+    The fewer wait, the smaller the messages and the more often they are sent.
+    """
+    affordable_s = backlogged * BYTES_PER_ACCOUNT / BYTES_PER_S
+    return min(MAX_PERIOD_S, max(MIN_PERIOD_S, affordable_s))
+
+
 def report_delay_s(depth: int, period_s: float = PERIOD_S) -> float:
     """Returns how long after a digest a node reports.
 
     The deepest report first and each of the others after its children, so that what
     all have served reaches the root just before its next digest.
     """
-    return max(period_s / 2, period_s - depth * HOP_S)
+    return max(period_s / 2, period_s - depth * min(HOP_S, period_s / 10))
 
 
 class Node:
@@ -252,6 +267,11 @@
         """The parent that this agent is linked to, or none."""
         return self._uplink.peer.instance if self._uplink else None
 
+    @property
+    def period_s(self) -> float:
+        """How often the counters go round now, in seconds."""
+        return period_for(len(self._known.fleet_backlogged))
+
     async def run(self) -> None:
         """Reports, and keeps the link to the parent, until it is cancelled."""
         try:
@@ -287,7 +307,7 @@
     async def _wait_for_turn(self) -> None:
         """Waits for a period, or for less if a digest sets the time."""
         self._digest_came.clear()
-        self._reports_at = time.monotonic() + PERIOD_S
+        self._reports_at = time.monotonic() + self.period_s
         while (left_s := self._reports_at - time.monotonic()) > 0:
             try:
                 async with asyncio.timeout(left_s):
@@ -336,7 +356,8 @@
             return
         self._has_reported = False
         depth = depth_of(self._me.instance, self._agent_by_id())
-        self._reports_at = time.monotonic() + report_delay_s(depth)
+        delay_s = report_delay_s(depth, self.period_s)
+        self._reports_at = time.monotonic() + delay_s
         self._digest_came.set()
 
     def _report(self) -> None:
--- a/teaselsill/gap_watch.py
+++ b/teaselsill/gap_watch.py
@@ -59,6 +59,8 @@
         return fairness.Load(
             in_flight=in_flight,
             largest_cost=self._grants.largest_cost / share,
-            digest_age_s=fairness.digest_age_s(agents, digest.PERIOD_S, digest.HOP_S),
+            digest_age_s=fairness.digest_age_s(
+                agents, self._exchange.period_s, digest.HOP_S
+            ),
             rate=in_flight * cost_per_slot_s / share,
         )
--- a/teaselsill/meter.py
+++ b/teaselsill/meter.py
@@ -1,7 +1,15 @@
 """Charges one attempt's cost to its client account while the answer streams."""
 
+import asyncio
+import contextlib
+import time
+
 from teaselsill import counters, document, policies, slots
 
+TICK_S = 0.1
+"""How often the busy time of a running attempt is charged."""
+MS_PER_S = 1000.0
+
 
 class Meter:
     """Turns an expected cost step by step into the metered one.
@@ -45,3 +53,50 @@
     def _release(self, normalised: float) -> None:
         self._counters.release(self._account, normalised)
         self._reserved -= normalised
+
+
+class BusyClock:
+    """Charges the busy time of a running attempt as it passes, in milliseconds.
+
+    Args:
+        charged: The attempt's meter.
+    """
+
+    def __init__(self, charged: Meter):
+        self._charged = charged
+        self._since = time.monotonic()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Starts to charge."""
+        self._since = time.monotonic()
+        self._wait()
+
+    def stop(self) -> None:
+        """Charges what is left and stops."""
+        self._timer.cancel()
+        self._charge()
+
+    def _wait(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._charge()
+        self._wait()
+
+    def _charge(self) -> None:
+        now = time.monotonic()
+        self._charged.add((now - self._since) * MS_PER_S)
+        self._since = now
+
+
+@contextlib.contextmanager
+def charging_time(charged: Meter):
+    """Charges the time that is spent inside the context."""
+    clock = BusyClock(charged)
+    clock.start()
+    try:
+        yield
+    finally:
+        clock.stop()
--- a/teaselsill/running.py
+++ b/teaselsill/running.py
@@ -190,6 +190,13 @@
         return None
 
     async def _send(self, run: Run) -> claims.StoredAnswer:
+        """Sends the order to the upstream, and charges what it costs meanwhile."""
+        if not self._client.charges_time:
+            return await self._relay(run)
+        with meter.charging_time(run.meter):
+            return await self._relay(run)
+
+    async def _relay(self, run: Run) -> claims.StoredAnswer:
         """Sends the order to the upstream and its answer to the router."""
         status = 0
         headers = []
--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -113,9 +113,12 @@
 
     Attributes:
         supports: What this kind of upstream can do.
+        charges_time: Whether the cost is the busy time, in milliseconds, and not what
+            the pieces of the answer say.
     """
 
     supports = Supports()
+    charges_time = False
 
     def __init__(self, url: str):
         self._url = url.rstrip("/")
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -42,6 +42,15 @@
             earlier = digest.report_delay_s(depth) < digest.report_delay_s(depth - 1)
             self.assertTrue(earlier or depth * digest.HOP_S > digest.PERIOD_S / 2)
 
+    def test_fewer_waiting_accounts_make_the_counters_go_round_more_often(self):
+        periods = [digest.period_for(count) for count in (0, 1, 8, 28, 280)]
+        self.assertEqual(sorted(periods), periods)
+        self.assertEqual(digest.MIN_PERIOD_S, periods[0])
+        self.assertEqual(digest.MAX_PERIOD_S, periods[-1])
+        for count in (8, 28):
+            sent = count * digest.BYTES_PER_ACCOUNT / digest.period_for(count)
+            self.assertLessEqual(round(sent), digest.BYTES_PER_S)
+
     def test_digest_does_not_put_off_a_late_report(self):
         me = link.Identity("agent-1", "i", instances.Role.AGENT)
         known = counters.Counters(1.0)
--- a/tests/test_gap_watch.py
+++ b/tests/test_gap_watch.py
@@ -12,7 +12,7 @@
         grants = types.SimpleNamespace(
             slots=used, served_cost=1000.0, largest_cost=50.0, smallest_share=1.0
         )
-        exchange = types.SimpleNamespace(meter=fairness.GapMeter())
+        exchange = types.SimpleNamespace(meter=fairness.GapMeter(), period_s=1.0)
         exchange.meter.current = gap
         before = invariants.violation_count_by_name["GapExceededError"]
         watch = gap_watch.GapWatch(exchange, grants, lambda: 1, metrics.Metrics())
