--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import hashlib
 import math
 import time
 import typing
@@ -61,11 +62,17 @@
         self._snapshots = collections.deque([_Snapshot(-math.inf, {})])
 
     async def read(self, request: requests.Request) -> responses.Response:
-        """Returns the list as it was some time ago."""
+        """Returns the list as it was some time ago, unless the reader has it."""
         await self._apply_faults()
         self._drop_old_snapshots()
         listed = self._snapshots[0].instances_by_id.values()
-        return faults.json_reply(ListBody(list(listed)))
+        reply = faults.json_reply(ListBody(list(listed)))
+        entity_tag = f'"{hashlib.sha256(reply.body).hexdigest()}"'
+        headers = {"ETag": entity_tag}
+        if request.headers.get("If-None-Match") == entity_tag:
+            return responses.Response(status_code=304, headers=headers)
+        reply.headers.update(headers)
+        return reply
 
     async def put(self, request: requests.Request) -> responses.Response:
         """Adds or replaces an instance."""
--- a/teaselsill/http_instances.py
+++ b/teaselsill/http_instances.py
@@ -1,17 +1,27 @@
 """The plug-in for an instance list that is met over HTTP, as in docs/platform.md."""
 
+import dataclasses
+
 import aiohttp
 import msgspec
 
 from teaselsill import ids, instances, registry
 
 TIMEOUT_S = 2.0
+NOT_MODIFIED_STATUS = 304
 
 
 class _ListBody(msgspec.Struct):
     instances: list[instances.Instance]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    body: bytes
+    entity_tag: str
+    is_unchanged: bool
+
+
 @registry.register(registry.Kind.INSTANCES, "http")
 class HttpInstanceList(instances.InstanceList):
     """A client of the instance list's HTTP interface.
@@ -23,31 +33,42 @@
     def __init__(self, url: str):
         self._url = f"{url.rstrip('/')}/instances"
         self._session: aiohttp.ClientSession | None = None
+        self._by_id: dict[ids.InstanceId, instances.Instance] = {}
+        self._entity_tag = ""
 
     async def fetch(self) -> dict[ids.InstanceId, instances.Instance]:
-        """Fetches the list; see `InstanceList.fetch`."""
-        body = await self._get()
+        """Fetches the list, unless it is the same still; see `InstanceList.fetch`."""
+        reply = await self._get()
+        if reply.is_unchanged:
+            return self._by_id
         try:
-            listed = msgspec.json.decode(body, type=_ListBody).instances
+            listed = msgspec.json.decode(reply.body, type=_ListBody).instances
         except msgspec.MsgspecError as error:
             raise instances.InstanceListUnavailableError(
                 f"unreadable reply: {error}"
             ) from error
-        return {instance.id: instance for instance in listed}
+        self._by_id = {instance.id: instance for instance in listed}
+        self._entity_tag = reply.entity_tag
+        return self._by_id
 
     async def close(self) -> None:
         """Closes the connections."""
         if self._session is not None:
             await self._session.close()
 
-    async def _get(self) -> bytes:
+    async def _get(self) -> _Reply:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
             self._session = aiohttp.ClientSession(timeout=timeout)
+        headers = {"If-None-Match": self._entity_tag} if self._entity_tag else {}
         try:
-            async with self._session.get(self._url) as response:
+            async with self._session.get(self._url, headers=headers) as response:
                 response.raise_for_status()
-                return await response.read()
+                return _Reply(
+                    await response.read(),
+                    response.headers.get("ETag", ""),
+                    is_unchanged=response.status == NOT_MODIFIED_STATUS,
+                )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise instances.InstanceListUnavailableError(
                 f"{self._url}: {error or type(error).__name__}"
--- a/tests/standins/test_instance_list.py
+++ b/tests/standins/test_instance_list.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+import aiohttp
 import msgspec
 
 from standins import instance_list
@@ -40,6 +41,22 @@
         await self.call("DELETE", "/instances/i2")
         self.assertEqual({"i1": leaving}, await self.list.fetch())
 
+    async def test_list_that_is_the_same_still_is_not_sent_again(self):
+        await self.put(make_instance("i1"))
+        await asyncio.sleep(self.lag_s)
+        first = await self.list.fetch()
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"{self.url}/instances") as response,
+        ):
+            condition = {"If-None-Match": response.headers["ETag"]}
+            again = await session.get(f"{self.url}/instances", headers=condition)
+            self.assertEqual((304, b""), (again.status, await again.read()))
+        self.assertIs(first, await self.list.fetch())
+        await self.put(make_instance("i2"))
+        await asyncio.sleep(self.lag_s)
+        self.assertEqual({"i1", "i2"}, (await self.list.fetch()).keys())
+
     async def test_down_list_is_unavailable(self):
         await self.set_faults(down=True)
         with self.assertRaises(instances.InstanceListUnavailableError):
