--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -180,7 +180,7 @@
     def _take(self, peer: router_peer.RouterPeer, message) -> None:
         match message:
             case messages.Demand():
-                peer.take_demand(message)
+                self.granting.take_demand(peer, message)
             case messages.Dispatch():
                 self._take_dispatch(peer, message)
             case messages.Decline(grant=grant):
--- a/teaselsill/granting.py
+++ b/teaselsill/granting.py
@@ -49,6 +49,7 @@
         self.slots = slots.Slots()
         self.peers: set[router_peer.RouterPeer] = set()
         self.is_leaving = False
+        self._holders_by_account: dict[ids.AccountId, set[router_peer.RouterPeer]] = {}
         self.is_listed_leaving = False
         self._service = service
         self._upstream = upstream
@@ -76,8 +77,7 @@
 
     def grant_free_slots(self) -> None:
         """Offers every free slot to the client account whose turn it is."""
-        backlogged = {a for peer in self.peers for a in peer.demand_by_account}
-        self._counters.set_backlogged(backlogged)
+        self._counters.set_backlogged(self._holders_by_account)
         service = self.service_now
         while service and self._may_grant() and self.slots.free > 0:
             candidates = self._list_candidates(service)
@@ -88,6 +88,8 @@
     def drop_peer(self, peer: router_peer.RouterPeer) -> None:
         """Takes back the slots that were offered to a peer that is gone."""
         self.peers.discard(peer)
+        for account in list(peer.demand_by_account):
+            self._drop_demand(peer, account)
         for grant, offer in list(self.slots.offer_by_grant.items()):
             if offer.holder is peer:
                 self._end_offer(grant)
@@ -98,12 +100,19 @@
         for grant in list(self.slots.offer_by_grant):
             self._end_offer(grant)
 
+    def take_demand(
+        self, peer: router_peer.RouterPeer, message: messages.Demand
+    ) -> None:
+        """Notes how many requests of a client account wait at a router."""
+        peer.take_demand(message)
+        self._index_demand(peer, message.account)
+
     def take_decline(self, peer: router_peer.RouterPeer, grant: ids.GrantId) -> None:
         """Takes back a slot that a router has no use for."""
         offer = self.slots.offer_by_grant.get(grant)
         if offer is not None and offer.holder is peer:
             self._end_offer(grant)
-            peer.demand_by_account.pop(offer.account, None)
+            self._drop_demand(peer, offer.account)
             self._metrics.count(metrics.Metric.GRANTS_DECLINED)
 
     def free(self, offer: slots.Offer) -> None:
@@ -144,28 +153,24 @@
 
     def _list_candidates(self, service: document.Service) -> list[policies.Candidate]:
         known = self._follower.document
-        since_by_account: dict[ids.AccountId, float] = {}
-        for peer in self.peers:
-            for account, demanded in peer.demand_by_account.items():
-                since = since_by_account.get(account, demanded.since)
-                since_by_account[account] = min(since, demanded.since)
         now = time.monotonic()
         return [
             policies.Candidate(
                 account,
-                int((now - since) * 1000),
+                int((now - _oldest(account, holders)) * 1000),
                 service.expected_cost / known.account_by_id[account].share,
             )
-            for account, since in since_by_account.items()
+            for account, holders in self._holders_by_account.items()
             if self.allows(account)
         ]
 
     def _grant(self, candidate: policies.Candidate) -> None:
         """Offers a slot to the router that holds the account's oldest request."""
         account = candidate.account
-        holders = [peer for peer in self.peers if account in peer.demand_by_account]
+        holders = self._holders_by_account[account]
         peer = min(holders, key=lambda holder: holder.demand_by_account[account].since)
         peer.take_one(account)
+        self._index_demand(peer, account)
         self._counters.reserve(account, candidate.expected)
         offer = self.slots.offer(account, peer, candidate.expected)
         self._metrics.count(metrics.Metric.GRANTS)
@@ -173,6 +178,24 @@
         loop = asyncio.get_running_loop()
         loop.call_later(slots.GRANT_LIFETIME_S, self._expire_offer, offer.grant)
 
+    def _drop_demand(
+        self, peer: router_peer.RouterPeer, account: ids.AccountId
+    ) -> None:
+        peer.demand_by_account.pop(account, None)
+        self._index_demand(peer, account)
+
+    def _index_demand(
+        self, peer: router_peer.RouterPeer, account: ids.AccountId
+    ) -> None:
+        """Notes whether a peer holds work of a client account."""
+        holders = self._holders_by_account.setdefault(account, set())
+        if account in peer.demand_by_account:
+            holders.add(peer)
+        else:
+            holders.discard(peer)
+        if not holders:
+            del self._holders_by_account[account]
+
     def _end_offer(self, grant: ids.GrantId) -> bool:
         offer = self.slots.withdraw(grant)
         if offer is None:
@@ -184,3 +207,7 @@
         if self._end_offer(grant):
             self._metrics.count(metrics.Metric.GRANTS_EXPIRED)
             self.grant_free_slots()
+
+
+def _oldest(account: ids.AccountId, holders: set[router_peer.RouterPeer]) -> float:
+    return min(holder.demand_by_account[account].since for holder in holders)
