--- a/tests/test_agent_peer.py
+++ b/tests/test_agent_peer.py
@@ -12,6 +12,7 @@
     messages,
     metrics,
 )
+from tests import bench
 
 SECRET = b"a secret that both sides know"
 ROUTER = link.Identity("router-0", "run-r", instances.Role.ROUTER)
@@ -54,3 +55,66 @@
 
     async def test_message_that_has_no_place(self):
         await self.check_connects_again(messages.Cancel("run-r:1"))
+
+
+class DemandTest(unittest.IsolatedAsyncioTestCase):
+    """What a router tells an agent that grants nothing."""
+
+    async def asyncSetUp(self):
+        self.told = asyncio.Queue()
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        listed = instances.Instance(
+            "agent-0",
+            instances.Role.AGENT,
+            "oslo-a",
+            "127.0.0.1",
+            server.sockets[0].getsockname()[1],
+            service=bench.SERVICE,
+            upstream="any",
+        )
+        follower = bench.FixedFollower()
+        numbers = agent_peer.AttemptNumbers(ROUTER.incarnation)
+        context = agent_peer.Context(
+            ROUTER, SECRET, numbers, follower, metrics.Metrics("")
+        )
+        self.backlog = backlog.Backlog()
+        is_connected = asyncio.Event()
+        self.peer = agent_peer.AgentPeer(
+            listed, context, self.backlog, lambda _: is_connected.set()
+        )
+        self.addAsyncCleanup(self.peer.close)
+        async with asyncio.timeout(5):
+            await is_connected.wait()
+
+    async def serve(self, reader, writer):
+        connected = await link.accept(reader, writer, SECRET, AGENT)
+        try:
+            while True:
+                for message in await connected.receive(lambda: True, lambda: 0):
+                    if isinstance(message, messages.Demand):
+                        self.told.put_nowait(message.waiting)
+        except errors.LinkError:
+            connected.abort()
+
+    async def wait_told(self, expected):
+        async with asyncio.timeout(5):
+            self.assertEqual(expected, await self.told.get())
+
+    async def test_small_changes_are_not_told(self):
+        waiting = []
+        for expected in (1, 3, 7, 15):
+            while len(waiting) < expected:
+                waiting.append(self.backlog.add(bench.make_request("/x"), 100))
+                self.peer.tell_demand()
+                await asyncio.sleep(0.02)
+            await self.wait_told(expected)
+        self.assertTrue(self.told.empty())
+
+    async def test_end_of_the_wait_is_told(self):
+        waiting = self.backlog.add(bench.make_request("/x"), 100)
+        self.peer.tell_demand()
+        await self.wait_told(1)
+        self.backlog.remove(waiting)
+        self.peer.tell_demand()
+        await self.wait_told(0)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -185,6 +185,35 @@
         self.assertEqual([messages.Pong(0)], received)
 
 
+class SilentPeerTest(unittest.IsolatedAsyncioTestCase):
+    """A peer that has proved itself and says nothing more."""
+
+    async def test_link_that_becomes_busy_during_an_idle_wait_is_watched_as_busy(self):
+        async def serve(reader, writer):
+            accepted = await link.accept(reader, writer, SECRET, AGENT)
+            self.addCleanup(accepted.abort)
+
+        is_busy = False
+        async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            connected = await link.connect("127.0.0.1", port, SECRET, ROUTER)
+            self.addCleanup(connected.abort)
+            with (
+                mock.patch.object(link, "BUSY_PING_S", 0.05),
+                mock.patch.object(link, "BUSY_SILENCE_S", 0.1),
+            ):
+                receiving = asyncio.create_task(
+                    connected.receive(lambda: is_busy, lambda: ids.NO_VERSION)
+                )
+                await asyncio.sleep(0.2)
+                self.assertFalse(receiving.done())
+                is_busy = True
+                connected.send(messages.Demand("north", 1, 0))
+                with self.assertRaises(link.PeerSilentError):
+                    async with asyncio.timeout(2):
+                        await receiving
+
+
 class StrangeListenerTest(unittest.IsolatedAsyncioTestCase):
     """What a connecting side makes of a listener that is not ours."""
 
