--- a/scripts/measure_policies.py
+++ b/scripts/measure_policies.py
@@ -156,6 +156,7 @@
     def _make_agent(self, number: int, policy: str) -> Agent:
         cap = counters.debt_cap(DEFAULT_EXPECTED, min(SHARES))
         known = counters.Counters(cap, lambda: self._now)
+        known.agents = self._settings.agents
         source = random.Random(self._random.random())
         chooser = registry.get(registry.Kind.POLICY, policy)(source)
         reports_at = self._random.uniform(0, self._settings.period_s)
@@ -333,7 +334,7 @@
         load = fairness.Load(
             in_flight=self._most_in_flight,
             largest_cost=max(self._largest_cost, self._largest_expected),
-            digest_age_s=fairness.digest_age_s(depth, settings.period_s),
+            digest_age_s=fairness.digest_age_s(depth, settings.period_s, digest.HOP_S),
             rate=settings.agents * settings.slots * RATE_PER_SLOT / min(SHARES),
         )
         gap = self._meter.greatest
@@ -413,6 +414,7 @@
     return {
         "policy": name,
         "seeds": len(lines),
+        "settings": lines[0]["settings"],
         "median_gap": statistics.median(gaps),
         "worst_gap": max(gaps),
         "median_target": statistics.median(line["target"] for line in lines),
--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -34,6 +34,9 @@
 RESUME_S = 2.0
 """How long an answer is kept for a router that is back and does not ask for it."""
 
+CLOSE_S = 0.5
+"""How long the connections of an ending agent have to send what is queued."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -51,6 +54,10 @@
         self.retry_after_s = retry_after_s
 
 
+class FalseRefusalError(errors.InvariantError):
+    """An attempt that may have run was about to be told as not run."""
+
+
 class Agent:
     """The process beside one upstream, and the only way to it.
 
@@ -67,7 +74,6 @@
 
     Attributes:
         granting: Decides who goes next.
-        served_cost: The cost served in this run, in the service's unit.
     """
 
     def __init__(
@@ -83,7 +89,6 @@
         sink: metrics.Metrics,
     ):
         self.granting = grants
-        self.served_cost = 0.0
         self._me = me
         self._secret = secret
         self._follower = follower
@@ -100,6 +105,7 @@
         self._repeatable: set[ids.AttemptId] = set()
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._idle = asyncio.Event()
+        self._serving: set[asyncio.Task] = set()
         self._unsettled: set[router_peer.RouterPeer] = set()
 
     def sent_bytes_by_type(self) -> dict[str, int]:
@@ -109,8 +115,13 @@
             total.update(peer.link.bytes_sent_by_type)
         return dict(total)
 
-    async def accept(self, reader, writer) -> None:
-        """Serves one connection until it ends."""
+    def accept(self, reader, writer) -> None:
+        """Serves one connection in a task of its own until it ends."""
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(self, reader, writer) -> None:
         try:
             connected = await link.accept(reader, writer, self._secret, self._me)
         except errors.LinkError as error:
@@ -145,9 +156,14 @@
         await self._runner.flush()
 
     async def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections and waits for them, for a bounded time."""
         for peer in list(self.granting.peers):
             peer.link.close()
+        if self._serving:
+            await asyncio.wait(self._serving, timeout=CLOSE_S)
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
         await self._runner.close()
 
     async def _converse(self, peer: router_peer.RouterPeer) -> None:
@@ -316,6 +332,11 @@
     def _end_not_run(self, run: running.Run, reason: messages.Reason) -> None:
         """Says that an accepted attempt has not run, on whichever link there is."""
         attempt = run.dispatch.attempt
+        if run.sent:
+            error = FalseRefusalError(f"attempt {attempt} was sent")
+            invariants.report(error, reraise=False, sink=self._metrics)
+            self._end_broken(run, messages.Reason.UPSTREAM_FAILED)
+            return
         self._attempts.end(attempt, has_run=False)
         for peer in self.granting.peers:
             if attempt in peer.attempts:
@@ -335,9 +356,8 @@
     def _finish(self, run: running.Run) -> None:
         attempt = run.dispatch.attempt
         run.meter.close()
-        self.served_cost += run.meter.cost
         self._metrics.count(metrics.Metric.COST_SERVED, round(run.meter.cost))
-        self.granting.slots.release()
+        self.granting.finish(run.dispatch.account, run.meter.cost)
         if self._attempts.state_of(attempt) is attempts.State.RUNNING:
             self._attempts.end(attempt)
         self._task_by_attempt.pop(attempt, None)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -16,7 +16,9 @@
     console,
     counters,
     digest,
+    fairness,
     fencing,
+    gap_watch,
     granting,
     handover,
     ids,
@@ -188,6 +190,14 @@
         lambda: not serving.granting.is_leaving, lambda: _report_agent(parts, loaded)
     )
     node.run_in_background(parts.exchange.run())
+    service = ids.ServiceName(loaded.service)
+    watch = gap_watch.GapWatch(
+        parts.exchange,
+        serving.granting,
+        lambda: len(node.membership.agents_of(service)),
+        node.metrics,
+    )
+    node.run_in_background(watch.run())
     node.run_in_background(parts.fence.obtain())
     sampler = sampling.Sampler(node.metrics, parts.gauges, serving.sent_bytes_by_type)
     node.run_in_background(sampler.run())
@@ -238,16 +248,12 @@
     fence: fencing.Fence
 
     def gauges(self) -> dict[metrics.Metric, float]:
-        """Returns the use of the slots, the connections and the fairness gap."""
+        """Returns the use of the slots and the number of connections."""
         used = self.agent.granting.slots
-        counter_by_account = self.known.fleet_counter_by_account
-        gap = max(counter_by_account.values(), default=0)
-        gap -= min(counter_by_account.values(), default=0)
         return {
             metrics.Metric.SLOTS_BUSY: used.running,
             metrics.Metric.SLOTS_TOTAL: used.total,
             metrics.Metric.PEERS_CONNECTED: len(self.agent.granting.peers),
-            metrics.Metric.FAIRNESS_GAP: gap / counters.UNITS_PER_COST,
         }
 
 
@@ -263,6 +269,7 @@
         known,
         lambda: node.follower.version,
         peer_tls.make_client_context(loaded.peer_tls),
+        fairness.GapMeter(lambda account: _reach_of(node, account)),
     )
     policy = registry.get(registry.Kind.POLICY, loaded.policy)()
     grants = granting.Granting(
@@ -290,6 +297,13 @@
     return AgentParts(serving, known, exchange, fence)
 
 
+def _reach_of(node: Node, account: ids.AccountId) -> frozenset[str]:
+    """Returns the upstreams that a client account is limited to; empty for all."""
+    known = node.follower.document
+    found = known.account_by_id.get(account) if known else None
+    return frozenset(found.upstreams) if found else frozenset()
+
+
 def _report_router(served: router.Router, levels: service_levels.Recorder):
     count_by_outcome = {o.value: n for o, n in levels.count_by_outcome.items()}
     return {
@@ -320,6 +334,6 @@
         "slots": reports.Slots(used.running, used.total, used.busy_s),
         "upstream": ids.UpstreamId(loaded.upstream),
         "service": service,
-        "served_cost": parts.agent.served_cost,
+        "served_cost": parts.agent.granting.served_cost,
         "control_bytes_by_type": parts.agent.sent_bytes_by_type(),
     }
