Refuse what waits when no agent is in reach; distrust an empty list

Cause: with no agent of a service in reach, requests waited until their deadline, and an empty reply of the instance list took every agent away. Change: after 3 s without a connected agent what waits is refused with 503, Retry-After and "not run", or "unknown" if an earlier attempt was lost; an empty list counts as unavailable, so the last one stays.

--- a/teaselsill/backlog.py
+++ b/teaselsill/backlog.py
@@ -79,6 +79,12 @@
         self.since = since
         self.turn: asyncio.Future = asyncio.get_running_loop().create_future()
 
+    @property
+    def has_turn(self) -> bool:
+        """Whether an agent has the request."""
+        turn = self.turn
+        return turn.done() and not turn.cancelled() and turn.exception() is None
+
 
 @dataclasses.dataclass(slots=True)
 class _Pace:
@@ -167,6 +173,12 @@
         older = itertools.takewhile(lambda other: other.since <= waiting.since, queue)
         queue.insert(sum(1 for _ in older), waiting)
 
+    def take_all(self) -> list[Waiting]:
+        """Removes and returns all requests that still want their turn."""
+        queues = list(self._queue_by_account.values())
+        self._queue_by_account.clear()
+        return [w for queue in queues for w in queue if not w.turn.done()]
+
     def take(self, account: ids.AccountId) -> Waiting | None:
         """Removes and returns the oldest request that still wants its turn."""
         queue = self._queue_by_account.get(account, ())
--- a/teaselsill/membership.py
+++ b/teaselsill/membership.py
@@ -43,9 +43,12 @@
         """Fetches the list once and tells the subscribers of a change.
 
         Raises:
-            InstanceListUnavailableError: No usable reply came.
+            InstanceListUnavailableError: No usable reply came; an empty list is
+                none, since this process is listed itself.
         """
         by_id = await self._source.fetch()
+        if not by_id:
+            raise instances.InstanceListUnavailableError("the list is empty")
         if by_id == self.by_id:
             return
         self.by_id = by_id
--- a/teaselsill/refusals.py
+++ b/teaselsill/refusals.py
@@ -119,6 +119,8 @@
             return Refusal(
                 503, "deadline-hopeless", text, retry_after_s=_wait_of(error)
             )
+        case router.NoAgentError():
+            return Refusal(503, "no-agent", text, retry_after_s=_wait_of(error))
         case backlog.RefusedError():
             return Refusal(503, "not-ready", text, retry_after_s=_wait_of(error))
         case router.DeadlineError():
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -30,6 +30,8 @@
 """How often the set of agents of a service with waiting work is looked at."""
 IDLE_CLOSE_S = 60.0
 """A service without requests for this long loses its connections."""
+NO_AGENT_S = 3.0
+"""How long requests wait while no agent of their service can be reached."""
 LAPSING_AGENTS = 2
 """How many of the agents whose credits lapse first are always told."""
 MAX_NOT_RUN = 20
@@ -65,10 +67,6 @@
     """The upstream refused a request that may be offered again."""
 
 
-class RouterLeavingError(backlog.RefusedError):
-    """The router stops and takes no new requests."""
-
-
 class RetryBudget:
     """Keeps retries to a part of all requests."""
 
@@ -104,6 +102,7 @@
         self._name = name
         self._width = router.agents_per_service
         self._widened_at = 0.0
+        self._reached_at = time.monotonic()
 
     def tell_all(self, _peer=None) -> None:
         """Has the agents told of what has changed in the backlog."""
@@ -119,6 +118,7 @@
             if agent.id not in self.peer_by_agent:
                 self.peer_by_agent[agent.id] = self._router.open_peer(agent, self)
         self._rank_peers()
+        self._refuse_if_out_of_reach()
 
     def is_idle(self) -> bool:
         """Tells whether the connections of this service can be closed."""
@@ -131,6 +131,19 @@
             self._router.spawn(peer.close())
         self.peer_by_agent.clear()
 
+    def _refuse_if_out_of_reach(self) -> None:
+        """Refuses what waits once no agent has been in reach for a while."""
+        now = time.monotonic()
+        peers = self.peer_by_agent.values()
+        if any(peer.state is agent_peer.State.CONNECTED for peer in peers):
+            self._reached_at = now
+        waited_s = min(now - self._reached_at, self.backlog.oldest_wait_s())
+        if waited_s < NO_AGENT_S:
+            return
+        for waiting in self.backlog.take_all():
+            text = f"no agent of {self._name} is in reach"
+            waiting.turn.set_exception(NoAgentError(text, NO_AGENT_S))
+
     def _drop_unlisted(self, listed) -> None:
         """Gives no new work to agents that are not listed as live, and drops them."""
         for agent_id, peer in list(self.peer_by_agent.items()):
@@ -357,7 +370,7 @@
         tries = tries or Tries()
         try:
             return await self._serve_waiting(desk, waiting, tries)
-        except (exchange.NotRunError, DeadlineError) as error:
+        except (exchange.NotRunError, DeadlineError, NoAgentError) as error:
             if tries.lost:
                 raise _make_unknown(error) from error
             raise
@@ -411,7 +424,7 @@
         """Takes back what was asked for a request, wherever it stands now."""
         desk.backlog.remove(waiting)
         desk.tell_all()
-        if waiting.turn.done() and not waiting.turn.cancelled():
+        if waiting.has_turn:
             peer, running = waiting.turn.result()
             running.close()
             peer.cancel(running)
@@ -432,7 +445,7 @@
             async with asyncio.timeout(left_s):
                 return await waiting.turn
         except TimeoutError:
-            if waiting.turn.done() and not waiting.turn.cancelled():
+            if waiting.has_turn:
                 return waiting.turn.result()
             raise DeadlineError("the deadline came before a free slot") from None
 
--- a/tests/test_failures_lost.py
+++ b/tests/test_failures_lost.py
@@ -2,7 +2,7 @@
 import time
 import unittest
 
-from teaselsill import errors, messages, refusals
+from teaselsill import errors, messages, refusals, router
 from tests import bench
 
 WHOLE = (200, b"one two three")
@@ -42,6 +42,13 @@
             await holder.kill()
             self.assertEqual(messages.Outcome.UNKNOWN, await self.outcome_of(call))
 
+    async def test_unknown_stays_unknown_when_no_agent_is_left(self):
+        async with bench.Bench() as fleet:
+            call, holder = await self.begin(fleet, bench.LOOKUP, deadline_s=60.0)
+            await holder.kill()
+            async with asyncio.timeout(3 * router.NO_AGENT_S):
+                self.assertEqual(messages.Outcome.UNKNOWN, await self.outcome_of(call))
+
     async def test_answer_is_broken_off_at_the_deadline(self):
         async with bench.Bench() as fleet:
             fleet.agents[0].upstream.may_go_on.clear()
@@ -60,3 +67,14 @@
             await holder.kill()
             self.assertEqual(WHOLE, await call)
             self.assertLess(time.monotonic() - began_at, 1.0)
+
+
+class NoAgentTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_is_refused_long_before_its_deadline(self):
+        async with bench.Bench(agents=1) as fleet:
+            await fleet.agents[0].kill()
+            async with asyncio.timeout(2 * router.NO_AGENT_S):
+                with self.assertRaises(router.NoAgentError) as caught:
+                    await fleet.call(bench.LOOKUP, deadline_s=60.0)
+            self.assertGreater(caught.exception.retry_after_s, 0)
+            self.assertEqual(0, fleet.count(bench.LOOKUP))
