--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -7,13 +7,23 @@
 
 import cappa
 
-from measurements import control, fairness, flood, latency, results, scale, utilisation
+from measurements import (
+    control,
+    credits,
+    fairness,
+    flood,
+    latency,
+    results,
+    scale,
+    utilisation,
+)
 
 
 class Name(enum.Enum):
     """The measurements."""
 
     CONTROL = "control"
+    CREDITS = "credits"
     FAIRNESS = "fairness"
     FLOOD = "flood"
     LATENCY = "latency"
@@ -26,6 +36,8 @@
     match name:
         case Name.CONTROL:
             return await control.measure(seed)
+        case Name.CREDITS:
+            return await credits.measure(seed)
         case Name.FAIRNESS:
             return await fairness.measure(seed)
         case Name.FLOOD:
