Give the desk of a service a module; close connections a backlog opened

Cause: a router that had told more agents of waiting work kept those connections for as long as the service was used, against docs/CAPACITY.md.

--- a/teaselsill/refusals.py
+++ b/teaselsill/refusals.py
@@ -5,7 +5,15 @@
 import msgspec
 from starlette import responses
 
-from teaselsill import backlog, errors, exchange, ids, messages, router
+from teaselsill import (
+    backlog,
+    errors,
+    exchange,
+    ids,
+    messages,
+    router,
+    service_desk,
+)
 
 OUTCOME_HEADER = "Teaselsill-Outcome"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -119,7 +127,7 @@
             return Refusal(
                 503, "deadline-hopeless", text, retry_after_s=_wait_of(error)
             )
-        case router.NoAgentError():
+        case service_desk.NoAgentError():
             return Refusal(503, "no-agent", text, retry_after_s=_wait_of(error))
         case backlog.RefusedError():
             return Refusal(503, "not-ready", text, retry_after_s=_wait_of(error))
--- a/teaselsill/router.py
+++ b/teaselsill/router.py
@@ -3,8 +3,6 @@
 import asyncio
 import collections
 import dataclasses
-import datetime
-import hashlib
 import logging
 import random
 import time
@@ -12,28 +10,18 @@
 from teaselsill import (
     agent_peer,
     backlog,
-    document,
     errors,
     exchange,
     ids,
-    instances,
-    lapses,
     link,
     membership,
     messages,
     metrics,
+    service_desk,
 )
 
-WIDEN_AFTER_S = 0.1
-"""While the oldest request waits longer, more agents are told, in doubling steps."""
 TEND_S = 0.05
 """How often the set of agents of a service with waiting work is looked at."""
-IDLE_CLOSE_S = 60.0
-"""A service without requests for this long loses its connections."""
-NO_AGENT_S = 3.0
-"""How long requests wait while no agent of their service can be reached."""
-LAPSING_AGENTS = 2
-"""How many of the agents whose credits lapse first are always told."""
 MAX_NOT_RUN = 20
 """How often a request that has not run may be offered again."""
 MAX_LOST = 2
@@ -55,10 +43,6 @@
 logger = logging.getLogger(__name__)
 
 
-class NoAgentError(backlog.RefusedError):
-    """No agent of the service can be reached."""
-
-
 class DeadlineError(errors.RequestError):
     """The deadline came while the request waited; it has not run."""
 
@@ -85,140 +69,6 @@
         return True
 
 
-class ServiceDesk:
-    """The waiting requests of one service and the agents that are told of them.
-
-    Attributes:
-        backlog: The waiting requests.
-        peer_by_agent: The connected agents, by instance id.
-        used_at: When the last request came, on the monotonic clock, in seconds.
-    """
-
-    def __init__(self, router: "Router", name: ids.ServiceName):
-        self.backlog = backlog.Backlog()
-        self.peer_by_agent: dict[ids.InstanceId, agent_peer.AgentPeer] = {}
-        self.used_at = time.monotonic()
-        self._router = router
-        self._name = name
-        self._width = router.agents_per_service
-        self._widened_at = 0.0
-        self._reached_at = time.monotonic()
-
-    def tell_all(self, _peer=None) -> None:
-        """Has the agents told of what has changed in the backlog."""
-        for peer in self.peer_by_agent.values():
-            peer.tell_demand()
-
-    def tend(self) -> None:
-        """Opens the connections that are wanted now and closes the others."""
-        listed = {a.id: a for a in self._router.membership.agents_of(self._name)}
-        self._drop_unlisted(listed)
-        self._adapt_width(len(listed))
-        for agent in self._choose(listed):
-            if agent.id not in self.peer_by_agent:
-                self.peer_by_agent[agent.id] = self._router.open_peer(agent, self)
-        self._rank_peers()
-        self._refuse_if_out_of_reach()
-
-    def is_idle(self) -> bool:
-        """Tells whether the connections of this service can be closed."""
-        busy = len(self.backlog) or any(p.is_busy for p in self.peer_by_agent.values())
-        return not busy and time.monotonic() - self.used_at > IDLE_CLOSE_S
-
-    def close(self) -> None:
-        """Closes all connections."""
-        for peer in self.peer_by_agent.values():
-            self._router.spawn(peer.close())
-        self.peer_by_agent.clear()
-
-    def _refuse_if_out_of_reach(self) -> None:
-        """Refuses what waits once no agent has been in reach for a while."""
-        now = time.monotonic()
-        peers = self.peer_by_agent.values()
-        if any(peer.state is agent_peer.State.CONNECTED for peer in peers):
-            self._reached_at = now
-        waited_s = min(now - self._reached_at, self.backlog.oldest_wait_s())
-        if waited_s < NO_AGENT_S:
-            return
-        for waiting in self.backlog.take_all():
-            text = f"no agent of {self._name} is in reach"
-            waiting.turn.set_exception(NoAgentError(text, NO_AGENT_S))
-
-    def _drop_unlisted(self, listed) -> None:
-        """Gives no new work to agents that are not listed as live, and drops them."""
-        for agent_id, peer in list(self.peer_by_agent.items()):
-            found = listed.get(agent_id)
-            if found is not None and _is_at_same_address(found, peer.agent):
-                peer.agent = found
-                peer.is_retired = self._is_leaving(found)
-                continue
-            peer.is_retired = True
-            if not peer.exchange_by_attempt:
-                self._router.spawn(peer.close())
-                del self.peer_by_agent[agent_id]
-
-    def _adapt_width(self, listed_count: int) -> None:
-        now = time.monotonic()
-        if not len(self.backlog):
-            self._width = self._router.agents_per_service
-            return
-        stepped_s = now - self._widened_at
-        if self.backlog.oldest_wait_s() > WIDEN_AFTER_S and stepped_s > WIDEN_AFTER_S:
-            self._width = min(self._width * 2, max(1, listed_count))
-            self._widened_at = now
-
-    def _choose(self, listed) -> list[instances.Instance]:
-        """Returns the first agents in this router's own order, for each account."""
-        usable = [agent for agent in listed.values() if self._is_usable(agent)]
-        usable.sort(key=lambda agent: _order_of(self._router.me.instance, agent.id))
-        chosen = {agent.id: agent for agent in usable[: self._width]}
-        for agent in self._lapsing_first(usable)[:LAPSING_AGENTS]:
-            chosen[agent.id] = agent
-        for account in self._restricted_accounts():
-            allowed = [a for a in usable if a.upstream in account.upstreams]
-            chosen |= {agent.id: agent for agent in allowed[: self._width]}
-        return list(chosen.values())
-
-    def _lapsing_first(self, usable) -> list[instances.Instance]:
-        """Returns the agents in the order in which their credits lapse."""
-        known = self._router.follower.document
-        today = datetime.datetime.now(datetime.UTC).date()
-        day_by_upstream = {
-            agent.upstream: lapses.lapse_of(known, self._name, agent.upstream, today)
-            for agent in usable
-        }
-        return sorted(usable, key=lambda agent: day_by_upstream[agent.upstream])
-
-    def _rank_peers(self) -> None:
-        """Has agents whose credits lapse sooner told of waiting work sooner."""
-        known = self._router.follower.document
-        today = datetime.datetime.now(datetime.UTC).date()
-        upstreams = [peer.agent.upstream for peer in self.peer_by_agent.values()]
-        for peer in self.peer_by_agent.values():
-            peer.rank = lapses.rank_of(
-                known, self._name, peer.agent.upstream, upstreams, today
-            )
-
-    def _restricted_accounts(self) -> list[document.ClientAccount]:
-        known = self._router.follower.document.account_by_id
-        waiting = [known.get(name) for name in self.backlog.accounts]
-        return [account for account in waiting if account and account.upstreams]
-
-    def _is_leaving(self, agent: instances.Instance) -> bool:
-        known = self._router.follower.document
-        is_left = known is not None and agent.upstream in known.leaving_upstreams
-        return is_left or agent.state is instances.InstanceState.LEAVING
-
-    def _is_usable(self, agent: instances.Instance) -> bool:
-        if self._is_leaving(agent):
-            return False
-        peer = self.peer_by_agent.get(agent.id)
-        return peer is None or peer.state not in (
-            agent_peer.State.UNREACHABLE,
-            agent_peer.State.LEAVING,
-        )
-
-
 class Answer:
     """The answer to a caller's request, once its head has come.
 
@@ -290,7 +140,7 @@
         self.follower = context.follower
         self.membership = members
         self.agents_per_service = agents_per_service
-        self.desk_by_service: dict[ids.ServiceName, ServiceDesk] = {}
+        self.desk_by_service: dict[ids.ServiceName, service_desk.ServiceDesk] = {}
         self._context = context
         self._metrics = context.sink
         self._budget = RetryBudget()
@@ -303,7 +153,7 @@
         while True:
             await asyncio.sleep(TEND_S)
             for desk in list(self.desk_by_service.values()):
-                if len(desk.backlog):
+                if len(desk.backlog) or desk.is_wide:
                     desk.tend()
             self._close_idle()
 
@@ -313,7 +163,7 @@
             desk.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def open_peer(self, agent, desk: ServiceDesk) -> agent_peer.AgentPeer:
+    def open_peer(self, agent, desk: service_desk.ServiceDesk) -> agent_peer.AgentPeer:
         """Connects to an agent."""
         return agent_peer.AgentPeer(
             agent,
@@ -370,13 +220,17 @@
         tries = tries or Tries()
         try:
             return await self._serve_waiting(desk, waiting, tries)
-        except (exchange.NotRunError, DeadlineError, NoAgentError) as error:
+        except (
+            exchange.NotRunError,
+            DeadlineError,
+            service_desk.NoAgentError,
+        ) as error:
             if tries.lost:
                 raise _make_unknown(error) from error
             raise
 
     async def _serve_waiting(
-        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: Tries
+        self, desk: service_desk.ServiceDesk, waiting: backlog.Waiting, tries: Tries
     ) -> Answer:
         request = waiting.request
         while True:
@@ -394,7 +248,7 @@
             desk.backlog.put_back(waiting)
 
     async def _try(
-        self, desk: ServiceDesk, waiting: backlog.Waiting, tries: Tries
+        self, desk: service_desk.ServiceDesk, waiting: backlog.Waiting, tries: Tries
     ) -> Answer:
         """Waits for the request's turn and for the head of its answer."""
         try:
@@ -420,7 +274,9 @@
         waited_s = time.monotonic() - waiting.since
         self._metrics.timing(metrics.Metric.REQUEST_WAIT, waited_s)
 
-    def _abandon(self, desk: ServiceDesk, waiting: backlog.Waiting) -> None:
+    def _abandon(
+        self, desk: service_desk.ServiceDesk, waiting: backlog.Waiting
+    ) -> None:
         """Takes back what was asked for a request, wherever it stands now."""
         desk.backlog.remove(waiting)
         desk.tell_all()
@@ -429,16 +285,18 @@
             running.close()
             peer.cancel(running)
 
-    def _get_desk(self, name: ids.ServiceName) -> ServiceDesk:
+    def _get_desk(self, name: ids.ServiceName) -> service_desk.ServiceDesk:
         desk = self.desk_by_service.get(name)
         if desk is None:
-            desk = self.desk_by_service[name] = ServiceDesk(self, name)
+            desk = self.desk_by_service[name] = service_desk.ServiceDesk(self, name)
         desk.used_at = time.monotonic()
         if not desk.peer_by_agent:
             desk.tend()
         return desk
 
-    async def _wait_turn(self, desk: ServiceDesk, waiting: backlog.Waiting):
+    async def _wait_turn(
+        self, desk: service_desk.ServiceDesk, waiting: backlog.Waiting
+    ):
         desk.tell_all()
         left_s = waiting.request.deadline - time.monotonic()
         try:
@@ -490,7 +348,9 @@
         tries.lost += 1
         await asyncio.sleep(FAILED_DELAY_S * random.uniform(0.5, 1.0))
 
-    def _note_change(self, desk: ServiceDesk, peer: agent_peer.AgentPeer) -> None:
+    def _note_change(
+        self, desk: service_desk.ServiceDesk, peer: agent_peer.AgentPeer
+    ) -> None:
         if peer.state is not agent_peer.State.CONNECTED:
             desk.tend()
         desk.tell_all()
@@ -507,11 +367,6 @@
                 del self.desk_by_service[name]
 
 
-def _order_of(router: ids.InstanceId, agent: ids.InstanceId) -> bytes:
-    """Orders the agents by rendezvous hashing, so that routers spread over them."""
-    return hashlib.blake2b(f"{router}\0{agent}".encode(), digest_size=8).digest()
-
-
 def _make_unknown(error: errors.RequestError) -> errors.RequestError:
     """Returns what to tell of a last attempt that has not run, after a lost one."""
     match error:
@@ -519,7 +374,3 @@
             reason = messages.Reason.DEADLINE
             return exchange.AnswerBrokenError(reason, messages.Outcome.UNKNOWN)
     return exchange.AgentLostError("an earlier attempt may have run")
-
-
-def _is_at_same_address(one: instances.Instance, other: instances.Instance) -> bool:
-    return (one.host, one.port) == (other.host, other.port)
--- /dev/null
+++ b/tests/test_service_desk.py
@@ -0,0 +1,32 @@
+import asyncio
+import unittest
+from unittest import mock
+
+from teaselsill import service_desk
+from tests import bench
+
+
+class WidthTest(unittest.IsolatedAsyncioTestCase):
+    """Six agents, of which a router tells four at first."""
+
+    def count_connections(self, fleet):
+        desk = fleet.router.desk_by_service.get(bench.SERVICE)
+        return len(desk.peer_by_agent) if desk else 0
+
+    async def wait_for(self, fleet, count):
+        async with asyncio.timeout(5):
+            while self.count_connections(fleet) != count:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    @mock.patch.object(service_desk, "NARROW_AFTER_S", 0.3)
+    async def test_connections_grow_with_the_wait_and_go_again(self):
+        async with bench.Bench(agents=6) as fleet:
+            for member in fleet.agents:
+                member.upstream.may_start.clear()
+            calls = [asyncio.create_task(fleet.call(bench.LOOKUP)) for _ in range(20)]
+            await self.wait_for(fleet, 6)
+            for member in fleet.agents:
+                member.upstream.may_start.set()
+            await asyncio.gather(*calls)
+            await self.wait_for(fleet, 4)
+            await fleet.call(bench.LOOKUP)
