--- a/teaselsill/configuration.py
+++ b/teaselsill/configuration.py
@@ -24,6 +24,9 @@
 RESTATE_SPREAD = 0.5
 """By which part of `restate_after_s` a follower may come later than the first."""
 
+RESTATE_DELAY_S = 10.0
+"""Over which time followers that learn of an old anchor spread, in seconds."""
+
 RESOLVE_S = 10.0
 """How long `publish` looks for its own record after a lost reply, in seconds."""
 
@@ -121,7 +124,7 @@
         self._ready = asyncio.Event()
         self._is_at_end = False
         self._callbacks: list[collections.abc.Callable[[], None]] = []
-        self._jitter = self._random.uniform(1, 1 + RESTATE_SPREAD)
+        self._restate_at: float | None = None
 
     @property
     def version(self) -> ids.Version:
@@ -173,6 +176,7 @@
         """
         if not self._fold.offer(version, text, self._restate_after_s):
             return False
+        self._plan_restate()
         self._ready.set()
         self._notify()
         return True
@@ -227,7 +231,7 @@
         anchored_at = self._fold.anchored_at
         self._fold.take(record)
         if self._fold.anchored_at != anchored_at:
-            self._jitter = self._random.uniform(1, 1 + RESTATE_SPREAD)
+            self._plan_restate()
         if self._fold.version != version:
             self._notify()
 
@@ -241,11 +245,16 @@
             return POLL_S
         return min(POLL_S, max(MIN_POLL_S, due_in_s))
 
+    def _plan_restate(self) -> None:
+        factor = self._random.uniform(1, 1 + RESTATE_SPREAD)
+        planned_at = self._fold.anchored_at + self._restate_after_s * factor
+        soonest_at = self._clock() + self._random.uniform(0, RESTATE_DELAY_S)
+        self._restate_at = max(planned_at, soonest_at)
+
     def _restate_due_in_s(self) -> float | None:
-        if self._fold.anchored_at is None or not self._fold.is_anchored:
+        if self._restate_at is None or not self._fold.is_anchored:
             return None
-        age_s = self._clock() - self._fold.anchored_at
-        return self._restate_after_s * self._jitter - age_s
+        return self._restate_at - self._clock()
 
     def _is_restate_due(self) -> bool:
         due_in_s = self._restate_due_in_s()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -223,18 +223,31 @@
 
     async def test_many_followers_restate_seldom(self):
         await self.publish(-1)
-        followers = [self.follow(restate_after_s=1000, seed=n) for n in range(100)]
+        await self.start_followers(100)
+        await self.advance(130, 20)
+        self.assertTrue(2 <= await self.count_restates() <= 10)
+
+    async def test_many_followers_that_start_at_an_old_anchor_restate_seldom(self):
+        old = configurations.pack_publish(-1, configurations.text_of("a"))
+        await self.log.append(configuration_fold.STREAM, old)
+        self.now = 1e6
+        await self.start_followers(100)
+        await self.advance(100, 0.1)
+        self.assertTrue(1 <= await self.count_restates() <= 10)
+
+    async def start_followers(self, count):
+        followers = [self.follow(restate_after_s=1000, seed=n) for n in range(count)]
         await self.wait_for(lambda: all(f.is_ready for f in followers))
-        for _ in range(130):
-            self.now += 20
+
+    async def advance(self, steps, step_s):
+        for _ in range(steps):
+            self.now += step_s
             await self.log.append(configuration_fold.STREAM, b"wakes the readers")
             await asyncio.sleep(0.002)
-        restated = 0
-        for record in (
-            await self.log.read_to_end(configuration_fold.STREAM, 0)
-        ).records:
-            restated += record.data != b"wakes the readers"
-        self.assertTrue(2 <= restated - 1 <= 10, restated - 1)
+
+    async def count_restates(self):
+        page = await self.log.read_to_end(configuration_fold.STREAM, 0)
+        return sum(b"restate" in record.data for record in page.records)
 
     async def test_follower_that_was_paused_checks_again_before_it_restates(self):
         self.log = PausingLog()
