--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -33,7 +33,6 @@
 """How long an answer is kept for a router that does not come back."""
 RESUME_S = 2.0
 """How long an answer is kept for a router that is back and does not ask for it."""
-
 CLOSE_S = 0.5
 """How long the connections of an ending agent have to send what is queued."""
 
@@ -45,13 +44,11 @@
 
     Attributes:
         reason: Why.
-        retry_after_s: When another attempt is worth while, in seconds.
     """
 
-    def __init__(self, reason: messages.Reason, retry_after_s: float = 0.0):
+    def __init__(self, reason: messages.Reason):
         super().__init__(reason.value)
         self.reason = reason
-        self.retry_after_s = retry_after_s
 
 
 class FalseRefusalError(errors.InvariantError):
@@ -247,7 +244,7 @@
         try:
             offer = self._check_dispatch(peer, dispatch)
         except DispatchRefusedError as error:
-            self._refuse(peer, dispatch.attempt, error.reason, error.retry_after_s)
+            self._refuse(peer, dispatch.attempt, error.reason)
             return
         answer = answers.Answer(dispatch.attempt, WINDOW_BYTES)
         answer.attach(peer.link.send, 0)
@@ -297,11 +294,10 @@
         if not self.granting.allows(dispatch.account):
             raise DispatchRefusedError(messages.Reason.NOT_ALLOWED)
 
-    def _refuse(self, peer, attempt, reason, retry_after_s=0.0, sequence=0) -> None:
+    def _refuse(self, peer, attempt, reason, sequence: int = 0) -> None:
         """Tells a router that an attempt has not run, and sees that it never will."""
         if self._attempts.refuse(attempt):
-            retry_after_ms = int(retry_after_s * 1000)
-            peer.link.send(messages.NotRun(attempt, reason, retry_after_ms))
+            peer.link.send(messages.NotRun(attempt, reason))
             return
         dropped = messages.Reason.ANSWER_DROPPED
         end = messages.End(attempt, sequence, messages.Outcome.UNKNOWN, dropped)
@@ -340,7 +336,7 @@
         self._attempts.end(attempt, has_run=False)
         for peer in self.granting.peers:
             if attempt in peer.attempts:
-                peer.link.send(messages.NotRun(attempt, reason, 0))
+                peer.link.send(messages.NotRun(attempt, reason))
         self._forget_answer(attempt)
 
     def _end_broken(self, run: running.Run, reason: messages.Reason) -> None:
--- a/teaselsill/exchange.py
+++ b/teaselsill/exchange.py
@@ -19,13 +19,11 @@
 
     Attributes:
         reason: Why.
-        retry_after_s: When another attempt is worth while, in seconds.
     """
 
-    def __init__(self, reason: messages.Reason, retry_after_s: float):
+    def __init__(self, reason: messages.Reason):
         super().__init__(reason.value)
         self.reason = reason
-        self.retry_after_s = retry_after_s
 
 
 class AnswerBrokenError(errors.RequestError):
@@ -135,8 +133,8 @@
         match await self._events.get():
             case messages.Head() as head:
                 return head
-            case messages.NotRun(reason=reason, retry_after_ms=retry_after_ms):
-                raise NotRunError(reason, retry_after_ms / 1000)
+            case messages.NotRun(reason=reason):
+                raise NotRunError(reason)
             case messages.End(reason=reason, outcome=outcome, sequence=sequence):
                 self._acknowledge(sequence)
                 raise AnswerBrokenError(reason, outcome)
--- a/teaselsill/granting.py
+++ b/teaselsill/granting.py
@@ -133,7 +133,8 @@
         self.slots.release()
         self.served_cost += cost
         self.largest_cost = max(self.largest_cost, cost)
-        self._expectation.learn(account, cost)
+        if cost > 0:
+            self._expectation.learn(account, cost)
 
     def pause(self) -> None:
         """Offers no slots for a while, after the upstream has failed."""
--- a/teaselsill/messages.py
+++ b/teaselsill/messages.py
@@ -187,7 +187,6 @@
 
     attempt: ids.AttemptId
     reason: Reason
-    retry_after_ms: int
 
 
 class Ack(Message, tag=15):
--- a/teaselsill/refusals.py
+++ b/teaselsill/refusals.py
@@ -134,7 +134,7 @@
         case router.DeadlineError():
             return Refusal(504, "deadline", text, retry_after_s=1.0)
         case exchange.NotRunError(reason=reason):
-            return _describe_not_run(reason, error.retry_after_s)
+            return _describe_not_run(reason)
         case exchange.AnswerBrokenError(reason=reason, outcome=outcome):
             return _describe_broken(reason, outcome)
         case exchange.AgentLostError():
@@ -142,7 +142,7 @@
     return Refusal(500, "internal", "internal error", messages.Outcome.UNKNOWN)
 
 
-def _describe_not_run(reason: messages.Reason, retry_after_s: float) -> Refusal:
+def _describe_not_run(reason: messages.Reason) -> Refusal:
     match reason:
         case messages.Reason.NOT_ALLOWED:
             return Refusal(403, reason.value, "the agent does not allow the request")
@@ -154,7 +154,7 @@
         503,
         reason.value,
         "the request has not run",
-        retry_after_s=max(1.0, retry_after_s),
+        retry_after_s=1.0,
     )
 
 
