Let the size of the tree count in the period of the counters

Cause: the byte budget was worked out for a node with four children and a parent, which small trees do not have; with 16 waiting accounts the counters of today's services went round once a second only. Change: the budget counts what the busiest node of a tree of that size sends (16 B for each child and account, 27 B for a report, the slopes of docs/CAPACITY.md): 0.32 s among 3 agents, 0.64 s among 5, 0.91 s above.

--- a/measurements/gaps.py
+++ b/measurements/gaps.py
@@ -65,7 +65,9 @@
     rate = served / (taken[-1].at - taken[0].at)
     smallest_share = min(account.share for account in load.accounts)
     depth = 1 if len(last) > 1 else 0
-    age_s = fairness.digest_age_s(depth, digest.period_for(most_waiting), digest.HOP_S)
+    age_s = fairness.digest_age_s(
+        depth, digest.period_for(most_waiting, len(last)), digest.HOP_S
+    )
     return fairness.gap_bound(
         fairness.Load(slots, largest, age_s, rate / smallest_share)
     )
--- a/teaselsill/digest.py
+++ b/teaselsill/digest.py
@@ -20,8 +20,9 @@
 """How often a node reports while it does not know how many client accounts wait."""
 MIN_PERIOD_S = 0.25
 MAX_PERIOD_S = 4.0
-BYTES_PER_ACCOUNT = 102
-"""What a client account adds to a node's report and to the digests to its children."""
+REPORT_BYTES_PER_ACCOUNT = 27
+DIGEST_BYTES_PER_ACCOUNT = 16
+"""What a client account adds to a report, and to a digest to one child."""
 BYTES_PER_S = 1600
 """What a node may send for the counters."""
 HOP_S = 0.1
@@ -73,12 +74,23 @@
     return depth
 
 
-def period_for(backlogged: int) -> float:
+def bytes_per_account(agents: int) -> int:
+    """Returns what the busiest node of a tree sends for a client account, in bytes.
+
+    A root sends digests to its children; a node between sends a report, too.
+    """
+    children = min(FAN_OUT, max(0, agents - 1))
+    digests = children * DIGEST_BYTES_PER_ACCOUNT
+    has_nodes_between = agents > 1 + FAN_OUT
+    return digests + (REPORT_BYTES_PER_ACCOUNT if has_nodes_between else 0)
+
+
+def period_for(backlogged: int, agents: int) -> float:
     """Returns how often the counters go round while some client accounts wait.
 
-    The fewer wait, the smaller the messages and the more often they are sent.
+    The fewer wait, and the smaller the tree, the more often the budget allows.
     """
-    affordable_s = backlogged * BYTES_PER_ACCOUNT / BYTES_PER_S
+    affordable_s = backlogged * bytes_per_account(agents) / BYTES_PER_S
     return min(MAX_PERIOD_S, max(MIN_PERIOD_S, affordable_s))
 
 
@@ -270,7 +282,7 @@
     @property
     def period_s(self) -> float:
         """How often the counters go round now, in seconds."""
-        return period_for(len(self._known.fleet_backlogged))
+        return period_for(len(self._known.fleet_backlogged), self._known.agents)
 
     async def run(self) -> None:
         """Reports, and keeps the link to the parent, until it is cancelled."""
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -43,13 +43,20 @@
             self.assertTrue(earlier or depth * digest.HOP_S > digest.PERIOD_S / 2)
 
     def test_fewer_waiting_accounts_make_the_counters_go_round_more_often(self):
-        periods = [digest.period_for(count) for count in (0, 1, 8, 28, 280)]
+        periods = [digest.period_for(count, 21) for count in (0, 1, 8, 28, 280)]
         self.assertEqual(sorted(periods), periods)
         self.assertEqual(digest.MIN_PERIOD_S, periods[0])
         self.assertEqual(digest.MAX_PERIOD_S, periods[-1])
-        for count in (8, 28):
-            sent = count * digest.BYTES_PER_ACCOUNT / digest.period_for(count)
-            self.assertLessEqual(round(sent), digest.BYTES_PER_S)
+
+    def test_no_node_sends_more_than_the_budget(self):
+        for agents, count in ((3, 16), (4, 16), (5, 16), (21, 8), (21, 28)):
+            sent = count * digest.bytes_per_account(agents)
+            period_s = digest.period_for(count, agents)
+            self.assertLessEqual(round(sent / period_s), digest.BYTES_PER_S)
+
+    def test_small_tree_goes_round_more_often(self):
+        self.assertLess(digest.period_for(16, 3), digest.period_for(16, 5))
+        self.assertLess(digest.period_for(16, 5), digest.period_for(16, 6))
 
     def test_digest_does_not_put_off_a_late_report(self):
         me = link.Identity("agent-1", "i", instances.Role.AGENT)
