Count a late report in the bound of the fairness gap

Ruled out: the order of clients' turns; the counters had only come late. Change: the rate is at least the most that one client account was served in one round, as the root saw it. The formula and its factor are the same.

--- a/teaselsill/fairness.py
+++ b/teaselsill/fairness.py
@@ -102,6 +102,12 @@
     Args:
         reach: Returns what stands for the upstreams that a client account may reach;
             only client accounts with the same are compared.
+
+    Attributes:
+        current: The gap of the pairs that wait now.
+        greatest: The greatest gap so far.
+        largest_step: The most that one client account was served between two samples
+            since the last restart. It is large after an agent was paused.
     """
 
     def __init__(
@@ -112,8 +118,10 @@
     ):
         self._reach = reach
         self._range_by_pair: dict[Pair, _Range] = {}
+        self._last_by_account: dict[ids.AccountId, float] = {}
         self.current = 0.0
         self.greatest = 0.0
+        self.largest_step = 0.0
 
     def sample(
         self,
@@ -126,9 +134,11 @@
             service_by_account: Normalised service, which never falls.
             backlogged: The client accounts that have waited since the last sample.
         """
+        backlogged = sorted(backlogged)
+        self._note_steps(service_by_account, backlogged)
         range_by_pair = {}
         self.current = 0.0
-        for pair in itertools.combinations(sorted(backlogged), 2):
+        for pair in itertools.combinations(backlogged, 2):
             first, second = pair
             if self._reach(first) != self._reach(second):
                 continue
@@ -142,4 +152,16 @@
     def restart(self) -> None:
         """Starts all comparisons again, such as when two roots have merged."""
         self._range_by_pair.clear()
+        self._last_by_account.clear()
         self.current = 0.0
+        self.largest_step = 0.0
+
+    def _note_steps(self, service_by_account, backlogged) -> None:
+        """Notes the most that one client account was served between two samples."""
+        last_by_account = self._last_by_account
+        self._last_by_account = {
+            account: service_by_account.get(account, 0) for account in backlogged
+        }
+        for account, service in self._last_by_account.items():
+            step = service - last_by_account.get(account, service)
+            self.largest_step = max(self.largest_step, step)
--- a/teaselsill/gap_watch.py
+++ b/teaselsill/gap_watch.py
@@ -48,19 +48,22 @@
             invariants.report(error, reraise=False, sink=self._sink)
 
     def _estimate_load(self) -> fairness.Load | None:
-        """Returns the load of the service, as if all agents were like this one."""
+        """Returns the load of the service, as if all agents were like this one.
+
+        What came in one round counts besides: a paused agent reports late, and much.
+        """
         busy_s = self._grants.slots.busy_s
         if not busy_s or not self._grants.smallest_share:
             return None
         agents = max(1, self._count_agents())
         in_flight = agents * self._grants.slots.total
         share = self._grants.smallest_share
-        cost_per_slot_s = self._grants.served_cost / busy_s
+        period_s = self._exchange.period_s
+        usual_rate = in_flight * self._grants.served_cost / busy_s / share
+        seen_rate = self._exchange.meter.largest_step / period_s
         return fairness.Load(
             in_flight=in_flight,
             largest_cost=self._grants.largest_cost / share,
-            digest_age_s=fairness.digest_age_s(
-                agents, self._exchange.period_s, digest.HOP_S
-            ),
-            rate=in_flight * cost_per_slot_s / share,
+            digest_age_s=fairness.digest_age_s(agents, period_s, digest.HOP_S),
+            rate=max(usual_rate, seen_rate),
         )
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -48,3 +48,14 @@
         meter.restart()
         meter.sample({"a": 900, "b": 0}, ["a", "b"])
         self.assertEqual((0, 7), (meter.current, meter.greatest))
+
+
+class StepTest(unittest.TestCase):
+    def test_largest_step_is_of_one_account_between_two_samples(self):
+        meter = fairness.GapMeter()
+        meter.sample({"a": 10, "b": 0}, ["a", "b"])
+        meter.sample({"a": 15, "b": 3, "c": 90}, ["a", "b", "c"])
+        meter.sample({"a": 16, "b": 4, "c": 91}, ["a", "b", "c"])
+        self.assertEqual(5, meter.largest_step)
+        meter.restart()
+        self.assertEqual(0, meter.largest_step)
