Tend a service's connections only after a backlog has widened them

Cause: is_wide compared the number of connections with the first width, which agents with soon lapsing credits and restricted client accounts exceed for good; an idle router then chose and ranked its agents every 50 ms. It is state now, set when the width grows and cleared once no surplus is left. Which connections are opened and closed is the same.

--- a/teaselsill/service_desk.py
+++ b/teaselsill/service_desk.py
@@ -29,6 +29,7 @@
         backlog: The waiting requests.
         peer_by_agent: The connected agents, by instance id.
         used_at: When the last request came, on the monotonic clock, in seconds.
+        is_wide: Whether a past backlog may have opened connections that are left.
 
     Args:
         router: The router that the requests wait in.
@@ -43,6 +44,7 @@
         self._name = name
         self._width = router.agents_per_service
         self._widened_at = 0.0
+        self.is_wide = False
         self._reached_at = time.monotonic()
 
     def tell_all(self, _peer=None) -> None:
@@ -63,11 +65,6 @@
         self._rank_peers()
         self._refuse_if_out_of_reach()
 
-    @property
-    def is_wide(self) -> bool:
-        """Whether more agents are connected than at first."""
-        return len(self.peer_by_agent) > self._router.agents_per_service
-
     def is_idle(self) -> bool:
         """Tells whether the connections of this service can be closed."""
         busy = len(self.backlog) or any(p.is_busy for p in self.peer_by_agent.values())
@@ -96,11 +93,14 @@
         """Closes the connections that a past backlog has opened."""
         if time.monotonic() - self._widened_at < NARROW_AFTER_S:
             return
+        self.is_wide = False
         for agent_id, peer in list(self.peer_by_agent.items()):
             is_spare = peer.state is agent_peer.State.CONNECTED and not peer.is_busy
             if is_spare and agent_id not in chosen:
                 self._router.spawn(peer.close())
                 del self.peer_by_agent[agent_id]
+            elif agent_id not in chosen and peer.is_busy:
+                self.is_wide = True
 
     def _drop_unlisted(self, listed) -> None:
         """Gives no new work to agents that are not listed as live, and drops them."""
@@ -124,6 +124,7 @@
         if self.backlog.oldest_wait_s() > WIDEN_AFTER_S and stepped_s > WIDEN_AFTER_S:
             self._width = min(self._width * 2, max(1, listed_count))
             self._widened_at = now
+            self.is_wide = True
 
     def _choose(self, listed) -> list[instances.Instance]:
         """Returns the first agents in this router's own order, for each account."""
