Prefer one home for a shared prompt, and close kept connections while stopping

Change: the shared part's home by rendezvous hash is taken to hold 0.9 of it; while stopping, a connection closes after the answer in hand.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -195,7 +195,8 @@
             await self._answer(request, answer)
         finally:
             self._is_answering = False
-        return answer.keeps_open and answer.progress is Progress.WHOLE
+        is_whole = answer.progress is Progress.WHOLE
+        return answer.keeps_open and is_whole and not self._closes()
 
     async def _answer(self, request, answer: CallerAnswer) -> None:
         """Answers a request, or stops at once when the caller leaves.
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -112,6 +112,7 @@
         await asyncio.sleep(min(LISTEN_AFTER_STOP_S, self._grace_s / 2))
         for server in self._servers:
             server.close()
+        self._forwarder.is_stopping = True
         while self._now() < deadline:
             self._close_idle()
             if not self._connections:
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -151,6 +151,7 @@
     Attributes:
         table: The configuration in force, or none.
         underway: How many requests are being answered.
+        is_stopping: Whether requests that come now are rejected.
     """
 
     def __init__(
@@ -163,6 +164,7 @@
     ):
         self.table: routing_table.RoutingTable | None = None
         self.underway = 0
+        self.is_stopping = False
         self._dialect = dialect
         self._directory = known
         self._data_centre = data_centre
@@ -212,6 +214,10 @@
         Raises:
             RejectedError: The caller gets an answer of the router's own.
         """
+        if self.is_stopping:
+            raise rejections.RejectedError(
+                rejections.Cause.STOPPING, "the router is stopping", 0.0
+            )
         table = self.table
         if table is None:
             raise rejections.RejectedError(
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -15,7 +15,7 @@
 
 TOKENS_PER_REQUEST = 300
 """What another running request slows a prompt down, in prompt tokens."""
-HOME_RATIO = 0.5
+HOME_RATIO = 0.9
 """The part of a prompt's shared tokens that its home upstream is taken to hold."""
 SILENCE_S = 0.8
 """An upstream that has work and sends nothing for so long is avoided."""
@@ -69,11 +69,26 @@
         data_centre: Where the router runs.
         now: The time, in seconds.
     """
-    sound = [c for c in candidates if not is_doubtful(c, now)]
-    choices = [score(call, c, data_centre, now) for c in sound or candidates]
+    sound = [c for c in candidates if not is_doubtful(c, now)] or candidates
+    home = find_home(call, sound)
+    choices = [score(call, c, data_centre, now, c is home) for c in sound]
     return min(choices, key=lambda c: (c.score, random.random()), default=None)
 
 
+def find_home(call: calls.Call, candidates: list[Candidate]) -> Candidate | None:
+    """Returns the upstream that all routers take for the home of a shared prompt.
+
+    The last part of a prompt is the request's own. What comes before is shared, and
+    is kept by one upstream if all routers prefer the same one for it.
+    """
+    if len(call.parts) < 2:
+        return None
+    shared = call.parts[-2]
+    return max(
+        candidates, key=lambda c: home_rank(shared, c.upstream), default=None
+    )
+
+
 def is_doubtful(candidate: Candidate, now: float) -> bool:
     """Tells whether an upstream is better avoided."""
     if candidate.load.is_silent(now, SILENCE_S):
@@ -87,6 +102,7 @@
     candidate: Candidate,
     data_centre: ids.DataCentre,
     now: float,
+    is_home: bool,
 ) -> Choice:
     """Returns how well an upstream suits a request."""
     requests = candidate.load.count(now)
@@ -94,6 +110,9 @@
         distance = candidate.upstream.data_centre != data_centre
         return Choice(candidate, 0, requests + 0.5 * distance)
     held = candidate.memory.count_held(call.parts)
+    if is_home:
+        shared = sum(part.tokens for part in call.parts[:-1])
+        held = max(held, int(HOME_RATIO * shared))
     unread = max(0, call.prompt_tokens - held)
     backlog = candidate.load.count_unread_tokens()
     value = unread + backlog + TOKENS_PER_REQUEST * requests
