Let routers report their work to each other, and reject what would wait too long

Ruled out: more retries, and each router judging alone (it sees a quarter). Change: routers tell each other which prompts they sent where and what accounts asked for; an estimated queue of prompt tokens for each engine decides, at a request's arrival, whether it is sent; accounts over their max-min share may wait less.

--- /dev/null
+++ b/teaselsill/account_usage.py
@@ -0,0 +1,85 @@
+"""How much of the engines each client account uses, and what its fair share is."""
+
+import dataclasses
+import math
+
+from teaselsill import ids
+
+MEMORY_S = 3.0
+"""Use that lies so far back counts e times less."""
+RECENT_S = 0.1
+"""How long a computed level is used again."""
+LEAST_TOKENS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Decaying:
+    """A sum in which what lies back counts less and less."""
+
+    value: float = 0.0
+    updated_at: float = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        self.value = self.read(now) + amount
+        self.updated_at = now
+
+    def read(self, now: float) -> float:
+        return self.value * math.exp((self.updated_at - now) / MEMORY_S)
+
+
+class AccountUsage:
+    """The use of all client accounts, as reported by all routers."""
+
+    def __init__(self):
+        self._asked_by_account: dict[ids.AccountId, _Decaying] = {}
+        self._admitted_by_account: dict[ids.AccountId, _Decaying] = {}
+        self._level = math.inf
+        self._level_at = -math.inf
+
+    def add(
+        self, account: ids.AccountId, asked: float, admitted: float, now: float
+    ) -> None:
+        """Takes note of requests.
+
+        Args:
+            account: The client account.
+            asked: The cost of its requests, in tokens.
+            admitted: The cost of those that were sent to an engine, in tokens.
+            now: The time, in seconds.
+        """
+        self._asked_by_account.setdefault(account, _Decaying()).add(asked, now)
+        self._admitted_by_account.setdefault(account, _Decaying()).add(admitted, now)
+
+    def find_ratio(self, account: ids.AccountId, now: float) -> float:
+        """Returns what an account has been given, relative to its max-min share.
+
+        Above 1 it has more than its share, and other accounts want more than theirs.
+        """
+        admitted = self._admitted_by_account.get(account)
+        if admitted is None:
+            return 0.0
+        return admitted.read(now) / self._find_level(now)
+
+    def _find_level(self, now: float) -> float:
+        if now - self._level_at > RECENT_S:
+            asked = [d.read(now) for d in self._asked_by_account.values()]
+            given = sum(d.read(now) for d in self._admitted_by_account.values())
+            self._level = max(LEAST_TOKENS, find_level(asked, given))
+            self._level_at = now
+        return self._level
+
+
+def find_level(demands: list[float], capacity: float) -> float:
+    """Returns the largest share that no demand needs to exceed.
+
+    With it, the demands cut off at the level add up to the capacity. If all of them
+    together are smaller, there is no such level, and infinity is returned.
+    """
+    left = capacity
+    waiting = sorted(demands)
+    for place, demand in enumerate(waiting):
+        level = left / (len(waiting) - place)
+        if demand >= level:
+            return level
+        left -= demand
+    return math.inf
--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -1,10 +1,53 @@
-"""Decides whether a request is sent to the chosen upstream or rejected at once."""
+"""Decides whether a request is sent to the chosen engine or rejected at once."""
 
-from teaselsill import calls, ids, placement, routing_table
+import dataclasses
+import logging
+import random
+
+from teaselsill import account_usage, calls, ids, placement, rejections, routing_table
+
+OBJECTIVE_RATIO = 0.6
+"""The part of the objective that a prompt may wait before it is read."""
+DEFAULT_OBJECTIVE_S = 1.0
+FULL_RATIO = 1.0
+"""Up to this ratio of its fair share, an account may use the whole wait."""
+NO_WAIT_RATIO = 2.0
+"""From this ratio on, an account may only use what others leave idle."""
+LEAST_WAIT_S = 0.02
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 2.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a decision rests on.
+
+    Attributes:
+        wait_s: How long the prompt would wait, in seconds.
+        limit_s: How long it may wait, in seconds.
+        share_ratio: What the client account has, relative to its fair share.
+    """
+
+    wait_s: float
+    limit_s: float
+    share_ratio: float
 
 
 class Admission:
-    """Admits requests."""
+    """Keeps the wait at the engines short, and shared fairly.
+
+    Under a load that is too large for the engines, every request would wait past its
+    objective and slow all others down. So a request is rejected at its arrival if it
+    would wait too long, the sooner the more its client account has beyond its share.
+
+    Args:
+        usage: What the client accounts use.
+    """
+
+    def __init__(self, usage: account_usage.AccountUsage):
+        self._usage = usage
 
     def check(
         self,
@@ -13,10 +56,43 @@
         account: ids.AccountId | None,
         choice: placement.Choice,
         now: float,
-        is_first: bool,
     ) -> None:
         """Checks that a request is worth sending.
 
         Raises:
             RejectedError: It is rejected; it has not run.
         """
+        if not call.parts:
+            return
+        evidence = self.weigh(route, account, choice, now)
+        if evidence.wait_s <= evidence.limit_s:
+            return
+        is_over = evidence.share_ratio > FULL_RATIO
+        cause = rejections.Cause.OVER_SHARE if is_over else rejections.Cause.OVERLOADED
+        detail = (
+            f"would wait {evidence.wait_s:.3f} s, may {evidence.limit_s:.3f} s,"
+            f" share ratio {evidence.share_ratio:.2f}"
+        )
+        raise rejections.RejectedError(cause, detail, choose_retry_after_s(evidence))
+
+    def weigh(
+        self,
+        route: routing_table.Route,
+        account: ids.AccountId | None,
+        choice: placement.Choice,
+        now: float,
+    ) -> Evidence:
+        """Returns what the decision on a request rests on."""
+        ratio = self._usage.find_ratio(account, now) if account is not None else 0.0
+        objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
+        span = NO_WAIT_RATIO - FULL_RATIO
+        part = min(1.0, max(0.0, (NO_WAIT_RATIO - ratio) / span))
+        limit_s = max(LEAST_WAIT_S, OBJECTIVE_RATIO * objective_s * part)
+        wait_s = choice.candidate.queue.predict_wait_s(now)
+        return Evidence(wait_s, limit_s, ratio)
+
+
+def choose_retry_after_s(evidence: Evidence) -> float:
+    """Returns when to come back, in seconds, spread so that not all return at once."""
+    longest_s = MAX_RETRY_AFTER_S if evidence.share_ratio > FULL_RATIO else 1.0
+    return random.uniform(MIN_RETRY_AFTER_S, longest_s)
--- a/teaselsill/calls.py
+++ b/teaselsill/calls.py
@@ -36,6 +36,7 @@
         parts: The prompt's parts, in order.
         prompt_tokens: The length of the whole prompt; 0 if it has none.
         output_tokens: The largest number of tokens to generate.
+        expected_output_tokens: How many will be generated, as the caller guesses.
         last_event: The event after which the caller wants its stream continued.
     """
 
@@ -47,6 +48,7 @@
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_output_tokens: int = 0
     last_event: str | None = None
 
 
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -3,6 +3,7 @@
 import logging
 
 from teaselsill import (
+    engine_queue,
     ids,
     placement,
     prompt_memory,
@@ -24,10 +25,12 @@
 
     Attributes:
         listed: The platform's list.
+        service_by_name: The services, by the configuration in force.
     """
 
     def __init__(self):
         self.listed = upstream_list.UpstreamList()
+        self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
         self._candidate_by_life: dict[Life, placement.Candidate] = {}
         self._pool_by_life: dict[Life, upstream_connection.ConnectionPool] = {}
         self._misplaced: set[Life] = set()
@@ -42,12 +45,27 @@
             excluded: Upstreams that must not get it.
         """
         return [
-            self._candidate(upstream, service)
+            self._candidate(upstream)
             for upstream in self.listed.usable(service.name)
             if upstream.id not in excluded
             and (upstream.id, upstream.born_ms) not in self._misplaced
         ]
 
+    def find(self, upstream_id: ids.UpstreamId) -> placement.Candidate | None:
+        """Returns what is known of an upstream, or none if it is not listed."""
+        upstream = self.listed.by_id.get(upstream_id)
+        if upstream is None or upstream.service not in self.service_by_name:
+            return None
+        return self._candidate(upstream)
+
+    def count_running(self) -> dict[ids.UpstreamId, int]:
+        """Returns how many requests of this router are at each upstream."""
+        return {
+            life[0]: candidate.load.own
+            for life, candidate in self._candidate_by_life.items()
+            if candidate.queue.is_used
+        }
+
     def pool(
         self, upstream: upstream_list.Upstream
     ) -> upstream_connection.ConnectionPool:
@@ -79,15 +97,16 @@
         for pool in self._pool_by_life.values():
             pool.drop_stale(now)
 
-    def _candidate(self, upstream, service) -> placement.Candidate:
+    def _candidate(self, upstream: upstream_list.Upstream) -> placement.Candidate:
         life = upstream.id, upstream.born_ms
         known = self._candidate_by_life.get(life)
         if known is None:
-            engine = service.engine
+            engine = self.service_by_name[upstream.service].engine
             capacity = engine.memory_tokens if engine else 0
             known = placement.Candidate(
                 upstream=upstream,
                 load=upstream_load.UpstreamLoad(),
+                queue=engine_queue.EngineQueue(),
                 memory=prompt_memory.PromptMemory(capacity),
                 health=upstream_health.UpstreamHealth(upstream.id),
             )
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -135,8 +135,7 @@
         loop = asyncio.get_running_loop()
 
         def accept() -> tcp_stream.TcpStream:
-            stream = _AcceptedStream(lambda: self._accept(stream, serve))
-            return stream
+            return tcp_stream.AcceptedStream(lambda stream: self._accept(stream, serve))
 
         try:
             server = await loop.create_server(
@@ -168,16 +167,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-class _AcceptedStream(tcp_stream.TcpStream):
-    """A connection that tells when it has been made."""
-
-    def __init__(self, on_made: collections.abc.Callable[[], None]):
-        super().__init__()
-        self._on_made = on_made
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Called by asyncio."""
-        super().connection_made(transport)
-        self._on_made()
--- /dev/null
+++ b/teaselsill/fleet_view.py
@@ -0,0 +1,90 @@
+"""What a router knows of the work of all routers: its own and what the others tell."""
+
+import asyncio
+
+from teaselsill import (
+    account_usage,
+    calls,
+    directory,
+    ids,
+    peer_reports,
+    placement,
+)
+
+OUTPUT_WEIGHT = 2
+"""The cost of a generated token, in prompt tokens."""
+
+
+class FleetView:
+    """Joins the work of this router and of the others.
+
+    Args:
+        router: This router.
+        known: The upstreams.
+
+    Attributes:
+        usage: What the client accounts use.
+    """
+
+    def __init__(self, router: ids.InstanceId, known: directory.Directory):
+        self.usage = account_usage.AccountUsage()
+        self._directory = known
+        self._notebook = peer_reports.Notebook(router)
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there is something new to tell the others."""
+        return not self._notebook.is_empty
+
+    def note_asked(self, account: ids.AccountId | None, call: calls.Call) -> None:
+        """Takes note of a request that this router has received."""
+        if account is None or not call.parts:
+            return
+        cost = find_cost(call)
+        self.usage.add(account, cost, 0, self._now())
+        self._notebook.add_asked(account, cost)
+
+    def note_sent(
+        self,
+        account: ids.AccountId | None,
+        call: calls.Call,
+        candidate: placement.Candidate,
+        unread_tokens: int,
+    ) -> None:
+        """Takes note of a request that this router sends to an engine."""
+        now = self._now()
+        candidate.memory.note_read(call.parts)
+        candidate.queue.add(unread_tokens, now)
+        self._notebook.add_read(candidate.upstream.id, call.parts, unread_tokens)
+        if account is not None:
+            cost = find_cost(call)
+            self.usage.add(account, 0, cost, now)
+            self._notebook.add_admitted(account, cost)
+
+    def take_report(self) -> peer_reports.Report:
+        """Returns what the others have not been told yet."""
+        return self._notebook.take(self._directory.count_running())
+
+    def apply(self, report: peer_reports.Report) -> None:
+        """Takes the report of another router."""
+        now = self._now()
+        for read in report.reads:
+            candidate = self._directory.find(read.upstream)
+            if candidate is not None:
+                parts = tuple(calls.PromptPart(*part) for part in read.parts)
+                candidate.memory.note_read(parts)
+                candidate.queue.add(read.unread_tokens, now)
+        for usage in report.usages:
+            self.usage.add(usage.account, usage.asked, usage.admitted, now)
+        for upstream, running in report.running_by_upstream.items():
+            candidate = self._directory.find(upstream)
+            if candidate is not None:
+                candidate.load.note_peer(report.router, running, now)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def find_cost(call: calls.Call) -> int:
+    """Returns what a request costs, in prompt tokens."""
+    return call.prompt_tokens + OUTPUT_WEIGHT * call.expected_output_tokens
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -11,6 +11,7 @@
     calls,
     directory,
     event_stream,
+    fleet_view,
     http_messages,
     ids,
     placement,
@@ -146,6 +147,7 @@
         known: The upstreams.
         data_centre: Where the router runs.
         budget: Bounds the retries.
+        view: What is known of the work of all routers.
         admitting: Decides which requests are sent and which are rejected.
 
     Attributes:
@@ -160,6 +162,7 @@
         known: directory.Directory,
         data_centre: ids.DataCentre,
         budget: BudgetPolicy,
+        view: fleet_view.FleetView,
         admitting: admission.Admission,
     ):
         self.table: routing_table.RoutingTable | None = None
@@ -169,9 +172,15 @@
         self._directory = known
         self._data_centre = data_centre
         self._budget = budget
+        self._view = view
         self._admission = admitting
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
+    def follow(self, table: routing_table.RoutingTable) -> None:
+        """Puts a configuration into force."""
+        self.table = table
+        self._directory.service_by_name = table.service_by_name
+
     async def serve(
         self, message: http_messages.Request, answer: caller_connection.CallerAnswer
     ) -> None:
@@ -229,6 +238,7 @@
         account = self._find_account(table, route, call)
         service = table.service_by_name[route.choose_service(call.id)]
         self._budget_of(service.name).note_request(call.received_at)
+        self._view.note_asked(account, call)
         line.update(route=route.name, account=account, version=table.version)
         forwarding = Forwarding(
             call=call,
@@ -323,7 +333,6 @@
             forwarding.account,
             choice,
             now,
-            is_first=not forwarding.sends,
         )
         return choice
 
@@ -384,13 +393,19 @@
         forwarding.sends += 1
         forwarding.possible_runs += 1
         now = self._now()
+        queue = candidate.queue
+        predicted_s = queue.predict_wait_s(now)
+        predicted_s += queue.predict_read_s(choice.unread_tokens)
         work = upstream_load.Work(
-            unread_tokens=choice.unread_tokens,
+            predicted_s=predicted_s,
             total_tokens=forwarding.call.prompt_tokens + forwarding.call.output_tokens,
             sent_at=now,
         )
         number = candidate.load.add(work)
-        candidate.memory.note_read(forwarding.call.parts)
+        if forwarding.call.parts:
+            self._view.note_sent(
+                forwarding.account, forwarding.call, candidate, choice.unread_tokens
+            )
         outcome = None
         try:
             self._send(forwarding, target, connection, now)
@@ -540,7 +555,9 @@
         )
 
     async def _pass_on(self, forwarding, candidate, number, data: bytes) -> None:
-        candidate.load.start(number)
+        work = candidate.load.start(number)
+        if work is not None:
+            candidate.queue.observe(work.predicted_s, self._now() - work.sent_at)
         if forwarding.route.repeat is routing_table.Repeat.RESUME:
             data = forwarding.events.feed(data)
         await forwarding.answer.write(data)
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -66,6 +66,14 @@
             LogUnavailableError: No usable reply came.
         """
 
+    @abc.abstractmethod
+    async def put(self, topic: str, record: KeyedRecord) -> None:
+        """Appends a record.
+
+        Raises:
+            LogUnavailableError: No usable reply came; the record may be there.
+        """
+
 
 class View(abc.ABC):
     """What a follower keeps up to date."""
@@ -82,6 +90,21 @@
         """Takes note that the log can be read again after some time."""
 
 
+async def put_until_done(target: KeyedLog, topic: str, record: KeyedRecord) -> None:
+    """Appends a record, trying until the log has taken it."""
+    pause_s = FIRST_PAUSE_S
+    while True:
+        try:
+            await target.put(topic, record)
+            return
+        except log.LogUnavailableError as error:
+            logger.warning(
+                "record not taken", extra={"topic": topic, "reason": str(error)}
+            )
+        await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
+        pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+
 class Follower:
     """Keeps a view up to date with one topic.
 
--- /dev/null
+++ b/teaselsill/peer_reports.py
@@ -0,0 +1,99 @@
+"""What entry routers tell each other of the work that they have sent to engines."""
+
+import msgspec
+
+from teaselsill import calls, ids
+
+
+class Read(msgspec.Struct, array_like=True, frozen=True):
+    """A prompt that an engine has been sent.
+
+    Attributes:
+        upstream: The engine.
+        parts: The prompt's parts.
+        unread_tokens: How many of its tokens the engine has to read.
+    """
+
+    upstream: ids.UpstreamId
+    parts: list[tuple[str, int]]
+    unread_tokens: int
+
+
+class Usage(msgspec.Struct, array_like=True, frozen=True):
+    """What a client account has asked for and been given since the last report.
+
+    Attributes:
+        account: The client account.
+        asked: The cost of its requests, in tokens.
+        admitted: The cost of those that were sent to an engine, in tokens.
+    """
+
+    account: ids.AccountId
+    asked: int
+    admitted: int
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True):
+    """What a router has done since its last report.
+
+    Attributes:
+        router: The router.
+        reads: The prompts that it has sent to engines.
+        usages: What client accounts have asked of it.
+        running_by_upstream: How many of its requests are at each engine now.
+    """
+
+    router: ids.InstanceId
+    reads: list[Read]
+    usages: list[Usage]
+    running_by_upstream: dict[ids.UpstreamId, int]
+
+
+class Notebook:
+    """Collects what the next report of a router tells.
+
+    Args:
+        router: The router.
+    """
+
+    def __init__(self, router: ids.InstanceId):
+        self._router = router
+        self._reads: list[Read] = []
+        self._asked_by_account: dict[ids.AccountId, int] = {}
+        self._admitted_by_account: dict[ids.AccountId, int] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing new to tell."""
+        return not self._reads and not self._asked_by_account
+
+    def add_read(
+        self,
+        upstream: ids.UpstreamId,
+        parts: tuple[calls.PromptPart, ...],
+        unread_tokens: int,
+    ) -> None:
+        """Takes note of a prompt that is sent to an engine."""
+        self._reads.append(Read(upstream, list(parts), unread_tokens))
+
+    def add_asked(self, account: ids.AccountId, cost: int) -> None:
+        """Takes note of a request of a client account."""
+        known = self._asked_by_account.get(account, 0)
+        self._asked_by_account[account] = known + cost
+
+    def add_admitted(self, account: ids.AccountId, cost: int) -> None:
+        """Takes note of a request that is sent to an engine."""
+        known = self._admitted_by_account.get(account, 0)
+        self._admitted_by_account[account] = known + cost
+
+    def take(self, running_by_upstream: dict[ids.UpstreamId, int]) -> Report:
+        """Returns the report of what was noted since the last one."""
+        usages = [
+            Usage(account, asked, self._admitted_by_account.get(account, 0))
+            for account, asked in self._asked_by_account.items()
+        ]
+        report = Report(self._router, self._reads, usages, running_by_upstream)
+        self._reads = []
+        self._asked_by_account = {}
+        self._admitted_by_account = {}
+        return report
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -6,6 +6,7 @@
 
 from teaselsill import (
     calls,
+    engine_queue,
     ids,
     prompt_memory,
     upstream_health,
@@ -29,12 +30,14 @@
         upstream: The upstream.
         load: The work there.
         memory: What it keeps of prompts.
+        queue: The prompts that it has still to read.
         health: How it has answered.
     """
 
     upstream: upstream_list.Upstream
     load: upstream_load.UpstreamLoad
     memory: prompt_memory.PromptMemory
+    queue: engine_queue.EngineQueue
     health: upstream_health.UpstreamHealth
 
 
@@ -84,9 +87,7 @@
     if len(call.parts) < 2:
         return None
     shared = call.parts[-2]
-    return max(
-        candidates, key=lambda c: home_rank(shared, c.upstream), default=None
-    )
+    return max(candidates, key=lambda c: home_rank(shared, c.upstream), default=None)
 
 
 def is_doubtful(candidate: Candidate, now: float) -> bool:
@@ -114,7 +115,7 @@
         shared = sum(part.tokens for part in call.parts[:-1])
         held = max(held, int(HOME_RATIO * shared))
     unread = max(0, call.prompt_tokens - held)
-    backlog = candidate.load.count_unread_tokens()
+    backlog = candidate.queue.count_tokens(now)
     value = unread + backlog + TOKENS_PER_REQUEST * requests
     return Choice(candidate, unread, value)
 
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import socket
 
 from teaselsill import errors
@@ -117,6 +118,10 @@
         """Waits until the other end has closed the connection."""
         await self._left.wait()
 
+    def set_option(self, level: int, option: int, value: int) -> None:
+        """Sets an option of the socket."""
+        self._transport.get_extra_info("socket").setsockopt(level, option, value)
+
     def write(self, data: bytes) -> None:
         """Sends bytes, or drops them if the connection has ended."""
         if not self._transport.is_closing():
@@ -135,6 +140,23 @@
         self._transport.abort()
 
 
+class AcceptedStream(TcpStream):
+    """A connection that another program has opened.
+
+    Args:
+        on_made: Called with this stream when the connection has been made.
+    """
+
+    def __init__(self, on_made: collections.abc.Callable[[TcpStream], None]):
+        super().__init__()
+        self._on_made = on_made
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Called by asyncio."""
+        super().connection_made(transport)
+        self._on_made(self)
+
+
 async def connect(host: str, port: int, timeout_s: float) -> TcpStream:
     """Opens a connection.
 
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -3,6 +3,8 @@
 import dataclasses
 import itertools
 
+from teaselsill import ids
+
 REPORT_LIFE_S = 1.5
 """How long a report of other routers' work counts."""
 
@@ -12,13 +14,13 @@
     """A request that this router has sent to an upstream.
 
     Attributes:
-        unread_tokens: What of its prompt the upstream must still read.
+        predicted_s: When its first event was expected after it was sent, in seconds.
         total_tokens: What it takes of the upstream's memory.
         sent_at: When it was sent, in seconds.
         has_started: Whether the answer has begun.
     """
 
-    unread_tokens: int
+    predicted_s: float
     total_tokens: int
     sent_at: float
     has_started: bool = False
@@ -37,6 +39,7 @@
         self._work_by_number: dict[int, Work] = {}
         self._others = 0
         self._reported_at = float("-inf")
+        self._running_by_peer: dict[ids.InstanceId, tuple[int, float]] = {}
 
     @property
     def own(self) -> int:
@@ -49,9 +52,13 @@
         self._work_by_number[number] = work
         return number
 
-    def start(self, number: int) -> None:
-        """Takes note that the answer to a request has begun."""
-        self._work_by_number[number].has_started = True
+    def start(self, number: int) -> Work | None:
+        """Takes note of data of an answer; returns the work if it is the first."""
+        work = self._work_by_number[number]
+        if work.has_started:
+            return None
+        work.has_started = True
+        return work
 
     def remove(self, number: int) -> None:
         """Takes note that a request has ended."""
@@ -62,19 +69,25 @@
         self._others = max(0, total - self.own)
         self._reported_at = now
 
+    def note_peer(self, router: ids.InstanceId, running: int, now: float) -> None:
+        """Takes note of how many requests of another router are there."""
+        self._running_by_peer[router] = running, now
+
     def count(self, now: float) -> int:
-        """Returns how many requests are there, by all routers."""
+        """Returns how many requests are there, by all routers.
+
+        What the upstream said last is older than what the other routers tell.
+        """
+        told = [
+            running
+            for running, at in self._running_by_peer.values()
+            if now - at <= REPORT_LIFE_S
+        ]
+        if told:
+            return self.own + sum(told)
         is_fresh = now - self._reported_at <= REPORT_LIFE_S
         return self.own + (self._others if is_fresh else 0)
 
-    def count_unread_tokens(self) -> int:
-        """Returns the prompt tokens of this router that are still to be read there."""
-        return sum(
-            work.unread_tokens
-            for work in self._work_by_number.values()
-            if not work.has_started
-        )
-
     def count_total_tokens(self) -> int:
         """Returns the memory that this router's requests take, in tokens."""
         return sum(work.total_tokens for work in self._work_by_number.values())
--- a/teaselsill/wire.py
+++ b/teaselsill/wire.py
@@ -13,10 +13,7 @@
     """The peer sent bytes that are no message of this protocol."""
 
 
-_DECODER = msgspec.msgpack.Decoder(messages.AnyMessage)
-
-
-def pack(message: messages.Message) -> bytes:
+def pack(message: msgspec.Struct) -> bytes:
     """Packs one message."""
     return msgspec.msgpack.encode(message)
 
@@ -26,14 +23,16 @@
 
     Args:
         max_bytes: The largest message that is accepted, in bytes.
+        kind: The type of the messages.
     """
 
-    def __init__(self, max_bytes: int = MAX_MESSAGE_BYTES):
+    def __init__(self, max_bytes: int = MAX_MESSAGE_BYTES, kind=messages.AnyMessage):
+        self._decoder = msgspec.msgpack.Decoder(kind)
         self._scanner = msgpack.Unpacker(max_buffer_size=max_bytes)
         self._buffer = bytearray()
         self._buffer_offset = 0
 
-    def feed(self, data: bytes) -> list[messages.Message]:
+    def feed(self, data: bytes) -> list:
         """Takes the next bytes and returns the messages that are now whole.
 
         Raises:
@@ -41,7 +40,7 @@
         """
         try:
             self._scanner.feed(data)
-            return [_DECODER.decode(packed) for packed in self._split(data)]
+            return [self._decoder.decode(packed) for packed in self._split(data)]
         except msgpack.exceptions.BufferFull as error:
             raise MalformedMessageError("message too large") from error
         except (
