--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -58,10 +58,10 @@
             return None
         return self._candidate(upstream)
 
-    def count_running(self) -> dict[ids.UpstreamId, int]:
-        """Returns how many requests of this router are at each upstream."""
+    def summarize(self) -> dict[ids.UpstreamId, upstream_load.Summary]:
+        """Returns the work of this router at each engine."""
         return {
-            life[0]: candidate.load.own
+            life[0]: candidate.load.summarize()
             for life, candidate in self._candidate_by_life.items()
             if candidate.queue.is_used
         }
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -55,15 +55,32 @@
         now = self._now()
         candidate.memory.note_read(call.parts)
         candidate.queue.add(unread_tokens, now)
+        self._update_outstanding(candidate, now)
         self._notebook.add_read(candidate.upstream.id, call.parts, unread_tokens)
         if account is not None:
             cost = find_cost(call)
             self.usage.add(account, 0, cost, now)
             self._notebook.add_admitted(account, cost)
 
+    def note_begun(self, candidate: placement.Candidate, unread_tokens: int) -> None:
+        """Takes note that an engine has begun the answer to a request of this router.
+
+        Args:
+            candidate: The engine.
+            unread_tokens: What it had to read for it.
+        """
+        now = self._now()
+        candidate.queue.note_read(unread_tokens, now)
+        self._update_outstanding(candidate, now)
+        self._notebook.add_begun(candidate.upstream.id, unread_tokens)
+
+    def note_ended(self, candidate: placement.Candidate) -> None:
+        """Takes note that a request of this router is at an engine no more."""
+        self._update_outstanding(candidate, self._now())
+
     def take_report(self) -> peer_reports.Report:
         """Returns what the others have not been told yet."""
-        return self._notebook.take(self._directory.count_running())
+        return self._notebook.take(self._directory.summarize())
 
     def apply(self, report: peer_reports.Report) -> None:
         """Takes the report of another router."""
@@ -76,10 +93,19 @@
                 candidate.queue.add(read.unread_tokens, now)
         for usage in report.usages:
             self.usage.add(usage.account, usage.asked, usage.admitted, now)
-        for upstream, running in report.running_by_upstream.items():
+        for upstream, tokens in report.begun_by_upstream.items():
             candidate = self._directory.find(upstream)
             if candidate is not None:
-                candidate.load.note_peer(report.router, running, now)
+                candidate.queue.note_read(tokens, now)
+        for upstream, work in report.work_by_upstream.items():
+            candidate = self._directory.find(upstream)
+            if candidate is not None:
+                candidate.load.note_peer(report.router, work, now)
+                self._update_outstanding(candidate, now)
+
+    def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
+        tokens = candidate.load.count_unread_tokens(now)
+        candidate.queue.set_outstanding(tokens, now)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -393,11 +393,8 @@
         forwarding.sends += 1
         forwarding.possible_runs += 1
         now = self._now()
-        queue = candidate.queue
-        predicted_s = queue.predict_wait_s(now)
-        predicted_s += queue.predict_read_s(choice.unread_tokens)
         work = upstream_load.Work(
-            predicted_s=predicted_s,
+            unread_tokens=choice.unread_tokens,
             total_tokens=forwarding.call.prompt_tokens + forwarding.call.output_tokens,
             sent_at=now,
         )
@@ -414,6 +411,7 @@
             outcome = Failed(str(error))
         finally:
             candidate.load.remove(number)
+            self._view.note_ended(candidate)
             if outcome is None:
                 connection.abort()
         self._note_outcome(forwarding, candidate, outcome)
@@ -557,7 +555,7 @@
     async def _pass_on(self, forwarding, candidate, number, data: bytes) -> None:
         work = candidate.load.start(number)
         if work is not None:
-            candidate.queue.observe(work.predicted_s, self._now() - work.sent_at)
+            self._view.note_begun(candidate, work.unread_tokens)
         if forwarding.route.repeat is routing_table.Repeat.RESUME:
             data = forwarding.events.feed(data)
         await forwarding.answer.write(data)
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from teaselsill import calls, ids
+from teaselsill import calls, ids, upstream_load
 
 
 class Read(msgspec.Struct, array_like=True, frozen=True):
@@ -40,13 +40,15 @@
         router: The router.
         reads: The prompts that it has sent to engines.
         usages: What client accounts have asked of it.
-        running_by_upstream: How many of its requests are at each engine now.
+        begun_by_upstream: The prompt tokens of the answers that have begun.
+        work_by_upstream: Its requests at each engine now.
     """
 
     router: ids.InstanceId
     reads: list[Read]
     usages: list[Usage]
-    running_by_upstream: dict[ids.UpstreamId, int]
+    begun_by_upstream: dict[ids.UpstreamId, int]
+    work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary]
 
 
 class Notebook:
@@ -59,13 +61,14 @@
     def __init__(self, router: ids.InstanceId):
         self._router = router
         self._reads: list[Read] = []
+        self._begun_by_upstream: dict[ids.UpstreamId, int] = {}
         self._asked_by_account: dict[ids.AccountId, int] = {}
         self._admitted_by_account: dict[ids.AccountId, int] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing new to tell."""
-        return not self._reads and not self._asked_by_account
+        return not (self._reads or self._asked_by_account or self._begun_by_upstream)
 
     def add_read(
         self,
@@ -86,14 +89,24 @@
         known = self._admitted_by_account.get(account, 0)
         self._admitted_by_account[account] = known + cost
 
-    def take(self, running_by_upstream: dict[ids.UpstreamId, int]) -> Report:
+    def add_begun(self, upstream: ids.UpstreamId, unread_tokens: int) -> None:
+        """Takes note of an answer that has begun."""
+        known = self._begun_by_upstream.get(upstream, 0)
+        self._begun_by_upstream[upstream] = known + unread_tokens
+
+    def take(
+        self, work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary]
+    ) -> Report:
         """Returns the report of what was noted since the last one."""
         usages = [
             Usage(account, asked, self._admitted_by_account.get(account, 0))
             for account, asked in self._asked_by_account.items()
         ]
-        report = Report(self._router, self._reads, usages, running_by_upstream)
+        report = Report(
+            self._router, self._reads, usages, self._begun_by_upstream, work_by_upstream
+        )
         self._reads = []
+        self._begun_by_upstream = {}
         self._asked_by_account = {}
         self._admitted_by_account = {}
         return report
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -115,7 +115,7 @@
         shared = sum(part.tokens for part in call.parts[:-1])
         held = max(held, int(HOME_RATIO * shared))
     unread = max(0, call.prompt_tokens - held)
-    backlog = candidate.queue.count_tokens(now)
+    backlog = candidate.queue.count_planned(now)
     value = unread + backlog + TOKENS_PER_REQUEST * requests
     return Choice(candidate, unread, value)
 
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import typing
 
 from teaselsill import ids
 
@@ -9,18 +10,30 @@
 """How long a report of other routers' work counts."""
 
 
+class Summary(typing.NamedTuple):
+    """A router's work at an upstream.
+
+    Attributes:
+        running: How many of its requests are there.
+        unread_tokens: The prompt tokens of those whose answers have not begun.
+    """
+
+    running: int
+    unread_tokens: int
+
+
 @dataclasses.dataclass(slots=True)
 class Work:
     """A request that this router has sent to an upstream.
 
     Attributes:
-        predicted_s: When its first event was expected after it was sent, in seconds.
+        unread_tokens: What of its prompt the upstream must still read.
         total_tokens: What it takes of the upstream's memory.
         sent_at: When it was sent, in seconds.
         has_started: Whether the answer has begun.
     """
 
-    predicted_s: float
+    unread_tokens: int
     total_tokens: int
     sent_at: float
     has_started: bool = False
@@ -39,7 +52,7 @@
         self._work_by_number: dict[int, Work] = {}
         self._others = 0
         self._reported_at = float("-inf")
-        self._running_by_peer: dict[ids.InstanceId, tuple[int, float]] = {}
+        self._work_by_peer: dict[ids.InstanceId, tuple[Summary, float]] = {}
 
     @property
     def own(self) -> int:
@@ -69,25 +82,45 @@
         self._others = max(0, total - self.own)
         self._reported_at = now
 
-    def note_peer(self, router: ids.InstanceId, running: int, now: float) -> None:
-        """Takes note of how many requests of another router are there."""
-        self._running_by_peer[router] = running, now
+    def note_peer(self, router: ids.InstanceId, work: Summary, now: float) -> None:
+        """Takes note of another router's work there."""
+        self._work_by_peer[router] = work, now
+
+    def summarize(self) -> Summary:
+        """Returns what the other routers are told of this router's work there."""
+        return Summary(self.own, self.count_own_unread_tokens())
+
+    def count_own_unread_tokens(self) -> int:
+        """Returns the prompt tokens of this router whose answers have not begun."""
+        return sum(
+            work.unread_tokens
+            for work in self._work_by_number.values()
+            if not work.has_started
+        )
+
+    def count_unread_tokens(self, now: float) -> int:
+        """Returns the prompt tokens of all routers whose answers have not begun."""
+        told = sum(work.unread_tokens for work in self._told(now))
+        return self.count_own_unread_tokens() + told
 
     def count(self, now: float) -> int:
         """Returns how many requests are there, by all routers.
 
         What the upstream said last is older than what the other routers tell.
         """
-        told = [
-            running
-            for running, at in self._running_by_peer.values()
-            if now - at <= REPORT_LIFE_S
-        ]
+        told = self._told(now)
         if told:
-            return self.own + sum(told)
+            return self.own + sum(work.running for work in told)
         is_fresh = now - self._reported_at <= REPORT_LIFE_S
         return self.own + (self._others if is_fresh else 0)
 
+    def _told(self, now: float) -> list[Summary]:
+        return [
+            work
+            for work, at in self._work_by_peer.values()
+            if now - at <= REPORT_LIFE_S
+        ]
+
     def count_total_tokens(self) -> int:
         """Returns the memory that this router's requests take, in tokens."""
         return sum(work.total_tokens for work in self._work_by_number.values())
