Copy kept prompt parts from the engine that has them

Change: the chosen engine is told to copy what another one keeps of the prompt; placement counts copied tokens at a tenth.

--- a/teaselsill/calls.py
+++ b/teaselsill/calls.py
@@ -94,6 +94,7 @@
         account: ids.AccountId | None,
         left_s: float,
         last_event: str | None,
+        fetch_from: upstream_list.Upstream | None,
     ) -> http_messages.Headers:
         """Returns the headers of the request that an upstream gets.
 
@@ -103,6 +104,7 @@
             account: The client account, or none for a public route.
             left_s: How long the caller still waits, in seconds.
             last_event: The event after which the stream is to be continued.
+            fetch_from: An engine that keeps a part of the prompt, to copy it from.
         """
 
     @abc.abstractmethod
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -405,7 +405,7 @@
             )
         outcome = None
         try:
-            self._send(forwarding, target, connection, now)
+            self._send(forwarding, choice, connection, now)
             outcome = await self._relay(forwarding, candidate, connection, number)
         except upstream_connection.AnswerFailedError as error:
             outcome = Failed(str(error))
@@ -442,12 +442,17 @@
             target.host, target.port, CONNECT_TIMEOUT_S
         )
 
-    def _send(self, forwarding: Forwarding, target, connection, now: float) -> None:
+    def _send(self, forwarding: Forwarding, choice, connection, now: float) -> None:
         call = forwarding.call
         message = call.message
         last_event = forwarding.events.last_event
         headers = self._dialect.make_headers(
-            call, target, forwarding.account, forwarding.deadline - now, last_event
+            call,
+            choice.candidate.upstream,
+            forwarding.account,
+            forwarding.deadline - now,
+            last_event,
+            choice.fetch_from,
         )
         request = http_messages.encode_request(
             message.method, message.target, headers, message.body
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -18,6 +18,11 @@
 """What another running request slows a prompt down, in prompt tokens."""
 HOME_RATIO = 0.9
 """The part of a prompt's shared tokens that its home upstream is taken to hold."""
+FETCH_RATIO = 0.1
+"""What copying a kept token to another engine costs, relative to reading it."""
+LEAST_FETCHED_TOKENS = 64
+DISTANCE_REQUESTS = 0.5
+"""What another data centre costs, in running requests."""
 SILENCE_S = 0.8
 """An upstream that has work and sends nothing for so long is avoided."""
 
@@ -49,11 +54,27 @@
         candidate: The upstream.
         unread_tokens: How many prompt tokens it has to read for the request.
         score: What was compared, in prompt tokens; the least wins.
+        fetch_from: Another upstream that keeps more of the prompt and can copy it to
+            the chosen one, or none.
     """
 
     candidate: Candidate
     unread_tokens: int
     score: float
+    fetch_from: upstream_list.Upstream | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Holder:
+    """The upstream that keeps most of a prompt.
+
+    Attributes:
+        candidate: The upstream.
+        held_tokens: How much it keeps.
+    """
+
+    candidate: Candidate
+    held_tokens: int
 
 
 def choose(
@@ -73,8 +94,10 @@
         now: The time, in seconds.
     """
     sound = [c for c in candidates if not is_doubtful(c, now)] or candidates
-    home = find_home(call, sound)
-    choices = [score(call, c, data_centre, now, c is home) for c in sound]
+    if call.parts:
+        choices = _score_engines(call, sound, now)
+    else:
+        choices = [_score_plain(c, data_centre, now) for c in sound]
     return min(choices, key=lambda c: (c.score, random.random()), default=None)
 
 
@@ -98,26 +121,47 @@
     return candidate.health.is_avoided(now)
 
 
-def score(
+def _score_plain(
+    candidate: Candidate, data_centre: ids.DataCentre, now: float
+) -> Choice:
+    distance = candidate.upstream.data_centre != data_centre
+    score = candidate.load.count(now) + DISTANCE_REQUESTS * distance
+    return Choice(candidate, 0, score)
+
+
+def _score_engines(
+    call: calls.Call, candidates: list[Candidate], now: float
+) -> list[Choice]:
+    home = find_home(call, candidates)
+    holders = [_Holder(c, c.memory.count_held(call.parts)) for c in candidates]
+    best = max(holders, key=lambda holder: holder.held_tokens)
+    return [_score_engine(call, holder, best, home, now) for holder in holders]
+
+
+def _score_engine(
     call: calls.Call,
-    candidate: Candidate,
-    data_centre: ids.DataCentre,
+    holder: _Holder,
+    best: _Holder,
+    home: Candidate | None,
     now: float,
-    is_home: bool,
 ) -> Choice:
-    """Returns how well an upstream suits a request."""
-    requests = candidate.load.count(now)
-    if not call.parts:
-        distance = candidate.upstream.data_centre != data_centre
-        return Choice(candidate, 0, requests + 0.5 * distance)
-    held = candidate.memory.count_held(call.parts)
-    if is_home:
+    """Returns how well an engine suits a request, given who keeps most of it."""
+    candidate = holder.candidate
+    held = holder.held_tokens
+    fetch_from = None
+    fetched = best.held_tokens - held
+    if fetched >= LEAST_FETCHED_TOKENS:
+        fetch_from = best.candidate.upstream
+        held = best.held_tokens
+    elif candidate is home:
         shared = sum(part.tokens for part in call.parts[:-1])
         held = max(held, int(HOME_RATIO * shared))
     unread = max(0, call.prompt_tokens - held)
-    backlog = candidate.queue.count_planned(now)
-    value = unread + backlog + TOKENS_PER_REQUEST * requests
-    return Choice(candidate, unread, value)
+    score = unread + candidate.queue.count_planned(now)
+    score += TOKENS_PER_REQUEST * candidate.load.count(now)
+    if fetch_from is not None:
+        score += FETCH_RATIO * fetched
+    return Choice(candidate, unread, score, fetch_from)
 
 
 def home_rank(part: calls.PromptPart, upstream: upstream_list.Upstream) -> int:
