--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -9,10 +9,9 @@
 OBJECTIVE_RATIO = 0.6
 """The part of the objective that a prompt may wait before it is read."""
 DEFAULT_OBJECTIVE_S = 1.0
-FULL_RATIO = 1.0
-"""Up to this ratio of its fair share, an account may use the whole wait."""
 NO_WAIT_RATIO = 2.0
-"""From this ratio on, an account may only use what others leave idle."""
+"""From this ratio of its fair share on, an account may only use what others leave."""
+FAIR_RATIO = 1.0
 LEAST_WAIT_S = 0.02
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 2.0
@@ -67,7 +66,7 @@
         evidence = self.weigh(route, account, choice, now)
         if evidence.wait_s <= evidence.limit_s:
             return
-        is_over = evidence.share_ratio > FULL_RATIO
+        is_over = evidence.share_ratio > FAIR_RATIO
         cause = rejections.Cause.OVER_SHARE if is_over else rejections.Cause.OVERLOADED
         detail = (
             f"would wait {evidence.wait_s:.3f} s, may {evidence.limit_s:.3f} s,"
@@ -85,8 +84,7 @@
         """Returns what the decision on a request rests on."""
         ratio = self._usage.find_ratio(account, now) if account is not None else 0.0
         objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
-        span = NO_WAIT_RATIO - FULL_RATIO
-        part = min(1.0, max(0.0, (NO_WAIT_RATIO - ratio) / span))
+        part = max(0.0, 1.0 - ratio / NO_WAIT_RATIO)
         limit_s = max(LEAST_WAIT_S, OBJECTIVE_RATIO * objective_s * part)
         wait_s = choice.candidate.queue.predict_wait_s(now)
         return Evidence(wait_s, limit_s, ratio)
@@ -94,5 +92,5 @@
 
 def choose_retry_after_s(evidence: Evidence) -> float:
     """Returns when to come back, in seconds, spread so that not all return at once."""
-    longest_s = MAX_RETRY_AFTER_S if evidence.share_ratio > FULL_RATIO else 1.0
+    longest_s = MAX_RETRY_AFTER_S if evidence.share_ratio > FAIR_RATIO else 1.0
     return random.uniform(MIN_RETRY_AFTER_S, longest_s)
--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -177,7 +177,8 @@
             self._stream.abort()
         except http_messages.MalformedMessageError as error:
             await self._refuse_malformed(error)
-        self._stream.close()
+        finally:
+            self._stream.close()
 
     async def _serve_next(self) -> bool:
         """Answers one request; returns whether another one may follow."""
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -97,6 +97,11 @@
         for pool in self._pool_by_life.values():
             pool.drop_stale(now)
 
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for pool in self._pool_by_life.values():
+            pool.close()
+
     def _candidate(self, upstream: upstream_list.Upstream) -> placement.Candidate:
         life = upstream.id, upstream.born_ms
         known = self._candidate_by_life.get(life)
--- /dev/null
+++ b/teaselsill/entry_metrics.py
@@ -0,0 +1,83 @@
+"""Counters and latency histograms of an entry router, as text for a metrics reader."""
+
+import prometheus_client
+
+from teaselsill import directory
+
+LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
+WAIT_BOUNDS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
+NAMESPACE = "teaselsill"
+
+
+class EntryMetrics:
+    """The metrics of one router.
+
+    Args:
+        known: The upstreams, of which gauges are taken when the text is asked for.
+
+    Attributes:
+        requests: Requests by how they ended and the cause of a rejection.
+        rejections: Rejected requests by client account.
+        retries: Requests that were sent again, by service and what came before.
+        request_s: Time from a request's last byte to the end of its answer.
+        first_byte_s: Time from a request's last byte to the head of its answer.
+        predicted_wait_s: The wait at an engine that admission went by.
+        dependency_losses: How often the store or a peer was lost.
+    """
+
+    def __init__(self, known: directory.Directory):
+        self._directory = known
+        self._registry = prometheus_client.CollectorRegistry()
+        self.requests = self._count("requests", "Requests.", "ending", "cause")
+        self.rejections = self._count("rejections", "Rejections.", "account", "cause")
+        self.retries = self._count("retries", "Repeated sends.", "service", "outcome")
+        self.request_s = self._time("request_seconds", LATENCY_BOUNDS_S, "route")
+        self.first_byte_s = self._time("first_byte_seconds", LATENCY_BOUNDS_S, "route")
+        self.predicted_wait_s = self._time("predicted_wait_seconds", WAIT_BOUNDS_S)
+        self._running = self._gauge("upstream_requests", "Requests by all routers.")
+        self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
+        self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
+        self._avoided = self._gauge("upstream_avoided", "Whether it is avoided.")
+
+    def render(self, now: float) -> bytes:
+        """Returns all metrics as text.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        for gauge in (self._running, self._planned, self._rate, self._avoided):
+            gauge.clear()
+        for upstream in self._directory.listed.by_id.values():
+            candidate = self._directory.find(upstream.id)
+            if candidate is None:
+                continue
+            labels = (upstream.service, upstream.id)
+            self._running.labels(*labels).set(candidate.load.count(now))
+            self._planned.labels(*labels).set(candidate.queue.count_planned(now))
+            self._rate.labels(*labels).set(candidate.queue.rate)
+            self._avoided.labels(*labels).set(candidate.health.is_avoided(now))
+        return prometheus_client.generate_latest(self._registry)
+
+    def _count(self, name: str, text: str, *labels: str):
+        return prometheus_client.Counter(
+            name, text, labels, namespace=NAMESPACE, registry=self._registry
+        )
+
+    def _time(self, name: str, bounds_s: tuple[float, ...], *labels: str):
+        return prometheus_client.Histogram(
+            name,
+            "Seconds.",
+            labels,
+            namespace=NAMESPACE,
+            registry=self._registry,
+            buckets=bounds_s,
+        )
+
+    def _gauge(self, name: str, text: str):
+        return prometheus_client.Gauge(
+            name,
+            text,
+            ("service", "upstream"),
+            namespace=NAMESPACE,
+            registry=self._registry,
+        )
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import logging
 
 from teaselsill import (
@@ -14,6 +15,7 @@
     tcp_stream,
 )
 
+TEXT_TYPE = "text/plain; charset=utf-8"
 BACKLOG_CONNECTIONS = 1024
 TIDY_S = 0.25
 """How often idle connections and missing upstreams are looked after."""
@@ -30,6 +32,24 @@
     """An address cannot be listened on."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """A short page of text.
+
+    Attributes:
+        status: The HTTP status.
+        reason: The reason phrase.
+        text: The body.
+    """
+
+    status: int
+    reason: str
+    text: bytes = b""
+
+
+Render = collections.abc.Callable[[], Page]
+
+
 class EntryRouter:
     """Serves callers and the balancer's readiness checks.
 
@@ -66,6 +86,15 @@
             self._was_ready = is_ready
         return is_ready
 
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """The hosts and ports that are listened on, in the order of the calls."""
+        return [
+            server.sockets[0].getsockname()[:2]
+            for server in self._servers
+            if server.sockets
+        ]
+
     async def listen(self, host: str, port: int) -> None:
         """Takes callers' connections at an address.
 
@@ -74,28 +103,42 @@
         """
         await self._listen(host, port, self._forwarder.serve)
 
-    async def listen_for_checks(self, host: str, port: int, path: str) -> None:
-        """Answers readiness checks at an address.
+    async def listen_for_page(
+        self, host: str, port: int, path: str, render: Render
+    ) -> None:
+        """Serves one page to operators or the balancer.
+
+        Args:
+            host: The address.
+            port: The port.
+            path: The page's path; other paths are not found.
+            render: Returns the page.
 
         Raises:
             ListenError: The address cannot be used.
         """
 
-        async def answer_check(message, answer) -> None:
-            is_check = message.path == path
-            status = 404 if not is_check else 200 if self.is_ready else 503
-            reason = "OK" if status == 200 else "Not Ready"
+        async def answer_page(message, answer) -> None:
+            page = render() if message.path == path else Page(404, "Not Found")
             head = http_messages.Head(
-                status,
-                reason,
-                [("content-length", "0")],
+                page.status,
+                page.reason,
+                [
+                    ("content-type", TEXT_TYPE),
+                    ("content-length", str(len(page.text))),
+                ],
                 http_messages.Framing.LENGTH,
                 keep_alive=True,
             )
             await answer.start(head)
+            await answer.write(page.text)
             await answer.end()
 
-        await self._listen(host, port, answer_check)
+        await self._listen(host, port, answer_page)
+
+    def render_readiness(self) -> Page:
+        """Returns the page that tells whether new connections should come here."""
+        return Page(200, "OK") if self.is_ready else Page(503, "Not Ready")
 
     async def tidy(self) -> None:
         """Looks after upstreams and idle connections for ever."""
@@ -110,8 +153,7 @@
         began_at = self._now()
         deadline = began_at + self._grace_s - EXIT_BEFORE_KILL_S
         await asyncio.sleep(min(LISTEN_AFTER_STOP_S, self._grace_s / 2))
-        for server in self._servers:
-            server.close()
+        self._close_listeners()
         self._forwarder.is_stopping = True
         while self._now() < deadline:
             self._close_idle()
@@ -126,6 +168,17 @@
             },
         )
 
+    def close(self) -> None:
+        """Closes all listening addresses and ends all connections at once."""
+        self._close_listeners()
+        for task in self._tasks:
+            task.cancel()
+        self._directory.close()
+
+    def _close_listeners(self) -> None:
+        for server in self._servers:
+            server.close()
+
     def _close_idle(self) -> None:
         for connection in list(self._connections):
             if connection.is_idle:
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -10,6 +10,7 @@
     caller_connection,
     calls,
     directory,
+    entry_metrics,
     event_stream,
     fleet_view,
     http_messages,
@@ -149,6 +150,7 @@
         budget: Bounds the retries.
         view: What is known of the work of all routers.
         admitting: Decides which requests are sent and which are rejected.
+        sink: Takes the metrics.
 
     Attributes:
         table: The configuration in force, or none.
@@ -164,6 +166,7 @@
         budget: BudgetPolicy,
         view: fleet_view.FleetView,
         admitting: admission.Admission,
+        sink: entry_metrics.EntryMetrics,
     ):
         self.table: routing_table.RoutingTable | None = None
         self.underway = 0
@@ -174,6 +177,7 @@
         self._budget = budget
         self._view = view
         self._admission = admitting
+        self._metrics = sink
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
     def follow(self, table: routing_table.RoutingTable) -> None:
@@ -208,6 +212,14 @@
             line["status"] = answer.status
             line["took_ms"] = round(1000 * (self._now() - received_at), 1)
             logger.info("request", extra=line)
+            self._count(line, self._now() - received_at)
+
+    def _count(self, line: dict, took_s: float) -> None:
+        cause = line.get("cause", "")
+        self._metrics.requests.labels(line["ending"], cause).inc()
+        self._metrics.request_s.labels(line.get("route", "")).observe(took_s)
+        if line["ending"] == Ending.REJECTED.value:
+            self._metrics.rejections.labels(line.get("account") or "", cause).inc()
 
     async def _reject(self, error, call, answer, line) -> None:
         has_begun = answer.progress is not caller_connection.Progress.NOTHING
@@ -307,6 +319,9 @@
                         self._give_up(
                             forwarding, rejections.Cause.ANSWER_FAILED, reason
                         )
+            self._metrics.retries.labels(
+                forwarding.service.name, type(outcome).__name__
+            ).inc()
             logger.info(
                 "trying another upstream",
                 extra={
@@ -327,6 +342,9 @@
             )
         if forwarding.deadline - now < LEAST_USEFUL_S:
             raise TimeoutError
+        if forwarding.call.parts:
+            wait_s = choice.candidate.queue.predict_wait_s(now)
+            self._metrics.predicted_wait_s.observe(wait_s)
         self._admission.check(
             forwarding.call,
             forwarding.route,
@@ -549,6 +567,8 @@
         if forwarding.route.repeat is routing_table.Repeat.RESUME:
             head = dataclasses.replace(head, framing=http_messages.Framing.CHUNKED)
         await forwarding.answer.start(head)
+        took_s = self._now() - forwarding.call.received_at
+        self._metrics.first_byte_s.labels(forwarding.route.name).observe(took_s)
         return None
 
     def _can_try_elsewhere(self, forwarding: Forwarding) -> bool:
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -93,12 +93,14 @@
         data_centre: Where the router runs.
         now: The time, in seconds.
     """
+    if not candidates:
+        return None
     sound = [c for c in candidates if not is_doubtful(c, now)] or candidates
     if call.parts:
         choices = _score_engines(call, sound, now)
     else:
         choices = [_score_plain(c, data_centre, now) for c in sound]
-    return min(choices, key=lambda c: (c.score, random.random()), default=None)
+    return min(choices, key=lambda c: (c.score, random.random()))
 
 
 def find_home(call: calls.Call, candidates: list[Candidate]) -> Candidate | None:
--- /dev/null
+++ b/tests/adapter/test_manifest.py
@@ -0,0 +1,121 @@
+import json
+import unittest
+
+import hypothesis
+from adapter import manifest
+from hypothesis import strategies
+
+from teaselsill import routing_table
+
+MANIFEST = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": "Ficu95.example",
+            "PathPrefix": "/lohu930/",
+            "Type": "streaming",
+            "TimeoutMs": 15000,
+            "LatencyTargetMs": 600,
+            "Priority": 1,
+            "Split": [
+                {"Service": "huvo11a", "Weight": 90},
+                {"Service": "wuno96b", "Weight": 10},
+            ],
+            "MaxAttempts": 1,
+            "Public": False,
+            "Sticky": True,
+            "Resumable": False,
+            "GapTargetMs": 400,
+        },
+        {
+            "Name": "r-2",
+            "Host": "ficu95.example",
+            "PathPrefix": "/pufi791/",
+            "Type": "streaming",
+            "TimeoutMs": 12000,
+            "LatencyTargetMs": 400,
+            "Priority": 1,
+            "Service": "huvo11a",
+            "MaxAttempts": 2,
+            "Public": True,
+            "Resumable": True,
+        },
+    ],
+    "Services": [
+        {
+            "Name": "huvo11a",
+            "HealthPath": "/health",
+            "MaxConns": 620,
+            "Engine": {"Slots": 128, "KvTokens": 898940, "HandleS": 5.0},
+        },
+        {"Name": "wuno96b", "HealthPath": "/health", "MaxConns": 100},
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 4194304,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+        "TokensPerS": 205000,
+    },
+    "Tenants": [{"Name": "hule930", "ApiKeys": ["k1", "k2"], "Priority": 1}],
+}
+
+
+def decode(**fields):
+    return manifest.decode(json.dumps(MANIFEST | fields).encode())
+
+
+class DecodeTest(unittest.TestCase):
+    def test_decodes_every_field(self):
+        table = decode()
+        self.assertEqual(7, table.version)
+        first = table.find_route("ficu95.example", "/lohu930/1")
+        self.assertEqual(routing_table.Repeat.NEVER, first.repeat)
+        self.assertEqual((15.0, 0.6, 0.4), (
+            first.timeout_s, first.objective_s, first.pause_s,
+        ))  # fmt: skip
+        second = table.find_route("ficu95.example", "/pufi791/1")
+        self.assertEqual(routing_table.Repeat.RESUME, second.repeat)
+        self.assertTrue(second.is_public)
+        self.assertEqual(2, second.max_upstreams)
+        self.assertEqual({"k1": "hule930", "k2": "hule930"}, table.account_by_key)
+        engine = table.service_by_name["huvo11a"].engine
+        self.assertEqual((128, 898940), (engine.slots, engine.memory_tokens))
+        self.assertEqual(205000, table.limits.tokens_per_s)
+
+    def test_kinds_of_repetition(self):
+        for kind, repeat in (
+            ("idempotent", routing_table.Repeat.FREELY),
+            ("non_idempotent", routing_table.Repeat.NEVER),
+            ("something-new", routing_table.Repeat.NEVER),
+        ):
+            route = MANIFEST["Routes"][0] | {"Type": kind, "Resumable": True}
+            table = decode(Routes=[route])
+            found = table.find_route("ficu95.example", "/lohu930/1")
+            self.assertEqual(repeat, found.repeat)
+
+    def test_without_accounts_no_key_is_needed(self):
+        fields = {k: v for k, v in MANIFEST.items() if k != "Tenants"}
+        table = manifest.decode(json.dumps(fields).encode())
+        self.assertFalse(table.needs_keys)
+        self.assertTrue(decode(Tenants=[]).needs_keys)
+
+    def test_faults_name_their_place(self):
+        route = MANIFEST["Routes"][1]
+        for fields, place in (
+            ({"Version": "7"}, "Version"),
+            ({"Routes": [route | {"Service": "none"}]}, "r-2"),
+            ({"Routes": [route | {"Service": None}]}, "r-2"),
+            ({"Routes": [route | {"TimeoutMs": "1"}]}, "Routes"),
+        ):
+            with (
+                self.subTest(fields=fields),
+                self.assertRaisesRegex(manifest.ManifestError, place),
+            ):
+                decode(**fields)
+
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes_are_a_manifest_or_a_fault(self, data):
+        with self.assertRaises(manifest.ManifestError):
+            manifest.decode(data)
--- /dev/null
+++ b/tests/adapter/test_servers.py
@@ -0,0 +1,78 @@
+import json
+import unittest
+
+import hypothesis
+from adapter import servers
+from hypothesis import strategies
+
+from teaselsill import upstream_list
+
+ENTRY = {
+    "Service": "huvo11a",
+    "Address": "10.128.0.9:8080",
+    "Zone": "chaguanas",
+    "Version": "v1",
+    "Slots": 128,
+    "State": "ready",
+    "ColdLeftMs": 0,
+    "Seq": 4,
+    "born": 1784002132479,
+}
+
+
+def decode(**fields):
+    entry = {k: v for k, v in (ENTRY | fields).items() if v is not ...}
+    return servers.decode("i-1", json.dumps(entry).encode())
+
+
+class DecodeTest(unittest.TestCase):
+    def test_decodes_every_field(self):
+        upstream = decode()
+        self.assertEqual(("i-1", 1784002132479), (upstream.id, upstream.born_ms))
+        self.assertEqual(("10.128.0.9", 8080), (upstream.host, upstream.port))
+        self.assertEqual("huvo11a", upstream.service)
+        self.assertEqual(upstream_list.State.READY, upstream.state)
+        leaving = decode(State="draining")
+        self.assertEqual(upstream_list.State.LEAVING, leaving.state)
+
+    def test_heartbeat_changes_nothing(self):
+        self.assertEqual(decode(), decode(Seq=5))
+
+    def test_malformed_entry_names_no_server(self):
+        for fields in (
+            {"Service": ...},
+            {"Service": 5},
+            {"Address": ...},
+            {"Address": "10.128.0.9"},
+            {"Address": "10.128.0.9:http"},
+            {"Address": "10.128.0.9:99999"},
+            {"State": "resting"},
+            {"State": ...},
+            {"Slots": "128"},
+            {"born": "1784002132479"},
+            {"born": 1.5},
+        ):
+            with self.subTest(fields=fields), self.assertRaises(servers.EntryError):
+                decode(**fields)
+
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes_are_a_server_or_a_fault(self, data):
+        with self.assertRaises(servers.EntryError):
+            servers.decode("i-1", data)
+
+    @hypothesis.given(
+        strategies.sampled_from(sorted(ENTRY)),
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers()
+            | strategies.floats(allow_nan=False, allow_infinity=False)
+            | strategies.text(max_size=10),
+            lambda inner: strategies.lists(inner, max_size=2),
+        ),
+    )
+    def test_any_field_value_is_decoded_or_a_fault(self, name, value):
+        try:
+            decode(**{name: value})
+        except servers.EntryError:
+            pass
--- /dev/null
+++ b/tests/adapter/test_words.py
@@ -0,0 +1,141 @@
+import unittest
+
+import hypothesis
+from adapter import words
+from hypothesis import strategies
+
+from teaselsill import calls, http_messages, ids
+from tests import test_upstream_list
+
+HEADERS = [
+    ("host", "a.example"),
+    ("teaselsill-attempt-id", "9c41"),
+    ("teaselsill-time-budget-ms", "1500"),
+    ("authorization", "Bearer key1"),
+    ("teaselsill-token-usage", "1460,80"),
+    ("teaselsill-length-hint", "33"),
+    ("teaselsill-prompt-prefix", "5c:800,91:410,e4:250"),
+    ("teaselsill-tenant", "forged"),
+    ("teaselsill-hold", "h"),
+    ("teaselsill-pin-ms", "9"),
+    ("kv-from", "10.0.0.1:1/x"),
+    ("teaselsill-kv-backup", "10.0.0.1:1"),
+    ("kv-fetch", "10.0.0.1:1"),
+    ("connection", "keep-alive"),
+    ("x-own", "kept"),
+]
+UPSTREAM = test_upstream_list.make_upstream("i-1", host="10.0.0.9", port=80)
+
+
+def make_message(headers, target="/x/1"):
+    return http_messages.Request("POST", target, headers, b"body", True, "1.1")
+
+
+def read(headers, **fields):
+    return words.Words().read_call(make_message(headers, **fields), 0.0)
+
+
+def replaced(name, value):
+    return [(n, value if n == name else v) for n, v in HEADERS]
+
+
+class ReadCallTest(unittest.TestCase):
+    def test_decodes_every_field(self):
+        call = read(HEADERS)
+        self.assertEqual("9c41", call.id)
+        self.assertEqual(1.5, call.budget_s)
+        self.assertEqual("key1", call.key)
+        self.assertEqual((1460, 80, 33), (
+            call.prompt_tokens, call.output_tokens, call.expected_output_tokens,
+        ))  # fmt: skip
+        self.assertEqual([("5c", 800), ("91", 410), ("e4", 250)], list(call.parts))
+
+    def test_refuses_what_cannot_be_served(self):
+        for headers, target in (
+            ([h for h in HEADERS if h[0] != words.REQUEST_ID], "/x"),
+            ([*HEADERS, (words.REQUEST_ID, "2")], "/x"),
+            (replaced(words.BUDGET_MS, "soon"), "/x"),
+            (replaced(words.BUDGET_MS, "-1"), "/x"),
+            (replaced(words.BUDGET_MS, "nan"), "/x"),
+            (HEADERS, "http://a.example/x"),
+        ):
+            with (
+                self.subTest(headers=headers, target=target),
+                self.assertRaises(calls.BadCallError),
+            ):
+                read(headers, target=target)
+
+    def test_malformed_hints_are_only_hints(self):
+        call = read(replaced(words.PROMPT_PARTS, "5c:800,91"))
+        self.assertEqual([("5c", 800)], list(call.parts))
+        self.assertEqual(0, read(replaced(words.TOKENS, "x,y")).prompt_tokens)
+
+    @hypothesis.given(strategies.text(max_size=30))
+    def test_any_value_is_decoded_or_refused(self, value):
+        for name, _ in HEADERS:
+            try:
+                read(replaced(name, value))
+            except calls.BadCallError:
+                pass
+
+
+class MakeHeadersTest(unittest.TestCase):
+    def make(self, account="acc", last_event=None, fetch_from=None):
+        headers = words.Words().make_headers(
+            read(HEADERS), UPSTREAM, account, 0.75, last_event, fetch_from
+        )
+        self.assertEqual(len(headers), len({name for name, _ in headers}))
+        return dict(headers)
+
+    def test_sets_its_own_and_drops_forged_ones(self):
+        headers = self.make()
+        self.assertEqual("750", headers["teaselsill-time-budget-ms"])
+        self.assertEqual("i-1", headers["teaselsill-expect-instance"])
+        self.assertEqual("acc", headers["teaselsill-tenant"])
+        self.assertEqual("kept", headers["x-own"])
+        for name in (
+            "authorization",
+            "teaselsill-hold",
+            "teaselsill-pin-ms",
+            "kv-from",
+            "teaselsill-kv-backup",
+            "kv-fetch",
+            "connection",
+        ):
+            self.assertNotIn(name, headers)
+
+    def test_public_route_has_no_account(self):
+        self.assertNotIn("teaselsill-tenant", self.make(account=None))
+
+    def test_resumption_and_copy(self):
+        headers = self.make(last_event="12", fetch_from=UPSTREAM)
+        self.assertEqual("12", headers["last-event-id"])
+        self.assertEqual("10.0.0.9:80", headers["kv-fetch"])
+
+
+class ReadAnswerTest(unittest.TestCase):
+    def read(self, status, *headers):
+        head = http_messages.Head(
+            status, "", list(headers), http_messages.Framing.LENGTH, True
+        )
+        return words.Words().read_answer(head)
+
+    def test_only_the_mark_or_another_instance_means_not_run(self):
+        self.assertFalse(self.read(503).has_not_run)
+        self.assertTrue(self.read(503, (words.NOT_RUN, "1")).has_not_run)
+        notes = self.read(421)
+        self.assertTrue(notes.has_not_run and notes.is_wrong_instance)
+
+    def test_load_and_idle_timeout(self):
+        notes = self.read(200, (words.LOAD, "3,1,8"), (words.KEEP_ALIVE, "timeout=5"))
+        self.assertEqual((3, 1, 5.0), (
+            notes.running, notes.waiting, notes.idle_timeout_s,
+        ))  # fmt: skip
+        self.assertIsNone(self.read(200, (words.LOAD, "3,x,8")).running)
+
+    def test_refusal_names_the_request_and_when_to_return(self):
+        call = read(HEADERS)
+        headers = dict(words.Words().make_refusal_headers(call, 1.5))
+        self.assertEqual("9c41", headers["teaselsill-attempt-id"])
+        self.assertEqual("1.50", headers["retry-after"])
+        self.assertEqual(ids.RequestId("9c41"), call.id)
--- /dev/null
+++ b/tests/entry_bench.py
@@ -0,0 +1,308 @@
+"""An entry router in this process, before upstreams that do what a test scripts."""
+
+import asyncio
+import contextlib
+
+from teaselsill import (
+    admission,
+    calls,
+    directory,
+    entry_metrics,
+    entry_router,
+    fleet_view,
+    forwarding,
+    http_messages,
+    ids,
+    tcp_stream,
+)
+from tests import test_routing_table, test_upstream_list
+
+HOST = "127.0.0.1"
+SERVICE = ids.ServiceName("s")
+BUDGET = forwarding.BudgetPolicy(ratio=1.0, window_s=10.0, floor=5.0)
+
+
+class PlainDialect(calls.Dialect):
+    """Reads `id`, `budget-ms`, `last` and writes the same names."""
+
+    def read_call(self, message, received_at):
+        """See `Dialect.read_call`."""
+        request = message.get("id")
+        if request is None:
+            raise calls.BadCallError("no id")
+        budget_ms = message.get("budget-ms")
+        return calls.Call(
+            id=ids.RequestId(request),
+            message=message,
+            received_at=received_at,
+            budget_s=float(budget_ms) / 1000 if budget_ms else None,
+            key=message.get("key"),
+        )
+
+    def make_headers(self, call, target, account, left_s, last_event, fetch_from):
+        """See `Dialect.make_headers`."""
+        headers = [h for h in call.message.headers if h[0] not in ("budget-ms", "key")]
+        headers.append(("budget-ms", str(int(left_s * 1000))))
+        if last_event is not None:
+            headers.append(("last", last_event))
+        return headers
+
+    def read_answer(self, head):
+        """See `Dialect.read_answer`."""
+        return calls.AnswerNotes(
+            request=head.get("id"),
+            has_not_run=head.get("not-run") is not None,
+            is_wrong_instance=head.status == 421,
+            is_sealed=head.get("seal") is not None,
+        )
+
+    def make_refusal_headers(self, call, retry_after_s):
+        """See `Dialect.make_refusal_headers`."""
+        if retry_after_s is None:
+            return []
+        return [("retry-after", f"{retry_after_s:.2f}")]
+
+
+class ScriptedUpstream:
+    """A server that answers each request as a script says.
+
+    Args:
+        name: Its id.
+        script: Takes the request, the connection's writer and this object.
+
+    Attributes:
+        requests: The requests that it has received.
+        connections: How many connections it has accepted.
+        cut: Set when the router has closed a connection while a script ran.
+    """
+
+    def __init__(self, name, script):
+        self.name = name
+        self.requests = []
+        self.connections = 0
+        self.cut = asyncio.Event()
+        self._script = script
+        self._server = None
+        self._tasks = set()
+
+    async def __aenter__(self):
+        """Starts it."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: tcp_stream.AcceptedStream(self._accept), HOST, 0
+        )
+        return self
+
+    async def __aexit__(self, *exc):
+        """Stops it."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def describe(self, state=None):
+        """Returns its entry in the list of upstreams."""
+        return test_upstream_list.make_upstream(
+            self.name,
+            host=HOST,
+            port=self._server.sockets[0].getsockname()[1],
+            **({"state": state} if state else {}),
+        )
+
+    async def wait_cut(self):
+        """Waits until the router has closed a connection while a script ran."""
+        async with asyncio.timeout(5.0):
+            await self.cut.wait()
+
+    def _accept(self, stream):
+        self.connections += 1
+        task = asyncio.create_task(self._serve(stream))
+        self._tasks.add(task)
+
+    async def _serve(self, stream):
+        parser = http_messages.RequestParser(100_000, 1_000_000)
+        try:
+            while data := await stream.read():
+                parser.feed(data)
+                while (request := parser.take()) is not None:
+                    self.requests.append(request)
+                    await self._run_script(request, stream)
+        except tcp_stream.ConnectionResetError:
+            pass
+        finally:
+            stream.abort()
+
+    async def _run_script(self, request, stream):
+        running = asyncio.create_task(self._script(request, stream))
+        leaving = asyncio.create_task(stream.wait_left())
+        await asyncio.wait({running, leaving}, return_when=asyncio.FIRST_COMPLETED)
+        leaving.cancel()
+        if running.done():
+            running.result()
+            return
+        running.cancel()
+        self.cut.set()
+
+
+def answer(request, body=b"ok", status=200, headers=()):
+    """Returns the bytes of a whole answer."""
+    fields = [
+        ("id", request.get("id")),
+        ("seal", "s"),
+        ("content-length", str(len(body))),
+        *headers,
+    ]
+    return http_messages.encode_head(status, "X", fields) + body
+
+
+def stream_head(request):
+    """Returns the head of a stream of events."""
+    fields = [
+        ("id", request.get("id")),
+        ("seal", "s"),
+        ("content-type", "text/event-stream"),
+        ("transfer-encoding", "chunked"),
+    ]
+    return http_messages.encode_head(200, "OK", fields)
+
+
+def event(number):
+    """Returns one event, as a chunk."""
+    return http_messages.encode_chunk(b"id: %d\ndata: x\n\n" % number)
+
+
+async def say_ok(request, stream):
+    """A script that answers at once."""
+    stream.write(answer(request))
+
+
+class EntryBench(contextlib.AsyncExitStack):
+    """An entry router and its upstreams.
+
+    Args:
+        upstreams: The upstreams.
+        fields: Fields of the one route.
+
+    Attributes:
+        router: The router.
+        forwarder: Its forwarder.
+        known: Its directory.
+    """
+
+    def __init__(self, upstreams, **fields):
+        super().__init__()
+        self._upstreams = upstreams
+        self._fields = fields
+        self.known = directory.Directory()
+        view = fleet_view.FleetView(ids.InstanceId("r"), self.known)
+        self.forwarder = forwarding.Forwarder(
+            PlainDialect(),
+            self.known,
+            ids.DataCentre("a"),
+            BUDGET,
+            view,
+            admission.Admission(view.usage),
+            entry_metrics.EntryMetrics(self.known),
+        )
+        self.router = entry_router.EntryRouter(
+            self.forwarder, self.known, lambda: True, grace_s=8.0
+        )
+        self.port = 0
+
+    async def __aenter__(self):
+        """Starts all."""
+        for upstream in self._upstreams:
+            await self.enter_async_context(upstream)
+            self.known.listed.put(upstream.describe())
+        self.follow()
+        await self.router.listen(HOST, 0)
+        self.port = self.router.addresses[0][1]
+        return self
+
+    async def __aexit__(self, *exc):
+        """Stops all."""
+        self.router.close()
+        return await super().__aexit__(*exc)
+
+    def follow(self, version=1, keys=None, **fields):
+        """Puts a configuration into force."""
+        route = test_routing_table.make_route(**(self._fields | fields))
+        self.forwarder.follow(test_routing_table.make_table([route], version, keys))
+
+    async def connect(self):
+        """Returns a connection of a caller."""
+        return Caller(await tcp_stream.connect(HOST, self.port, 1.0))
+
+    async def ask(self, request="1", **fields):
+        """Sends one request on its own connection and returns the answer."""
+        caller = await self.connect()
+        try:
+            return await caller.ask(request, **fields)
+        finally:
+            caller.leave()
+
+
+class Caller:
+    """A caller's connection.
+
+    Attributes:
+        received: All bytes that have come since the last request.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.received = b""
+
+    def send(self, request="1", path="/x/1", method="POST", body=b"", **headers):
+        """Sends a request."""
+        fields = [("host", "a.example"), ("id", request)]
+        fields += [(name.replace("_", "-"), value) for name, value in headers.items()]
+        self.received = b""
+        self._stream.write(http_messages.encode_request(method, path, fields, body))
+
+    def send_bytes(self, data):
+        """Sends any bytes."""
+        self._stream.write(data)
+
+    async def ask(self, request="1", **fields):
+        """Sends a request and returns the whole answer; see `receive`."""
+        self.send(request, **fields)
+        return await self.receive()
+
+    async def receive(self):
+        """Returns the status, the body and whether the answer was complete."""
+        parser = http_messages.AnswerParser("POST")
+        status, body = 0, b""
+        async with asyncio.timeout(5.0):
+            while not parser.is_complete:
+                try:
+                    data = await self._stream.read()
+                    self.received += data
+                    parts = parser.feed(data) if data else parser.close()
+                except (
+                    tcp_stream.ConnectionResetError,
+                    http_messages.BrokenAnswerError,
+                ):
+                    return status, body, False
+                for part in parts:
+                    match part:
+                        case http_messages.Head():
+                            status = part.status
+                        case http_messages.Data(data=data):
+                            body += data
+        return status, body, True
+
+    async def receive_until(self, mark):
+        """Waits until some bytes have come."""
+        async with asyncio.timeout(5.0):
+            while mark not in self.received:
+                self.received += await self._stream.read()
+
+    async def wait_closed(self):
+        """Waits until the router closes the connection."""
+        async with asyncio.timeout(5.0):
+            await self._stream.wait_left()
+
+    def leave(self):
+        """Closes the connection."""
+        self._stream.abort()
--- /dev/null
+++ b/tests/test_account_usage.py
@@ -0,0 +1,42 @@
+import math
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from teaselsill import account_usage, ids
+
+HEAVY, LIGHT = ids.AccountId("heavy"), ids.AccountId("light")
+
+
+class FindLevelTest(unittest.TestCase):
+    def test_small_demands_are_met_whole(self):
+        self.assertEqual(45, account_usage.find_level([10, 100, 100], 100))
+
+    def test_no_level_if_there_is_enough(self):
+        self.assertEqual(math.inf, account_usage.find_level([10, 20], 100))
+
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.1, 1e6), min_size=1),
+        strategies.floats(0.1, 1e6),
+    )
+    def test_level_uses_the_capacity(self, demands, capacity):
+        level = account_usage.find_level(demands, capacity)
+        given = sum(min(level, demand) for demand in demands)
+        self.assertAlmostEqual(min(capacity, sum(demands)), given, delta=1e-6 * given)
+
+
+class AccountUsageTest(unittest.TestCase):
+    def test_ratio_shows_who_has_more_than_its_share(self):
+        usage = account_usage.AccountUsage()
+        usage.add(HEAVY, asked=1000, admitted=600, now=0.0)
+        usage.add(LIGHT, asked=300, admitted=100, now=0.0)
+        self.assertGreater(usage.find_ratio(HEAVY, 0.0), 1)
+        self.assertLess(usage.find_ratio(LIGHT, 0.0), 1)
+
+    def test_use_fades(self):
+        usage = account_usage.AccountUsage()
+        usage.add(HEAVY, 1000, 600, 0.0)
+        usage.add(LIGHT, 1000, 100, 0.0)
+        usage.add(LIGHT, 1000, 700, 10.0)
+        self.assertLess(usage.find_ratio(HEAVY, 10.0), 0.1)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,84 @@
+import unittest
+
+from teaselsill import (
+    account_usage,
+    admission,
+    engine_queue,
+    ids,
+    placement,
+    rejections,
+)
+from tests import test_placement, test_routing_table
+
+HEAVY, LIGHT = ids.AccountId("heavy"), ids.AccountId("light")
+CALL = test_placement.make_call(("session", 500), ("own", 500))
+TICKS = 1000
+TOKENS = 2_000
+ROUTE = test_routing_table.make_route(objective_s=0.4)
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self):
+        self.usage = account_usage.AccountUsage()
+        self.admission = admission.Admission(self.usage)
+        self.candidate = test_placement.make_candidate("u")
+        self.choice = placement.Choice(self.candidate, 1000, 0.0)
+
+    def is_admitted(self, account, now=0.0):
+        try:
+            self.admission.check(CALL, ROUTE, account, self.choice, now)
+        except rejections.RejectedError as error:
+            self.assertIn(error.cause.status, (429, 503))
+            self.assertGreater(error.retry_after_s, 0)
+            return False
+        return True
+
+    def test_idle_engine_takes_all(self):
+        self.usage.add(HEAVY, 1_000_000, 1_000_000, 0.0)
+        self.usage.add(LIGHT, 1_000_000, 10, 0.0)
+        self.assertTrue(self.is_admitted(HEAVY))
+
+    def test_long_queue_takes_nobody(self):
+        self.candidate.queue.add(100_000, 0.0)
+        self.assertFalse(self.is_admitted(LIGHT))
+
+    def test_plain_call_is_not_held_to_a_queue(self):
+        self.candidate.queue.add(100_000, 0.0)
+        call = test_placement.make_call()
+        self.admission.check(call, ROUTE, LIGHT, self.choice, 0.0)
+
+    def play(self, asked_by_account):
+        """Plays 10 s of a steady load and returns the part of it that was admitted.
+
+        Args:
+            asked_by_account: What each account asks for, in requests a tick of 10 ms.
+        """
+        admitted = dict.fromkeys(asked_by_account, 0)
+        owed = dict.fromkeys(asked_by_account, 0.0)
+        for tick in range(TICKS):
+            now = tick * 0.01
+            for account, requests in asked_by_account.items():
+                owed[account] += requests
+                while owed[account] >= 1:
+                    owed[account] -= 1
+                    admitted[account] += self.ask(account, now)
+        return {a: n / TICKS / asked_by_account[a] for a, n in admitted.items()}
+
+    def ask(self, account, now):
+        self.usage.add(account, TOKENS, 0, now)
+        if not self.is_admitted(account, now):
+            return 0
+        self.usage.add(account, 0, TOKENS, now)
+        self.candidate.queue.add(TOKENS, now)
+        return 1
+
+    def test_flood_leaves_the_wait_to_the_others(self):
+        served = self.play({HEAVY: 5.0, LIGHT: 0.1})
+        self.assertGreaterEqual(served[LIGHT], 0.99)
+        used = (5.0 * served[HEAVY] + 0.1 * served[LIGHT]) * 100 * TOKENS
+        usable = engine_queue.FIRST_RATE * engine_queue.USABLE_RATIO
+        self.assertGreater(used, 0.9 * usable)
+
+    def test_two_floods_share_evenly(self):
+        served = self.play({HEAVY: 5.0, LIGHT: 0.5})
+        self.assertAlmostEqual(5.0 * served[HEAVY], 0.5 * served[LIGHT], delta=0.03)
--- /dev/null
+++ b/tests/test_http_messages.py
@@ -0,0 +1,189 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from teaselsill import http_messages
+
+
+def parse_requests(data, head_bytes=1000, body_bytes=1000):
+    parser = http_messages.RequestParser(head_bytes, body_bytes)
+    parser.feed(data)
+    found = []
+    while (request := parser.take()) is not None:
+        found.append(request)
+    return found
+
+
+class RequestParserTest(unittest.TestCase):
+    def test_takes_two_requests_of_one_read(self):
+        first, second = parse_requests(
+            b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+            b"GET /b/?q=1 HTTP/1.1\r\nHost: y\r\nConnection: close\r\n\r\n"
+        )
+        self.assertEqual(("POST", b"abc", True), (first.method, first.body, True))
+        self.assertEqual("/b/", second.path)
+        self.assertEqual("/b/?q=1", second.target)
+        self.assertFalse(second.keep_alive)
+
+    def test_joins_chunks(self):
+        (request,) = parse_requests(
+            b"POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(b"abcde", request.body)
+
+    def test_refuses_ambiguous_framing(self):
+        for headers in (
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked",
+            b"Content-Length: 3\r\nContent-Length: 4",
+            b"Content-Length: 3\r\nContent-Length: 3",
+            b"Content-Length: +3",
+            b"Transfer-Encoding: xchunked",
+            b"Transfer-Encoding: chunked, identity",
+            b"Content-Length : 3",
+        ):
+            with (
+                self.subTest(headers=headers),
+                self.assertRaises(http_messages.MalformedMessageError),
+            ):
+                parse_requests(b"POST / HTTP/1.1\r\n" + headers + b"\r\n\r\nabc")
+
+    def test_refuses_a_large_head_before_it_ends(self):
+        with self.assertRaises(http_messages.HeadTooLargeError):
+            parse_requests(b"GET / HTTP/1.1\r\nX: " + b"x" * 2000)
+
+    def test_refuses_a_large_body_at_its_head(self):
+        with self.assertRaises(http_messages.BodyTooLargeError):
+            parse_requests(b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n")
+
+    def test_refuses_a_large_chunked_body(self):
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with self.assertRaises(http_messages.BodyTooLargeError):
+            parse_requests(head + b"3e9\r\n" + b"x" * 1001 + b"\r\n0\r\n\r\n")
+
+    def test_tells_when_a_caller_waits_for_leave(self):
+        parser = http_messages.RequestParser(1000, 1000)
+        parser.feed(
+            b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        )
+        self.assertTrue(parser.expects_continue)
+        self.assertTrue(parser.is_midway)
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_any_bytes_give_requests_or_a_fault(self, data):
+        try:
+            parse_requests(data)
+        except http_messages.MalformedMessageError:
+            pass
+
+
+class AnswerParserTest(unittest.TestCase):
+    def feed(self, parser, *pieces):
+        return [part for piece in pieces for part in parser.feed(piece)]
+
+    def test_finds_the_end_of_each_framing(self):
+        for head, body, framing in (
+            (b"Content-Length: 3", b"abc", http_messages.Framing.LENGTH),
+            (
+                b"Transfer-Encoding: chunked",
+                b"3\r\nabc\r\n0\r\n\r\n",
+                http_messages.Framing.CHUNKED,
+            ),
+        ):
+            with self.subTest(framing=framing):
+                parser = http_messages.AnswerParser("GET")
+                parts = self.feed(parser, b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n")
+                parts += self.feed(parser, body)
+                self.assertEqual(framing, parts[0].framing)
+                self.assertEqual(
+                    [http_messages.Data(b"abc"), http_messages.End()], parts[1:]
+                )
+                self.assertFalse(parser.has_extra)
+
+    def test_answer_without_length_ends_with_its_connection(self):
+        parser = http_messages.AnswerParser("GET")
+        parts = self.feed(parser, b"HTTP/1.1 200 OK\r\n\r\nab", b"c")
+        self.assertNotIn(http_messages.End(), parts)
+        self.assertEqual([http_messages.End()], parser.close())
+
+    def test_cut_answer_is_broken(self):
+        parser = http_messages.AnswerParser("GET")
+        self.feed(parser, b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab")
+        with self.assertRaises(http_messages.BrokenAnswerError):
+            parser.close()
+
+    def test_bytes_after_the_answer_are_extra(self):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+        for extra in (answer, b"garbage", b"\r\nHTTP/1.1 500 X\r\n\r\n"):
+            with self.subTest(extra=extra):
+                parser = http_messages.AnswerParser("GET")
+                parts = self.feed(parser, answer + extra)
+                self.assertEqual(
+                    [http_messages.Data(b"a"), http_messages.End()], parts[1:]
+                )
+                self.assertTrue(parser.has_extra)
+
+    def test_skips_an_answer_to_another_request(self):
+        def is_expected(head):
+            return head.get("id") == "2"
+
+        parser = http_messages.AnswerParser("GET", is_expected)
+        other = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"
+        own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nown"
+        parts = self.feed(parser, other[:-2], other[-2:] + own)
+        self.assertEqual([http_messages.Data(b"own"), http_messages.End()], parts[1:])
+        self.assertTrue(parser.has_extra)
+
+    def test_interim_answers_are_skipped(self):
+        parser = http_messages.AnswerParser("POST")
+        parts = self.feed(
+            parser,
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        )
+        self.assertEqual(200, parts[0].status)
+        self.assertEqual(http_messages.End(), parts[-1])
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_any_bytes_give_parts_or_a_fault(self, data):
+        parser = http_messages.AnswerParser("GET")
+        try:
+            parser.feed(data)
+            parser.close()
+        except (
+            http_messages.MalformedMessageError,
+            http_messages.BrokenAnswerError,
+        ):
+            pass
+
+    @hypothesis.given(strategies.binary(min_size=1, max_size=60), strategies.data())
+    def test_body_does_not_depend_on_where_reads_end(self, body, data):
+        answer = http_messages.encode_head(
+            200, "OK", [("transfer-encoding", "chunked")]
+        )
+        answer += http_messages.encode_chunk(body) + http_messages.END_OF_CHUNKS
+        cut = data.draw(strategies.integers(1, len(answer) - 1))
+        parser = http_messages.AnswerParser("GET")
+        parts = self.feed(parser, answer[:cut], answer[cut:])
+        received = b"".join(p.data for p in parts if isinstance(p, http_messages.Data))
+        self.assertEqual(body, received)
+        self.assertTrue(parser.is_complete)
+
+
+class HeadersTest(unittest.TestCase):
+    def test_drops_headers_of_the_connection(self):
+        headers = [
+            ("host", "a"),
+            ("connection", "close, X-Mine"),
+            ("x-mine", "1"),
+            ("keep-alive", "timeout=5"),
+            ("x-other", "2"),
+        ]
+        self.assertEqual(
+            [("host", "a"), ("x-other", "2")],
+            http_messages.drop_connection_headers(headers),
+        )
+
+    def test_header_that_stands_twice_has_no_value(self):
+        self.assertIsNone(http_messages.get_header([("a", "1"), ("a", "2")], "a"))
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,106 @@
+import unittest
+
+from teaselsill import (
+    calls,
+    engine_queue,
+    http_messages,
+    ids,
+    placement,
+    prompt_memory,
+    upstream_health,
+    upstream_load,
+)
+from tests import test_upstream_list
+
+HERE = ids.DataCentre("a")
+
+
+def make_candidate(name, data_centre="a", memory_tokens=100_000):
+    upstream = test_upstream_list.make_upstream(
+        name, data_centre=ids.DataCentre(data_centre)
+    )
+    return placement.Candidate(
+        upstream=upstream,
+        load=upstream_load.UpstreamLoad(),
+        memory=prompt_memory.PromptMemory(memory_tokens),
+        queue=engine_queue.EngineQueue(),
+        health=upstream_health.UpstreamHealth(upstream.id),
+    )
+
+
+def make_call(*parts, request="1"):
+    message = http_messages.Request("POST", "/x/", [], b"", True, "1.1")
+    parts = tuple(calls.PromptPart(*part) for part in parts)
+    return calls.Call(
+        id=ids.RequestId(request),
+        message=message,
+        received_at=0.0,
+        parts=parts,
+        prompt_tokens=sum(part.tokens for part in parts),
+    )
+
+
+def choose(call, candidates, now=0.0):
+    return placement.choose(call, candidates, HERE, now)
+
+
+class ChooseTest(unittest.TestCase):
+    def test_nothing_to_choose_from(self):
+        self.assertIsNone(choose(make_call(), []))
+        self.assertIsNone(choose(make_call(("a", 1), ("b", 1)), []))
+
+    def test_plain_call_goes_to_the_least_loaded_and_nearest(self):
+        near, far = make_candidate("near"), make_candidate("far", "b")
+        self.assertIs(near, choose(make_call(), [far, near]).candidate)
+        for _ in range(2):
+            near.load.add(upstream_load.Work(0, 0, 0.0))
+        self.assertIs(far, choose(make_call(), [far, near]).candidate)
+
+    def test_first_request_for_a_shared_part_goes_to_its_home(self):
+        names = [f"u{n}" for n in range(5)]
+        call = make_call(("tool", 500), ("session", 4000), ("own", 1000))
+        chosen = set()
+        for order in (names, names[::-1]):
+            candidates = [make_candidate(name) for name in order]
+            chosen.add(choose(call, candidates).candidate.upstream.id)
+        self.assertEqual(1, len(chosen))
+
+    def test_homes_are_spread(self):
+        candidates = [make_candidate(f"u{n}") for n in range(5)]
+        homes = [
+            placement.find_home(make_call((f"s{n}", 9), ("own", 1)), candidates)
+            for n in range(500)
+        ]
+        counts = [homes.count(candidate) for candidate in candidates]
+        self.assertTrue(all(60 < count < 140 for count in counts), counts)
+
+    def test_busy_holder_lends_its_memory_to_an_idle_engine(self):
+        call = make_call(("session", 4000), ("own", 1000))
+        holder, idle = make_candidate("holder"), make_candidate("idle")
+        holder.memory.note_read(call.parts[:1])
+        choice = choose(call, [holder, idle])
+        self.assertIs(holder, choice.candidate)
+        self.assertIsNone(choice.fetch_from)
+        self.assertEqual(1000, choice.unread_tokens)
+        holder.queue.add(20_000, 0.0)
+        choice = choose(call, [holder, idle])
+        self.assertIs(idle, choice.candidate)
+        self.assertIs(holder.upstream, choice.fetch_from)
+        self.assertEqual(1000, choice.unread_tokens)
+
+    def test_silent_upstream_is_avoided(self):
+        silent, other = make_candidate("silent"), make_candidate("other")
+        silent.load.add(upstream_load.Work(10, 10, 0.0))
+        for _ in range(3):
+            other.load.add(upstream_load.Work(10, 10, 1.0))
+        chosen = choose(make_call(), [silent, other], now=1.0)
+        self.assertIs(other, chosen.candidate)
+        self.assertIsNotNone(choose(make_call(), [silent], now=1.0))
+
+    def test_failing_upstream_is_avoided_then_tried_again(self):
+        grey, other = make_candidate("grey"), make_candidate("other", "b")
+        for _ in range(upstream_health.MIN_FAILURES):
+            grey.health.note(upstream_health.Result.FAILED, 0.0)
+        self.assertIs(other, choose(make_call(), [grey, other], 0.1).candidate)
+        later = upstream_health.AVOIDED_S + 0.1
+        self.assertIs(grey, choose(make_call(), [grey, other], later).candidate)
--- /dev/null
+++ b/tests/test_upstream_list.py
@@ -0,0 +1,59 @@
+import unittest
+
+from teaselsill import ids, upstream_list
+
+
+def make_upstream(name="u", born_ms=1, state=upstream_list.State.READY, **fields):
+    defaults = {
+        "service": ids.ServiceName("s"),
+        "host": "127.0.0.1",
+        "port": 1,
+        "data_centre": ids.DataCentre("a"),
+        "slots": 4,
+    }
+    return upstream_list.Upstream(
+        id=ids.UpstreamId(name), born_ms=born_ms, state=state, **(defaults | fields)
+    )
+
+
+class UpstreamListTest(unittest.TestCase):
+    def setUp(self):
+        self.listed = upstream_list.UpstreamList()
+
+    def usable(self):
+        return [u.id for u in self.listed.usable(ids.ServiceName("s"))]
+
+    def test_leaving_upstream_gets_nothing(self):
+        self.listed.put(make_upstream())
+        self.listed.put(make_upstream(state=upstream_list.State.LEAVING))
+        self.assertEqual([], self.usable())
+
+    def test_late_heartbeat_does_not_undo_leaving(self):
+        self.listed.put(make_upstream(state=upstream_list.State.LEAVING))
+        self.listed.put(make_upstream())
+        self.assertEqual([], self.usable())
+
+    def test_new_life_under_the_same_id_is_used(self):
+        self.listed.put(make_upstream(state=upstream_list.State.LEAVING))
+        self.listed.put(make_upstream(born_ms=2))
+        self.assertEqual(["u"], self.usable())
+
+    def test_entry_of_an_earlier_life_is_ignored(self):
+        self.listed.put(make_upstream(born_ms=2))
+        self.listed.put(make_upstream(state=upstream_list.State.LEAVING))
+        self.assertEqual(["u"], self.usable())
+
+    def test_removed_entry_is_gone_at_once(self):
+        self.listed.put(make_upstream())
+        self.listed.remove(ids.UpstreamId("u"), 10.0)
+        self.assertEqual([], self.usable())
+
+    def test_entry_lost_in_an_outage_is_kept_for_a_moment(self):
+        self.listed.put(make_upstream("back"))
+        self.listed.put(make_upstream("gone"))
+        self.listed.note_outage(10.0)
+        self.listed.keep_only(set(), 10.0)
+        self.assertEqual(["back", "gone"], self.usable())
+        self.listed.put(make_upstream("back"))
+        self.listed.expire(10.0 + upstream_list.GRACE_AFTER_OUTAGE_S)
+        self.assertEqual(["back"], self.usable())
