Read the store less often: the first router to see a change tells the others

Change: reports carry the offset of the last change seen in each topic; reads are spread over the routers; sums are kept as reports come; work is told where it has changed.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -96,6 +96,8 @@
         self._misplaced &= lives
         for pool in self._pool_by_life.values():
             pool.drop_stale(now)
+        for candidate in self._candidate_by_life.values():
+            candidate.load.forget_silent_peers(now)
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -1,6 +1,7 @@
 """What a router knows of the work of all routers: its own and what the others tell."""
 
 import asyncio
+import collections.abc
 
 from teaselsill import (
     account_usage,
@@ -9,32 +10,62 @@
     ids,
     peer_reports,
     placement,
+    upstream_load,
 )
 
+TELL_ALL_S = 0.5
+HEARD_S = 1.5
+"""A router counts as heard for so long after a report."""
 OUTPUT_WEIGHT = 2
 """The cost of a generated token, in prompt tokens."""
 
 
+OnSeen = collections.abc.Callable[[str, ids.Offset], None]
+
+
 class FleetView:
     """Joins the work of this router and of the others.
 
     Args:
         router: This router.
         known: The upstreams.
+        on_seen: Called with a topic of the platform's log and the offset of a change
+            that another router has seen there.
 
     Attributes:
         usage: What the client accounts use.
     """
 
-    def __init__(self, router: ids.InstanceId, known: directory.Directory):
+    def __init__(
+        self,
+        router: ids.InstanceId,
+        known: directory.Directory,
+        on_seen: OnSeen = lambda topic, offset: None,
+    ):
+        self._seen_by_topic: dict[str, ids.Offset] = {}
+        self._has_seen_change = False
         self.usage = account_usage.AccountUsage()
         self._directory = known
         self._notebook = peer_reports.Notebook(router)
+        self._told: dict[ids.UpstreamId, upstream_load.Summary] = {}
+        self._told_all_at = float("-inf")
+        self._heard_at_by_router: dict[ids.InstanceId, float] = {}
+        self._on_seen = on_seen
 
     @property
     def has_news(self) -> bool:
         """Whether there is something new to tell the others."""
-        return not self._notebook.is_empty
+        return self._has_seen_change or not self._notebook.is_empty
+
+    def note_seen(self, topic: str, offset: ids.Offset) -> None:
+        """Takes note of a change in the platform's log, to tell the others."""
+        self._seen_by_topic[topic] = offset
+        self._has_seen_change = True
+
+    def count_heard(self) -> int:
+        """Returns how many other routers have been heard of late."""
+        now = self._now()
+        return sum(now - at <= HEARD_S for at in self._heard_at_by_router.values())
 
     def note_asked(self, account: ids.AccountId | None, call: calls.Call) -> None:
         """Takes note of a request that this router has received."""
@@ -79,12 +110,31 @@
         self._update_outstanding(candidate, self._now())
 
     def take_report(self) -> peer_reports.Report:
-        """Returns what the others have not been told yet."""
-        return self._notebook.take(self._directory.summarize())
+        """Returns what the others have not been told yet.
+
+        Work that has not changed is told again from time to time, since others forget
+        what they have not heard for long.
+        """
+        now = self._now()
+        work_by_upstream = self._directory.summarize()
+        if now - self._told_all_at > TELL_ALL_S:
+            self._told_all_at = now
+            self._told = {}
+        changed = {
+            upstream: work
+            for upstream, work in work_by_upstream.items()
+            if self._told.get(upstream) != work
+        }
+        self._told = work_by_upstream
+        self._has_seen_change = False
+        return self._notebook.take(changed, self._seen_by_topic)
 
     def apply(self, report: peer_reports.Report) -> None:
         """Takes the report of another router."""
         now = self._now()
+        self._heard_at_by_router[report.router] = now
+        for topic, offset in report.seen_by_topic.items():
+            self._on_seen(topic, offset)
         for read in report.reads:
             candidate = self._directory.find(read.upstream)
             if candidate is not None:
@@ -104,7 +154,7 @@
                 self._update_outstanding(candidate, now)
 
     def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
-        tokens = candidate.load.count_unread_tokens(now)
+        tokens = candidate.load.count_unread_tokens()
         candidate.queue.set_outstanding(tokens, now)
 
     def _now(self) -> float:
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -413,7 +413,6 @@
         now = self._now()
         work = upstream_load.Work(
             unread_tokens=choice.unread_tokens,
-            total_tokens=forwarding.call.prompt_tokens + forwarding.call.output_tokens,
             sent_at=now,
         )
         number = candidate.load.add(work)
@@ -496,7 +495,9 @@
             for part in parts:
                 match part:
                     case http_messages.Head():
-                        refused = await self._start(forwarding, candidate, part)
+                        refused = await self._start(
+                            forwarding, candidate, connection, part
+                        )
                         if refused is not None:
                             await self._skip_rest(parts, connection)
                             return refused
@@ -543,9 +544,11 @@
         waited_s = now - forwarding.call.received_at
         return waited_s > max(MIN_SLOW_S, SLOW_RATIO * forwarding.route.objective_s)
 
-    async def _start(self, forwarding, candidate, head) -> Outcome | None:
+    async def _start(self, forwarding, candidate, connection, head) -> Outcome | None:
         """Begins the answer to the caller, or returns why this one is not taken."""
         notes = self._dialect.read_answer(head)
+        if notes.idle_timeout_s is not None:
+            connection.idle_timeout_s = notes.idle_timeout_s
         if notes.running is not None:
             total = notes.running + (notes.waiting or 0)
             candidate.load.note_report(total, self._now())
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import collections.abc
 import dataclasses
 import logging
 import random
@@ -11,6 +12,10 @@
 FIRST_PAUSE_S = 0.2
 """How long a follower waits after a failed call; each time in a row twice as long."""
 MAX_PAUSE_S = 0.8
+FIRST_WAIT_S = 0.5
+"""How long the first read after a failure waits; each in a row twice as long."""
+POKE_GRACE_S = 0.1
+"""A waiting read that should have ended by now is given up after so long."""
 
 logger = logging.getLogger(__name__)
 
@@ -79,8 +84,8 @@
     """What a follower keeps up to date."""
 
     @abc.abstractmethod
-    def put(self, record: KeyedRecord) -> None:
-        """Takes one record, in the order of the log."""
+    def put(self, record: KeyedRecord) -> bool:
+        """Takes one record, in the order of the log; returns whether it is news."""
 
     @abc.abstractmethod
     def keep_only(self, keys: set[str]) -> None:
@@ -105,6 +110,9 @@
         pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
 
+OnChange = collections.abc.Callable[[str, ids.Offset], None]
+
+
 class Follower:
     """Keeps a view up to date with one topic.
 
@@ -113,24 +121,34 @@
         topic: The topic.
         view: What is kept up to date.
         wait_s: How long one read waits for a record, in seconds.
-        pause_s: How long to wait between two reads, in seconds.
+        find_pause_s: Returns how long to wait between two reads, in seconds.
+        on_change: Called with the topic and the offset of a change.
 
     Attributes:
         is_listed: Whether the topic has been listed once.
     """
 
     def __init__(
-        self, source: KeyedLog, topic: str, view: View, wait_s: float, pause_s: float
+        self,
+        source: KeyedLog,
+        topic: str,
+        view: View,
+        wait_s: float,
+        find_pause_s: collections.abc.Callable[[], float] = lambda: 0.0,
+        on_change: OnChange = lambda topic, offset: None,
     ):
         self.is_listed = False
         self._source = source
         self._topic = topic
         self._view = view
         self._wait_s = wait_s
-        self._pause_s = pause_s
+        self._find_pause_s = find_pause_s
+        self._on_change = on_change
+        self._poked = asyncio.Event()
         self._next: ids.Offset | None = None
         self._lost_at: float | None = None
         self._failures = 0
+        self._trusted_wait_s = FIRST_WAIT_S
 
     async def run(self) -> None:
         """Follows the topic for ever."""
@@ -147,7 +165,23 @@
             except log.LogUnavailableError as error:
                 await self._wait_after_failure(error)
                 continue
-            await asyncio.sleep(self._pause_s)
+            await self._pause()
+
+    def poke(self, offset: ids.Offset) -> None:
+        """Reads at once if a change at an offset has not been read yet."""
+        if self._next is None or offset >= self._next:
+            self._poked.set()
+
+    async def _pause(self) -> None:
+        pause_s = self._find_pause_s()
+        if pause_s <= 0:
+            return
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._poked.wait()
+        except TimeoutError:
+            pass
+        self._poked.clear()
 
     async def _step(self) -> None:
         if self._next is None:
@@ -155,13 +189,39 @@
             self._note_reached()
             self._view.keep_only({record.key for record in page.records})
         else:
-            page = await self._source.read(self._topic, self._next, self._wait_s)
+            page = await self._read_on()
             self._note_reached()
+        has_changed = False
         for record in page.records:
-            self._view.put(record)
+            has_changed |= self._view.put(record)
         self._next = page.next
+        if has_changed and self.is_listed:
+            self._on_change(self._topic, ids.Offset(self._next - 1))
         self.is_listed = True
 
+    async def _read_on(self) -> KeyedPage:
+        """Reads on, without further waiting once another router has seen a change."""
+        wait_s = min(self._wait_s, self._trusted_wait_s)
+        self._trusted_wait_s *= 2
+        if not wait_s:
+            return await self._source.read(self._topic, self._next, 0.0)
+        reading = asyncio.create_task(
+            self._source.read(self._topic, self._next, wait_s)
+        )
+        poked = asyncio.create_task(self._poked.wait())
+        try:
+            await asyncio.wait({reading, poked}, return_when=asyncio.FIRST_COMPLETED)
+            if not reading.done():
+                await asyncio.wait({reading}, timeout=POKE_GRACE_S)
+            if reading.done():
+                return reading.result()
+        finally:
+            self._poked.clear()
+            poked.cancel()
+            reading.cancel()
+            await asyncio.gather(reading, poked, return_exceptions=True)
+        return await self._source.read(self._topic, self._next, 0.0)
+
     def _note_reached(self) -> None:
         self._failures = 0
         if self._lost_at is None:
@@ -181,6 +241,7 @@
                 "log lost, going on with what is known",
                 extra={"topic": self._topic, "reason": str(error)},
             )
+        self._trusted_wait_s = FIRST_WAIT_S
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
         self._failures += 1
         await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -41,7 +41,9 @@
         reads: The prompts that it has sent to engines.
         usages: What client accounts have asked of it.
         begun_by_upstream: The prompt tokens of the answers that have begun.
-        work_by_upstream: Its requests at each engine now.
+        work_by_upstream: Its requests at each engine where they have changed.
+        seen_by_topic: The offset of the last change that it has seen in each topic of
+            the platform's log.
     """
 
     router: ids.InstanceId
@@ -49,6 +51,7 @@
     usages: list[Usage]
     begun_by_upstream: dict[ids.UpstreamId, int]
     work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary]
+    seen_by_topic: dict[str, ids.Offset]
 
 
 class Notebook:
@@ -95,7 +98,9 @@
         self._begun_by_upstream[upstream] = known + unread_tokens
 
     def take(
-        self, work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary]
+        self,
+        work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary],
+        seen_by_topic: dict[str, ids.Offset],
     ) -> Report:
         """Returns the report of what was noted since the last one."""
         usages = [
@@ -103,7 +108,12 @@
             for account, asked in self._asked_by_account.items()
         ]
         report = Report(
-            self._router, self._reads, usages, self._begun_by_upstream, work_by_upstream
+            self._router,
+            self._reads,
+            usages,
+            self._begun_by_upstream,
+            work_by_upstream,
+            seen_by_topic,
         )
         self._reads = []
         self._begun_by_upstream = {}
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -28,13 +28,11 @@
 
     Attributes:
         unread_tokens: What of its prompt the upstream must still read.
-        total_tokens: What it takes of the upstream's memory.
         sent_at: When it was sent, in seconds.
         has_started: Whether the answer has begun.
     """
 
     unread_tokens: int
-    total_tokens: int
     sent_at: float
     has_started: bool = False
 
@@ -44,25 +42,28 @@
 
     Attributes:
         heard_at: When bytes last came from the upstream, in seconds.
+        own: How many requests of this router are there.
+        own_unread_tokens: The prompt tokens of those whose answers have not begun.
     """
 
     def __init__(self):
         self.heard_at = float("-inf")
+        self.own = 0
+        self.own_unread_tokens = 0
         self._numbers = itertools.count()
         self._work_by_number: dict[int, Work] = {}
         self._others = 0
         self._reported_at = float("-inf")
         self._work_by_peer: dict[ids.InstanceId, tuple[Summary, float]] = {}
-
-    @property
-    def own(self) -> int:
-        """How many requests of this router are there."""
-        return len(self._work_by_number)
+        self._told_running = 0
+        self._told_unread_tokens = 0
 
     def add(self, work: Work) -> int:
         """Takes note of a request that is sent; returns a number for it."""
         number = next(self._numbers)
         self._work_by_number[number] = work
+        self.own += 1
+        self.own_unread_tokens += work.unread_tokens
         return number
 
     def start(self, number: int) -> Work | None:
@@ -71,11 +72,15 @@
         if work.has_started:
             return None
         work.has_started = True
+        self.own_unread_tokens -= work.unread_tokens
         return work
 
     def remove(self, number: int) -> None:
         """Takes note that a request has ended."""
-        del self._work_by_number[number]
+        work = self._work_by_number.pop(number)
+        self.own -= 1
+        if not work.has_started:
+            self.own_unread_tokens -= work.unread_tokens
 
     def note_report(self, total: int, now: float) -> None:
         """Takes note of how many requests the upstream says that it has."""
@@ -84,46 +89,34 @@
 
     def note_peer(self, router: ids.InstanceId, work: Summary, now: float) -> None:
         """Takes note of another router's work there."""
+        self._forget_peer(router)
         self._work_by_peer[router] = work, now
+        self._told_running += work.running
+        self._told_unread_tokens += work.unread_tokens
+
+    def forget_silent_peers(self, now: float) -> None:
+        """Drops what was told by routers that have not been heard for long."""
+        for router, (_, told_at) in list(self._work_by_peer.items()):
+            if now - told_at > REPORT_LIFE_S:
+                self._forget_peer(router)
 
     def summarize(self) -> Summary:
         """Returns what the other routers are told of this router's work there."""
-        return Summary(self.own, self.count_own_unread_tokens())
-
-    def count_own_unread_tokens(self) -> int:
-        """Returns the prompt tokens of this router whose answers have not begun."""
-        return sum(
-            work.unread_tokens
-            for work in self._work_by_number.values()
-            if not work.has_started
-        )
-
-    def count_unread_tokens(self, now: float) -> int:
-        """Returns the prompt tokens of all routers whose answers have not begun."""
-        told = sum(work.unread_tokens for work in self._told(now))
-        return self.count_own_unread_tokens() + told
+        return Summary(self.own, self.own_unread_tokens)
 
     def count(self, now: float) -> int:
         """Returns how many requests are there, by all routers.
 
         What the upstream said last is older than what the other routers tell.
         """
-        told = self._told(now)
-        if told:
-            return self.own + sum(work.running for work in told)
+        if self._work_by_peer:
+            return self.own + self._told_running
         is_fresh = now - self._reported_at <= REPORT_LIFE_S
         return self.own + (self._others if is_fresh else 0)
 
-    def _told(self, now: float) -> list[Summary]:
-        return [
-            work
-            for work, at in self._work_by_peer.values()
-            if now - at <= REPORT_LIFE_S
-        ]
-
-    def count_total_tokens(self) -> int:
-        """Returns the memory that this router's requests take, in tokens."""
-        return sum(work.total_tokens for work in self._work_by_number.values())
+    def count_unread_tokens(self) -> int:
+        """Returns the prompt tokens of all routers whose answers have not begun."""
+        return self.own_unread_tokens + self._told_unread_tokens
 
     def is_silent(self, now: float, silence_s: float) -> bool:
         """Tells whether requests have waited, and nothing at all has come, for long.
@@ -132,7 +125,13 @@
             now: The time, in seconds.
             silence_s: How long is long, in seconds.
         """
-        if not self._work_by_number:
+        if not self._work_by_number or now - self.heard_at <= silence_s:
             return False
-        oldest = min(work.sent_at for work in self._work_by_number.values())
-        return now - max(oldest, self.heard_at) > silence_s
+        oldest = next(iter(self._work_by_number.values()))
+        return now - oldest.sent_at > silence_s
+
+    def _forget_peer(self, router: ids.InstanceId) -> None:
+        known = self._work_by_peer.pop(router, None)
+        if known is not None:
+            self._told_running -= known[0].running
+            self._told_unread_tokens -= known[0].unread_tokens
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -53,7 +53,7 @@
         near, far = make_candidate("near"), make_candidate("far", "b")
         self.assertIs(near, choose(make_call(), [far, near]).candidate)
         for _ in range(2):
-            near.load.add(upstream_load.Work(0, 0, 0.0))
+            near.load.add(upstream_load.Work(0, 0.0))
         self.assertIs(far, choose(make_call(), [far, near]).candidate)
 
     def test_first_request_for_a_shared_part_goes_to_its_home(self):
@@ -90,9 +90,9 @@
 
     def test_silent_upstream_is_avoided(self):
         silent, other = make_candidate("silent"), make_candidate("other")
-        silent.load.add(upstream_load.Work(10, 10, 0.0))
+        silent.load.add(upstream_load.Work(10, 0.0))
         for _ in range(3):
-            other.load.add(upstream_load.Work(10, 10, 1.0))
+            other.load.add(upstream_load.Work(10, 1.0))
         chosen = choose(make_call(), [silent, other], now=1.0)
         self.assertIs(other, chosen.candidate)
         self.assertIsNotNone(choose(make_call(), [silent], now=1.0))
