--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -8,7 +8,7 @@
 MEMORY_S = 3.0
 """Use that lies so far back counts e times less."""
 RECENT_S = 0.1
-"""How long a computed level is used again."""
+"""How long computed figures are used again."""
 LEAST_TOKENS = 1.0
 
 
@@ -34,7 +34,8 @@
         self._asked_by_account: dict[ids.AccountId, _Decaying] = {}
         self._admitted_by_account: dict[ids.AccountId, _Decaying] = {}
         self._level = math.inf
-        self._level_at = -math.inf
+        self._excess = 0.0
+        self._refreshed_at = -math.inf
 
     def add(
         self, account: ids.AccountId, asked: float, admitted: float, now: float
@@ -60,14 +61,24 @@
             return 0.0
         return admitted.read(now) / self._find_level(now)
 
+    def find_excess(self, now: float) -> float:
+        """Returns how much more was asked for than admitted, relative to the latter."""
+        self._refresh(now)
+        return self._excess
+
     def _find_level(self, now: float) -> float:
-        if now - self._level_at > RECENT_S:
-            asked = [d.read(now) for d in self._asked_by_account.values()]
-            given = sum(d.read(now) for d in self._admitted_by_account.values())
-            self._level = max(LEAST_TOKENS, find_level(asked, given))
-            self._level_at = now
+        self._refresh(now)
         return self._level
 
+    def _refresh(self, now: float) -> None:
+        if now - self._refreshed_at <= RECENT_S:
+            return
+        self._refreshed_at = now
+        asked = [d.read(now) for d in self._asked_by_account.values()]
+        given = sum(d.read(now) for d in self._admitted_by_account.values())
+        self._level = max(LEAST_TOKENS, find_level(asked, given))
+        self._excess = max(0.0, sum(asked) / max(given, LEAST_TOKENS) - 1.0)
+
 
 def find_level(demands: list[float], capacity: float) -> float:
     """Returns the largest share that no demand needs to exceed.
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -67,6 +67,18 @@
         except OSError as error:
             raise PeerListenError(f"{host}:{port}: {error}") from error
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Ends all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in [*self._dialing_by_peer.values(), *self._receiving]:
+            task.cancel()
+
     def put_peer(self, peer: ids.InstanceId, host: str, port: int) -> None:
         """Connects to a router, or to its new address."""
         if peer == self._router or self._address_by_peer.get(peer) == (host, port):
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -134,9 +134,10 @@
 def _score_engines(
     call: calls.Call, candidates: list[Candidate], now: float
 ) -> list[Choice]:
-    home = find_home(call, candidates)
     holders = [_Holder(c, c.memory.count_held(call.parts)) for c in candidates]
     best = max(holders, key=lambda holder: holder.held_tokens)
+    is_shared_kept = best.held_tokens >= sum(p.tokens for p in call.parts[:-1])
+    home = None if is_shared_kept else find_home(call, candidates)
     return [_score_engine(call, holder, best, home, now) for holder in holders]
 
 
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,102 @@
+import base64
+import json
+import struct
+import unittest
+import urllib.parse
+
+import hypothesis
+from adapter import store
+from hypothesis import strategies
+
+from teaselsill import http_messages, keyed_log, log
+from tests import entry_bench
+
+
+def make_read(end, *contents):
+    records = b"".join(struct.pack(">I", len(c)) + c for c in contents)
+    return struct.pack(">QQ", end, 0) + records
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, *answers):
+        """Starts a store that gives these answers, as status and body."""
+        left = list(answers)
+
+        async def script(request, stream):
+            status, body = left.pop(0)
+            fields = [("content-length", str(len(body)))]
+            stream.write(http_messages.encode_head(status, "X", fields) + body)
+
+        self.server = entry_bench.ScriptedUpstream("store", script)
+        await self.enterAsyncContext(self.server)
+        entry = self.server.describe()
+        return store.StoreClient(entry.host, entry.port)
+
+    def queries(self):
+        return [
+            dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
+            for request in self.server.requests
+        ]
+
+    async def test_lists_all_pages(self):
+        def page(key, has_more, end):
+            item = {"Key": key, "Value": base64.b64encode(b"v").decode(), "Offset": 1}
+            body = {"Items": [item], "HasMore": has_more, "EndOffset": end}
+            return 200, json.dumps(body).encode()
+
+        client = await self.start(page("a", True, 4), page("b", False, 6))
+        listed = await client.list_newest("keyed.op")
+        self.assertEqual(["a", "b"], [record.key for record in listed.records])
+        self.assertEqual(4, listed.next)
+        self.assertEqual("a", self.queries()[1]["After"])
+        self.assertEqual(1, self.server.connections)
+
+    async def test_reads_records_and_removals(self):
+        client = await self.start((200, make_read(9, b"\x01av1", b"\x02bc", b"")))
+        page = await client.read("keyed.servers", 6, 1.5)
+        self.assertEqual(
+            [("a", b"v1"), ("bc", None), ("", None)],
+            [(record.key, record.value) for record in page.records],
+        )
+        self.assertEqual(9, page.next)
+        self.assertEqual(("6", "1500"), (
+            self.queries()[0]["From"], self.queries()[0]["WaitMs"],
+        ))  # fmt: skip
+
+    async def test_puts_a_record(self):
+        client = await self.start((200, b'{"Offset":1,"EndOffset":2}'))
+        await client.put("keyed.routers", keyed_log.KeyedRecord("r", b"x:1"))
+        self.assertEqual(b"\x00\x00\x00\x05\x01rx:1", self.server.requests[0].body)
+
+    async def test_expired_offset(self):
+        client = await self.start((410, b'{"FirstOffset":12}'))
+        with self.assertRaises(log.OffsetExpiredError) as caught:
+            await client.read("keyed.op", 3, 0.0)
+        self.assertEqual(12, caught.exception.earliest)
+
+    async def test_refusals_and_malformed_answers_mean_unavailable(self):
+        for answer in (
+            (503, b""),
+            (429, b""),
+            (200, b"short"),
+            (200, make_read(9, b"\x01a")[:-1]),
+        ):
+            client = await self.start(answer)
+            with (
+                self.subTest(answer=answer),
+                self.assertRaises(log.LogUnavailableError),
+            ):
+                await client.read("keyed.op", 0, 0.0)
+
+    async def test_nobody_listens(self):
+        client = store.StoreClient(entry_bench.HOST, 1)
+        with self.assertRaises(log.LogUnavailableError):
+            await client.list_newest("keyed.op")
+
+    @hypothesis.given(strategies.binary(max_size=80))
+    def test_any_bytes_are_records_or_unavailable(self, data):
+        try:
+            for content in store._split_records(data):
+                store._decode_record(content)
+        except log.LogUnavailableError:
+            pass
--- /dev/null
+++ b/tests/test_entry_router.py
@@ -0,0 +1,120 @@
+import asyncio
+import unittest
+
+from teaselsill import caller_connection, http_messages, tcp_stream
+from tests import entry_bench
+
+
+class EntryCase(unittest.IsolatedAsyncioTestCase):
+    async def start(self, script=entry_bench.say_ok, **fields):
+        self.upstream = entry_bench.ScriptedUpstream("u", script)
+        return await self.enterAsyncContext(
+            entry_bench.EntryBench([self.upstream], **fields)
+        )
+
+
+class StopTest(EntryCase):
+    async def test_request_in_hand_is_finished_and_its_connection_closed(self):
+        go_on = asyncio.Event()
+
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await go_on.wait()
+            stream.write(http_messages.END_OF_CHUNKS)
+
+        bench = await self.start(script, is_stream=True, timeout_s=30.0)
+        caller = await bench.connect()
+        caller.send()
+        await caller.receive_until(b"id: 1")
+        stopping = asyncio.create_task(bench.router.stop())
+        await asyncio.sleep(0.05)
+        self.assertEqual(503, bench.router.render_readiness().status)
+        go_on.set()
+        await caller.receive_until(http_messages.END_OF_CHUNKS)
+        await caller.wait_closed()
+        async with asyncio.timeout(8.0):
+            await stopping
+
+    async def test_new_connections_are_served_while_the_balancer_learns(self):
+        bench = await self.start()
+        stopping = asyncio.create_task(bench.router.stop())
+        await asyncio.sleep(0.05)
+        caller = await bench.connect()
+        self.assertEqual((200, b"ok", True), await caller.ask())
+        self.assertIn(b"connection: close", caller.received)
+        stopping.cancel()
+
+    async def test_idle_connections_do_not_hold_the_stop_up(self):
+        bench = await self.start()
+        caller = await bench.connect()
+        await caller.ask()
+        async with asyncio.timeout(entry_bench.entry_router.LISTEN_AFTER_STOP_S + 2):
+            await bench.router.stop()
+        await caller.wait_closed()
+        with self.assertRaises(tcp_stream.ConnectionFailedError):
+            await bench.connect()
+
+
+class CallerConnectionTest(EntryCase):
+    async def test_many_requests_on_one_connection(self):
+        bench = await self.start()
+        caller = await bench.connect()
+        for number in range(5):
+            self.assertEqual(200, (await caller.ask(str(number)))[0])
+        self.assertEqual(1, self.upstream.connections)
+
+    async def test_second_request_sent_early_is_answered_in_turn(self):
+        async def script(request, stream):
+            await asyncio.sleep(0.01)
+            stream.write(entry_bench.answer(request, request.get("id").encode()))
+
+        bench = await self.start(script)
+        caller = await bench.connect()
+        caller.send("1")
+        caller.send("2")
+        await caller.receive_until(b"\r\n\r\n1")
+        await caller.receive_until(b"\r\n\r\n2")
+
+    async def test_malformed_requests_are_refused_and_reach_nobody(self):
+        bench = await self.start()
+        for data, status in (
+            (b"GARBAGE\r\n\r\n", b"400"),
+            (
+                b"POST /x/ HTTP/1.1\r\nContent-Length: 1\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                b"400",
+            ),
+            (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, b"431"),
+            (b"POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", b"413"),
+        ):
+            with self.subTest(status=status):
+                caller = await bench.connect()
+                caller.send_bytes(data)
+                await caller.receive_until(b" " + status + b" ")
+                await caller.wait_closed()
+        self.assertEqual([], self.upstream.requests)
+
+    async def test_long_body_waits_for_leave(self):
+        bench = await self.start()
+        caller = await bench.connect()
+        caller.send_bytes(
+            b"POST /x/ HTTP/1.1\r\nHost: a.example\r\nId: 1\r\n"
+            b"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+        )
+        await caller.receive_until(caller_connection.CONTINUE)
+        caller.send_bytes(b"body")
+        await caller.receive_until(b"\r\n\r\nok")
+        self.assertEqual(b"body", self.upstream.requests[0].body)
+
+    async def test_page_for_the_balancer(self):
+        bench = await self.start()
+        router = bench.router
+        await router.listen_for_page(
+            entry_bench.HOST, 0, "/ready", router.render_readiness
+        )
+        port = router.addresses[-1][1]
+        for path, status in (("/ready", 200), ("/other", 404)):
+            stream = await tcp_stream.connect(entry_bench.HOST, port, 1.0)
+            caller = entry_bench.Caller(stream)
+            self.assertEqual(status, (await caller.ask(path=path, method="GET"))[0])
+            caller.leave()
--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,110 @@
+import unittest
+
+from teaselsill import (
+    directory,
+    fleet_view,
+    ids,
+    peer_reports,
+    routing_table,
+    upstream_load,
+    wire,
+)
+from tests import test_placement, test_routing_table, test_upstream_list
+
+ACCOUNT = ids.AccountId("acc")
+CALL = test_placement.make_call(("session", 4000), ("own", 1000))
+
+
+def make_view(name, on_seen=lambda topic, offset: None):
+    known = directory.Directory()
+    engine = routing_table.Engine(slots=8, memory_tokens=100_000)
+    service = test_routing_table.make_service(engine=engine)
+    known.service_by_name = {service.name: service}
+    known.listed.put(test_upstream_list.make_upstream())
+    return fleet_view.FleetView(ids.InstanceId(name), known, on_seen), known
+
+
+def find_candidate(known):
+    return known.find(ids.UpstreamId("u"))
+
+
+class FleetViewTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.seen = []
+        self.first, self.first_known = make_view("first")
+        self.second, self.second_known = make_view(
+            "second", lambda topic, offset: self.seen.append((topic, offset))
+        )
+
+    def tell(self):
+        """Sends the report of the first router over the wire to the second."""
+        packed = wire.pack(self.first.take_report())
+        unpacker = wire.Unpacker(kind=peer_reports.Report)
+        for report in unpacker.feed(packed):
+            self.second.apply(report)
+
+    def send(self):
+        candidate = find_candidate(self.first_known)
+        work = upstream_load.Work(unread_tokens=1000, sent_at=0.0)
+        number = candidate.load.add(work)
+        self.first.note_asked(ACCOUNT, CALL)
+        self.first.note_sent(ACCOUNT, CALL, candidate, 1000)
+        return candidate, number
+
+    async def test_others_know_what_an_engine_has_and_keeps(self):
+        self.send()
+        self.assertTrue(self.first.has_news)
+        self.tell()
+        self.assertFalse(self.first.has_news)
+        told = find_candidate(self.second_known)
+        self.assertEqual(1, told.load.count(0.0))
+        self.assertEqual(5000, told.memory.count_held(CALL.parts))
+        self.assertGreater(told.queue.count_planned(0.0), 900)
+        self.assertEqual(1000, told.queue.outstanding_tokens)
+
+    async def test_others_know_when_an_answer_has_begun_and_ended(self):
+        candidate, number = self.send()
+        self.tell()
+        candidate.load.start(number)
+        self.first.note_begun(candidate, 1000)
+        self.tell()
+        told = find_candidate(self.second_known)
+        self.assertEqual(0, told.queue.outstanding_tokens)
+        candidate.load.remove(number)
+        self.first.note_ended(candidate)
+        self.tell()
+        self.assertEqual(0, told.load.count(0.0))
+
+    async def test_use_of_an_account_counts_at_all_routers(self):
+        self.second.note_asked(ids.AccountId("other"), CALL)
+        self.send()
+        self.tell()
+        usage = self.second.usage
+        now = self.second._now()
+        self.assertGreater(usage.find_ratio(ACCOUNT, now), 1)
+
+    async def test_silent_router_is_forgotten(self):
+        self.send()
+        self.tell()
+        told = find_candidate(self.second_known)
+        later = self.second._now() + upstream_load.REPORT_LIFE_S + 1
+        self.second_known.tidy(later)
+        self.assertEqual(0, told.load.count(later))
+
+    async def test_change_in_the_log_is_told(self):
+        self.first.note_seen("topic", ids.Offset(7))
+        self.assertTrue(self.first.has_news)
+        self.tell()
+        self.assertEqual([("topic", 7)], self.seen)
+        self.assertEqual(1, self.second.count_heard())
+
+    async def test_report_on_an_unknown_upstream_is_ignored(self):
+        report = peer_reports.Report(
+            ids.InstanceId("r"),
+            [peer_reports.Read(ids.UpstreamId("x"), [("a", 1)], 1)],
+            [],
+            {ids.UpstreamId("x"): 1},
+            {ids.UpstreamId("x"): upstream_load.Summary(1, 1)},
+            {},
+        )
+        self.second.apply(report)
