Split the try at one upstream from forwarding; count shares only when engines are short

Change: upstream_attempt and request_line; a continuation needs the first status; only the first send is weighed; shares are taken of what engines can do if less is asked.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -28,9 +28,15 @@
 
 
 class AccountUsage:
-    """The use of all client accounts, as reported by all routers."""
+    """The use of all client accounts, as reported by all routers.
+
+    Attributes:
+        capacity: What the engines can do in the time that counts, in tokens. While less
+            than this is asked for, nobody has more than its share.
+    """
 
     def __init__(self):
+        self.capacity = 0.0
         self._asked_by_account: dict[ids.AccountId, _Decaying] = {}
         self._admitted_by_account: dict[ids.AccountId, _Decaying] = {}
         self._level = math.inf
@@ -75,7 +81,8 @@
             return
         self._refreshed_at = now
         asked = [d.read(now) for d in self._asked_by_account.values()]
-        given = sum(d.read(now) for d in self._admitted_by_account.values())
+        admitted = sum(d.read(now) for d in self._admitted_by_account.values())
+        given = max(admitted, self.capacity)
         self._level = max(LEAST_TOKENS, find_level(asked, given))
         self._excess = max(0.0, sum(asked) / max(given, LEAST_TOKENS) - 1.0)
 
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -7,6 +7,7 @@
     account_usage,
     calls,
     directory,
+    engine_queue,
     ids,
     peer_reports,
     placement,
@@ -116,6 +117,7 @@
         what they have not heard for long.
         """
         now = self._now()
+        self._update_capacity()
         work_by_upstream = self._directory.summarize()
         if now - self._told_all_at > TELL_ALL_S:
             self._told_all_at = now
@@ -153,6 +155,11 @@
                 candidate.load.note_peer(report.router, work, now)
                 self._update_outstanding(candidate, now)
 
+    def _update_capacity(self) -> None:
+        rate = self._directory.sum_rates()
+        usable = engine_queue.USABLE_RATIO * account_usage.MEMORY_S
+        self.usage.capacity = rate * usable
+
     def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
         tokens = candidate.load.count_unread_tokens()
         candidate.queue.set_outstanding(tokens, now)
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import logging
 
 from teaselsill import (
@@ -17,114 +16,23 @@
     ids,
     placement,
     rejections,
+    request_line,
     retry_budget,
     routing_table,
-    tcp_stream,
-    upstream_connection,
-    upstream_health,
-    upstream_list,
-    upstream_load,
+    upstream_attempt,
 )
 
-CONNECT_TIMEOUT_S = 0.4
 MAX_CONNECT_TRIES = 4
 """How many upstreams are tried that cannot be reached."""
-CHECK_S = 0.2
-"""How often a request that may be repeated is checked for a silent upstream."""
-MAX_IDLE_S = 3.0
-"""A connection that was idle for longer is not used for a request."""
-MAX_IDLE_UNREPEATABLE_S = 0.5
-"""The same for a request that cannot be sent again if the connection turns out dead."""
-SLOW_RATIO = 2.5
-"""A repeatable call is tried elsewhere after so many times its objective."""
-MIN_SLOW_S = 0.3
 RETRY_AFTER_S = 1.0
 RETRY_AFTER_START_S = 0.5
 """What is told to callers while the router has no configuration."""
 LEAST_USEFUL_S = 0.02
 """With less time left, a request is not sent any more."""
-FIRST_REDIRECT_STATUS = 300
-FIRST_FAILURE_STATUS = 500
-PROMISE_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request has not run."""
 
 logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Delivered:
-    """The caller has the whole answer."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unsent:
-    """The upstream could not be reached: it has not seen the request."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
-    """The upstream has refused the request and states that it has not run."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """There is no whole answer; the request may have run."""
-
-    reason: str
-
-
-Outcome = Delivered | Unsent | NotRun | Failed
-
-
-class Ending(enum.Enum):
-    """How a request ended, for the log."""
-
-    DELIVERED = "delivered"
-    REJECTED = "rejected"
-    BROKEN = "broken"
-    CALLER_GONE = "caller-gone"
-
-
-@dataclasses.dataclass(slots=True)
-class Forwarding:
-    """A request under way.
-
-    Attributes:
-        call: The request.
-        route: Its route.
-        service: The service that it goes to.
-        account: The client account; none for a public route.
-        answer: The answer to the caller.
-        deadline: When it must have its answer, on the event loop's clock, in seconds.
-        events: Cuts the answer into events if it can be resumed.
-        excluded: The upstreams that do not get it any more.
-        sends: How many times it was sent.
-        possible_runs: How many upstreams may have run it.
-        tried: The upstreams that it was sent to, for the log.
-    """
-
-    call: calls.Call
-    route: routing_table.Route
-    service: routing_table.Service
-    account: ids.AccountId | None
-    answer: caller_connection.CallerAnswer
-    deadline: float
-    events: event_stream.EventCutter
-    excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    possible_runs: int = 0
-    tried: list[str] = dataclasses.field(default_factory=list)
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether the caller has got a part of an answer."""
-        return self.answer.progress is not caller_connection.Progress.NOTHING
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class BudgetPolicy:
     """The fleet's bound on requests that are sent more than once.
@@ -178,6 +86,7 @@
         self._view = view
         self._admission = admitting
         self._metrics = sink
+        self._sender = upstream_attempt.Sender(dialect, known, view, sink)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
     def follow(self, table: routing_table.RoutingTable) -> None:
@@ -191,41 +100,42 @@
         """Answers one request of a caller."""
         received_at = self._now()
         self.underway += 1
-        line = {"ending": Ending.CALLER_GONE.value}
+        line = request_line.RequestLine()
         call = None
         try:
             call = self._dialect.read_call(message, received_at)
-            line["request"] = call.id
+            line.request = call.id
             await self._forward(call, answer, line)
-            line["ending"] = Ending.DELIVERED.value
+            line.ending = request_line.Ending.DELIVERED
         except calls.BadCallError as error:
             fault = rejections.RejectedError(rejections.Cause.BAD_REQUEST, str(error))
             await self._reject(fault, call, answer, line)
         except rejections.RejectedError as error:
             await self._reject(error, call, answer, line)
         except Exception as error:
-            logger.exception("request failed", extra=line)
+            logger.exception("request failed", extra={"request": line.request})
             fault = rejections.RejectedError(rejections.Cause.INTERNAL, str(error))
             await self._reject(fault, call, answer, line)
         finally:
             self.underway -= 1
-            line["status"] = answer.status
-            line["took_ms"] = round(1000 * (self._now() - received_at), 1)
-            logger.info("request", extra=line)
-            self._count(line, self._now() - received_at)
-
-    def _count(self, line: dict, took_s: float) -> None:
-        cause = line.get("cause", "")
-        self._metrics.requests.labels(line["ending"], cause).inc()
-        self._metrics.request_s.labels(line.get("route", "")).observe(took_s)
-        if line["ending"] == Ending.REJECTED.value:
-            self._metrics.rejections.labels(line.get("account") or "", cause).inc()
+            line.status = answer.status
+            line.took_ms = round(1000 * (self._now() - received_at), 1)
+            line.peers = self._view.count_heard()
+            line.write(logger)
+            self._count(line)
+
+    def _count(self, line: request_line.RequestLine) -> None:
+        self._metrics.requests.labels(line.ending.value, line.cause).inc()
+        self._metrics.request_s.labels(line.route).observe(line.took_ms / 1000)
+        if line.ending is request_line.Ending.REJECTED:
+            self._metrics.rejections.labels(line.account or "", line.cause).inc()
 
     async def _reject(self, error, call, answer, line) -> None:
         has_begun = answer.progress is not caller_connection.Progress.NOTHING
-        line["ending"] = (Ending.BROKEN if has_begun else Ending.REJECTED).value
-        line["cause"] = error.cause.label
-        line["reason"] = str(error)
+        endings = request_line.Ending
+        line.ending = endings.BROKEN if has_begun else endings.REJECTED
+        line.cause = error.cause.label
+        line.reason = str(error)
         headers = self._dialect.make_refusal_headers(call, error.retry_after_s)
         await answer.refuse(error.cause.status, headers)
 
@@ -251,8 +161,10 @@
         service = table.service_by_name[route.choose_service(call.id)]
         self._budget_of(service.name).note_request(call.received_at)
         self._view.note_asked(account, call)
-        line.update(route=route.name, account=account, version=table.version)
-        forwarding = Forwarding(
+        line.route = route.name
+        line.account = account
+        line.version = table.version
+        forwarding = upstream_attempt.Forwarding(
             call=call,
             route=route,
             service=service,
@@ -260,8 +172,8 @@
             answer=answer,
             deadline=call.received_at + calls.find_limit_s(call, route),
             events=event_stream.EventCutter(call.last_event),
+            line=line,
         )
-        line["upstreams"] = forwarding.tried
         try:
             async with asyncio.timeout_at(forwarding.deadline):
                 await self._try_upstreams(forwarding)
@@ -294,7 +206,7 @@
             )
         return account
 
-    async def _try_upstreams(self, forwarding: Forwarding) -> None:
+    async def _try_upstreams(self, forwarding: upstream_attempt.Forwarding) -> None:
         """Sends a request until it is answered or nothing more may be tried.
 
         Raises:
@@ -303,18 +215,18 @@
         unreachable = 0
         while True:
             choice = self._choose(forwarding)
-            outcome = await self._attempt(forwarding, choice)
+            outcome = await self._sender.attempt(forwarding, choice)
             match outcome:
-                case Delivered():
+                case upstream_attempt.Delivered():
                     return
-                case Unsent(reason=reason):
+                case upstream_attempt.Unsent(reason=reason):
                     unreachable += 1
                     if unreachable >= MAX_CONNECT_TRIES:
                         self._give_up(forwarding, rejections.Cause.NO_UPSTREAM, reason)
-                case NotRun(reason=reason):
+                case upstream_attempt.NotRun(reason=reason):
                     if not self._may_send_again(forwarding):
                         self._give_up(forwarding, rejections.Cause.NOT_TAKEN, reason)
-                case Failed(reason=reason):
+                case upstream_attempt.Failed(reason=reason):
                     if not self._may_run_again(forwarding):
                         self._give_up(
                             forwarding, rejections.Cause.ANSWER_FAILED, reason
@@ -326,13 +238,13 @@
                 "trying another upstream",
                 extra={
                     "request": forwarding.call.id,
-                    "tried": forwarding.tried,
+                    "tried": list(forwarding.line.upstreams),
                     "outcome": type(outcome).__name__,
                     "reason": reason,
                 },
             )
 
-    def _choose(self, forwarding: Forwarding) -> placement.Choice:
+    def _choose(self, forwarding: upstream_attempt.Forwarding) -> placement.Choice:
         now = self._now()
         candidates = self._directory.candidates(forwarding.service, forwarding.excluded)
         choice = placement.choose(forwarding.call, candidates, self._data_centre, now)
@@ -342,19 +254,26 @@
             )
         if forwarding.deadline - now < LEAST_USEFUL_S:
             raise TimeoutError
-        if forwarding.call.parts:
-            wait_s = choice.candidate.queue.predict_wait_s(now)
-            self._metrics.predicted_wait_s.observe(wait_s)
-        self._admission.check(
-            forwarding.call,
-            forwarding.route,
-            forwarding.account,
-            choice,
-            now,
-        )
+        self._note_choice(forwarding, choice, now)
+        if not forwarding.sends:
+            self._admission.check(
+                forwarding.call, forwarding.route, forwarding.account, choice, now
+            )
         return choice
 
-    def _give_up(self, forwarding: Forwarding, cause, reason: str) -> None:
+    def _note_choice(self, forwarding, choice: placement.Choice, now: float) -> None:
+        if not forwarding.call.parts:
+            return
+        wait_s = choice.candidate.queue.predict_wait_s(now)
+        self._metrics.predicted_wait_s.observe(wait_s)
+        line = forwarding.line
+        line.unread_tokens = choice.unread_tokens
+        line.wait_ms = round(1000 * wait_s, 1)
+        line.copied_from = choice.fetch_from.id if choice.fetch_from else None
+
+    def _give_up(
+        self, forwarding: upstream_attempt.Forwarding, cause, reason: str
+    ) -> None:
         """Ends a request with what is true of all that was tried.
 
         Raises:
@@ -362,30 +281,22 @@
         """
         if forwarding.possible_runs:
             raise rejections.RejectedError(rejections.Cause.ANSWER_FAILED, reason)
-        wait_s = RETRY_AFTER_S if cause.status in PROMISE_STATUSES else None
+        wait_s = (
+            RETRY_AFTER_S if cause.status in upstream_attempt.PROMISE_STATUSES else None
+        )
         raise rejections.RejectedError(cause, reason, wait_s)
 
-    def _may_send_again(self, forwarding: Forwarding) -> bool:
+    def _may_send_again(self, forwarding: upstream_attempt.Forwarding) -> bool:
         """Spends a retry on a request that has not run."""
         return self._spend_retry(forwarding, "not run")
 
-    def _may_run_again(self, forwarding: Forwarding) -> bool:
+    def _may_run_again(self, forwarding: upstream_attempt.Forwarding) -> bool:
         """Spends a retry on a request that may have run, if it may run again."""
-        if not self._is_repeatable(forwarding):
-            return False
-        if forwarding.possible_runs >= forwarding.route.max_upstreams:
+        if not forwarding.may_run_elsewhere:
             return False
         return self._spend_retry(forwarding, "failed")
 
-    def _is_repeatable(self, forwarding: Forwarding) -> bool:
-        match forwarding.route.repeat:
-            case routing_table.Repeat.FREELY:
-                return not forwarding.has_begun
-            case routing_table.Repeat.RESUME:
-                return True
-        return False
-
-    def _spend_retry(self, forwarding: Forwarding, why: str) -> bool:
+    def _spend_retry(self, forwarding: upstream_attempt.Forwarding, why: str) -> bool:
         budget = self._budget_of(forwarding.service.name)
         if budget.spend(self._now()):
             return True
@@ -395,199 +306,6 @@
         )
         return False
 
-    async def _attempt(
-        self, forwarding: Forwarding, choice: placement.Choice
-    ) -> Outcome:
-        """Sends a request to one upstream and its answer to the caller."""
-        candidate = choice.candidate
-        target = candidate.upstream
-        forwarding.excluded.add(target.id)
-        try:
-            connection = await self._connect(forwarding, target)
-        except tcp_stream.ConnectionFailedError as error:
-            candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
-            return Unsent(str(error))
-        forwarding.tried.append(target.id)
-        forwarding.sends += 1
-        forwarding.possible_runs += 1
-        now = self._now()
-        work = upstream_load.Work(
-            unread_tokens=choice.unread_tokens,
-            sent_at=now,
-        )
-        number = candidate.load.add(work)
-        if forwarding.call.parts:
-            self._view.note_sent(
-                forwarding.account, forwarding.call, candidate, choice.unread_tokens
-            )
-        outcome = None
-        try:
-            self._send(forwarding, choice, connection, now)
-            outcome = await self._relay(forwarding, candidate, connection, number)
-        except upstream_connection.AnswerFailedError as error:
-            outcome = Failed(str(error))
-        finally:
-            candidate.load.remove(number)
-            self._view.note_ended(candidate)
-            if outcome is None:
-                connection.abort()
-        self._note_outcome(forwarding, candidate, outcome)
-        self._directory.pool(target).put(connection)
-        return outcome
-
-    def _note_outcome(self, forwarding, candidate, outcome: Outcome) -> None:
-        match outcome:
-            case NotRun():
-                forwarding.possible_runs -= 1
-                result = upstream_health.Result.FAILED
-            case Failed():
-                forwarding.events.drop_rest()
-                result = upstream_health.Result.FAILED
-            case _:
-                result = upstream_health.Result.ANSWERED
-        candidate.health.note(result, self._now())
-
-    async def _connect(
-        self, forwarding: Forwarding, target: upstream_list.Upstream
-    ) -> upstream_connection.UpstreamConnection:
-        is_once = forwarding.route.repeat is routing_table.Repeat.NEVER
-        max_idle_s = MAX_IDLE_UNREPEATABLE_S if is_once else MAX_IDLE_S
-        kept = self._directory.pool(target).take(self._now(), max_idle_s)
-        if kept is not None:
-            return kept
-        return await upstream_connection.open_connection(
-            target.host, target.port, CONNECT_TIMEOUT_S
-        )
-
-    def _send(self, forwarding: Forwarding, choice, connection, now: float) -> None:
-        call = forwarding.call
-        message = call.message
-        last_event = forwarding.events.last_event
-        headers = self._dialect.make_headers(
-            call,
-            choice.candidate.upstream,
-            forwarding.account,
-            forwarding.deadline - now,
-            last_event,
-            choice.fetch_from,
-        )
-        request = http_messages.encode_request(
-            message.method, message.target, headers, message.body
-        )
-        connection.send(message.method, request, self._expects(call))
-
-    def _expects(self, call: calls.Call):
-        def is_expected(head: http_messages.Head) -> bool:
-            named = self._dialect.read_answer(head).request
-            return named is None or named == call.id
-
-        return is_expected
-
-    async def _relay(self, forwarding, candidate, connection, number) -> Outcome:
-        """Passes an answer on, part by part.
-
-        Raises:
-            AnswerFailedError: It broke off, or it is not an answer to the request.
-        """
-        while True:
-            parts = await self._receive(forwarding, candidate, connection)
-            candidate.load.heard_at = self._now()
-            for part in parts:
-                match part:
-                    case http_messages.Head():
-                        refused = await self._start(
-                            forwarding, candidate, connection, part
-                        )
-                        if refused is not None:
-                            await self._skip_rest(parts, connection)
-                            return refused
-                    case http_messages.Data(data=data):
-                        await self._pass_on(forwarding, candidate, number, data)
-                    case http_messages.End():
-                        await forwarding.answer.write(forwarding.events.take_rest())
-                        await forwarding.answer.end()
-                        return Delivered()
-
-    async def _skip_rest(self, parts, connection) -> None:
-        """Keeps a connection whose refused answer has been received as a whole."""
-        if not any(isinstance(part, http_messages.End) for part in parts):
-            connection.abort()
-
-    async def _receive(self, forwarding, candidate, connection):
-        """Waits for the next parts, as long as there is nothing better to do.
-
-        Raises:
-            AnswerFailedError: None came, and another upstream should be tried.
-        """
-        while True:
-            if not self._is_repeatable(forwarding):
-                return await connection.receive()
-            try:
-                async with asyncio.timeout(CHECK_S):
-                    return await connection.receive()
-            except TimeoutError:
-                if self._should_move_on(forwarding, candidate):
-                    connection.abort()
-                    raise upstream_connection.AnswerFailedError(
-                        "the upstream is silent", had_bytes=False
-                    ) from None
-
-    def _should_move_on(self, forwarding: Forwarding, candidate) -> bool:
-        """Tells whether a request is better sent to another upstream now."""
-        if forwarding.possible_runs >= forwarding.route.max_upstreams:
-            return False
-        now = self._now()
-        if candidate.load.is_silent(now, placement.SILENCE_S):
-            return True
-        if forwarding.route.is_stream:
-            return False
-        waited_s = now - forwarding.call.received_at
-        return waited_s > max(MIN_SLOW_S, SLOW_RATIO * forwarding.route.objective_s)
-
-    async def _start(self, forwarding, candidate, connection, head) -> Outcome | None:
-        """Begins the answer to the caller, or returns why this one is not taken."""
-        notes = self._dialect.read_answer(head)
-        if notes.idle_timeout_s is not None:
-            connection.idle_timeout_s = notes.idle_timeout_s
-        if notes.running is not None:
-            total = notes.running + (notes.waiting or 0)
-            candidate.load.note_report(total, self._now())
-        if notes.is_wrong_instance:
-            self._directory.note_misplaced(candidate.upstream)
-            return NotRun("another instance has the address")
-        if notes.has_not_run:
-            return NotRun(f"refused with {head.status}")
-        is_success = head.status < FIRST_FAILURE_STATUS
-        if head.status in PROMISE_STATUSES:
-            return Failed(f"status {head.status}, though it may have run")
-        is_proved = notes.is_sealed and notes.request is not None
-        if head.status < FIRST_REDIRECT_STATUS and not is_proved:
-            return Failed("the answer has no proof of its origin")
-        if forwarding.has_begun:
-            return None if is_success else Failed(f"status {head.status}")
-        if not is_success and self._can_try_elsewhere(forwarding):
-            return Failed(f"status {head.status}")
-        if forwarding.route.repeat is routing_table.Repeat.RESUME:
-            head = dataclasses.replace(head, framing=http_messages.Framing.CHUNKED)
-        await forwarding.answer.start(head)
-        took_s = self._now() - forwarding.call.received_at
-        self._metrics.first_byte_s.labels(forwarding.route.name).observe(took_s)
-        return None
-
-    def _can_try_elsewhere(self, forwarding: Forwarding) -> bool:
-        return (
-            self._is_repeatable(forwarding)
-            and forwarding.possible_runs < forwarding.route.max_upstreams
-        )
-
-    async def _pass_on(self, forwarding, candidate, number, data: bytes) -> None:
-        work = candidate.load.start(number)
-        if work is not None:
-            self._view.note_begun(candidate, work.unread_tokens)
-        if forwarding.route.repeat is routing_table.Repeat.RESUME:
-            data = forwarding.events.feed(data)
-        await forwarding.answer.write(data)
-
     def _budget_of(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
         known = self._budget_by_service.get(service)
         if known is None:
--- /dev/null
+++ b/teaselsill/upstream_attempt.py
@@ -0,0 +1,342 @@
+"""One try of a caller's request at one upstream."""
+
+import asyncio
+import dataclasses
+
+from teaselsill import (
+    caller_connection,
+    calls,
+    directory,
+    entry_metrics,
+    event_stream,
+    fleet_view,
+    http_messages,
+    ids,
+    placement,
+    request_line,
+    routing_table,
+    tcp_stream,
+    upstream_connection,
+    upstream_health,
+    upstream_list,
+    upstream_load,
+)
+
+CONNECT_TIMEOUT_S = 0.4
+CHECK_S = 0.2
+"""How often a request that may be repeated is checked for a silent upstream."""
+MAX_IDLE_S = 3.0
+"""A connection that was idle for longer is not used for a request."""
+MAX_IDLE_UNREPEATABLE_S = 0.5
+"""The same for a request that cannot be sent again if the connection turns out dead."""
+SLOW_RATIO = 2.5
+"""A repeatable call is tried elsewhere after so many times its objective."""
+MIN_SLOW_S = 0.3
+FIRST_REDIRECT_STATUS = 300
+FIRST_FAILURE_STATUS = 500
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivered:
+    """The caller has the whole answer.
+
+    Attributes:
+        status: Its status.
+    """
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsent:
+    """The upstream could not be reached: it has not seen the request."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The upstream has refused the request and states that it has not run."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """There is no whole answer; the request may have run."""
+
+    reason: str
+
+
+Outcome = Delivered | Unsent | NotRun | Failed
+
+
+@dataclasses.dataclass(slots=True)
+class Forwarding:
+    """A request under way.
+
+    Attributes:
+        call: The request.
+        route: Its route.
+        service: The service that it goes to.
+        account: The client account; none for a public route.
+        answer: The answer to the caller.
+        deadline: When it must have its answer, on the event loop's clock, in seconds.
+        events: Cuts the answer into events if it can be resumed.
+        excluded: The upstreams that do not get it any more.
+        sends: How many times it was sent.
+        possible_runs: How many upstreams may have run it.
+        line: Its log line.
+    """
+
+    call: calls.Call
+    route: routing_table.Route
+    service: routing_table.Service
+    account: ids.AccountId | None
+    answer: caller_connection.CallerAnswer
+    deadline: float
+    events: event_stream.EventCutter
+    line: request_line.RequestLine
+    excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    possible_runs: int = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has got a part of an answer."""
+        return self.answer.progress is not caller_connection.Progress.NOTHING
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether another upstream may run it although one may have run it."""
+        match self.route.repeat:
+            case routing_table.Repeat.FREELY:
+                return not self.has_begun
+            case routing_table.Repeat.RESUME:
+                return True
+        return False
+
+    @property
+    def may_run_elsewhere(self) -> bool:
+        """Whether it is repeatable, and its route allows another upstream."""
+        return self.is_repeatable and self.possible_runs < self.route.max_upstreams
+
+
+class Sender:
+    """Sends requests to upstreams and their answers to callers.
+
+    Args:
+        dialect: Reads and writes the headers.
+        known: The upstreams.
+        view: What is known of the work of all routers.
+        sink: Takes the metrics.
+    """
+
+    def __init__(
+        self,
+        dialect: calls.Dialect,
+        known: directory.Directory,
+        view: fleet_view.FleetView,
+        sink: entry_metrics.EntryMetrics,
+    ):
+        self._dialect = dialect
+        self._directory = known
+        self._view = view
+        self._metrics = sink
+
+    async def attempt(
+        self, forwarding: Forwarding, choice: placement.Choice
+    ) -> Outcome:
+        """Sends a request to one upstream and its answer to the caller."""
+        candidate = choice.candidate
+        target = candidate.upstream
+        forwarding.excluded.add(target.id)
+        try:
+            connection = await self._connect(forwarding, target)
+        except tcp_stream.ConnectionFailedError as error:
+            candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
+            return Unsent(str(error))
+        forwarding.line.upstreams.append(target.id)
+        forwarding.sends += 1
+        forwarding.possible_runs += 1
+        now = self._now()
+        work = upstream_load.Work(
+            unread_tokens=choice.unread_tokens,
+            sent_at=now,
+        )
+        number = candidate.load.add(work)
+        if forwarding.call.parts:
+            self._view.note_sent(
+                forwarding.account, forwarding.call, candidate, choice.unread_tokens
+            )
+        outcome = None
+        try:
+            self._send(forwarding, choice, connection, now)
+            outcome = await self._relay(forwarding, candidate, connection, number)
+        except upstream_connection.AnswerFailedError as error:
+            outcome = Failed(str(error))
+        finally:
+            candidate.load.remove(number)
+            self._view.note_ended(candidate)
+            if outcome is None:
+                connection.abort()
+        self._note_outcome(forwarding, candidate, outcome)
+        self._directory.pool(target).put(connection)
+        return outcome
+
+    def _note_outcome(self, forwarding, candidate, outcome: Outcome) -> None:
+        match outcome:
+            case NotRun():
+                forwarding.possible_runs -= 1
+                result = upstream_health.Result.FAILED
+            case Failed():
+                forwarding.events.drop_rest()
+                result = upstream_health.Result.FAILED
+            case Delivered(status=status) if status >= FIRST_FAILURE_STATUS:
+                result = upstream_health.Result.FAILED
+            case _:
+                result = upstream_health.Result.ANSWERED
+        candidate.health.note(result, self._now())
+
+    async def _connect(
+        self, forwarding: Forwarding, target: upstream_list.Upstream
+    ) -> upstream_connection.UpstreamConnection:
+        is_once = forwarding.route.repeat is routing_table.Repeat.NEVER
+        max_idle_s = MAX_IDLE_UNREPEATABLE_S if is_once else MAX_IDLE_S
+        kept = self._directory.pool(target).take(self._now(), max_idle_s)
+        if kept is not None:
+            return kept
+        return await upstream_connection.open_connection(
+            target.host, target.port, CONNECT_TIMEOUT_S
+        )
+
+    def _send(self, forwarding: Forwarding, choice, connection, now: float) -> None:
+        call = forwarding.call
+        message = call.message
+        last_event = forwarding.events.last_event
+        headers = self._dialect.make_headers(
+            call,
+            choice.candidate.upstream,
+            forwarding.account,
+            forwarding.deadline - now,
+            last_event,
+            choice.fetch_from,
+        )
+        request = http_messages.encode_request(
+            message.method, message.target, headers, message.body
+        )
+        connection.send(message.method, request, self._expects(call))
+
+    def _expects(self, call: calls.Call):
+        def is_expected(head: http_messages.Head) -> bool:
+            named = self._dialect.read_answer(head).request
+            return named is None or named == call.id
+
+        return is_expected
+
+    async def _relay(self, forwarding, candidate, connection, number) -> Outcome:
+        """Passes an answer on, part by part.
+
+        Raises:
+            AnswerFailedError: It broke off, or it is not an answer to the request.
+        """
+        while True:
+            parts = await self._receive(forwarding, candidate, connection)
+            candidate.load.heard_at = self._now()
+            for part in parts:
+                match part:
+                    case http_messages.Head():
+                        refused = await self._start(
+                            forwarding, candidate, connection, part
+                        )
+                        if refused is not None:
+                            _skip_rest(parts, connection)
+                            return refused
+                    case http_messages.Data(data=data):
+                        await self._pass_on(forwarding, candidate, number, data)
+                    case http_messages.End():
+                        await forwarding.answer.write(forwarding.events.take_rest())
+                        await forwarding.answer.end()
+                        return Delivered(forwarding.answer.status)
+
+    async def _receive(self, forwarding, candidate, connection):
+        """Waits for the next parts, as long as there is nothing better to do.
+
+        Raises:
+            AnswerFailedError: None came, and another upstream should be tried.
+        """
+        while True:
+            if not forwarding.is_repeatable:
+                return await connection.receive()
+            try:
+                async with asyncio.timeout(CHECK_S):
+                    return await connection.receive()
+            except TimeoutError:
+                if self._should_move_on(forwarding, candidate):
+                    connection.abort()
+                    raise upstream_connection.AnswerFailedError(
+                        "the upstream is silent", had_bytes=False
+                    ) from None
+
+    def _should_move_on(self, forwarding: Forwarding, candidate) -> bool:
+        """Tells whether a request is better sent to another upstream now."""
+        if forwarding.possible_runs >= forwarding.route.max_upstreams:
+            return False
+        now = self._now()
+        if candidate.load.is_silent(now, placement.SILENCE_S):
+            return True
+        if forwarding.route.is_stream:
+            return False
+        waited_s = now - forwarding.call.received_at
+        return waited_s > max(MIN_SLOW_S, SLOW_RATIO * forwarding.route.objective_s)
+
+    async def _start(self, forwarding, candidate, connection, head) -> Outcome | None:
+        """Begins the answer to the caller, or returns why this one is not taken."""
+        notes = self._dialect.read_answer(head)
+        if notes.idle_timeout_s is not None:
+            connection.idle_timeout_s = notes.idle_timeout_s
+        if notes.running is not None:
+            total = notes.running + (notes.waiting or 0)
+            candidate.load.note_report(total, self._now())
+        if notes.is_wrong_instance:
+            self._directory.note_misplaced(candidate.upstream)
+            return NotRun("another instance has the address")
+        if notes.has_not_run:
+            return NotRun(f"refused with {head.status}")
+        is_success = head.status < FIRST_FAILURE_STATUS
+        if head.status in PROMISE_STATUSES:
+            return Failed(f"status {head.status}, though it may have run")
+        is_proved = notes.is_sealed and notes.request is not None
+        if head.status < FIRST_REDIRECT_STATUS and not is_proved:
+            return Failed("the answer has no proof of its origin")
+        if forwarding.has_begun:
+            is_same = head.status == forwarding.answer.status
+            return None if is_same else Failed(f"status {head.status}")
+        if not is_success and forwarding.may_run_elsewhere:
+            return Failed(f"status {head.status}")
+        if forwarding.route.repeat is routing_table.Repeat.RESUME:
+            head = dataclasses.replace(head, framing=http_messages.Framing.CHUNKED)
+        await forwarding.answer.start(head)
+        took_s = self._now() - forwarding.call.received_at
+        forwarding.line.first_ms = round(1000 * took_s, 1)
+        self._metrics.first_byte_s.labels(forwarding.route.name).observe(took_s)
+        return None
+
+    async def _pass_on(self, forwarding, candidate, number, data: bytes) -> None:
+        work = candidate.load.start(number)
+        if work is not None:
+            self._view.note_begun(candidate, work.unread_tokens)
+        if forwarding.route.repeat is routing_table.Repeat.RESUME:
+            data = forwarding.events.feed(data)
+        await forwarding.answer.write(data)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _skip_rest(parts, connection) -> None:
+    """Keeps a connection whose refused answer has been received as a whole."""
+    if not any(isinstance(part, http_messages.End) for part in parts):
+        connection.abort()
--- a/tests/test_account_usage.py
+++ b/tests/test_account_usage.py
@@ -34,6 +34,14 @@
         self.assertGreater(usage.find_ratio(HEAVY, 0.0), 1)
         self.assertLess(usage.find_ratio(LIGHT, 0.0), 1)
 
+    def test_nobody_has_more_than_its_share_while_engines_idle(self):
+        usage = account_usage.AccountUsage()
+        usage.capacity = 10_000
+        usage.add(HEAVY, 1000, 900, 0.0)
+        usage.add(LIGHT, 10, 0, 0.0)
+        self.assertEqual(0, usage.find_ratio(HEAVY, 0.0))
+        self.assertEqual(0, usage.find_excess(0.0))
+
     def test_use_fades(self):
         usage = account_usage.AccountUsage()
         usage.add(HEAVY, 1000, 600, 0.0)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -234,6 +234,23 @@
         lasts = [r.get("last") for u in self.upstreams for r in u.requests]
         self.assertEqual({None, "3"}, set(lasts))
 
+    async def test_other_answer_is_never_joined_to_a_stream(self):
+        async def fail(request, stream):
+            status = 404 if request.get("last") else 200
+            if status == 404:
+                stream.write(entry_bench.answer(request, b"none", status))
+                return
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await asyncio.sleep(0.02)
+            stream.abort()
+
+        bench = await self.start(
+            fail, fail, repeat=RESUME, is_stream=True, max_upstreams=2
+        )
+        status, body, is_complete = await bench.ask()
+        self.assertEqual((200, False), (status, is_complete))
+        self.assertNotIn(b"none", body)
+
     async def test_stream_that_breaks_again_does_not_look_complete(self):
         script = self.make_stream([4, 5])
         bench = await self.start(
