--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -172,12 +172,14 @@
                 forwarding.account, forwarding.call, candidate, choice.unread_tokens
             )
         outcome = None
+        watching = asyncio.create_task(self._watch(forwarding, candidate, connection))
         try:
             self._send(forwarding, choice, connection, now)
             outcome = await self._relay(forwarding, candidate, connection, number)
         except upstream_connection.AnswerFailedError as error:
             outcome = Failed(str(error))
         finally:
+            watching.cancel()
             candidate.load.remove(number)
             self._view.note_ended(candidate)
             if outcome is None:
@@ -243,7 +245,7 @@
             AnswerFailedError: It broke off, or it is not an answer to the request.
         """
         while True:
-            parts = await self._receive(forwarding, candidate, connection)
+            parts = await connection.receive()
             candidate.load.heard_at = self._now()
             for part in parts:
                 match part:
@@ -261,24 +263,13 @@
                         await forwarding.answer.end()
                         return Delivered(forwarding.answer.status)
 
-    async def _receive(self, forwarding, candidate, connection):
-        """Waits for the next parts, as long as there is nothing better to do.
-
-        Raises:
-            AnswerFailedError: None came, and another upstream should be tried.
-        """
-        while True:
-            if not forwarding.is_repeatable:
-                return await connection.receive()
-            try:
-                async with asyncio.timeout(CHECK_S):
-                    return await connection.receive()
-            except TimeoutError:
-                if self._should_move_on(forwarding, candidate):
-                    connection.abort()
-                    raise upstream_connection.AnswerFailedError(
-                        "the upstream is silent", had_bytes=False
-                    ) from None
+    async def _watch(self, forwarding, candidate, connection) -> None:
+        """Ends a try once another upstream is better asked."""
+        while forwarding.is_repeatable:
+            await asyncio.sleep(CHECK_S)
+            if self._should_move_on(forwarding, candidate):
+                connection.abort("the upstream is silent or slow")
+                return
 
     def _should_move_on(self, forwarding: Forwarding, candidate) -> bool:
         """Tells whether a request is better sent to another upstream now."""
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -12,15 +12,7 @@
 
 
 class AnswerFailedError(errors.UpstreamError):
-    """No whole answer came; the upstream may have run the request.
-
-    Attributes:
-        had_bytes: Whether a part of an answer had come on this connection.
-    """
-
-    def __init__(self, reason: str, had_bytes: bool):
-        super().__init__(reason)
-        self.had_bytes = had_bytes
+    """No whole answer came; the upstream may have run the request."""
 
 
 class UpstreamConnection:
@@ -40,7 +32,7 @@
         self._stream = stream
         self._idle_since = asyncio.get_running_loop().time()
         self._parser: http_messages.AnswerParser | None = None
-        self._had_bytes = False
+        self._abort_reason = ""
 
     def send(
         self,
@@ -56,7 +48,6 @@
             is_expected: Tells from a head whether it answers this request.
         """
         self._parser = http_messages.AnswerParser(method, is_expected)
-        self._had_bytes = False
         self._stream.write(request)
 
     async def receive(self) -> list[http_messages.Part]:
@@ -67,15 +58,15 @@
         """
         try:
             data = await self._stream.read()
-            self._had_bytes = self._had_bytes or bool(data)
             parts = self._parser.feed(data) if data else self._parser.close()
         except (
             http_messages.BrokenAnswerError,
             http_messages.MalformedMessageError,
             tcp_stream.ConnectionResetError,
         ) as error:
+            reason = self._abort_reason or str(error)
             self.abort()
-            raise AnswerFailedError(str(error), self._had_bytes) from error
+            raise AnswerFailedError(reason) from error
         for part in parts:
             match part:
                 case http_messages.Head(keep_alive=False):
@@ -95,9 +86,14 @@
         is_used = self._stream.has_left or self._stream.has_unread
         return is_used or now - self._idle_since > limit_s
 
-    def abort(self) -> None:
-        """Closes the connection at once; the upstream drops the request."""
+    def abort(self, reason: str = "") -> None:
+        """Closes the connection at once; the upstream drops the request.
+
+        Args:
+            reason: Why, for a task that waits for the answer.
+        """
         self.is_reusable = False
+        self._abort_reason = reason
         self._stream.abort()
 
     def _finish(self) -> None:
