Draw at random what other routers have not told; announce a close in an overload

Change: placement spreads by the tokens that others are guessed to have sent since their reports; only a stop closes a connection unannounced, and not while a request has come.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -1,9 +1,8 @@
 """How much of the engines each client account uses, and what its fair share is."""
 
-import dataclasses
 import math
 
-from teaselsill import ids
+from teaselsill import decaying_sum, ids
 
 MEMORY_S = 3.0
 """Use that lies so far back counts e times less."""
@@ -12,21 +11,6 @@
 LEAST_TOKENS = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Decaying:
-    """A sum in which what lies back counts less and less."""
-
-    value: float = 0.0
-    updated_at: float = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        self.value = self.read(now) + amount
-        self.updated_at = now
-
-    def read(self, now: float) -> float:
-        return self.value * math.exp((self.updated_at - now) / MEMORY_S)
-
-
 class AccountUsage:
     """The use of all client accounts, as reported by all routers.
 
@@ -37,8 +21,8 @@
 
     def __init__(self):
         self.capacity = 0.0
-        self._asked_by_account: dict[ids.AccountId, _Decaying] = {}
-        self._admitted_by_account: dict[ids.AccountId, _Decaying] = {}
+        self._asked_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
+        self._admitted_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._level = math.inf
         self._excess = 0.0
         self._refreshed_at = -math.inf
@@ -54,8 +38,8 @@
             admitted: The cost of those that were sent to an engine, in tokens.
             now: The time, in seconds.
         """
-        self._asked_by_account.setdefault(account, _Decaying()).add(asked, now)
-        self._admitted_by_account.setdefault(account, _Decaying()).add(admitted, now)
+        _add(self._asked_by_account, account, asked, now)
+        _add(self._admitted_by_account, account, admitted, now)
 
     def find_ratio(self, account: ids.AccountId, now: float) -> float:
         """Returns what an account has been given, relative to its max-min share.
@@ -101,3 +85,10 @@
             return level
         left -= demand
     return math.inf
+
+
+def _add(sum_by_account, account: ids.AccountId, amount: float, now: float) -> None:
+    known = sum_by_account.get(account)
+    if known is None:
+        known = sum_by_account[account] = decaying_sum.DecayingSum(MEMORY_S)
+    known.add(amount, now)
--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -135,7 +135,9 @@
         stream: The connection.
         serve: Answers one request. It is cancelled when the caller leaves.
         find_limits: Returns what callers may send.
-        closes: Tells whether connections are to be closed after the next answer.
+        closes: Tells whether an answer that begins now announces the connection's end.
+        must_close: Tells whether a connection is closed after its answer although that
+            was not announced, as long as no other request has come.
 
     Attributes:
         is_idle: Whether no request is being received or answered.
@@ -147,11 +149,13 @@
         serve: Serve,
         find_limits: collections.abc.Callable[[], routing_table.Limits],
         closes: collections.abc.Callable[[], bool],
+        must_close: collections.abc.Callable[[], bool],
     ):
         self._stream = stream
         self._serve = serve
         self._find_limits = find_limits
         self._closes = closes
+        self._must_close = must_close
         self._parser: http_messages.RequestParser | None = None
         self._is_answering = False
 
@@ -196,8 +200,9 @@
             await self._answer(request, answer)
         finally:
             self._is_answering = False
-        is_whole = answer.progress is Progress.WHOLE
-        return answer.keeps_open and is_whole and not self._closes()
+        if answer.progress is not Progress.WHOLE or not answer.keeps_open:
+            return False
+        return self._stream.has_unread or not self._must_close()
 
     async def _answer(self, request, answer: CallerAnswer) -> None:
         """Answers a request, or stops at once when the caller leaves.
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -185,7 +185,11 @@
 
     def _accept(self, stream: tcp_stream.TcpStream, serve) -> None:
         connection = caller_connection.CallerConnection(
-            stream, serve, self._find_limits, self._closes_connections
+            stream,
+            serve,
+            self._find_limits,
+            closes=self._closes_connections,
+            must_close=lambda: self._is_stopping,
         )
         self._connections.add(connection)
         task = asyncio.create_task(connection.run())
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -6,6 +6,7 @@
 from teaselsill import (
     account_usage,
     calls,
+    decaying_sum,
     directory,
     engine_queue,
     ids,
@@ -14,6 +15,12 @@
     upstream_load,
 )
 
+REPORT_S = 0.05
+"""How often there is a report while there is something new."""
+REPORT_S_PER_PEER = 0.004
+"""How much less often for each other router, since each of them has to read it."""
+TOLD_MEMORY_S = 1.0
+"""How far back others' reports count for the rate at which they send."""
 TELL_ALL_S = 0.5
 HEARD_S = 1.5
 """A router counts as heard for so long after a report."""
@@ -51,6 +58,7 @@
         self._told: dict[ids.UpstreamId, upstream_load.Summary] = {}
         self._told_all_at = float("-inf")
         self._heard_at_by_router: dict[ids.InstanceId, float] = {}
+        self._told_tokens = decaying_sum.DecayingSum(TOLD_MEMORY_S)
         self._on_seen = on_seen
 
     @property
@@ -68,6 +76,15 @@
         now = self._now()
         return sum(now - at <= HEARD_S for at in self._heard_at_by_router.values())
 
+    def find_report_period_s(self) -> float:
+        """Returns how often routers report while there is something new."""
+        return REPORT_S + REPORT_S_PER_PEER * self.count_heard()
+
+    def guess_unseen_tokens(self) -> float:
+        """Returns the prompt tokens that others have sent since their last reports."""
+        rate = self._told_tokens.read_rate(self._now())
+        return rate * self.find_report_period_s()
+
     def note_asked(self, account: ids.AccountId | None, call: calls.Call) -> None:
         """Takes note of a request that this router has received."""
         if account is None or not call.parts:
@@ -143,6 +160,7 @@
                 parts = tuple(calls.PromptPart(*part) for part in read.parts)
                 candidate.memory.note_read(parts)
                 candidate.queue.add(read.unread_tokens, now)
+                self._told_tokens.add(read.unread_tokens, now)
         for usage in report.usages:
             self.usage.add(usage.account, usage.asked, usage.admitted, now)
         for upstream, tokens in report.begun_by_upstream.items():
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -255,7 +255,13 @@
     def _choose(self, forwarding: upstream_attempt.Forwarding) -> placement.Choice:
         now = self._now()
         candidates = self._directory.candidates(forwarding.service, forwarding.excluded)
-        choice = placement.choose(forwarding.call, candidates, self._data_centre, now)
+        choice = placement.choose(
+            forwarding.call,
+            candidates,
+            self._data_centre,
+            now,
+            self._view.guess_unseen_tokens(),
+        )
         if choice is None:
             self._give_up(
                 forwarding, rejections.Cause.NO_UPSTREAM, "no upstream is left"
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -9,10 +9,6 @@
 
 from teaselsill import fleet_view, ids, listener, peer_reports, tcp_stream, wire
 
-REPORT_S = 0.05
-"""How often there is a report while there is something new."""
-REPORT_S_PER_PEER = 0.004
-"""How much less often for each other router, since each of them has to read it."""
 IDLE_REPORT_S = 0.5
 MAX_REPORT_BYTES = 1024 * 1024
 MAX_UNSENT_BYTES = 256 * 1024
@@ -104,9 +100,7 @@
         sent_at = -math.inf
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(
-                REPORT_S + REPORT_S_PER_PEER * len(self._stream_by_peer)
-            )
+            await asyncio.sleep(view.find_report_period_s())
             if view.has_news or loop.time() - sent_at > IDLE_REPORT_S:
                 sent_at = loop.time()
                 self.send(view.take_report())
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -69,6 +69,7 @@
     candidates: list[Candidate],
     data_centre: ids.DataCentre,
     now: float,
+    unseen_tokens: float = 0.0,
 ) -> Choice | None:
     """Returns the best upstream for a request, or none if there is none.
 
@@ -79,13 +80,15 @@
         candidates: The upstreams that may get it.
         data_centre: Where the router runs.
         now: The time, in seconds.
+        unseen_tokens: How many prompt tokens other routers are guessed to have sent to
+            engines without having told of it yet.
     """
     if not candidates:
         return None
     sound = [c for c in candidates if not is_doubtful(c, now)] or candidates
     random.shuffle(sound)
     if call.parts:
-        return _choose_engine(call, sound, now)
+        return _choose_engine(call, sound, now, unseen_tokens / len(sound))
     scores = [_score_plain(c, data_centre, now) for c in sound]
     least = min(scores)
     return Choice(sound[scores.index(least)], 0, least)
@@ -118,8 +121,14 @@
     return candidate.load.count(now) + DISTANCE_REQUESTS * distance
 
 
-def _choose_engine(call: calls.Call, candidates: list[Candidate], now: float) -> Choice:
-    """Returns the engine that has the least to read before the answer begins."""
+def _choose_engine(
+    call: calls.Call, candidates: list[Candidate], now: float, spread: float
+) -> Choice:
+    """Returns the engine that has the least to read before the answer begins.
+
+    Routers that all see the same engine idle would all choose it. So what each cannot
+    know of an engine is drawn at random, up to the spread in tokens.
+    """
     held_tokens = [c.memory.count_held(call.parts) for c in candidates]
     most = max(held_tokens)
     holder = candidates[held_tokens.index(most)]
@@ -134,7 +143,7 @@
             held = max(held, int(HOME_RATIO * shared))
         unread = max(0, call.prompt_tokens - held - fetched)
         score = unread + FETCH_RATIO * fetched
-        score += candidate.queue.count_planned(now)
+        score += candidate.queue.count_planned(now) + spread * random.random()
         score += TOKENS_PER_REQUEST * candidate.load.count(now)
         if best is None or score < best.score:
             fetch_from = holder.upstream if fetched else None
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -72,6 +72,23 @@
         self.assertIn(b"connection: close", caller.received)
         await caller.wait_closed()
 
+    async def test_connection_is_not_closed_unannounced_for_an_overload(self):
+        go_on = asyncio.Event()
+
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await go_on.wait()
+            stream.write(http_messages.END_OF_CHUNKS)
+
+        bench = await self.start(script, is_stream=True, timeout_s=30.0)
+        caller = await bench.connect()
+        caller.send("1")
+        await caller.receive_until(b"id: 1")
+        bench.lag.is_overloaded = True
+        go_on.set()
+        await caller.receive_until(http_messages.END_OF_CHUNKS)
+        self.assertEqual(200, (await caller.ask("2"))[0])
+
     async def test_late_router_does_not_send_for_a_caller_that_has_left(self):
         bench = await self.start()
         bench.lag.is_overloaded = True
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -88,6 +88,20 @@
         self.assertIs(holder.upstream, choice.fetch_from)
         self.assertEqual(1000, choice.unread_tokens)
 
+    def test_routers_that_see_the_same_do_not_all_choose_the_same(self):
+        call = make_call(("tool", 100), ("own", 1000))
+        candidates = [make_candidate(f"u{n}") for n in range(5)]
+        for number, candidate in enumerate(candidates):
+            candidate.memory.note_read(call.parts[:1])
+            candidate.queue.add(1000 * number, 0.0)
+        chosen = [
+            placement.choose(call, candidates, HERE, 0.0, 50_000).candidate
+            for _ in range(200)
+        ]
+        self.assertTrue(all(chosen.count(c) > 10 for c in candidates))
+        seen = {choose(call, candidates).candidate.upstream.id for _ in range(20)}
+        self.assertEqual({"u0"}, seen)
+
     def test_silent_upstream_is_avoided(self):
         silent, other = make_candidate("silent"), make_candidate("other")
         silent.load.add(upstream_load.Work(10, 0.0))
