Hand requests to other routers while the event loop is late

Change: while its loop is late a router rejects at once with Retry-After 0.05; a caller's retry reaches another router.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -26,6 +26,8 @@
 MAX_CONNECT_TRIES = 4
 """How many upstreams are tried that cannot be reached."""
 RETRY_AFTER_S = 1.0
+RETRY_AFTER_BUSY_S = 0.05
+"""What callers are told whom another router can serve at once."""
 RETRY_AFTER_START_S = 0.5
 """What is told to callers while the router has no configuration."""
 LATE_ROUNDS = 2
@@ -157,6 +159,12 @@
             raise rejections.RejectedError(
                 rejections.Cause.STOPPING, "the router is stopping", 0.0
             )
+        if self._lag.is_late:
+            raise rejections.RejectedError(
+                rejections.Cause.ROUTER_BUSY,
+                f"the event loop is {self._lag.average_s:.2f} s late",
+                RETRY_AFTER_BUSY_S,
+            )
         table = self.table
         if table is None:
             raise rejections.RejectedError(
--- a/teaselsill/loop_lag.py
+++ b/teaselsill/loop_lag.py
@@ -47,6 +47,11 @@
                 },
             )
 
+    @property
+    def is_late(self) -> bool:
+        """Whether what comes now would wait here for too long."""
+        return self.average_s > OVERLOADED_S
+
     async def run(self) -> None:
         """Measures the delay for ever."""
         loop = asyncio.get_running_loop()
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -21,6 +21,7 @@
     OVERLOADED = ("overloaded", 503)
     OVER_SHARE = ("over-share", 429)
     TIMEOUT_UNSENT = ("timeout-unsent", 503)
+    ROUTER_BUSY = ("router-busy", 503)
     STOPPING = ("stopping", 503)
     TIMEOUT = ("timeout", 504)
     ANSWER_FAILED = ("answer-failed", 502)
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -89,6 +89,16 @@
         await caller.receive_until(http_messages.END_OF_CHUNKS)
         self.assertEqual(200, (await caller.ask("2"))[0])
 
+    async def test_late_router_hands_requests_to_others(self):
+        bench = await self.start()
+        for _ in range(20):
+            bench.lag.add(0.5)
+        caller = await bench.connect()
+        self.assertEqual((503, b"", True), await caller.ask())
+        self.assertIn(b"retry-after: 0.05", caller.received)
+        self.assertIn(b"connection: close", caller.received)
+        self.assertEqual([], self.upstream.requests)
+
     async def test_late_router_does_not_send_for_a_caller_that_has_left(self):
         bench = await self.start()
         bench.lag.is_overloaded = True
