--- /dev/null
+++ b/tests/adapter/test_router_role.py
@@ -0,0 +1,160 @@
+import asyncio
+import json
+import os
+import signal
+import unittest
+
+from adapter import router_role, settings
+
+from teaselsill import http_messages, listener, tcp_stream
+from tests import entry_bench
+from tests.adapter import store_bench, test_manifest
+
+HOST = "127.0.0.9"
+KEY = "k1"
+PATH = "/pufi791/1"
+
+
+def find_free_port():
+    listening = listener.Listener(HOST, 0, lambda stream: None)
+    port = listening.address[1]
+    listening.close()
+    return port
+
+
+def make_manifest(version):
+    return json.dumps(test_manifest.MANIFEST | {"Version": version}).encode()
+
+
+async def say_ok(request, stream):
+    body = b"id: 1\ndata: x\n\n"
+    fields = [
+        ("teaselsill-attempt-id", request.get("teaselsill-attempt-id")),
+        ("teaselsill-server-seal", "s"),
+        ("content-length", str(len(body))),
+    ]
+    stream.write(http_messages.encode_head(200, "OK", fields) + body)
+
+
+class RouterRoleTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = await self.enterAsyncContext(store_bench.KeyedStore())
+        self.server = entry_bench.ScriptedUpstream("i-1", say_ok)
+        await self.enterAsyncContext(self.server)
+
+    def start(self):
+        store = self.store.describe()
+        self.front = find_free_port()
+        self.ready = find_free_port()
+        known = settings.Settings(
+            node="edge-1",
+            role="router",
+            zone="a",
+            heartbeat_ms=1200,
+            ip=HOST,
+            port_range=(find_free_port(), 0),
+            listen=settings.Listen(f"{HOST}:{self.front}", f"{HOST}:{self.ready}"),
+            bounds=settings.Bounds(2.0, 0.2, 10.0, 54.0),
+            platform=settings.Platform(f"{store.host}:{store.port}"),
+        )
+        running = asyncio.create_task(router_role.RouterRole(known).run())
+        self.addAsyncCleanup(asyncio.gather, running, return_exceptions=True)
+        self.addCleanup(running.cancel)
+        return running
+
+    def register(self, **fields):
+        entry = self.server.describe()
+        beat = {
+            "Service": "huvo11a",
+            "Address": f"{entry.host}:{entry.port}",
+            "Zone": "a",
+            "Slots": 8,
+            "State": "ready",
+            "born": 1,
+        }
+        text = json.dumps(beat | fields).encode()
+        self.store.put("keyed.servers", "i-1", text)
+
+    async def ask(self, port, path, **fields):
+        stream = await tcp_stream.connect(HOST, port, 1.0)
+        caller = entry_bench.Caller(stream)
+        try:
+            caller.send(path=path, method="GET", **fields)
+            return await caller.receive()
+        finally:
+            caller.leave()
+
+    async def call(self):
+        stream = await tcp_stream.connect(HOST, self.front, 1.0)
+        caller = entry_bench.Caller(stream)
+        head = [
+            ("host", "ficu95.example"),
+            ("teaselsill-attempt-id", "9c41"),
+            ("authorization", f"Bearer {KEY}"),
+        ]
+        caller.send_bytes(http_messages.encode_request("POST", PATH, head, b"x"))
+        try:
+            return await caller.receive()
+        finally:
+            caller.leave()
+
+    async def wait_status(self, status, ask):
+        async with asyncio.timeout(10.0):
+            while True:
+                try:
+                    if (await ask())[0] == status:
+                        return
+                except tcp_stream.ConnectionFailedError:
+                    pass  # It has not begun to listen.
+                await asyncio.sleep(0.02)
+
+    async def wait_ready(self, status):
+        await self.wait_status(status, lambda: self.ask(self.ready, "/v1/ready"))
+
+    async def test_serves_once_it_knows_the_manifest_and_the_servers(self):
+        self.start()
+        await self.wait_ready(503)
+        self.assertEqual(503, (await self.call())[0])
+        self.store.put("keyed.op", "config", make_manifest(7))
+        self.register()
+        await self.wait_ready(200)
+        await self.wait_status(200, self.call)
+        (request,) = self.server.requests[:1]
+        self.assertEqual("i-1", request.get("teaselsill-expect-instance"))
+        self.assertIn("edge-1", self.store.newest("keyed.routers"))
+        _, text, _ = await self.ask(router_role.METRICS_PORT, router_role.METRICS_PATH)
+        self.assertIn(b'teaselsill_requests_total{cause="",ending="delivered"}', text)
+
+    async def test_goes_on_without_the_store_and_follows_it_again(self):
+        self.store.put("keyed.op", "config", make_manifest(7))
+        self.register()
+        self.start()
+        await self.wait_ready(200)
+        self.store.down = True
+        await self.wait_status(200, self.call)
+        self.store.down = False
+        self.register(State="draining")
+        await self.wait_status(503, self.call)
+        await self.wait_ready(200)
+
+    async def test_an_older_manifest_changes_nothing(self):
+        self.store.put("keyed.op", "config", make_manifest(7))
+        self.register()
+        self.start()
+        await self.wait_ready(200)
+        older = test_manifest.MANIFEST | {"Version": 6, "Routes": []}
+        self.store.put("keyed.op", "config", json.dumps(older).encode())
+        self.store.put("keyed.op", "config", b"no manifest")
+        await asyncio.sleep(0.3)
+        await self.wait_status(200, self.call)
+
+    async def test_sigterm_ends_it_after_the_request_in_hand(self):
+        self.store.put("keyed.op", "config", make_manifest(7))
+        self.register()
+        running = self.start()
+        await self.wait_ready(200)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await self.wait_ready(503)
+        self.assertEqual(200, (await self.call())[0])
+        async with asyncio.timeout(5.0):
+            await running
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -1,4 +1,7 @@
+import os
 import pathlib
+import subprocess
+import sys
 import tempfile
 import unittest
 
@@ -6,6 +9,7 @@
 
 from teaselsill import errors
 
+ROOT = pathlib.Path(__file__).parents[2]
 TEXT = """
 Node = "edge-chaguanas-1"
 Role = "router"
@@ -27,6 +31,30 @@
 """
 
 
+class CheckTest(unittest.TestCase):
+    def run_check(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_text(text)
+            done = subprocess.run(
+                [sys.executable, str(ROOT / "platform/run.py"), "check"],
+                env=os.environ | {settings.PATH_VARIABLE: str(path)},
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+        return done.returncode, done.stderr
+
+    def test_good_settings(self):
+        self.assertEqual((0, ""), self.run_check(TEXT))
+
+    def test_fault_is_named_with_its_place(self):
+        status, text = self.run_check(TEXT.replace("GraceS = 8", 'GraceS = "8"'))
+        self.assertEqual(1, status)
+        self.assertIn("$.Bounds.GraceS", text)
+
+
 class LoadTest(unittest.TestCase):
     def load(self, text):
         with tempfile.TemporaryDirectory() as folder:
