Read the servers' entries often enough without being told

Change: the pause is at most 0.6 of the time to drain. New test seen failing: with 100 routers heard the pause was 17.7 s.

--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -6,7 +6,7 @@
 
 from adapter import router_role, settings
 
-from teaselsill import http_messages, listener, tcp_stream
+from teaselsill import http_messages, listener, peer_reports, tcp_stream
 from tests import entry_bench
 from tests.adapter import store_bench, test_manifest
 
@@ -42,7 +42,7 @@
         self.server = entry_bench.ScriptedUpstream("i-1", say_ok)
         await self.enterAsyncContext(self.server)
 
-    def start(self):
+    def make_role(self):
         store = self.store.describe()
         self.front = find_free_port()
         self.ready = find_free_port()
@@ -54,10 +54,13 @@
             ip=HOST,
             port_range=(find_free_port(), 0),
             listen=settings.Listen(f"{HOST}:{self.front}", f"{HOST}:{self.ready}"),
-            bounds=settings.Bounds(2.0, 0.2, 10.0, 54.0),
+            bounds=settings.Bounds(2000.0, 2.0, 0.2, 10.0, 54.0),
             platform=settings.Platform(f"{store.host}:{store.port}"),
         )
-        running = asyncio.create_task(router_role.RouterRole(known).run())
+        return router_role.RouterRole(known)
+
+    def start(self):
+        running = asyncio.create_task(self.make_role().run())
         self.addAsyncCleanup(asyncio.gather, running, return_exceptions=True)
         self.addCleanup(running.cancel)
         return running
@@ -137,6 +140,13 @@
         await self.wait_status(503, self.call)
         await self.wait_ready(200)
 
+    async def test_reads_in_time_although_others_would_tell(self):
+        role = self.make_role()
+        for number in range(100):
+            report = peer_reports.Report(f"r{number}", [], [], {}, {}, {})
+            role._view.apply(report)
+        self.assertLess(role._find_servers_pause_s(), 2.0)
+
     async def test_an_older_manifest_changes_nothing(self):
         self.store.put("keyed.op", "config", make_manifest(7))
         self.register()
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -22,6 +22,7 @@
 Front = "10.1.0.33:8783"
 Ready = "10.1.0.33:8780"
 [Bounds]
+DrainMs = 2000
 GraceS = 8
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
