--- a/teaselsill/loop_lag.py
+++ b/teaselsill/loop_lag.py
@@ -3,15 +3,15 @@
 import asyncio
 import logging
 
-PERIOD_S = 0.1
+PERIOD_S = 0.05
 """How often the delay is measured."""
 WEIGHT = 0.25
 """How much one measurement counts in the average."""
 MAX_SAMPLE_S = 0.5
 """A longer delay counts as this: the process was stopped, not overloaded."""
-OVERLOADED_S = 0.12
+OVERLOADED_S = 0.06
 """With a longer average delay the process is overloaded."""
-RELIEVED_S = 0.02
+RELIEVED_S = 0.015
 """With a shorter average delay it is not any more."""
 
 logger = logging.getLogger(__name__)
