--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -1,7 +1,6 @@
 """Decides whether a request is sent to the chosen engine or rejected at once."""
 
 import dataclasses
-import logging
 import random
 
 from teaselsill import account_usage, calls, ids, placement, rejections, routing_table
@@ -22,8 +21,6 @@
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 2.0
 
-logger = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evidence:
--- a/teaselsill/engine_queue.py
+++ b/teaselsill/engine_queue.py
@@ -11,8 +11,6 @@
 """What lies so far back counts e times less."""
 BUSY_TOKENS = 6_000
 """With fewer tokens to read, the engine's own latency hides its rate."""
-FIRST_EVENT_S = 0.06
-"""From the last prompt token to the first event of the answer."""
 USABLE_RATIO = 0.8
 """The part of an engine's time that may go into prompts; the rest generates."""
 
@@ -76,10 +74,6 @@
         """Returns how long a prompt waits that is sent now, in seconds."""
         return self.count_tokens(now) / self.rate
 
-    def predict_read_s(self, tokens: int) -> float:
-        """Returns how long a prompt takes from its turn to its first event."""
-        return tokens / self.rate + FIRST_EVENT_S
-
     def _pass_time(self, now: float) -> None:
         passed_s = max(0.0, now - self._changed_at)
         self._changed_at = now
