Wait for the upstream instead of for 0.1 s in the tests of slow logs

Cause: test_answer_does_not_wait_for_its_record slows the log down 0.1 s after it began a call. Ruled out: an answer that waits for its record, which would also fail when the log is slowed down after the upstream has begun. Change: the test waits until the upstream runs the request; so do two tests that rested on 0.2 s. Bounds and assertions stay.

--- a/tests/bench.py
+++ b/tests/bench.py
@@ -35,6 +35,7 @@
 ACCOUNT = ids.AccountId("schools")
 ORDER = "/orders/1"
 LOOKUP = "/rooms/1"
+RUN_WAIT_S = 5.0
 
 DOCUMENT = {
     "client_accounts": [{"id": ACCOUNT, "share": 1, "services": [SERVICE]}],
@@ -202,6 +203,12 @@
         """Returns how often a request ran, over all upstreams."""
         return sum(bench.upstream.count_by_path[path] for bench in self.agents)
 
+    async def wait_until_run(self, path):
+        """Waits until a request runs at an upstream."""
+        async with asyncio.timeout(RUN_WAIT_S):
+            while not self.count(path):  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
     async def call(self, path, key="", deadline_s=5.0, through=None):
         """Sends a request and returns the status and body of the whole answer."""
         request = make_request(path, key, deadline_s)
--- a/tests/test_failures_leaving.py
+++ b/tests/test_failures_leaving.py
@@ -57,7 +57,7 @@
         async def leave_early(fleet):
             fleet.agents[0].upstream.may_go_on.clear()
             call = asyncio.create_task(fleet.call(bench.LOOKUP))
-            await asyncio.sleep(0.2)
+            await fleet.wait_until_run(bench.LOOKUP)
             call.cancel()
             await asyncio.wait([call])
             fleet.agents[0].upstream.may_go_on.set()
--- a/tests/test_failures_log.py
+++ b/tests/test_failures_log.py
@@ -81,7 +81,7 @@
         upstream = self.fleet.agents[0].upstream
         upstream.may_go_on.clear()
         call = asyncio.create_task(self.fleet.call(bench.ORDER, "key-1"))
-        await asyncio.sleep(0.1)
+        await self.fleet.wait_until_run(bench.ORDER)
         self.fleet.log.delay_s = 2.0
         upstream.may_go_on.set()
         began_at = time.monotonic()
--- a/tests/test_failures_lost.py
+++ b/tests/test_failures_lost.py
@@ -16,9 +16,7 @@
         for member in fleet.agents:
             member.upstream.may_start.clear()
         call = asyncio.create_task(fleet.call(path, key, deadline_s))
-        async with asyncio.timeout(2):
-            while not fleet.count(path):  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
+        await fleet.wait_until_run(path)
         for member in fleet.agents:
             if not member.upstream.count_by_path[path]:
                 member.upstream.may_start.set()
@@ -54,7 +52,7 @@
             fleet.agents[0].upstream.may_go_on.clear()
             began_at = time.monotonic()
             call = asyncio.create_task(fleet.call(bench.ORDER, deadline_s=0.5))
-            await asyncio.sleep(0.2)
+            await fleet.wait_until_run(bench.ORDER)
             fleet.agents[0].relay.hold_new(True)
             fleet.agents[0].relay.silence()
             self.assertEqual(messages.Outcome.UNKNOWN, await self.outcome_of(call))
