Hand connections over to routers that have less to do; let the wait fall beyond the share

A flooding client account's connections all reach one router of 0.39 cores. It rejected what came with Retry-After 0.05, on the assumption that a retry reaches another router. A trace shows that 1950 of 1964 such retries came back to it; 3430 of 4481 requests that were never served ended so. Second cause: an account near its share could wait hardly at all, and all accounts beyond 1.25 shares had the same limit, so the largest flood took four shares and others beyond theirs 0.6. Third: the share was taken of the engines' estimated rate, not of the stated capacity.

Change: a busy router relays new connections to one that told of less load for each core of its processor; relays end when it stops or has many; an overload is held for 3 s and more, so that the balancer does not return at once; the admitted wait falls with the fourth power of the share beyond 0.85; the stated capacity is shared out.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -16,7 +16,8 @@
 
     Attributes:
         capacity: What the engines can do in the time that counts, in tokens. While less
-            than this is asked for, nobody has more than its share.
+            than this is asked for, nobody has more than its share. 0 if it is unknown:
+            then what has been admitted is shared out.
     """
 
     def __init__(self):
@@ -24,7 +25,6 @@
         self._asked_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._admitted_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._level = math.inf
-        self._excess = 0.0
         self._refreshed_at = -math.inf
 
     def add(
@@ -51,11 +51,6 @@
             return 0.0
         return admitted.read(now) / self._find_level(now)
 
-    def find_excess(self, now: float) -> float:
-        """Returns how much more was asked for than admitted, relative to the latter."""
-        self._refresh(now)
-        return self._excess
-
     def _find_level(self, now: float) -> float:
         self._refresh(now)
         return self._level
@@ -66,9 +61,8 @@
         self._refreshed_at = now
         asked = [d.read(now) for d in self._asked_by_account.values()]
         admitted = sum(d.read(now) for d in self._admitted_by_account.values())
-        given = max(admitted, self.capacity)
+        given = self.capacity or admitted
         self._level = max(LEAST_TOKENS, find_level(asked, given))
-        self._excess = max(0.0, sum(asked) / max(given, LEAST_TOKENS) - 1.0)
 
 
 def find_level(demands: list[float], capacity: float) -> float:
--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -8,16 +8,11 @@
 OBJECTIVE_RATIO = 0.6
 """The part of the objective that a prompt may wait before it is read."""
 DEFAULT_OBJECTIVE_S = 1.0
-NO_WAIT_RATIO = 1.25
-"""From this ratio of its fair share on, an account may only use what others leave."""
-CALM_NO_WAIT_RATIO = 4.0
-"""The same while hardly anything is rejected: a burst is no overload."""
-MILD_EXCESS = 0.05
-"""The load that is rejected, relative to what is admitted, in a mere burst."""
-SEVERE_EXCESS = 0.25
-"""What is rejected beyond that in a severe overload."""
 FAIR_RATIO = 1.0
-LEAST_WAIT_S = 0.02
+FULL_WAIT_RATIO = 0.85
+"""Up to this ratio of its fair share an account may wait as long as any."""
+SHARE_EXPONENT = 4
+"""How fast the wait that is allowed falls beyond that."""
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 2.0
 
@@ -87,12 +82,8 @@
         """Returns what the decision on a request rests on."""
         ratio = self._usage.find_ratio(account, now) if account is not None else 0.0
         objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
-        excess = self._usage.find_excess(now)
-        severity = min(1.0, max(0.0, excess - MILD_EXCESS) / SEVERE_EXCESS)
-        no_wait_ratio = CALM_NO_WAIT_RATIO
-        no_wait_ratio -= severity * (CALM_NO_WAIT_RATIO - NO_WAIT_RATIO)
-        part = max(0.0, 1.0 - ratio / no_wait_ratio)
-        limit_s = max(LEAST_WAIT_S, OBJECTIVE_RATIO * objective_s * part)
+        part = min(1.0, FULL_WAIT_RATIO / ratio) ** SHARE_EXPONENT if ratio else 1.0
+        limit_s = OBJECTIVE_RATIO * objective_s * part
         wait_s = choice.candidate.queue.predict_wait_s(now)
         return Evidence(wait_s, limit_s, ratio)
 
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -4,14 +4,19 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 
 from teaselsill import (
     caller_connection,
     directory,
+    fleet_view,
     forwarding,
     http_messages,
+    ids,
     listener,
     loop_lag,
+    offload,
+    peer_reports,
     routing_table,
     tcp_stream,
 )
@@ -24,6 +29,12 @@
 EXIT_BEFORE_KILL_S = 0.8
 """A stop gives up on unfinished requests this long before the process is killed."""
 STOP_CHECK_S = 0.05
+CHOICE_LIFE_S = 0.05
+"""How long connections are handed over to the same router."""
+MANY_RELAYS = 400
+"""With more, connections that other routers serve end after their next answer."""
+MAX_RELAYS = 1200
+"""With so many, no more connections are handed over: each takes two descriptors."""
 
 logger = logging.getLogger(__name__)
 
@@ -43,15 +54,37 @@
     text: bytes = b""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a router runs.
+
+    Attributes:
+        data_centre: Its data centre.
+        host: Its IP address.
+        port: The port for connections that other routers hand over; 0 for any.
+        cores: The speed of its processor, in cores.
+    """
+
+    data_centre: ids.DataCentre
+    host: str
+    port: int
+    cores: float
+
+
 Render = collections.abc.Callable[[], Page]
+ServeStream = collections.abc.Callable[
+    [tcp_stream.TcpStream], collections.abc.Coroutine
+]
 
 
 class EntryRouter:
     """Serves callers and the balancer's readiness checks.
 
     Args:
+        place: Where it runs.
         forwarder: Answers the requests.
         known: The upstreams.
+        view: What is known of the other routers.
         has_started: Tells whether the router knows enough to serve.
         grace_s: How long a stop may take, in seconds.
         lag: Tells whether the process has too much work.
@@ -59,19 +92,27 @@
 
     def __init__(
         self,
+        place: Place,
         forwarder: forwarding.Forwarder,
         known: directory.Directory,
+        view: fleet_view.FleetView,
         has_started: collections.abc.Callable[[], bool],
         grace_s: float,
         lag: loop_lag.LoopLag,
     ):
+        self._place = place
         self._forwarder = forwarder
         self._directory = known
+        self._view = view
         self._has_started = has_started
         self._grace_s = grace_s
         self._lag = lag
         self._is_stopping = False
         self._connections: set[caller_connection.CallerConnection] = set()
+        self._relays: set[offload.Relay] = set()
+        self._handover_port = 0
+        self._chosen: tuple[ids.InstanceId, peer_reports.RouterStatus] | None = None
+        self._chose_at = -math.inf
         self._tasks: set[asyncio.Task] = set()
         self._listeners: list[listener.Listener] = []
         self._was_ready = False
@@ -86,6 +127,25 @@
             self._was_ready = is_ready
         return is_ready
 
+    def describe_status(self) -> peer_reports.RouterStatus:
+        """Returns what the other routers are told of this one's load."""
+        relayed = offload.RELAY_COST * len(self._relays)
+        return peer_reports.RouterStatus(
+            self._place.data_centre,
+            self._place.host,
+            self._handover_port,
+            (self._forwarder.underway + relayed) / self._place.cores,
+            takes_connections=self.is_ready and not self._lag.is_busy,
+            recall=self._find_recall(),
+        )
+
+    def _find_recall(self) -> peer_reports.Recall:
+        if self._is_stopping:
+            return peer_reports.Recall.AT_ONCE
+        if len(self._relays) > MANY_RELAYS:
+            return peer_reports.Recall.AFTER_ANSWER
+        return peer_reports.Recall.NONE
+
     @property
     def addresses(self) -> list[tuple[str, int]]:
         """The hosts and ports that are listened on, in the order of the calls."""
@@ -97,7 +157,18 @@
         Raises:
             ListenError: The address cannot be used.
         """
-        self._listen(host, port, self._forwarder.serve)
+        self._listen(host, port, self._serve_caller)
+
+    def listen_for_routers(self) -> None:
+        """Takes the connections that other routers hand over.
+
+        Raises:
+            ListenError: The address cannot be used.
+        """
+        listening = self._listen(
+            self._place.host, self._place.port, self._serve_handed_over
+        )
+        self._handover_port = listening.address[1]
 
     def listen_for_page(self, host: str, port: int, path: str, render: Render) -> None:
         """Serves one page to operators or the balancer.
@@ -128,7 +199,15 @@
             await answer.write(page.text)
             await answer.end()
 
-        self._listen(host, port, answer_page)
+        async def serve_page(stream: tcp_stream.TcpStream) -> None:
+            await self._serve(
+                stream,
+                answer_page,
+                self._closes_connections,
+                lambda: self._is_stopping,
+            )
+
+        self._listen(host, port, serve_page)
 
     def render_readiness(self) -> Page:
         """Returns the page that tells whether new connections should come here."""
@@ -138,6 +217,9 @@
         """Looks after upstreams and idle connections for ever."""
         while True:
             self._directory.tidy(self._now())
+            if not self._is_stopping:
+                self._end_handed_over()
+            self._break_off_silent()
             await asyncio.sleep(TIDY_S)
 
     async def stop(self) -> None:
@@ -151,7 +233,7 @@
         self._forwarder.is_stopping = True
         while self._now() < deadline:
             self._close_idle()
-            if not self._connections:
+            if not self._tasks:
                 break
             await asyncio.sleep(STOP_CHECK_S)
         logger.info(
@@ -174,38 +256,113 @@
             listening.close()
 
     def _close_idle(self) -> None:
-        for connection in list(self._connections):
+        for connection in [*self._connections, *self._relays]:
             if connection.is_idle:
                 connection.close()
 
-    def _listen(self, host: str, port: int, serve) -> None:
-        self._listeners.append(
-            listener.Listener(host, port, lambda stream: self._accept(stream, serve))
+    def _break_off_silent(self) -> None:
+        """Ends the relays to routers that have not been heard for long."""
+        for relay in list(self._relays):
+            if not self._view.is_heard(relay.router):
+                relay.break_off()
+
+    def _end_handed_over(self) -> None:
+        """Closes idle connections that a stopping router has handed over."""
+        for connection in list(self._connections):
+            if connection.must_close() and connection.is_idle:
+                connection.close()
+
+    def _listen(self, host: str, port: int, serve: ServeStream) -> listener.Listener:
+        listening = listener.Listener(
+            host, port, lambda stream: self._start(serve(stream))
         )
+        self._listeners.append(listening)
+        return listening
+
+    def _start(self, serving: collections.abc.Coroutine) -> None:
+        task = asyncio.create_task(serving)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, done: asyncio.Task) -> None:
+        self._tasks.discard(done)
+        if not done.cancelled() and done.exception() is not None:
+            logger.error("connection failed", exc_info=done.exception())
+
+    async def _serve_caller(self, stream: tcp_stream.TcpStream) -> None:
+        """Serves a caller's connection, or has a router with less to do serve it."""
+        relay = await self._hand_over(stream)
+        if relay is None:
+            await self._serve(
+                stream,
+                self._forwarder.serve,
+                self._closes_connections,
+                lambda: self._is_stopping,
+            )
+            return
+        self._relays.add(relay)
+        try:
+            await relay.run()
+        finally:
+            self._relays.discard(relay)
+
+    async def _hand_over(self, stream: tcp_stream.TcpStream) -> offload.Relay | None:
+        if self._is_stopping or not self._lag.is_busy:
+            return None
+        if len(self._relays) >= MAX_RELAYS:
+            return None
+        if self._now() - self._chose_at > CHOICE_LIFE_S:
+            self._chose_at = self._now()
+            statuses = self._view.list_statuses()
+            router = offload.choose(self.describe_status(), statuses)
+            self._chosen = (router, statuses[router]) if router is not None else None
+        if self._chosen is None:
+            return None
+        return await offload.connect(stream, *self._chosen)
+
+    async def _serve_handed_over(self, stream: tcp_stream.TcpStream) -> None:
+        """Serves a connection that another router has handed over.
+
+        The other router cannot tell where an answer ends. So when it stops, the
+        connection is ended here, as if this router were stopping.
+        """
 
-    def _accept(self, stream: tcp_stream.TcpStream, serve) -> None:
+        def find_recall() -> peer_reports.Recall:
+            return self._view.find_recall(stream.peer_host)
+
+        def must_close() -> bool:
+            recalled = find_recall() is peer_reports.Recall.AT_ONCE
+            return self._is_stopping or recalled
+
+        def closes() -> bool:
+            recalled = find_recall() is not peer_reports.Recall.NONE
+            return self._closes_connections() or recalled
+
+        await self._serve(stream, self._forwarder.serve, closes, must_close)
+
+    async def _serve(
+        self,
+        stream: tcp_stream.TcpStream,
+        answer: caller_connection.Serve,
+        closes: collections.abc.Callable[[], bool],
+        must_close: collections.abc.Callable[[], bool],
+    ) -> None:
         connection = caller_connection.CallerConnection(
             stream,
-            serve,
+            answer,
             self._find_limits,
-            closes=self._closes_connections,
-            must_close=lambda: self._is_stopping,
+            closes=closes,
+            must_close=must_close,
         )
         self._connections.add(connection)
-        task = asyncio.create_task(connection.run())
-        self._tasks.add(task)
-
-        def forget(done: asyncio.Task) -> None:
-            self._tasks.discard(done)
+        try:
+            await connection.run()
+        finally:
             self._connections.discard(connection)
-            if not done.cancelled() and done.exception() is not None:
-                logger.error("connection failed", exc_info=done.exception())
-
-        task.add_done_callback(forget)
 
     def _closes_connections(self) -> bool:
         """Tells whether callers should come back over a new connection, elsewhere."""
-        return self._is_stopping or self._lag.is_overloaded
+        return self._is_stopping or self._lag.is_busy
 
     def _find_limits(self) -> routing_table.Limits:
         table = self._forwarder.table
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import collections.abc
+import math
 
 from teaselsill import (
     account_usage,
     calls,
     decaying_sum,
     directory,
-    engine_queue,
     ids,
     peer_reports,
     placement,
@@ -28,6 +28,7 @@
 """The cost of a generated token, in prompt tokens."""
 
 
+FindStatus = collections.abc.Callable[[], peer_reports.RouterStatus]
 OnSeen = collections.abc.Callable[[str, ids.Offset], None]
 
 
@@ -37,6 +38,7 @@
     Args:
         router: This router.
         known: The upstreams.
+        find_status: Returns how much this router has to do.
         on_seen: Called with a topic of the platform's log and the offset of a change
             that another router has seen there.
 
@@ -48,6 +50,7 @@
         self,
         router: ids.InstanceId,
         known: directory.Directory,
+        find_status: FindStatus,
         on_seen: OnSeen = lambda topic, offset: None,
     ):
         self._seen_by_topic: dict[str, ids.Offset] = {}
@@ -57,7 +60,10 @@
         self._notebook = peer_reports.Notebook(router)
         self._told: dict[ids.UpstreamId, upstream_load.Summary] = {}
         self._told_all_at = float("-inf")
+        self._find_status = find_status
         self._heard_at_by_router: dict[ids.InstanceId, float] = {}
+        self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
+        self._router_by_host: dict[str, ids.InstanceId] = {}
         self._told_tokens = decaying_sum.DecayingSum(TOLD_MEMORY_S)
         self._on_seen = on_seen
 
@@ -73,8 +79,23 @@
 
     def count_heard(self) -> int:
         """Returns how many other routers have been heard of late."""
-        now = self._now()
-        return sum(now - at <= HEARD_S for at in self._heard_at_by_router.values())
+        return sum(map(self.is_heard, self._heard_at_by_router))
+
+    def is_heard(self, router: ids.InstanceId) -> bool:
+        """Tells whether another router has been heard of late."""
+        heard_at = self._heard_at_by_router.get(router, -math.inf)
+        return self._now() - heard_at <= HEARD_S
+
+    def list_statuses(self) -> dict[ids.InstanceId, peer_reports.RouterStatus]:
+        """Returns how much the routers that have been heard of late have to do."""
+        return {r: s for r, s in self._status_by_router.items() if self.is_heard(r)}
+
+    def find_recall(self, host: str) -> peer_reports.Recall:
+        """Returns what the router at an IP address wants of its connections."""
+        router = self._router_by_host.get(host)
+        if router is None or not self.is_heard(router):
+            return peer_reports.Recall.NONE
+        return self._status_by_router[router].recall
 
     def find_report_period_s(self) -> float:
         """Returns how often routers report while there is something new."""
@@ -134,7 +155,6 @@
         what they have not heard for long.
         """
         now = self._now()
-        self._update_capacity()
         work_by_upstream = self._directory.summarize()
         if now - self._told_all_at > TELL_ALL_S:
             self._told_all_at = now
@@ -146,12 +166,14 @@
         }
         self._told = work_by_upstream
         self._has_seen_change = False
-        return self._notebook.take(changed, self._seen_by_topic)
+        return self._notebook.take(self._find_status(), changed, self._seen_by_topic)
 
     def apply(self, report: peer_reports.Report) -> None:
         """Takes the report of another router."""
         now = self._now()
         self._heard_at_by_router[report.router] = now
+        self._status_by_router[report.router] = report.status
+        self._router_by_host[report.status.host] = report.router
         for topic, offset in report.seen_by_topic.items():
             self._on_seen(topic, offset)
         for read in report.reads:
@@ -173,10 +195,9 @@
                 candidate.load.note_peer(report.router, work, now)
                 self._update_outstanding(candidate, now)
 
-    def _update_capacity(self) -> None:
-        rate = self._directory.sum_rates()
-        usable = engine_queue.USABLE_RATIO * account_usage.MEMORY_S
-        self.usage.capacity = rate * usable
+    def set_capacity(self, tokens_per_s: float) -> None:
+        """Takes what all engines together process, in tokens a second; 0 if unknown."""
+        self.usage.capacity = tokens_per_s * account_usage.MEMORY_S
 
     def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
         tokens = candidate.load.count_unread_tokens()
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -101,6 +101,7 @@
         """Puts a configuration into force."""
         self.table = table
         self._directory.service_by_name = table.service_by_name
+        self._view.set_capacity(table.limits.tokens_per_s)
 
     async def serve(
         self, message: http_messages.Request, answer: caller_connection.CallerAnswer
--- a/teaselsill/loop_lag.py
+++ b/teaselsill/loop_lag.py
@@ -2,17 +2,25 @@
 
 import asyncio
 import logging
+import math
 
 PERIOD_S = 0.05
 """How often the delay is measured."""
 WEIGHT = 0.25
 """How much one measurement counts in the average."""
-MAX_SAMPLE_S = 0.5
+MAX_SAMPLE_S = 0.2
 """A longer delay counts as this: the process was stopped, not overloaded."""
+BUSY_S = 0.02
+"""With a longer average delay, new work is better done by another process."""
 OVERLOADED_S = 0.06
 """With a longer average delay the process is overloaded."""
 RELIEVED_S = 0.015
 """With a shorter average delay it is not any more."""
+FIRST_HOLD_S = 3.0
+"""How long it counts as overloaded at least; each time in a row twice as long."""
+MAX_HOLD_S = 12.0
+AGAIN_S = 6.0
+"""An overload that begins so soon after the last one is in a row with it."""
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +28,9 @@
 class LoopLag:
     """The delay of the event loop.
 
+    What made a process late comes back once it takes work again. So it counts as
+    overloaded for some time, and for longer each time in a row.
+
     Attributes:
         average_s: The average delay, in seconds.
         is_overloaded: Whether callers are better served by other routers.
@@ -28,24 +39,45 @@
     def __init__(self):
         self.average_s = 0.0
         self.is_overloaded = False
+        self._hold_s = FIRST_HOLD_S
+        self._changed_at = -math.inf
+
+    def add(self, delay_s: float, now: float) -> None:
+        """Takes one measurement.
 
-    def add(self, delay_s: float) -> None:
-        """Takes one measurement, in seconds."""
+        Args:
+            delay_s: The delay, in seconds.
+            now: The time, in seconds.
+        """
         sample_s = min(MAX_SAMPLE_S, max(0.0, delay_s))
         self.average_s += WEIGHT * (sample_s - self.average_s)
-        was_overloaded = self.is_overloaded
-        if self.average_s > OVERLOADED_S:
-            self.is_overloaded = True
-        elif self.average_s < RELIEVED_S:
-            self.is_overloaded = False
-        if self.is_overloaded is not was_overloaded:
-            logger.warning(
-                "load of the process changed",
-                extra={
-                    "overloaded": self.is_overloaded,
-                    "delay_ms": round(1000 * self.average_s, 1),
-                },
+        lasted_s = now - self._changed_at
+        if self.is_overloaded:
+            if self.average_s < RELIEVED_S and lasted_s >= self._hold_s:
+                self._change(False, now)
+        elif self.average_s > OVERLOADED_S:
+            is_again = lasted_s < AGAIN_S
+            self._hold_s = (
+                min(2 * self._hold_s, MAX_HOLD_S) if is_again else FIRST_HOLD_S
             )
+            self._change(True, now)
+
+    def _change(self, is_overloaded: bool, now: float) -> None:
+        self.is_overloaded = is_overloaded
+        self._changed_at = now
+        logger.warning(
+            "load of the process changed",
+            extra={
+                "overloaded": is_overloaded,
+                "delay_ms": round(1000 * self.average_s, 1),
+                "for_s": self._hold_s if is_overloaded else None,
+            },
+        )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether new work is better done elsewhere."""
+        return self.is_overloaded or self.average_s > BUSY_S
 
     @property
     def is_late(self) -> bool:
@@ -58,4 +90,5 @@
         while True:
             due_at = loop.time() + PERIOD_S
             await asyncio.sleep(PERIOD_S)
-            self.add(loop.time() - due_at)
+            now = loop.time()
+            self.add(now - due_at, now)
--- /dev/null
+++ b/teaselsill/offload.py
@@ -0,0 +1,140 @@
+"""Hands callers' connections to routers that have less to do.
+
+The balancer chooses a router by the caller, so one router may get far more than its
+processor can do, and what it rejects comes back to it.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import logging
+
+from teaselsill import ids, peer_reports, tcp_stream
+
+LOAD_RATIO = 0.5
+"""Only a router with less than this part of the own load takes a connection."""
+RELAY_COST = 0.25
+"""What a connection costs that another router serves, relative to an own request."""
+CONNECT_TIMEOUT_S = 1.0
+"""The other router was heard of late: what takes long is this one."""
+LEAVE_ROUNDS = 2
+"""How many rounds of the event loop a caller is given to leave before its request is
+passed on: a router that is late reads both at once."""
+
+logger = logging.getLogger(__name__)
+
+
+def choose(
+    own: peer_reports.RouterStatus,
+    others: collections.abc.Mapping[ids.InstanceId, peer_reports.RouterStatus],
+) -> ids.InstanceId | None:
+    """Returns the router that should serve a new connection instead, or none.
+
+    Routers of the same data centre go first, since bytes between data centres cost.
+
+    Args:
+        own: The load of this router.
+        others: What the other routers have told of late.
+    """
+    most_load = LOAD_RATIO * own.load
+    able = [
+        router
+        for router, status in others.items()
+        if status.takes_connections and status.load < most_load
+    ]
+    near = [r for r in able if others[r].data_centre == own.data_centre]
+    return min(near or able, key=lambda r: others[r].load, default=None)
+
+
+class Relay:
+    """A caller's connection that another router serves, byte by byte.
+
+    Args:
+        caller: The caller's connection.
+        router: The other router.
+        other: The connection to it.
+
+    Attributes:
+        router: As above.
+    """
+
+    def __init__(
+        self,
+        caller: tcp_stream.TcpStream,
+        router: ids.InstanceId,
+        other: tcp_stream.TcpStream,
+    ):
+        self._caller = caller
+        self.router = router
+        self._other = other
+        self._has_request = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the caller has sent nothing yet."""
+        return not self._has_request and not self._caller.has_unread
+
+    def close(self) -> None:
+        """Closes the connection, which is idle."""
+        self._caller.close()
+        self._other.abort()
+
+    async def run(self) -> None:
+        """Passes bytes on until one end leaves."""
+        answering = asyncio.create_task(self._pass_answer())
+        try:
+            await self._pass_request()
+        finally:
+            answering.cancel()
+            await asyncio.gather(answering, return_exceptions=True)
+            self._other.abort()
+            self._caller.close()
+
+    def break_off(self) -> None:
+        """Ends an answer that will not come, so that it does not look complete."""
+        logger.warning("router silent, breaking off", extra={"peer": self.router})
+        self._caller.abort()
+
+    async def _pass_request(self) -> None:
+        """Passes on what the caller sends, until its connection ends."""
+        with contextlib.suppress(tcp_stream.ConnectionResetError):
+            while data := await self._caller.read():
+                if await self._has_caller_left():
+                    break
+                self._has_request = True
+                self._other.write(data)
+                await self._other.drain()
+        self._caller.abort()
+
+    async def _has_caller_left(self) -> bool:
+        """Tells whether the end of the connection has come with what was read."""
+        for _ in range(LEAVE_ROUNDS):
+            await asyncio.sleep(0)
+        return self._caller.has_left
+
+    async def _pass_answer(self) -> None:
+        """Passes on what the other router answers, and how its answer ends."""
+        try:
+            while data := await self._other.read():
+                self._caller.write(data)
+                await self._caller.drain()
+        except tcp_stream.ConnectionResetError:
+            self._caller.abort()
+        self._caller.close()
+
+
+async def connect(
+    caller: tcp_stream.TcpStream,
+    router: ids.InstanceId,
+    status: peer_reports.RouterStatus,
+) -> Relay | None:
+    """Connects to the router that is to serve a connection; none if that fails."""
+    host, port = status.host, status.port
+    try:
+        other = await tcp_stream.connect(host, port, CONNECT_TIMEOUT_S)
+    except tcp_stream.ConnectionFailedError as error:
+        logger.info(
+            "connection not handed over", extra={"peer": router, "reason": str(error)}
+        )
+        return None
+    return Relay(caller, router, other)
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -1,5 +1,7 @@
 """What entry routers tell each other of the work that they have sent to engines."""
 
+import enum
+
 import msgspec
 
 from teaselsill import calls, ids, upstream_load
@@ -33,11 +35,46 @@
     admitted: int
 
 
+class Recall(enum.IntEnum):
+    """What becomes of the connections that a router has handed over.
+
+    Attributes:
+        NONE: They are kept.
+        AFTER_ANSWER: Each ends with its next answer, which announces that.
+        AT_ONCE: Idle ones end too, since the router is stopping.
+    """
+
+    NONE = 0
+    AFTER_ANSWER = 1
+    AT_ONCE = 2
+
+
+class RouterStatus(msgspec.Struct, array_like=True, frozen=True):
+    """How much a router has to do, and where it takes connections of others.
+
+    Attributes:
+        data_centre: Where it runs.
+        host: Its IP address.
+        port: The port for connections that other routers hand over.
+        load: The requests under way there for each core of its processor.
+        takes_connections: Whether it has time for more.
+        recall: What becomes of the connections that it has handed over.
+    """
+
+    data_centre: ids.DataCentre
+    host: str
+    port: int
+    load: float
+    takes_connections: bool
+    recall: Recall
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What a router has done since its last report.
 
     Attributes:
         router: The router.
+        status: How much it has to do.
         reads: The prompts that it has sent to engines.
         usages: What client accounts have asked of it.
         begun_by_upstream: The prompt tokens of the answers that have begun.
@@ -47,6 +84,7 @@
     """
 
     router: ids.InstanceId
+    status: RouterStatus
     reads: list[Read]
     usages: list[Usage]
     begun_by_upstream: dict[ids.UpstreamId, int]
@@ -99,6 +137,7 @@
 
     def take(
         self,
+        status: RouterStatus,
         work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary],
         seen_by_topic: dict[str, ids.Offset],
     ) -> Report:
@@ -109,6 +148,7 @@
         ]
         report = Report(
             self._router,
+            status,
             self._reads,
             usages,
             self._begun_by_upstream,
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -49,6 +49,12 @@
         """Whether bytes have come that were not read."""
         return bool(self._unread)
 
+    @property
+    def peer_host(self) -> str:
+        """The IP address of the other end; empty if it is not known."""
+        peer = self._transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
     @property
     def unsent_bytes(self) -> int:
         """How many written bytes the operating system has not taken yet."""
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -21,6 +21,9 @@
 [Listen]
 Front = "10.1.0.33:8783"
 Ready = "10.1.0.33:8780"
+[Limits]
+CpuShare = 0.717
+Cores = 3
 [Bounds]
 DrainMs = 2000
 GraceS = 8
@@ -68,6 +71,7 @@
         self.assertEqual("edge-chaguanas-1", known.node)
         self.assertEqual(8.0, known.bounds.grace_s)
         self.assertEqual((7400, 7415), known.port_range)
+        self.assertEqual(settings.Limits(0.717, 3.0), known.limits)
         self.assertEqual(
             ("10.1.0.33", 8783), settings.split_address(known.listen.front)
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -72,6 +72,25 @@
         self.candidate.queue.add(TOKENS, now)
         return 1
 
+    def test_account_within_its_share_may_wait_as_long_as_any(self):
+        """It was held to less the nearer it came to its share."""
+        self.usage.capacity = 10 * TOKENS
+        self.usage.add(HEAVY, 100 * TOKENS, 9 * TOKENS, 0.0)
+        self.usage.add(LIGHT, 4.1 * TOKENS, 4.1 * TOKENS, 0.0)
+        near = self.admission.weigh(ROUTE, LIGHT, self.choice, 0.0)
+        self.assertGreater(near.share_ratio, 0.6)
+        self.assertEqual(near.limit_s, admission.OBJECTIVE_RATIO * ROUTE.objective_s)
+
+    def test_the_more_beyond_the_share_the_shorter_the_wait(self):
+        """One account floods, another asks for a little more than its share."""
+        self.usage.capacity = 10 * TOKENS
+        middle = ids.AccountId("middle")
+        self.usage.add(HEAVY, 100 * TOKENS, 20 * TOKENS, 0.0)
+        self.usage.add(middle, 9 * TOKENS, 7 * TOKENS, 0.0)
+        flooding = self.admission.weigh(ROUTE, HEAVY, self.choice, 0.0)
+        moderate = self.admission.weigh(ROUTE, middle, self.choice, 0.0)
+        self.assertLess(10 * flooding.limit_s, moderate.limit_s)
+
     def test_flood_leaves_the_wait_to_the_others(self):
         served = self.play({HEAVY: 5.0, LIGHT: 0.1})
         self.assertGreaterEqual(served[LIGHT], 0.99)
