Leave idle relays to the router that reads them; wait longer at the store

A relay applied a shorter idle timeout at once to connections that were already idle, which callers still used; and the router behind it could close a connection while this one had already read a request. Ruled out: answers that the other router did not give (a log line for them showed none). Change: only the router that took the connection closes it for idleness, by the limit that was in force when it became quiet.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -140,7 +140,6 @@
             was not announced, as long as no other request has come.
 
     Attributes:
-        must_close: As above.
         is_idle: Whether no request is being received or answered.
     """
 
@@ -156,7 +155,7 @@
         self._serve = serve
         self._find_limits = find_limits
         self._closes = closes
-        self.must_close = must_close
+        self._must_close = must_close
         self._parser: http_messages.RequestParser | None = None
         self._is_answering = False
 
@@ -203,7 +202,7 @@
             self._is_answering = False
         if answer.progress is not Progress.WHOLE or not answer.keeps_open:
             return False
-        return self._stream.has_unread or not self.must_close()
+        return self._stream.has_unread or not self._must_close()
 
     async def _answer(self, request, answer: CallerAnswer) -> None:
         """Answers a request, or stops at once when the caller leaves.
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -29,6 +29,11 @@
 EXIT_BEFORE_KILL_S = 0.8
 """A stop gives up on unfinished requests this long before the process is killed."""
 STOP_CHECK_S = 0.05
+STOP_IDLE_S = 3.5
+"""In a stop, a relay counts as idle that has been quiet for so long; callers abandon a
+stream that pauses so long."""
+HANDED_OVER_IDLE_S = 10.0
+"""How much longer an idle connection is kept that another router closes."""
 CHOICE_LIFE_S = 0.05
 """How long connections are handed over to the same router."""
 MANY_RELAYS = 400
@@ -136,16 +141,9 @@
             self._handover_port,
             (self._forwarder.underway + relayed) / self._place.cores,
             takes_connections=self.is_ready and not self._lag.is_busy,
-            recall=self._find_recall(),
+            recalls_connections=self._is_stopping or len(self._relays) > MANY_RELAYS,
         )
 
-    def _find_recall(self) -> peer_reports.Recall:
-        if self._is_stopping:
-            return peer_reports.Recall.AT_ONCE
-        if len(self._relays) > MANY_RELAYS:
-            return peer_reports.Recall.AFTER_ANSWER
-        return peer_reports.Recall.NONE
-
     @property
     def addresses(self) -> list[tuple[str, int]]:
         """The hosts and ports that are listened on, in the order of the calls."""
@@ -201,10 +199,7 @@
 
         async def serve_page(stream: tcp_stream.TcpStream) -> None:
             await self._serve(
-                stream,
-                answer_page,
-                self._closes_connections,
-                lambda: self._is_stopping,
+                stream, answer_page, self._closes_connections, self._find_limits
             )
 
         self._listen(host, port, serve_page)
@@ -217,9 +212,7 @@
         """Looks after upstreams and idle connections for ever."""
         while True:
             self._directory.tidy(self._now())
-            if not self._is_stopping:
-                self._end_handed_over()
-            self._break_off_silent()
+            self._tend_relays()
             await asyncio.sleep(TIDY_S)
 
     async def stop(self) -> None:
@@ -256,21 +249,19 @@
             listening.close()
 
     def _close_idle(self) -> None:
-        for connection in [*self._connections, *self._relays]:
+        for connection in list(self._connections):
             if connection.is_idle:
                 connection.close()
 
-    def _break_off_silent(self) -> None:
-        """Ends the relays to routers that have not been heard for long."""
+    def _tend_relays(self) -> None:
+        """Ends relays that are idle, or whose router has not been heard for long."""
+        now = self._now()
+        longest_s = STOP_IDLE_S if self._is_stopping else math.inf
         for relay in list(self._relays):
             if not self._view.is_heard(relay.router):
                 relay.break_off()
-
-    def _end_handed_over(self) -> None:
-        """Closes idle connections that a stopping router has handed over."""
-        for connection in list(self._connections):
-            if connection.must_close() and connection.is_idle:
-                connection.close()
+            elif relay.is_idle(now, longest_s):
+                relay.close()
 
     def _listen(self, host: str, port: int, serve: ServeStream) -> listener.Listener:
         listening = listener.Listener(
@@ -297,7 +288,7 @@
                 stream,
                 self._forwarder.serve,
                 self._closes_connections,
-                lambda: self._is_stopping,
+                self._find_limits,
             )
             return
         self._relays.add(relay)
@@ -318,41 +309,42 @@
             self._chosen = (router, statuses[router]) if router is not None else None
         if self._chosen is None:
             return None
-        return await offload.connect(stream, *self._chosen)
+        router, status = self._chosen
+        return await offload.connect(
+            stream, router, status, lambda: self._find_limits().idle_timeout_s
+        )
 
     async def _serve_handed_over(self, stream: tcp_stream.TcpStream) -> None:
         """Serves a connection that another router has handed over.
 
-        The other router cannot tell where an answer ends. So when it stops, the
-        connection is ended here, as if this router were stopping.
+        The other router closes it when it is idle: if it were closed here, a request
+        that the other router has already read would be lost.
         """
 
-        def find_recall() -> peer_reports.Recall:
-            return self._view.find_recall(stream.peer_host)
-
-        def must_close() -> bool:
-            recalled = find_recall() is peer_reports.Recall.AT_ONCE
-            return self._is_stopping or recalled
-
         def closes() -> bool:
-            recalled = find_recall() is not peer_reports.Recall.NONE
-            return self._closes_connections() or recalled
+            is_recalled = self._view.is_recalling(stream.peer_host)
+            return is_recalled or self._closes_connections()
+
+        def find_limits() -> routing_table.Limits:
+            limits = self._find_limits()
+            idle_timeout_s = limits.idle_timeout_s + HANDED_OVER_IDLE_S
+            return dataclasses.replace(limits, idle_timeout_s=idle_timeout_s)
 
-        await self._serve(stream, self._forwarder.serve, closes, must_close)
+        await self._serve(stream, self._forwarder.serve, closes, find_limits)
 
     async def _serve(
         self,
         stream: tcp_stream.TcpStream,
         answer: caller_connection.Serve,
         closes: collections.abc.Callable[[], bool],
-        must_close: collections.abc.Callable[[], bool],
+        find_limits: collections.abc.Callable[[], routing_table.Limits],
     ) -> None:
         connection = caller_connection.CallerConnection(
             stream,
             answer,
-            self._find_limits,
+            find_limits,
             closes=closes,
-            must_close=must_close,
+            must_close=lambda: self._is_stopping,
         )
         self._connections.add(connection)
         try:
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -90,12 +90,12 @@
         """Returns how much the routers that have been heard of late have to do."""
         return {r: s for r, s in self._status_by_router.items() if self.is_heard(r)}
 
-    def find_recall(self, host: str) -> peer_reports.Recall:
-        """Returns what the router at an IP address wants of its connections."""
+    def is_recalling(self, host: str) -> bool:
+        """Tells whether the router at an IP address wants its connections to end."""
         router = self._router_by_host.get(host)
         if router is None or not self.is_heard(router):
-            return peer_reports.Recall.NONE
-        return self._status_by_router[router].recall
+            return False
+        return self._status_by_router[router].recalls_connections
 
     def find_report_period_s(self) -> float:
         """Returns how often routers report while there is something new."""
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -5,6 +5,7 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 import random
 
 from teaselsill import ids, log
@@ -120,7 +121,7 @@
         source: The log.
         topic: The topic.
         view: What is kept up to date.
-        wait_s: How long one read waits for a record, in seconds.
+        find_wait_s: Returns how long one read waits for a record, in seconds.
         find_pause_s: Returns how long to wait between two reads, in seconds.
         on_change: Called with the topic and the offset of a change.
 
@@ -133,7 +134,7 @@
         source: KeyedLog,
         topic: str,
         view: View,
-        wait_s: float,
+        find_wait_s: collections.abc.Callable[[], float],
         find_pause_s: collections.abc.Callable[[], float] = lambda: 0.0,
         on_change: OnChange = lambda topic, offset: None,
     ):
@@ -141,14 +142,14 @@
         self._source = source
         self._topic = topic
         self._view = view
-        self._wait_s = wait_s
+        self._find_wait_s = find_wait_s
         self._find_pause_s = find_pause_s
         self._on_change = on_change
         self._poked = asyncio.Event()
         self._next: ids.Offset | None = None
         self._lost_at: float | None = None
         self._failures = 0
-        self._trusted_wait_s = FIRST_WAIT_S
+        self._trusted_wait_s = math.inf
 
     async def run(self) -> None:
         """Follows the topic for ever."""
@@ -201,7 +202,7 @@
 
     async def _read_on(self) -> KeyedPage:
         """Reads on, without further waiting once another router has seen a change."""
-        wait_s = min(self._wait_s, self._trusted_wait_s)
+        wait_s = min(self._find_wait_s(), self._trusted_wait_s)
         self._trusted_wait_s *= 2
         if not wait_s:
             return await self._source.read(self._topic, self._next, 0.0)
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -1,7 +1,5 @@
 """What entry routers tell each other of the work that they have sent to engines."""
 
-import enum
-
 import msgspec
 
 from teaselsill import calls, ids, upstream_load
@@ -35,20 +33,6 @@
     admitted: int
 
 
-class Recall(enum.IntEnum):
-    """What becomes of the connections that a router has handed over.
-
-    Attributes:
-        NONE: They are kept.
-        AFTER_ANSWER: Each ends with its next answer, which announces that.
-        AT_ONCE: Idle ones end too, since the router is stopping.
-    """
-
-    NONE = 0
-    AFTER_ANSWER = 1
-    AT_ONCE = 2
-
-
 class RouterStatus(msgspec.Struct, array_like=True, frozen=True):
     """How much a router has to do, and where it takes connections of others.
 
@@ -58,7 +42,8 @@
         port: The port for connections that other routers hand over.
         load: The requests under way there for each core of its processor.
         takes_connections: Whether it has time for more.
-        recall: What becomes of the connections that it has handed over.
+        recalls_connections: Whether the connections that it has handed over are to end
+            with their next answers.
     """
 
     data_centre: ids.DataCentre
@@ -66,7 +51,7 @@
     port: int
     load: float
     takes_connections: bool
-    recall: Recall
+    recalls_connections: bool
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
