--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -298,15 +298,13 @@
             self._relays.discard(relay)
 
     async def _hand_over(self, stream: tcp_stream.TcpStream) -> offload.Relay | None:
+        """Connects a caller to a router with less to do; none if it is served here."""
         if self._is_stopping or not self._lag.is_busy:
             return None
         if len(self._relays) >= MAX_RELAYS:
             return None
         if self._now() - self._chose_at > CHOICE_LIFE_S:
-            self._chose_at = self._now()
-            statuses = self._view.list_statuses()
-            router = offload.choose(self.describe_status(), statuses)
-            self._chosen = (router, statuses[router]) if router is not None else None
+            self._choose_router()
         if self._chosen is None:
             return None
         router, status = self._chosen
@@ -314,6 +312,25 @@
             stream, router, status, lambda: self._find_limits().idle_timeout_s
         )
 
+    def _choose_router(self) -> None:
+        """Chooses the router that takes the next connections."""
+        self._chose_at = self._now()
+        previous = self._chosen[0] if self._chosen else None
+        own = self.describe_status()
+        statuses = self._view.list_statuses()
+        router = offload.choose(own, statuses)
+        self._chosen = (router, statuses[router]) if router is not None else None
+        if router != previous:
+            logger.info(
+                "handing connections over",
+                extra={
+                    "peer": router,
+                    "load": round(own.load, 1),
+                    "peer_load": round(self._chosen[1].load, 1) if router else None,
+                    "delay_ms": round(1000 * self._lag.average_s, 1),
+                },
+            )
+
     async def _serve_handed_over(self, stream: tcp_stream.TcpStream) -> None:
         """Serves a connection that another router has handed over.
 
