Shorten the wait beyond the share only while engines are short

Change: the exponent grows with what is asked for beyond what the engines are estimated to do. A rejected request comes back once, so it counts half in that; before, its return kept an overload up that was over (496,000 tokens a second asked, 309,000 begun; now 446,000).

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -9,22 +9,27 @@
 RECENT_S = 0.1
 """How long computed figures are used again."""
 LEAST_TOKENS = 1.0
+TRIES = 2
+"""How often a caller tries: what was rejected comes back and is asked for again."""
 
 
 class AccountUsage:
     """The use of all client accounts, as reported by all routers.
 
     Attributes:
-        capacity: What the engines can do in the time that counts, in tokens. While less
-            than this is asked for, nobody has more than its share. 0 if it is unknown:
-            then what has been admitted is shared out.
+        capacity: What is shared out in the time that counts, in tokens. While less than
+            this is asked for, nobody has more than its share. 0 if it is unknown: then
+            what has been admitted is shared out.
+        engine_capacity: What the engines are estimated to do in that time, in tokens.
     """
 
     def __init__(self):
         self.capacity = 0.0
+        self.engine_capacity = 0.0
         self._asked_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._admitted_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._level = math.inf
+        self._excess = 0.0
         self._refreshed_at = -math.inf
 
     def add(
@@ -51,6 +56,11 @@
             return 0.0
         return admitted.read(now) / self._find_level(now)
 
+    def find_excess(self, now: float) -> float:
+        """Returns how much more is asked for than engines can do, relative to that."""
+        self._refresh(now)
+        return self._excess
+
     def _find_level(self, now: float) -> float:
         self._refresh(now)
         return self._level
@@ -63,6 +73,9 @@
         admitted = sum(d.read(now) for d in self._admitted_by_account.values())
         given = self.capacity or admitted
         self._level = max(LEAST_TOKENS, find_level(asked, given))
+        possible = max(admitted, self.engine_capacity, LEAST_TOKENS)
+        wanted = admitted + (sum(asked) - admitted) / TRIES
+        self._excess = max(0.0, wanted / possible - 1.0)
 
 
 def find_level(demands: list[float], capacity: float) -> float:
--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -11,8 +11,12 @@
 FAIR_RATIO = 1.0
 FULL_WAIT_RATIO = 0.85
 """Up to this ratio of its fair share an account may wait as long as any."""
-SHARE_EXPONENT = 4
-"""How fast the wait that is allowed falls beyond that."""
+SHARE_EXPONENT = 4.0
+"""How fast the wait that is allowed falls beyond that in a severe overload."""
+MILD_EXCESS = 0.05
+"""What is asked for beyond what engines can do, relative to it, in a mere burst."""
+SEVERE_EXCESS = 0.4
+"""The same beyond that in a severe overload."""
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 2.0
 
@@ -82,8 +86,10 @@
         """Returns what the decision on a request rests on."""
         ratio = self._usage.find_ratio(account, now) if account is not None else 0.0
         objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
-        part = min(1.0, FULL_WAIT_RATIO / ratio) ** SHARE_EXPONENT if ratio else 1.0
-        limit_s = OBJECTIVE_RATIO * objective_s * part
+        excess = self._usage.find_excess(now)
+        severity = min(1.0, max(0.0, excess - MILD_EXCESS) / SEVERE_EXCESS)
+        part = min(1.0, FULL_WAIT_RATIO / ratio) if ratio else 1.0
+        limit_s = OBJECTIVE_RATIO * objective_s * part ** (severity * SHARE_EXPONENT)
         wait_s = choice.candidate.queue.predict_wait_s(now)
         return Evidence(wait_s, limit_s, ratio)
 
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -58,6 +58,14 @@
             return None
         return self._candidate(upstream)
 
+    def sum_rates(self) -> float:
+        """Returns how many prompt tokens all engines read in a second."""
+        return sum(
+            candidate.queue.rate
+            for candidate in self._candidate_by_life.values()
+            if candidate.queue.is_used
+        )
+
     def summarize(self) -> dict[ids.UpstreamId, upstream_load.Summary]:
         """Returns the work of this router at each engine."""
         return {
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -9,6 +9,7 @@
     calls,
     decaying_sum,
     directory,
+    engine_queue,
     ids,
     peer_reports,
     placement,
@@ -155,6 +156,7 @@
         what they have not heard for long.
         """
         now = self._now()
+        self._update_engine_capacity()
         work_by_upstream = self._directory.summarize()
         if now - self._told_all_at > TELL_ALL_S:
             self._told_all_at = now
@@ -199,6 +201,10 @@
         """Takes what all engines together process, in tokens a second; 0 if unknown."""
         self.usage.capacity = tokens_per_s * account_usage.MEMORY_S
 
+    def _update_engine_capacity(self) -> None:
+        usable = engine_queue.USABLE_RATIO * account_usage.MEMORY_S
+        self.usage.engine_capacity = self._directory.sum_rates() * usable
+
     def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
         tokens = candidate.load.count_unread_tokens()
         candidate.queue.set_outstanding(tokens, now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -91,6 +91,22 @@
         moderate = self.admission.weigh(ROUTE, middle, self.choice, 0.0)
         self.assertLess(10 * flooding.limit_s, moderate.limit_s)
 
+    def test_what_comes_back_is_no_further_load(self):
+        """Rejected requests return: they kept an overload up that was over."""
+        self.usage.engine_capacity = 10 * TOKENS
+        self.usage.add(HEAVY, 12 * TOKENS, 8 * TOKENS, 0.0)
+        self.assertEqual(0.0, self.usage.find_excess(0.0))
+
+    def test_burst_that_engines_can_take_may_wait(self):
+        """Accounts beyond their share are held back only while engines are short."""
+        self.usage.capacity = 10 * TOKENS
+        self.usage.engine_capacity = 30 * TOKENS
+        self.usage.add(HEAVY, 29 * TOKENS, 25 * TOKENS, 0.0)
+        self.usage.add(LIGHT, 2 * TOKENS, 2 * TOKENS, 0.0)
+        burst = self.admission.weigh(ROUTE, HEAVY, self.choice, 0.0)
+        self.assertGreater(burst.share_ratio, 3)
+        self.assertEqual(burst.limit_s, admission.OBJECTIVE_RATIO * ROUTE.objective_s)
+
     def test_flood_leaves_the_wait_to_the_others(self):
         served = self.play({HEAVY: 5.0, LIGHT: 0.1})
         self.assertGreaterEqual(served[LIGHT], 0.99)
