Add a randomized soak of the entry routers as real processes

It kills, freezes, stops and floods three routers and takes the store away, also overlapping, and checks from what callers and upstreams see: orders run once, a refusal has not run, every answer is whole, nothing is cut while only planned stops happen, and requests succeed again afterwards.

--- /dev/null
+++ b/tests/adapter/soak.py
@@ -0,0 +1,458 @@
+"""A randomized soak of entry routers: real processes, failures from outside them.
+
+    .venv/bin/python -m tests.adapter.soak --seed N --seconds S
+
+It starts routers, a store and upstreams on loopback addresses of their own, sends mixed
+requests, kills, freezes, stops and floods routers and takes the store away, and checks
+what callers and upstreams see. It ends with status 1 after a violation.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import enum
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from adapter import settings
+
+from teaselsill import http_messages, tcp_stream
+from tests import entry_bench
+from tests.adapter import store_bench, test_manifest
+
+ROOT = pathlib.Path(__file__).parents[2]
+ROUTERS = 3
+UPSTREAMS = 3
+FIRST_HOST = 40
+"""The routers are reached at 127.0.0.40 and after, each with ports of its own."""
+GRACE_S = 6.0
+START_S = 20.0
+SETTLE_S = 4.0
+"""After the last failure, before requests must succeed again."""
+CALLERS = 12
+FLOOD_CALLERS = 60
+TIMEOUT_S = 4.0
+PROMISES = {408, 421, 429, 503}
+"""Statuses by which a router says that the request has not run."""
+LOST_ANSWERS = 0.03
+"""The part of the requests that run and whose answer an upstream drops."""
+HEALTHY_RATIO = 0.95
+
+
+class Kind(enum.Enum):
+    """What fails."""
+
+    KILLED = "killed"
+    FROZEN = "frozen"
+    STOPPED = "stopped"
+    STORE_DOWN = "store-down"
+    FLOOD = "flood"
+
+
+class Repeat(enum.Enum):
+    """What may be repeated of a request, and its path."""
+
+    FREELY = "/free/"
+    NEVER = "/once/"
+    RESUME = "/events/"
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """One failure: what, at which router, when, and for how long, in seconds."""
+
+    kind: Kind
+    target: int
+    at_s: float
+    hold_s: float
+
+
+def draw_failures(seed: int, duration_s: float) -> list[Failure]:
+    """Returns the failures of a run, which depend on the seed alone and may overlap."""
+    source = random.Random(seed)
+    failures = []
+    at_s = 1.0
+    while at_s < duration_s:
+        kind = source.choice(list(Kind))
+        hold_s = round(source.uniform(0.3, 2.5), 2)
+        failures.append(Failure(kind, source.randrange(ROUTERS), at_s, hold_s))
+        at_s = round(at_s + source.uniform(0.5, 3.0), 2)
+    return failures
+
+
+def make_manifest() -> bytes:
+    """Returns a configuration with one route for each kind of repetition."""
+    type_by_repeat = {
+        Repeat.FREELY: "idempotent",
+        Repeat.NEVER: "non_idempotent",
+        Repeat.RESUME: "streaming",
+    }
+    route = test_manifest.MANIFEST["Routes"][1] | {"TimeoutMs": 3000}
+    routes = [
+        route | {"Name": r.name, "PathPrefix": r.value, "Type": type_by_repeat[r]}
+        for r in Repeat
+    ]
+    return json.dumps(test_manifest.MANIFEST | {"Routes": routes}).encode()
+
+
+class Upstream:
+    """A scripted server that counts the runs of each request.
+
+    Attributes:
+        runs: How often each request ran.
+        dropped: The requests of which an answer was dropped.
+        server: The server.
+    """
+
+    def __init__(self, name: str, source: random.Random):
+        self.runs = collections.Counter()
+        self.dropped: set[str] = set()
+        self._source = source
+        self.server = entry_bench.ScriptedUpstream(name, self._answer)
+
+    async def _answer(self, request, stream):
+        identity = request.get("teaselsill-attempt-id")
+        self.runs[identity] += 1
+        await asyncio.sleep(self._source.uniform(0.005, 0.05))
+        if self._source.random() < LOST_ANSWERS:
+            self.dropped.add(identity)
+            stream.abort()
+            return
+        fields = [
+            ("teaselsill-attempt-id", identity),
+            ("teaselsill-server-seal", "s"),
+        ]
+        if not request.path.startswith(Repeat.RESUME.value):
+            fields.append(("content-length", str(len(identity))))
+            stream.write(http_messages.encode_head(200, "OK", fields))
+            stream.write(identity.encode())
+            return
+        fields.append(("transfer-encoding", "chunked"))
+        stream.write(http_messages.encode_head(200, "OK", fields))
+        first = int(request.get("last-event-id") or 0) + 1
+        for number in range(first, 6):
+            stream.write(http_messages.encode_chunk(make_event(number, identity)))
+            await asyncio.sleep(0.01)
+        stream.write(http_messages.END_OF_CHUNKS)
+
+
+def make_event(number: int, identity: str) -> bytes:
+    """Returns one event of the stream for a request."""
+    return f"id: {number}\ndata: {identity}\n\n".encode()
+
+
+class Router:
+    """One router process, which may be signalled and started again.
+
+    Attributes:
+        host: Its IP address.
+        is_disturbed: Whether it is down or not yet back from a failure. A planned stop
+            is none.
+        disturbances: How many failures it has had.
+    """
+
+    def __init__(self, number: int, store_address: str, folder: pathlib.Path):
+        self.host = f"127.0.0.{FIRST_HOST + number}"
+        self.is_disturbed = True
+        self.disturbances = 0
+        self._path = folder / f"settings-{number}.toml"
+        self._path.write_text(make_settings(number, self.host, store_address))
+        self._log = (folder / f"router-{number}.log").open("ab")
+        self.process = None
+
+    async def start(self):
+        """Starts the process."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform/run.py"),
+            "router",
+            env=os.environ | {settings.PATH_VARIABLE: str(self._path)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    async def wait_ready(self):
+        """Waits until the router says that it is ready.
+
+        Raises:
+            TimeoutError: It does not in time.
+        """
+        async with asyncio.timeout(START_S):
+            while await self._ask_ready() != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        self.is_disturbed = False
+
+    async def suffer(self, kind: Kind, hold_s: float):
+        """Kills, freezes or stops the process, and has it back afterwards."""
+        if kind is not Kind.STOPPED:
+            self.is_disturbed = True
+            self.disturbances += 1
+        match kind:
+            case Kind.FROZEN:
+                self.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(hold_s)
+                self.process.send_signal(signal.SIGCONT)
+                await self.wait_ready()
+                return
+            case Kind.KILLED:
+                self.process.kill()
+            case Kind.STOPPED:
+                self.process.terminate()
+        async with asyncio.timeout(GRACE_S + 1.0):
+            await self.process.wait()
+        await self.start()
+        await self.wait_ready()
+
+    async def end(self):
+        """Ends the process for good."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        self._log.close()
+
+    async def _ask_ready(self) -> int:
+        try:
+            stream = await tcp_stream.connect(self.host, 8780, 0.5)
+        except tcp_stream.ConnectionFailedError:
+            return 0
+        caller = entry_bench.Caller(stream)
+        try:
+            caller.send(path="/v1/ready", method="GET")
+            return (await caller.receive())[0]
+        except TimeoutError:
+            return 0
+        finally:
+            caller.leave()
+
+
+def make_settings(number: int, host: str, store_address: str) -> str:
+    """Returns the settings file of a router."""
+    return f"""
+Node = "edge-{number}"
+Role = "router"
+Ip = "{host}"
+Zone = "a"
+PortRange = [7400, 7415]
+HeartbeatMs = 1200
+[Listen]
+Front = "{host}:8783"
+Ready = "{host}:8780"
+[Limits]
+CpuShare = 1.0
+Cores = 1
+[Bounds]
+DrainMs = 2000
+GraceS = {GRACE_S}
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+RetryBudgetBurst = 54
+[Platform]
+Address = "{store_address}"
+"""
+
+
+class Soak:
+    """One run.
+
+    Attributes:
+        violations: What was broken, in words.
+        endings: How many requests ended how.
+    """
+
+    def __init__(self, seed: int, duration_s: float, folder: pathlib.Path):
+        self.violations: list[str] = []
+        self.endings = collections.Counter()
+        self._failures = draw_failures(seed, duration_s)
+        self._duration_s = duration_s
+        self._folder = folder
+        self._source = random.Random(seed)
+        self._store = store_bench.KeyedStore()
+        self._upstreams = [Upstream(f"i-{n}", self._source) for n in range(UPSTREAMS)]
+        self._routers: list[Router] = []
+        self._locks = [asyncio.Lock() for _ in range(ROUTERS)]
+        self._number = 0
+        self._not_run: set[str] = set()
+        self._once: set[str] = set()
+        self._is_over = False
+
+    async def run(self) -> None:
+        """Plays the failures under load and checks what was seen."""
+        async with self._store:
+            for upstream in self._upstreams:
+                await upstream.server.__aenter__()
+            self._store.put("keyed.op", "config", make_manifest())
+            self._register()
+            address = self._store.describe()
+            try:
+                await self._start_routers(f"{address.host}:{address.port}")
+                await self._play()
+            finally:
+                for router in self._routers:
+                    await router.end()
+                for upstream in self._upstreams:
+                    await upstream.server.__aexit__(None, None, None)
+        self._check_runs()
+
+    async def _start_routers(self, store_address: str) -> None:
+        for number in range(ROUTERS):
+            router = Router(number, store_address, self._folder)
+            self._routers.append(router)
+            await router.start()
+        await asyncio.gather(*[router.wait_ready() for router in self._routers])
+
+    def _register(self) -> None:
+        for upstream in self._upstreams:
+            entry = upstream.server.describe()
+            beat = {
+                "Service": "huvo11a",
+                "Address": f"{entry.host}:{entry.port}",
+                "Zone": "a",
+                "Slots": 8,
+                "State": "ready",
+                "born": 1,
+            }
+            self._store.put("keyed.servers", entry.id, json.dumps(beat).encode())
+
+    async def _play(self) -> None:
+        callers = [asyncio.create_task(self._call_on(n)) for n in range(CALLERS)]
+        began_at = time.monotonic()
+        suffering = []
+        for failure in self._failures:
+            await asyncio.sleep(max(0.0, began_at + failure.at_s - time.monotonic()))
+            suffering.append(asyncio.create_task(self._suffer(failure)))
+        await asyncio.gather(*suffering)
+        await asyncio.sleep(SETTLE_S)
+        before = self.endings.copy()
+        await asyncio.sleep(2.0)
+        self._is_over = True
+        await asyncio.gather(*callers)
+        late = self.endings - before
+        if late["served"] < HEALTHY_RATIO * late.total():
+            self.violations.append(f"not recovered: {dict(late)}")
+
+    async def _suffer(self, failure: Failure) -> None:
+        match failure.kind:
+            case Kind.STORE_DOWN:
+                self._store.down = True
+                await asyncio.sleep(failure.hold_s)
+                self._store.down = False
+            case Kind.FLOOD:
+                target = failure.target
+                callers = range(FLOOD_CALLERS)
+                await asyncio.gather(
+                    *[self._flood(target, failure.hold_s) for _ in callers]
+                )
+            case _:
+                async with self._locks[failure.target]:
+                    router = self._routers[failure.target]
+                    try:
+                        await router.suffer(failure.kind, failure.hold_s)
+                    except TimeoutError:
+                        self.violations.append(f"not back in time: {failure}")
+
+    async def _flood(self, target: int, duration_s: float) -> None:
+        until = time.monotonic() + duration_s
+        while time.monotonic() < until:
+            await self._ask(target, Repeat.RESUME)
+
+    async def _call_on(self, number: int) -> None:
+        while not self._is_over:
+            await self._ask(number % ROUTERS, self._source.choice(list(Repeat)))
+            await asyncio.sleep(self._source.uniform(0.0, 0.05))
+
+    async def _ask(self, target: int, repeat: Repeat) -> None:
+        """Sends one request and checks its answer."""
+        self._number += 1
+        identity = f"{self._number:08x}"
+        if repeat is Repeat.NEVER:
+            self._once.add(identity)
+        before = [router.disturbances for router in self._routers]
+        ending = await self._exchange(self._routers[target], identity, repeat)
+        self.endings[ending] += 1
+        is_calm = before == [router.disturbances for router in self._routers]
+        is_calm = is_calm and not any(r.is_disturbed for r in self._routers)
+        is_dropped = any(identity in u.dropped for u in self._upstreams)
+        if ending == "cut" and is_calm and not is_dropped:
+            self.violations.append(f"{identity} was cut while nothing failed")
+
+    async def _exchange(self, router: Router, identity: str, repeat: Repeat) -> str:
+        try:
+            stream = await tcp_stream.connect(router.host, 8783, 0.5)
+        except tcp_stream.ConnectionFailedError:
+            return "unreachable"
+        caller = entry_bench.Caller(stream)
+        head = [
+            ("host", "ficu95.example"),
+            ("teaselsill-attempt-id", identity),
+            ("teaselsill-time-budget-ms", str(int(1000 * TIMEOUT_S))),
+        ]
+        method = "GET" if repeat is Repeat.FREELY else "POST"
+        sent = http_messages.encode_request(method, f"{repeat.value}1", head, b"")
+        caller.send_bytes(sent)
+        try:
+            status, body, is_whole = await caller.receive()
+        except TimeoutError:
+            return "timeout"
+        finally:
+            caller.leave()
+        return self._judge(identity, repeat, status, body, is_whole)
+
+    def _judge(self, identity, repeat, status: int, body: bytes, is_whole) -> str:
+        if not is_whole:
+            return "cut"
+        if status in PROMISES:
+            self._not_run.add(identity)
+            return "refused"
+        if status != 200:
+            return "failed"
+        wanted = identity.encode()
+        if repeat is Repeat.RESUME:
+            wanted = b"".join(make_event(n, identity) for n in range(1, 6))
+        if body != wanted:
+            self.violations.append(f"wrong answer to {identity}: {body!r}")
+        return "served"
+
+    def _check_runs(self) -> None:
+        runs = sum((u.runs for u in self._upstreams), collections.Counter())
+        for identity in self._not_run:
+            if runs[identity]:
+                self.violations.append(f"{identity} was said not to have run")
+        for identity in self._once:
+            if runs[identity] > 1:
+                self.violations.append(f"{identity} ran {runs[identity]} times")
+
+
+async def play(seed: int, duration_s: float, folder: pathlib.Path) -> Soak:
+    """Plays one run, with settings and logs in a folder, and returns it."""
+    soak = Soak(seed, duration_s, folder)
+    await soak.run()
+    return soak
+
+
+def main() -> int:
+    """Plays one run, prints what was seen, and returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--logs", type=pathlib.Path, help="where logs are kept")
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as passing:
+        folder = arguments.logs or pathlib.Path(passing)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = asyncio.run(play(arguments.seed, arguments.seconds, folder))
+    endings = dict(sorted(soak.endings.items()))
+    print(f"seed {arguments.seed}: {endings}, {len(soak.violations)} violations")
+    for violation in soak.violations[:20]:
+        print(f"  {violation}")
+    return 1 if soak.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/adapter/test_soak.py
@@ -0,0 +1,26 @@
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from tests.adapter import soak
+
+
+class DrawTest(unittest.TestCase):
+    def test_failures_depend_on_the_seed_alone(self):
+        self.assertEqual(soak.draw_failures(3, 60.0), soak.draw_failures(3, 60.0))
+        self.assertNotEqual(soak.draw_failures(3, 60.0), soak.draw_failures(4, 60.0))
+
+    def test_every_kind_comes(self):
+        failures = soak.draw_failures(1, 120.0)
+        self.assertEqual(set(soak.Kind), {failure.kind for failure in failures})
+
+
+class SoakTest(unittest.TestCase):
+    """A short run of real processes; longer ones are run by hand."""
+
+    def test_no_promise_is_broken(self):
+        with tempfile.TemporaryDirectory() as folder:
+            played = asyncio.run(soak.play(1, 5.0, pathlib.Path(folder)))
+        self.assertEqual([], played.violations)
+        self.assertGreater(played.endings["served"], 0)
