--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -27,7 +27,7 @@
 """How many upstreams are tried that cannot be reached."""
 RETRY_AFTER_S = 1.0
 RETRY_AFTER_BUSY_S = 0.05
-"""What callers are told whom another router can serve at once."""
+"""What callers are told whose next connection a router with time will serve."""
 RETRY_AFTER_START_S = 0.5
 """What is told to callers while the router has no configuration."""
 LATE_ROUNDS = 2
