--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -34,12 +34,6 @@
 stream that pauses so long."""
 HANDED_OVER_IDLE_S = 10.0
 """How much longer an idle connection is kept that another router closes."""
-CHOICE_LIFE_S = 0.05
-"""How long connections are handed over to the same router."""
-MANY_RELAYS = 400
-"""With more, connections that other routers serve end after their next answer."""
-MAX_RELAYS = 1200
-"""With so many, no more connections are handed over: each takes two descriptors."""
 
 logger = logging.getLogger(__name__)
 
@@ -114,10 +108,13 @@
         self._lag = lag
         self._is_stopping = False
         self._connections: set[caller_connection.CallerConnection] = set()
-        self._relays: set[offload.Relay] = set()
+        self._offloader = offload.Offloader(
+            view,
+            lag,
+            self.describe_status,
+            lambda: self._find_limits().idle_timeout_s,
+        )
         self._handover_port = 0
-        self._chosen: tuple[ids.InstanceId, peer_reports.RouterStatus] | None = None
-        self._chose_at = -math.inf
         self._tasks: set[asyncio.Task] = set()
         self._listeners: list[listener.Listener] = []
         self._was_ready = False
@@ -134,14 +131,14 @@
 
     def describe_status(self) -> peer_reports.RouterStatus:
         """Returns what the other routers are told of this one's load."""
-        relayed = offload.RELAY_COST * len(self._relays)
+        work = self._forwarder.underway + self._offloader.cost
         return peer_reports.RouterStatus(
             self._place.data_centre,
             self._place.host,
             self._handover_port,
-            (self._forwarder.underway + relayed) / self._place.cores,
+            work / self._place.cores,
             takes_connections=self.is_ready and not self._lag.is_busy,
-            recalls_connections=self._is_stopping or len(self._relays) > MANY_RELAYS,
+            recalls_connections=self._is_stopping or self._offloader.has_many,
         )
 
     @property
@@ -198,9 +195,7 @@
             await answer.end()
 
         async def serve_page(stream: tcp_stream.TcpStream) -> None:
-            await self._serve(
-                stream, answer_page, self._closes_connections, self._find_limits
-            )
+            await self._serve(stream, answer_page)
 
         self._listen(host, port, serve_page)
 
@@ -212,7 +207,7 @@
         """Looks after upstreams and idle connections for ever."""
         while True:
             self._directory.tidy(self._now())
-            self._tend_relays()
+            self._offloader.tend(STOP_IDLE_S if self._is_stopping else math.inf)
             await asyncio.sleep(TIDY_S)
 
     async def stop(self) -> None:
@@ -253,16 +248,6 @@
             if connection.is_idle:
                 connection.close()
 
-    def _tend_relays(self) -> None:
-        """Ends relays that are idle, or whose router has not been heard for long."""
-        now = self._now()
-        longest_s = STOP_IDLE_S if self._is_stopping else math.inf
-        for relay in list(self._relays):
-            if not self._view.is_heard(relay.router):
-                relay.break_off()
-            elif relay.is_idle(now, longest_s):
-                relay.close()
-
     def _listen(self, host: str, port: int, serve: ServeStream) -> listener.Listener:
         listening = listener.Listener(
             host, port, lambda stream: self._start(serve(stream))
@@ -282,54 +267,8 @@
 
     async def _serve_caller(self, stream: tcp_stream.TcpStream) -> None:
         """Serves a caller's connection, or has a router with less to do serve it."""
-        relay = await self._hand_over(stream)
-        if relay is None:
-            await self._serve(
-                stream,
-                self._forwarder.serve,
-                self._closes_connections,
-                self._find_limits,
-            )
-            return
-        self._relays.add(relay)
-        try:
-            await relay.run()
-        finally:
-            self._relays.discard(relay)
-
-    async def _hand_over(self, stream: tcp_stream.TcpStream) -> offload.Relay | None:
-        """Connects a caller to a router with less to do; none if it is served here."""
-        if self._is_stopping or not self._lag.is_busy:
-            return None
-        if len(self._relays) >= MAX_RELAYS:
-            return None
-        if self._now() - self._chose_at > CHOICE_LIFE_S:
-            self._choose_router()
-        if self._chosen is None:
-            return None
-        router, status = self._chosen
-        return await offload.connect(
-            stream, router, status, lambda: self._find_limits().idle_timeout_s
-        )
-
-    def _choose_router(self) -> None:
-        """Chooses the router that takes the next connections."""
-        self._chose_at = self._now()
-        previous = self._chosen[0] if self._chosen else None
-        own = self.describe_status()
-        statuses = self._view.list_statuses()
-        router = offload.choose(own, statuses)
-        self._chosen = (router, statuses[router]) if router is not None else None
-        if router != previous:
-            logger.info(
-                "handing connections over",
-                extra={
-                    "peer": router,
-                    "load": round(own.load, 1),
-                    "peer_load": round(self._chosen[1].load, 1) if router else None,
-                    "delay_ms": round(1000 * self._lag.average_s, 1),
-                },
-            )
+        if self._is_stopping or not await self._offloader.serve_elsewhere(stream):
+            await self._serve(stream, self._forwarder.serve)
 
     async def _serve_handed_over(self, stream: tcp_stream.TcpStream) -> None:
         """Serves a connection that another router has handed over.
@@ -347,20 +286,29 @@
             idle_timeout_s = limits.idle_timeout_s + HANDED_OVER_IDLE_S
             return dataclasses.replace(limits, idle_timeout_s=idle_timeout_s)
 
-        await self._serve(stream, self._forwarder.serve, closes, find_limits)
+        await self._serve(stream, self._forwarder.serve, find_limits, closes)
 
     async def _serve(
         self,
         stream: tcp_stream.TcpStream,
         answer: caller_connection.Serve,
-        closes: collections.abc.Callable[[], bool],
-        find_limits: collections.abc.Callable[[], routing_table.Limits],
+        find_limits: collections.abc.Callable[[], routing_table.Limits] | None = None,
+        closes: collections.abc.Callable[[], bool] | None = None,
     ) -> None:
+        """Serves a connection until it ends.
+
+        Args:
+            stream: The connection.
+            answer: Answers each of its requests.
+            find_limits: Returns what the caller may send; by default, as configured.
+            closes: Tells whether it ends after the next answer; by default, if the
+                caller should come back elsewhere.
+        """
         connection = caller_connection.CallerConnection(
             stream,
             answer,
-            find_limits,
-            closes=closes,
+            find_limits or self._find_limits,
+            closes=closes or self._closes_connections,
             must_close=lambda: self._is_stopping,
         )
         self._connections.add(connection)
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -91,6 +91,10 @@
         """Returns how much the routers that have been heard of late have to do."""
         return {r: s for r, s in self._status_by_router.items() if self.is_heard(r)}
 
+    def find_status(self, router: ids.InstanceId) -> peer_reports.RouterStatus:
+        """Returns what a router, which has been heard, told last of itself."""
+        return self._status_by_router[router]
+
     def is_recalling(self, host: str) -> bool:
         """Tells whether the router at an IP address wants its connections to end."""
         router = self._router_by_host.get(host)
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -6,21 +6,21 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import logging
 import math
 
-from teaselsill import ids, peer_reports, tcp_stream
+from teaselsill import fleet_view, ids, loop_lag, peer_reports, relay, tcp_stream
 
 LOAD_RATIO = 0.5
 """Only a router with less than this part of the own load takes a connection."""
 RELAY_COST = 0.25
 """What a connection costs that another router serves, relative to an own request."""
-CONNECT_TIMEOUT_S = 1.0
-"""The other router was heard of late: what takes long is this one."""
-LEAVE_ROUNDS = 2
-"""How many rounds of the event loop a caller is given to leave before its request is
-passed on: a router that is late reads both at once."""
+CHOICE_LIFE_S = 0.05
+"""How long connections are handed over to the same router."""
+MANY_RELAYS = 400
+"""With more, connections that other routers serve end after their next answer."""
+MAX_RELAYS = 1200
+"""With so many, no more connections are handed over: each takes two descriptors."""
 
 logger = logging.getLogger(__name__)
 
@@ -47,130 +47,103 @@
     return min(near or able, key=lambda r: others[r].load, default=None)
 
 
-class Relay:
-    """A caller's connection that another router serves, byte by byte.
+class Offloader:
+    """Hands connections over while this router is busy, and looks after them.
 
     Args:
-        caller: The caller's connection.
-        router: The other router.
-        other: The connection to it.
+        view: What is known of the other routers.
+        lag: Tells whether this router is busy.
+        describe_status: Returns the load of this router.
         find_idle_timeout_s: Returns how long a connection may be idle that becomes so
             now, in seconds.
-
-    Attributes:
-        router: As above.
     """
 
     def __init__(
         self,
-        caller: tcp_stream.TcpStream,
-        router: ids.InstanceId,
-        other: tcp_stream.TcpStream,
+        view: fleet_view.FleetView,
+        lag: loop_lag.LoopLag,
+        describe_status: fleet_view.FindStatus,
         find_idle_timeout_s: collections.abc.Callable[[], float],
     ):
-        self._caller = caller
-        self.router = router
-        self._other = other
-        self._is_answer_due = False
-        self._quiet_since = asyncio.get_running_loop().time()
+        self._view = view
+        self._lag = lag
+        self._describe_status = describe_status
         self._find_idle_timeout_s = find_idle_timeout_s
-        self._idle_timeout_s = find_idle_timeout_s()
+        self._relays: set[relay.Relay] = set()
+        self._chosen: ids.InstanceId | None = None
+        self._chose_at = -math.inf
 
-    def is_idle(self, now: float, longest_s: float = math.inf) -> bool:
-        """Tells whether no request has come for too long since the last answer.
+    @property
+    def cost(self) -> float:
+        """What the connections that were handed over cost here, in own requests."""
+        return RELAY_COST * len(self._relays)
 
-        The limit is the one that was in force when the connection became quiet: callers
-        learn of a shorter one later.
+    @property
+    def has_many(self) -> bool:
+        """Whether so much was handed over that connections are to end."""
+        return len(self._relays) > MANY_RELAYS
 
-        Args:
-            now: The event loop's time, in seconds.
-            longest_s: Another limit, in seconds.
+    async def serve_elsewhere(self, caller: tcp_stream.TcpStream) -> bool:
+        """Has another router serve a connection, until it ends.
+
+        Returns:
+            Whether it was handed over; if not, it has to be served here.
         """
-        if self._is_answer_due or self._caller.has_unread:
+        handed_over = await self._hand_over(caller)
+        if handed_over is None:
             return False
-        return now - self._quiet_since > min(self._idle_timeout_s, longest_s)
-
-    def close(self) -> None:
-        """Closes the connection, which is idle."""
-        self._caller.close()
-
-    async def run(self) -> None:
-        """Passes bytes on until one end leaves."""
-        answering = asyncio.create_task(self._pass_answer())
+        self._relays.add(handed_over)
         try:
-            await self._pass_request()
+            await handed_over.run()
         finally:
-            answering.cancel()
-            await asyncio.gather(answering, return_exceptions=True)
-            self._other.abort()
-            self._caller.close()
-
-    def break_off(self) -> None:
-        """Ends an answer that will not come, so that it does not look complete."""
-        logger.warning("router silent, breaking off", extra={"peer": self.router})
-        self._caller.abort()
-
-    async def _pass_request(self) -> None:
-        """Passes on what the caller sends, until its connection ends."""
-        with contextlib.suppress(tcp_stream.ConnectionResetError):
-            while data := await self._caller.read():
-                if await self._has_caller_left():
-                    break
-                self._note_passed(is_answer_due=True)
-                self._other.write(data)
-                await self._other.drain()
-        self._caller.abort()
-
-    def _note_passed(self, is_answer_due: bool) -> None:
-        self._is_answer_due = is_answer_due
-        self._quiet_since = asyncio.get_running_loop().time()
-        self._idle_timeout_s = self._find_idle_timeout_s()
-
-    async def _has_caller_left(self) -> bool:
-        """Tells whether the end of the connection has come with what was read."""
-        for _ in range(LEAVE_ROUNDS):
-            await asyncio.sleep(0)
-        return self._caller.has_left
-
-    async def _pass_answer(self) -> None:
-        """Passes on what the other router answers, and how its answer ends."""
-        is_reset = False
-        try:
-            while data := await self._other.read():
-                self._note_passed(is_answer_due=False)
-                self._caller.write(data)
-                await self._caller.drain()
-        except tcp_stream.ConnectionResetError:
-            is_reset = True
-            self._caller.abort()
-        if self._is_answer_due:
-            logger.warning(
-                "no answer from the other router",
-                extra={"peer": self.router, "reset": is_reset},
-            )
-        self._caller.close()
-
-
-async def connect(
-    caller: tcp_stream.TcpStream,
-    router: ids.InstanceId,
-    status: peer_reports.RouterStatus,
-    find_idle_timeout_s: collections.abc.Callable[[], float],
-) -> Relay | None:
-    """Connects to the router that is to serve a connection; none if that fails.
+            self._relays.discard(handed_over)
+        return True
 
-    Args:
-        caller: The connection.
-        router: The other router.
-        status: What it has told of itself.
-        find_idle_timeout_s: See `Relay`.
-    """
-    host, port = status.host, status.port
-    try:
-        other = await tcp_stream.connect(host, port, CONNECT_TIMEOUT_S)
-    except tcp_stream.ConnectionFailedError as error:
+    def tend(self, longest_idle_s: float = math.inf) -> None:
+        """Ends relays that are idle, or whose router has not been heard for long.
+
+        Args:
+            longest_idle_s: Another limit on idle connections, in seconds.
+        """
+        now = _now()
+        for handed_over in list(self._relays):
+            if not self._view.is_heard(handed_over.router):
+                handed_over.break_off()
+            elif handed_over.is_idle(now, longest_idle_s):
+                handed_over.close()
+
+    async def _hand_over(self, caller: tcp_stream.TcpStream) -> relay.Relay | None:
+        if not self._lag.is_busy or len(self._relays) >= MAX_RELAYS:
+            return None
+        if _now() - self._chose_at > CHOICE_LIFE_S:
+            self._choose()
+        if self._chosen is None:
+            return None
+        status = self._view.find_status(self._chosen)
+        return await relay.connect(
+            caller, self._chosen, status, self._find_idle_timeout_s
+        )
+
+    def _choose(self) -> None:
+        """Chooses the router that takes the next connections."""
+        self._chose_at = _now()
+        previous = self._chosen
+        own = self._describe_status()
+        statuses = self._view.list_statuses()
+        self._chosen = choose(own, statuses)
+        if self._chosen == previous:
+            return
+        chosen_load = statuses[self._chosen].load if self._chosen else None
         logger.info(
-            "connection not handed over", extra={"peer": router, "reason": str(error)}
+            "handing connections over",
+            extra={
+                "peer": self._chosen,
+                "load": round(own.load, 1),
+                "peer_load": None if chosen_load is None else round(chosen_load, 1),
+                "delay_ms": round(1000 * self._lag.average_s, 1),
+            },
         )
-        return None
-    return Relay(caller, router, other, find_idle_timeout_s)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,177 @@
+import asyncio
+import dataclasses
+import unittest
+import unittest.mock
+
+from teaselsill import http_messages, loop_lag, offload, tcp_stream
+from tests import entry_bench
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """A busy router hands connections to one that has time."""
+
+    async def start(self, script=entry_bench.say_ok):
+        self.upstream = entry_bench.ScriptedUpstream("u", script)
+        self.other = await self.start_router("other", 4.0)
+        self.busy = await self.start_router("busy", 0.4)
+        for bench in (self.busy, self.other):
+            tidying = asyncio.create_task(bench.router.tidy())
+            self.addCleanup(tidying.cancel)
+        self.telling = asyncio.create_task(self.tell())
+        self.addCleanup(self.telling.cancel)
+        await asyncio.sleep(0)
+        for _ in range(20):
+            self.busy.lag.add(1.5 * loop_lag.BUSY_S, 0.0)
+        self.busy.forwarder.underway = 10
+
+    async def start_router(self, name, cores):
+        bench = entry_bench.EntryBench(
+            [self.upstream], name, cores, is_stream=True, timeout_s=30.0
+        )
+        return await self.enterAsyncContext(bench)
+
+    async def tell(self):
+        while True:
+            self.other.view.apply(self.busy.view.take_report())
+            self.busy.view.apply(self.other.view.take_report())
+            await asyncio.sleep(0.2)
+
+    async def test_other_router_answers(self):
+        await self.start()
+        caller = await self.busy.connect()
+        self.assertEqual((200, b"ok", True), await caller.ask())
+        self.assertEqual((200, b"ok", True), await caller.ask("2"))
+        self.assertEqual(2, len(self.upstream.requests))
+        self.assertIn(b"r-served 1", self.count_requests(self.other))
+        self.assertIn(b"r-served 0", self.count_requests(self.busy))
+
+    def count_requests(self, bench):
+        page = bench.metrics.render(0.0)
+        served = page.count(b'teaselsill_requests_total{cause="",ending="delivered"}')
+        return b"r-served %d" % served
+
+    async def test_caller_that_leaves_is_noticed_at_the_upstream(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await asyncio.Event().wait()
+
+        await self.start(script)
+        caller = await self.busy.connect()
+        caller.send()
+        await caller.receive_until(b"id: 1")
+        caller.leave()
+        await self.upstream.wait_cut()
+
+    async def test_answer_that_breaks_off_does_not_look_complete(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await asyncio.sleep(0.05)
+            self.other.router.close()
+
+        await self.start(script)
+        caller = await self.busy.connect()
+        caller.send()
+        _, _, is_whole = await caller.receive()
+        self.assertFalse(is_whole)
+
+    async def test_router_that_cannot_be_reached_is_not_needed(self):
+        await self.start()
+        self.other.router.close()
+        caller = await self.busy.connect()
+        self.assertEqual((200, b"ok", True), await caller.ask())
+
+    async def test_silent_router_does_not_hold_a_caller(self):
+        async def script(request, stream):
+            await asyncio.Event().wait()
+
+        await self.start(script)
+        caller = await self.busy.connect()
+        caller.send()
+        async with asyncio.timeout(5.0):
+            while not self.upstream.requests:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.telling.cancel()
+        await caller.wait_closed()
+
+    async def test_stop_waits_for_what_another_router_answers(self):
+        go_on = asyncio.Event()
+
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            while request.get("id") == "1" and not go_on.is_set():
+                stream.write(entry_bench.event(2))
+                await asyncio.sleep(0.1)
+            stream.write(http_messages.END_OF_CHUNKS)
+
+        await self.start(script)
+        idle = await self.busy.connect()
+        used = await self.busy.connect()
+        await used.ask("0")
+        caller = await self.busy.connect()
+        caller.send()
+        await caller.receive_until(b"id: 1")
+        stopping = asyncio.create_task(self.busy.router.stop())
+        await idle.wait_closed()
+        await used.wait_closed()
+        self.assertFalse(stopping.done())
+        go_on.set()
+        await caller.receive_until(http_messages.END_OF_CHUNKS)
+        async with asyncio.timeout(5.0):
+            await stopping
+
+    async def test_request_of_a_caller_that_has_left_is_not_passed_on(self):
+        await self.start()
+        for number in range(20):
+            caller = await self.busy.connect()
+            caller.send(str(number))
+            caller.close()
+        await asyncio.sleep(0.2)
+        self.assertEqual([], self.upstream.requests)
+
+    async def test_too_many_connections_end_after_their_answers(self):
+        await self.start()
+        caller = await self.busy.connect()
+        await caller.ask("1")
+        with unittest.mock.patch.object(offload, "MANY_RELAYS", 0):
+            self.other.view.apply(self.busy.view.take_report())
+            await caller.ask("2")
+        self.assertIn(b"connection: close", caller.received)
+        await caller.wait_closed()
+
+    def set_idle_timeout(self, bench, timeout_s):
+        """Puts a configuration with another limit on idle connections into force."""
+        table = bench.forwarder.table
+        table.limits = dataclasses.replace(table.limits, idle_timeout_s=timeout_s)
+
+    async def test_idle_connection_is_left_to_the_router_that_reads_it(self):
+        """Closed by the other, it would lose a request that this one has read."""
+        await self.start()
+        caller = await self.busy.connect()
+        await caller.ask("1")
+        self.set_idle_timeout(self.other, 0.05)
+        await caller.ask("2")
+        await asyncio.sleep(0.4)
+        self.assertEqual((200, b"ok", True), await caller.ask("3"))
+        self.set_idle_timeout(self.busy, 0.05)
+        await asyncio.sleep(0.4)
+        self.assertEqual((200, b"ok", True), await caller.ask("4"))
+        await caller.wait_closed()
+
+    async def test_request_under_way_is_not_idle(self):
+        async def script(request, stream):
+            await asyncio.sleep(0.6)
+            stream.write(entry_bench.answer(request))
+
+        await self.start(script)
+        self.set_idle_timeout(self.busy, 0.05)
+        caller = await self.busy.connect()
+        self.assertEqual((200, b"ok", True), await caller.ask("1"))
+
+    async def test_handed_over_connection_is_not_handed_on(self):
+        await self.start()
+        for _ in range(20):
+            self.other.lag.add(1.5 * loop_lag.BUSY_S, 0.0)
+        self.other.view.apply(self.busy.view.take_report())
+        host, port = self.other.router.addresses[1]
+        caller = entry_bench.Caller(await tcp_stream.connect(host, port, 1.0))
+        self.assertEqual((200, b"ok", True), await caller.ask())
