Put settings that change into force while a router runs

Cause: SIGHUP only checked the file; a change of the bounds, of the processor or of the store's address took effect at the next start, and a change without a signal was not seen. The bound on retries is one type, retry_budget.BudgetPolicy. The entry of a server is written once for the tests (store_bench).

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -87,6 +87,10 @@
         has_started: Tells whether the router knows enough to serve.
         grace_s: How long a stop may take, in seconds.
         lag: Tells whether the process has too much work.
+
+    Attributes:
+        grace_s: As above.
+        cores: The speed of its processor, in cores.
     """
 
     def __init__(
@@ -99,12 +103,13 @@
         grace_s: float,
         lag: loop_lag.LoopLag,
     ):
+        self.grace_s = grace_s
+        self.cores = place.cores
         self._place = place
         self._forwarder = forwarder
         self._directory = known
         self._view = view
         self._has_started = has_started
-        self._grace_s = grace_s
         self._lag = lag
         self._is_stopping = False
         self._connections: set[caller_connection.CallerConnection] = set()
@@ -136,7 +141,7 @@
             self._place.data_centre,
             self._place.host,
             self._handover_port,
-            work / self._place.cores,
+            work / self.cores,
             takes_connections=self.is_ready and not self._lag.is_busy,
             recalls_connections=self._is_stopping or self._offloader.has_many,
         )
@@ -215,8 +220,8 @@
         logger.info("stopping", extra={"underway": self._forwarder.underway})
         self._is_stopping = True
         began_at = self._now()
-        deadline = began_at + self._grace_s - EXIT_BEFORE_KILL_S
-        await asyncio.sleep(min(LISTEN_AFTER_STOP_S, self._grace_s / 2))
+        deadline = began_at + self.grace_s - EXIT_BEFORE_KILL_S
+        await asyncio.sleep(min(LISTEN_AFTER_STOP_S, self.grace_s / 2))
         self._close_listeners()
         self._forwarder.is_stopping = True
         while self._now() < deadline:
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -1,7 +1,6 @@
 """Forwards a caller's request to an upstream, and to another one where that is safe."""
 
 import asyncio
-import dataclasses
 import logging
 
 from teaselsill import (
@@ -38,21 +37,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BudgetPolicy:
-    """The fleet's bound on requests that are sent more than once.
-
-    Attributes:
-        ratio: How many sends beyond the first are allowed for each request.
-        window_s: The length of the sliding window, in seconds.
-        floor: How many one router may send however few requests there are.
-    """
-
-    ratio: float
-    window_s: float
-    floor: float
-
-
 class Forwarder:
     """Forwards the requests of one router.
 
@@ -77,7 +61,7 @@
         dialect: calls.Dialect,
         known: directory.Directory,
         data_centre: ids.DataCentre,
-        budget: BudgetPolicy,
+        budget: retry_budget.BudgetPolicy,
         view: fleet_view.FleetView,
         admitting: admission.Admission,
         sink: entry_metrics.EntryMetrics,
@@ -103,6 +87,12 @@
         self._directory.service_by_name = table.service_by_name
         self._view.set_capacity(table.limits.tokens_per_s)
 
+    def limit_retries(self, policy: retry_budget.BudgetPolicy) -> None:
+        """Puts another bound on retries into force; what was spent counts on."""
+        self._budget = policy
+        for budget in self._budget_by_service.values():
+            budget.policy = policy
+
     async def serve(
         self, message: http_messages.Request, answer: caller_connection.CallerAnswer
     ) -> None:
@@ -332,10 +322,7 @@
     def _budget_of(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
         known = self._budget_by_service.get(service)
         if known is None:
-            policy = self._budget
-            known = retry_budget.RetryBudget(
-                policy.ratio, policy.window_s, policy.floor
-            )
+            known = retry_budget.RetryBudget(self._budget)
             self._budget_by_service[service] = known
         return known
 
--- a/teaselsill/retry_budget.py
+++ b/teaselsill/retry_budget.py
@@ -1,6 +1,22 @@
 """Bounds how many requests are sent more than once, so that retries cause no storm."""
 
 import collections
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetPolicy:
+    """The bound on requests that are sent more than once.
+
+    Attributes:
+        ratio: How many sends beyond the first are allowed for each request.
+        window_s: The length of the sliding window, in seconds.
+        floor: How many one router may send however few requests there are.
+    """
+
+    ratio: float
+    window_s: float
+    floor: float
 
 
 class RetryBudget:
@@ -9,16 +25,12 @@
     Each router spends a fixed ratio of the requests that it has received itself, so
     the sum over all routers keeps the fleet's ratio without any messages.
 
-    Args:
-        ratio: How many sends beyond the first are allowed for each request.
-        window_s: The length of the sliding window, in seconds.
-        floor: How many are allowed in a window however few requests there are.
+    Attributes:
+        policy: How much may be spent.
     """
 
-    def __init__(self, ratio: float, window_s: float, floor: float):
-        self._ratio = ratio
-        self._window_s = window_s
-        self._floor = floor
+    def __init__(self, policy: BudgetPolicy):
+        self.policy = policy
         self._requested_at: collections.deque[float] = collections.deque()
         self._spent_at: collections.deque[float] = collections.deque()
 
@@ -34,7 +46,7 @@
             now: The time, in seconds.
         """
         self._forget(now)
-        allowed = self._floor + self._ratio * len(self._requested_at)
+        allowed = self.policy.floor + self.policy.ratio * len(self._requested_at)
         if len(self._spent_at) + 1 > allowed:
             return False
         self._spent_at.append(now)
@@ -42,5 +54,5 @@
 
     def _forget(self, now: float) -> None:
         for times in (self._requested_at, self._spent_at):
-            while times and times[0] <= now - self._window_s:
+            while times and times[0] <= now - self.policy.window_s:
                 times.popleft()
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -288,7 +288,8 @@
             for upstream in self._upstreams:
                 await upstream.server.__aenter__()
             self._store.put("keyed.op", "config", make_manifest())
-            self._register()
+            for upstream in self._upstreams:
+                self._store.register(upstream.server)
             address = self._store.describe()
             try:
                 await self._start_routers(f"{address.host}:{address.port}")
@@ -307,19 +308,6 @@
             await router.start()
         await asyncio.gather(*[router.wait_ready() for router in self._routers])
 
-    def _register(self) -> None:
-        for upstream in self._upstreams:
-            entry = upstream.server.describe()
-            beat = {
-                "Service": "huvo11a",
-                "Address": f"{entry.host}:{entry.port}",
-                "Zone": "a",
-                "Slots": 8,
-                "State": "ready",
-                "born": 1,
-            }
-            self._store.put("keyed.servers", entry.id, json.dumps(beat).encode())
-
     async def _play(self) -> None:
         callers = [asyncio.create_task(self._call_on(n)) for n in range(CALLERS)]
         began_at = time.monotonic()
--- a/tests/adapter/store_bench.py
+++ b/tests/adapter/store_bench.py
@@ -29,6 +29,24 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def register(self, server, **fields):
+        """Appends the entry of a server that is ready.
+
+        Args:
+            server: The `entry_bench.ScriptedUpstream`.
+            fields: Other values of its fields.
+        """
+        known = server.describe()
+        entry = {
+            "Service": "huvo11a",
+            "Address": f"{known.host}:{known.port}",
+            "Zone": "a",
+            "Slots": 8,
+            "State": "ready",
+            "born": 1,
+        }
+        self.put("keyed.servers", known.id, json.dumps(entry | fields).encode())
+
     def newest(self, topic):
         """Returns the newest value of each key."""
         newest = dict(self._records_by_topic.get(topic, []))
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -1,14 +1,17 @@
 import asyncio
 import json
 import os
+import pathlib
 import signal
+import tempfile
 import unittest
 
+import msgspec
 from adapter import router_role, settings
 
-from teaselsill import http_messages, listener, tcp_stream
+from teaselsill import http_messages, listener, retry_budget, tcp_stream
 from tests import entry_bench, test_peer_links
-from tests.adapter import store_bench, test_manifest
+from tests.adapter import store_bench, test_manifest, test_settings
 
 HOST = "127.0.0.9"
 KEY = "k1"
@@ -39,6 +42,8 @@
 class RouterRoleTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = await self.enterAsyncContext(store_bench.KeyedStore())
+        folder = tempfile.TemporaryDirectory()
+        self.folder = self.enterContext(folder)
         self.server = entry_bench.ScriptedUpstream("i-1", say_ok)
         await self.enterAsyncContext(self.server)
 
@@ -52,13 +57,14 @@
             zone="a",
             heartbeat_ms=1200,
             ip=HOST,
-            port_range=(find_free_port(), 0),
+            port_range=(find_free_port(), 65535),
             listen=settings.Listen(f"{HOST}:{self.front}", f"{HOST}:{self.ready}"),
             limits=settings.Limits(1.0, 1.0),
             bounds=settings.Bounds(2000.0, 2.0, 0.2, 10.0, 54.0),
             platform=settings.Platform(f"{store.host}:{store.port}"),
         )
-        return router_role.RouterRole(known)
+        self.path = pathlib.Path(self.folder) / "settings.toml"
+        return router_role.RouterRole(self.path, known)
 
     def start(self):
         running = asyncio.create_task(self.make_role().run())
@@ -67,17 +73,7 @@
         return running
 
     def register(self, **fields):
-        entry = self.server.describe()
-        beat = {
-            "Service": "huvo11a",
-            "Address": f"{entry.host}:{entry.port}",
-            "Zone": "a",
-            "Slots": 8,
-            "State": "ready",
-            "born": 1,
-        }
-        text = json.dumps(beat | fields).encode()
-        self.store.put("keyed.servers", "i-1", text)
+        self.store.register(self.server, **fields)
 
     async def ask(self, port, path, **fields):
         stream = await tcp_stream.connect(HOST, port, 1.0)
@@ -141,6 +137,34 @@
         await self.wait_status(503, self.call)
         await self.wait_ready(200)
 
+    async def test_follows_a_store_that_has_moved(self):
+        self.store.put("keyed.op", "config", make_manifest(7))
+        self.register()
+        self.start()
+        await self.wait_ready(200)
+        async with store_bench.KeyedStore() as moved:
+            new = moved.describe()
+            text = test_settings.TEXT.replace(
+                "10.200.1.7:8781", f"{new.host}:{new.port}"
+            )
+            self.path.write_text(text)
+            moved.put("keyed.op", "config", make_manifest(7))
+            moved.register(self.server)
+            moved.register(self.server, State="draining")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await self.wait_status(503, self.call)
+
+    async def test_changed_bounds_are_in_force(self):
+        role = self.make_role()
+        known = settings.parse(self.path, test_settings.TEXT.encode())
+        changed = settings.Bounds(3000.0, 5.0, 0.4, 20.0, 64.0)
+        role._apply(msgspec.structs.replace(known, bounds=changed))
+        self.assertEqual(5.0, role._router.grace_s)
+        self.assertEqual(0.717 * 3, role._router.cores)
+        self.assertEqual(
+            retry_budget.BudgetPolicy(0.4, 20.0, 1.0), role._forwarder._budget
+        )
+
     async def test_reads_in_time_although_others_would_tell(self):
         role = self.make_role()
         for number in range(100):
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -15,13 +15,14 @@
     ids,
     listener,
     loop_lag,
+    retry_budget,
     tcp_stream,
 )
 from tests import test_routing_table, test_upstream_list
 
 HOST = "127.0.0.1"
 SERVICE = ids.ServiceName("s")
-BUDGET = forwarding.BudgetPolicy(ratio=1.0, window_s=10.0, floor=5.0)
+BUDGET = retry_budget.BudgetPolicy(ratio=1.0, window_s=10.0, floor=5.0)
 
 
 class PlainDialect(calls.Dialect):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from teaselsill import http_messages, routing_table, upstream_list
+from teaselsill import http_messages, retry_budget, routing_table, upstream_list
 from tests import entry_bench
 
 NEVER = routing_table.Repeat.NEVER
@@ -195,7 +195,7 @@
 
     async def test_retry_budget_bounds_all_requests_together(self):
         bench = await self.start(reset, reset, repeat=FREELY, max_upstreams=2)
-        bench.forwarder._budget = entry_bench.forwarding.BudgetPolicy(0.0, 10.0, 1.0)
+        bench.forwarder.limit_retries(retry_budget.BudgetPolicy(0.0, 10.0, 1.0))
         for request in range(5):
             self.assertEqual(502, (await bench.ask(str(request)))[0])
         self.assertEqual(6, self.count_requests())
