Count a request that has been read as due before looking for its caller

Ruled out: the other router (it had just got the request), the grace time. Change: the answer counts as due from the moment the request is read. Before: the new test saw an idle relay. After: it passes.

--- a/teaselsill/relay.py
+++ b/teaselsill/relay.py
@@ -84,9 +84,9 @@
         """Passes on what the caller sends, until its connection ends."""
         with contextlib.suppress(tcp_stream.ConnectionResetError):
             while data := await self._caller.read():
+                self._note_passed(is_answer_due=True)
                 if await self._has_caller_left():
                     break
-                self._note_passed(is_answer_due=True)
                 self._other.write(data)
                 await self._other.drain()
         self._caller.abort()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,7 +3,7 @@
 import unittest
 import unittest.mock
 
-from teaselsill import http_messages, loop_lag, offload, tcp_stream
+from teaselsill import http_messages, loop_lag, offload, relay, tcp_stream
 from tests import entry_bench
 
 
@@ -167,6 +167,22 @@
         caller = await self.busy.connect()
         self.assertEqual((200, b"ok", True), await caller.ask("1"))
 
+    async def test_request_that_has_been_read_is_not_idle(self):
+        """A busy router looks whether the caller has left before it passes it on."""
+        await self.start()
+        caller = await self.busy.connect()
+        await caller.ask("1")
+        idle = []
+
+        async def look(handed_over):
+            now = asyncio.get_running_loop().time()
+            idle.append(handed_over.is_idle(now + 3600.0))
+            return False
+
+        with unittest.mock.patch.object(relay.Relay, "_has_caller_left", look):
+            await caller.ask("2")
+        self.assertEqual([False], idle)
+
     async def test_handed_over_connection_is_not_handed_on(self):
         await self.start()
         for _ in range(20):
