Have one router read the servers' entries for all

Ruled out: the manifest and the peers, whose reads wait. Connections to the store and between routers are checked by keep-alive, so a read that waits on a silent one ends within 3 s.

--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -11,6 +11,7 @@
     directory,
     engine_queue,
     ids,
+    keyed_log,
     peer_reports,
     placement,
     upstream_load,
@@ -31,6 +32,7 @@
 
 FindStatus = collections.abc.Callable[[], peer_reports.RouterStatus]
 OnSeen = collections.abc.Callable[[str, ids.Offset], None]
+OnReading = collections.abc.Callable[[str, peer_reports.Reading], None]
 
 
 class FleetView:
@@ -42,6 +44,7 @@
         find_status: Returns how much this router has to do.
         on_seen: Called with a topic of the platform's log and the offset of a change
             that another router has seen there.
+        on_reading: Called with a topic and what another router has read of it.
 
     Attributes:
         usage: What the client accounts use.
@@ -53,7 +56,9 @@
         known: directory.Directory,
         find_status: FindStatus,
         on_seen: OnSeen = lambda topic, offset: None,
+        on_reading: OnReading = lambda topic, reading: None,
     ):
+        self._router = router
         self._seen_by_topic: dict[str, ids.Offset] = {}
         self._has_seen_change = False
         self.usage = account_usage.AccountUsage()
@@ -67,6 +72,7 @@
         self._router_by_host: dict[str, ids.InstanceId] = {}
         self._told_tokens = decaying_sum.DecayingSum(TOLD_MEMORY_S)
         self._on_seen = on_seen
+        self._on_reading = on_reading
 
     @property
     def has_news(self) -> bool:
@@ -78,6 +84,24 @@
         self._seen_by_topic[topic] = offset
         self._has_seen_change = True
 
+    def note_read(self, topic: str, update: keyed_log.Update, read_at: float) -> None:
+        """Takes note of what was read of the platform's log, to tell the others.
+
+        Args:
+            topic: The topic.
+            update: What was read.
+            read_at: When, by the boot clock.
+        """
+        self._notebook.add_update(topic, update, read_at)
+
+    def find_rank(self) -> int:
+        """Returns how many routers that have been heard of late come before this one.
+
+        All routers agree on the order, so that one of them can work for all.
+        """
+        heard = filter(self.is_heard, self._heard_at_by_router)
+        return sum(other < self._router for other in heard)
+
     def count_heard(self) -> int:
         """Returns how many other routers have been heard of late."""
         return sum(map(self.is_heard, self._heard_at_by_router))
@@ -180,6 +204,8 @@
         self._heard_at_by_router[report.router] = now
         self._status_by_router[report.router] = report.status
         self._router_by_host[report.status.host] = report.router
+        for topic, reading in report.reading_by_topic.items():
+            self._on_reading(topic, reading)
         for topic, offset in report.seen_by_topic.items():
             self._on_seen(topic, offset)
         for read in report.reads:
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -8,13 +8,17 @@
 import math
 import random
 
-from teaselsill import ids, log
+import msgspec
+
+from teaselsill import boot_clock, ids, log
 
 FIRST_PAUSE_S = 0.2
 """How long a follower waits after a failed call; each time in a row twice as long."""
 MAX_PAUSE_S = 0.8
 FIRST_WAIT_S = 0.5
 """How long the first read after a failure waits; each in a row twice as long."""
+SLOW_CALL_S = 0.3
+"""What took longer, beyond the wait, was held up and may be as old as its call."""
 POKE_GRACE_S = 0.1
 """A waiting read that should have ended by now is given up after so long."""
 
@@ -47,6 +51,47 @@
     next: ids.Offset
 
 
+class Change(msgspec.Struct, array_like=True, frozen=True):
+    """A record that said something new.
+
+    Attributes:
+        offset: Its offset.
+        key: Its key.
+        value: Its value; none if the key was dropped.
+    """
+
+    offset: ids.Offset
+    key: str
+    value: bytes | None
+
+
+class Update(msgspec.Struct, array_like=True, frozen=True):
+    """What one reader of a topic tells the others, so that they need not read it.
+
+    Attributes:
+        first: The offset that was read from.
+        next: The offset after the last record.
+        changes: The records between them that said something new.
+        outage_s: How long the log could not be read before, in seconds; 0 if it could.
+    """
+
+    first: ids.Offset
+    next: ids.Offset
+    changes: list[Change]
+    outage_s: float
+
+    def follow(self, earlier: "Update | None") -> "Update":
+        """Returns this update with what was read just before it."""
+        if earlier is None or earlier.next != self.first:
+            return self
+        return Update(
+            earlier.first,
+            self.next,
+            earlier.changes + self.changes,
+            max(earlier.outage_s, self.outage_s),
+        )
+
+
 class KeyedLog(abc.ABC):
     """A client of the platform's keyed log."""
 
@@ -112,6 +157,7 @@
 
 
 OnChange = collections.abc.Callable[[str, ids.Offset], None]
+OnRead = collections.abc.Callable[[str, Update, float], None]
 
 
 class Follower:
@@ -122,8 +168,11 @@
         topic: The topic.
         view: What is kept up to date.
         find_wait_s: Returns how long one read waits for a record, in seconds.
-        find_pause_s: Returns how long to wait between two reads, in seconds.
+        find_pause_s: Returns how long to wait between two reads, in seconds. What
+            another reader tells counts as a read.
         on_change: Called with the topic and the offset of a change.
+        on_read: Called with the topic, what was read, and for when that holds, by
+            the boot clock.
 
     Attributes:
         is_listed: Whether the topic has been listed once.
@@ -137,6 +186,7 @@
         find_wait_s: collections.abc.Callable[[], float],
         find_pause_s: collections.abc.Callable[[], float] = lambda: 0.0,
         on_change: OnChange = lambda topic, offset: None,
+        on_read: OnRead = lambda topic, update, read_at: None,
     ):
         self.is_listed = False
         self._source = source
@@ -145,6 +195,8 @@
         self._find_wait_s = find_wait_s
         self._find_pause_s = find_pause_s
         self._on_change = on_change
+        self._on_read = on_read
+        self._fresh_at = -math.inf
         self._poked = asyncio.Event()
         self._next: ids.Offset | None = None
         self._lost_at: float | None = None
@@ -154,6 +206,7 @@
     async def run(self) -> None:
         """Follows the topic for ever."""
         while True:
+            await self._pause()
             try:
                 await self._step()
             except log.OffsetExpiredError as error:
@@ -165,33 +218,75 @@
                 continue
             except log.LogUnavailableError as error:
                 await self._wait_after_failure(error)
-                continue
-            await self._pause()
 
     def poke(self, offset: ids.Offset) -> None:
         """Reads at once if a change at an offset has not been read yet."""
         if self._next is None or offset >= self._next:
             self._poked.set()
 
-    async def _pause(self) -> None:
-        pause_s = self._find_pause_s()
-        if pause_s <= 0:
+    def hear(self, update: Update, age_s: float) -> None:
+        """Takes what another reader has read.
+
+        Args:
+            update: What it has read.
+            age_s: How long ago that was, in seconds.
+        """
+        if self._next is None or update.next < self._next:
             return
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._poked.wait()
-        except TimeoutError:
-            pass
+        if update.first > self._next:
+            if update.changes:
+                self._poked.set()
+            return
+        if update.outage_s:
+            self._view.note_outage(update.outage_s)
+        self._note_reached(boot_clock.now() - age_s)
+        for change in update.changes:
+            if change.offset >= self._next:
+                self._view.put(KeyedRecord(change.key, change.value))
+        self._next = update.next
+
+    async def _pause(self) -> None:
+        """Waits until the topic has to be read."""
+        while not self._poked.is_set():
+            left_s = self._fresh_at + self._find_pause_s() - boot_clock.now()
+            if left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._poked.wait()
+            except TimeoutError:
+                pass
         self._poked.clear()
 
     async def _step(self) -> None:
         if self._next is None:
-            page = await self._source.list_newest(self._topic)
-            self._note_reached()
-            self._view.keep_only({record.key for record in page.records})
-        else:
-            page = await self._read_on()
-            self._note_reached()
+            await self._list()
+            return
+        first = self._next
+        began_at = boot_clock.now()
+        wait_s = min(self._find_wait_s(), self._trusted_wait_s)
+        page = await self._read_on(first, wait_s)
+        read_at = boot_clock.now()
+        if read_at - began_at > wait_s + SLOW_CALL_S:
+            read_at = began_at
+        outage_s = self._note_reached(read_at)
+        changes = []
+        # Another reader may have told of the first ones while they were read.
+        told = self._next - first
+        for place, record in enumerate(page.records[told:], self._next):
+            if self._view.put(record):
+                changes.append(Change(ids.Offset(place), record.key, record.value))
+        self._next = max(self._next, page.next)
+        update = Update(first, self._next, changes, outage_s)
+        self._on_read(self._topic, update, read_at)
+        if changes:
+            self._on_change(self._topic, changes[-1].offset)
+
+    async def _list(self) -> None:
+        began_at = boot_clock.now()
+        page = await self._source.list_newest(self._topic)
+        self._note_reached(began_at)
+        self._view.keep_only({record.key for record in page.records})
         has_changed = False
         for record in page.records:
             has_changed |= self._view.put(record)
@@ -200,15 +295,12 @@
             self._on_change(self._topic, ids.Offset(self._next - 1))
         self.is_listed = True
 
-    async def _read_on(self) -> KeyedPage:
+    async def _read_on(self, start: ids.Offset, wait_s: float) -> KeyedPage:
         """Reads on, without further waiting once another router has seen a change."""
-        wait_s = min(self._find_wait_s(), self._trusted_wait_s)
         self._trusted_wait_s *= 2
         if not wait_s:
-            return await self._source.read(self._topic, self._next, 0.0)
-        reading = asyncio.create_task(
-            self._source.read(self._topic, self._next, wait_s)
-        )
+            return await self._source.read(self._topic, start, 0.0)
+        reading = asyncio.create_task(self._source.read(self._topic, start, wait_s))
         poked = asyncio.create_task(self._poked.wait())
         try:
             await asyncio.wait({reading, poked}, return_when=asyncio.FIRST_COMPLETED)
@@ -221,12 +313,18 @@
             poked.cancel()
             reading.cancel()
             await asyncio.gather(reading, poked, return_exceptions=True)
-        return await self._source.read(self._topic, self._next, 0.0)
+        return await self._source.read(self._topic, start, 0.0)
 
-    def _note_reached(self) -> None:
+    def _note_reached(self, read_at: float) -> float:
+        """Takes note of fresh records; returns how long there were none, in seconds.
+
+        Args:
+            read_at: For when they hold, by the boot clock.
+        """
         self._failures = 0
+        self._fresh_at = max(self._fresh_at, read_at)
         if self._lost_at is None:
-            return
+            return 0.0
         lasted_s = self._now() - self._lost_at
         self._lost_at = None
         logger.info(
@@ -234,6 +332,7 @@
             extra={"topic": self._topic, "lost_for_s": round(lasted_s, 2)},
         )
         self._view.note_outage(lasted_s)
+        return lasted_s
 
     async def _wait_after_failure(self, error: Exception) -> None:
         if self._lost_at is None:
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -5,7 +5,6 @@
 import logging
 import math
 import random
-import socket
 
 from teaselsill import fleet_view, ids, listener, peer_reports, tcp_stream, wire
 
@@ -17,6 +16,8 @@
 FIRST_PAUSE_S = 0.2
 """How long to wait after a failed connection; each time in a row twice as long."""
 MAX_PAUSE_S = 3.0
+KEEP_ALIVE_S = 1
+"""How often a quiet connection is checked."""
 UNACKNOWLEDGED_MS = 1500
 """A connection ends if sent bytes are not acknowledged for so long."""
 
@@ -119,9 +120,7 @@
                 pause_s = min(2 * pause_s, MAX_PAUSE_S)
                 continue
             pause_s = FIRST_PAUSE_S
-            stream.set_option(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-            )
+            stream.check_alive(KEEP_ALIVE_S, UNACKNOWLEDGED_MS)
             logger.info("peer connected", extra={"peer": peer})
             self._stream_by_peer[peer] = stream
             try:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from teaselsill import calls, ids, upstream_load
+from teaselsill import boot_clock, calls, ids, keyed_log, upstream_load
 
 
 class Read(msgspec.Struct, array_like=True, frozen=True):
@@ -54,6 +54,18 @@
     recalls_connections: bool
 
 
+class Reading(msgspec.Struct, array_like=True, frozen=True):
+    """What a router has read of a topic of the platform's log.
+
+    Attributes:
+        update: What it has read.
+        age_s: How long ago that was, in seconds.
+    """
+
+    update: keyed_log.Update
+    age_s: float
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What a router has done since its last report.
 
@@ -66,6 +78,7 @@
         work_by_upstream: Its requests at each engine where they have changed.
         seen_by_topic: The offset of the last change that it has seen in each topic of
             the platform's log.
+        reading_by_topic: What it has read of topics that one router reads for all.
     """
 
     router: ids.InstanceId
@@ -75,6 +88,7 @@
     begun_by_upstream: dict[ids.UpstreamId, int]
     work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary]
     seen_by_topic: dict[str, ids.Offset]
+    reading_by_topic: dict[str, Reading]
 
 
 class Notebook:
@@ -90,11 +104,30 @@
         self._begun_by_upstream: dict[ids.UpstreamId, int] = {}
         self._asked_by_account: dict[ids.AccountId, int] = {}
         self._admitted_by_account: dict[ids.AccountId, int] = {}
+        self._update_by_topic: dict[str, keyed_log.Update] = {}
+        self._read_at_by_topic: dict[str, float] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing new to tell."""
-        return not (self._reads or self._asked_by_account or self._begun_by_upstream)
+        return not (
+            self._reads
+            or self._asked_by_account
+            or self._begun_by_upstream
+            or self._update_by_topic
+        )
+
+    def add_update(self, topic: str, update: keyed_log.Update, read_at: float) -> None:
+        """Takes note of what was read of the platform's log.
+
+        Args:
+            topic: The topic.
+            update: What was read.
+            read_at: When, by the boot clock.
+        """
+        earlier = self._update_by_topic.get(topic)
+        self._update_by_topic[topic] = update.follow(earlier)
+        self._read_at_by_topic[topic] = read_at
 
     def add_read(
         self,
@@ -139,9 +172,19 @@
             self._begun_by_upstream,
             work_by_upstream,
             seen_by_topic,
+            self._take_readings(),
         )
         self._reads = []
         self._begun_by_upstream = {}
         self._asked_by_account = {}
         self._admitted_by_account = {}
         return report
+
+    def _take_readings(self) -> dict[str, Reading]:
+        now = boot_clock.now()
+        readings = {
+            topic: Reading(update, now - self._read_at_by_topic[topic])
+            for topic, update in self._update_by_topic.items()
+        }
+        self._update_by_topic = {}
+        return readings
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -123,9 +123,19 @@
         """Waits until the other end has closed the connection."""
         await self._left.wait()
 
-    def set_option(self, level: int, option: int, value: int) -> None:
-        """Sets an option of the socket."""
-        self._transport.get_extra_info("socket").setsockopt(level, option, value)
+    def check_alive(self, period_s: int, longest_ms: int) -> None:
+        """Has the operating system end the connection if the other end is silent.
+
+        Args:
+            period_s: How often a quiet connection is checked, in seconds.
+            longest_ms: How long bytes or checks may go without an answer.
+        """
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+            sock.setsockopt(socket.IPPROTO_TCP, option, period_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, longest_ms)
 
     def write(self, data: bytes) -> None:
         """Sends bytes, or drops them if the connection has ended."""
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -51,6 +51,15 @@
         self._parser = http_messages.AnswerParser(method, is_expected)
         self._stream.write(request)
 
+    def check_alive(self, period_s: int, longest_ms: int) -> None:
+        """Has the operating system find out if the other end falls silent.
+
+        Args:
+            period_s: How often a quiet connection is checked, in seconds.
+            longest_ms: How long it may be silent, in milliseconds.
+        """
+        self._stream.check_alive(period_s, longest_ms)
+
     async def receive(self) -> list[http_messages.Part]:
         """Waits for the next parts of the answer.
 
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -167,10 +167,15 @@
 
     async def test_reads_in_time_although_others_would_tell(self):
         role = self.make_role()
+        alone_s = role._find_servers_pause_s()
         for number in range(100):
-            report = test_peer_links.make_report(f"r{number}")
+            report = test_peer_links.make_report(f"a{number}")
             role._view.apply(report)
-        self.assertLess(role._find_servers_pause_s(), 2.0)
+        drain_s = 2.0
+        report_s = role._view.find_report_period_s()
+        self.assertLess(role._find_servers_pause_s() + report_s, drain_s)
+        self.assertEqual(0.0, role._find_servers_wait_s())
+        self.assertEqual(0.0, alone_s)
 
     async def test_an_older_manifest_changes_nothing(self):
         self.store.put("keyed.op", "config", make_manifest(7))
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,9 +1,11 @@
 import unittest
 
 from teaselsill import (
+    boot_clock,
     directory,
     fleet_view,
     ids,
+    keyed_log,
     peer_reports,
     routing_table,
     upstream_load,
@@ -15,14 +17,16 @@
 CALL = test_placement.make_call(("session", 4000), ("own", 1000))
 
 
-def make_view(name, on_seen=lambda topic, offset: None):
+def make_view(
+    name, on_seen=lambda topic, offset: None, on_reading=lambda topic, reading: None
+):
     known = directory.Directory()
     engine = routing_table.Engine(slots=8, memory_tokens=100_000)
     service = test_routing_table.make_service(engine=engine)
     known.service_by_name = {service.name: service}
     known.listed.put(test_upstream_list.make_upstream())
     view = fleet_view.FleetView(
-        ids.InstanceId(name), known, lambda: make_status(), on_seen
+        ids.InstanceId(name), known, lambda: make_status(), on_seen, on_reading
     )
     return view, known
 
@@ -45,9 +49,12 @@
 class FleetViewTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.seen = []
+        self.readings = []
         self.first, self.first_known = make_view("first")
         self.second, self.second_known = make_view(
-            "second", lambda topic, offset: self.seen.append((topic, offset))
+            "second",
+            lambda topic, offset: self.seen.append((topic, offset)),
+            lambda topic, reading: self.readings.append(reading),
         )
 
     def tell(self):
@@ -112,6 +119,27 @@
         self.assertEqual([("topic", 7)], self.seen)
         self.assertEqual(1, self.second.count_heard())
 
+    async def test_what_was_read_for_all_is_told_once(self):
+        change = keyed_log.Change(ids.Offset(7), "k", None)
+        first = keyed_log.Update(ids.Offset(3), ids.Offset(9), [change], 0.0)
+        second = keyed_log.Update(ids.Offset(9), ids.Offset(12), [], 2.5)
+        read_at = boot_clock.now() - 3.0
+        self.first.note_read("topic", first, read_at - 1.0)
+        self.first.note_read("topic", second, read_at)
+        self.assertTrue(self.first.has_news)
+        self.tell()
+        joined = keyed_log.Update(ids.Offset(3), ids.Offset(12), [change], 2.5)
+        self.tell()
+        (reading,) = self.readings
+        self.assertEqual(joined, reading.update)
+        self.assertGreaterEqual(reading.age_s, 3.0)
+
+    async def test_routers_agree_on_their_order(self):
+        self.assertEqual((0, 0), (self.first.find_rank(), self.second.find_rank()))
+        self.tell()
+        self.first.apply(self.second.take_report())
+        self.assertEqual((0, 1), (self.first.find_rank(), self.second.find_rank()))
+
     async def test_report_on_an_unknown_upstream_is_ignored(self):
         report = peer_reports.Report(
             ids.InstanceId("r"),
@@ -121,5 +149,6 @@
             {ids.UpstreamId("x"): 1},
             {ids.UpstreamId("x"): upstream_load.Summary(1, 1)},
             {},
+            {},
         )
         self.second.apply(report)
--- a/tests/test_keyed_log.py
+++ b/tests/test_keyed_log.py
@@ -1,7 +1,8 @@
 import asyncio
 import unittest
+import unittest.mock
 
-from teaselsill import ids, keyed_log, log
+from teaselsill import boot_clock, ids, keyed_log, log
 
 TOPIC = "keyed.t"
 
@@ -78,6 +79,7 @@
         self.source = MemoryKeyedLog()
         self.view = MemoryView()
         self.seen = []
+        self.updates = []
 
     def start(self, wait_s=5.0, **fields):
         self.follower = keyed_log.Follower(
@@ -86,6 +88,7 @@
             self.view,
             lambda: wait_s,
             on_change=lambda topic, offset: self.seen.append(offset),
+            on_read=lambda topic, update, at: self.updates.append((update, at)),
             **fields,
         )
         task = asyncio.create_task(self.follower.run())
@@ -170,6 +173,125 @@
         self.follower.poke(ids.Offset(0))
         await self.wait_for({"a": b"1"})
 
+    async def start_idle(self):
+        """Starts a follower that has listed two records and does not read on."""
+        self.source.add("a", b"1")
+        self.source.add("b", b"1")
+        self.start(wait_s=0.0, find_pause_s=lambda: 60.0)
+        await self.wait_for({"a": b"1", "b": b"1"})
+        await asyncio.sleep(0)
+
+    def hear(self, first, following, *changes, outage_s=0.0, age_s=0.0):
+        told = [
+            keyed_log.Change(ids.Offset(o), key, value) for o, key, value in changes
+        ]
+        update = keyed_log.Update(
+            ids.Offset(first), ids.Offset(following), told, outage_s
+        )
+        self.follower.hear(update, age_s)
+
+    async def test_reading_without_news_counts_as_a_read(self):
+        await self.start_idle()
+        fresh_at = self.follower._fresh_at
+        await asyncio.sleep(0.01)
+        self.hear(2, 2)
+        self.assertLess(fresh_at, self.follower._fresh_at)
+
+    async def test_call_that_was_held_up_is_as_old_as_its_start(self):
+        held_up_s = 0.05
+
+        class Slow(MemoryKeyedLog):
+            async def read(self, topic, start, wait_s):
+                page = await super().read(topic, start, wait_s)
+                await asyncio.sleep(held_up_s)
+                return page
+
+        self.source = Slow()
+        await self.start_idle()
+        with unittest.mock.patch.object(keyed_log, "SLOW_CALL_S", held_up_s / 2):
+            self.follower.poke(ids.Offset(2))
+            async with asyncio.timeout(5.0):
+                while not self.updates:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+        ((_, read_at),) = self.updates
+        self.assertEqual(read_at, self.follower._fresh_at)
+        self.assertGreaterEqual(boot_clock.now() - read_at, held_up_s)
+
+    async def test_what_another_has_read_counts_as_a_read(self):
+        await self.start_idle()
+        fresh_at = self.follower._fresh_at
+        await asyncio.sleep(0.01)
+        self.hear(2, 4, (3, "a", b"2"))
+        self.assertEqual({"a": b"2", "b": b"1"}, self.view.by_key)
+        self.assertLess(fresh_at, self.follower._fresh_at)
+        self.assertEqual([], self.source.reads)
+        for _ in range(3):
+            self.source.add("c", b"3")
+        self.follower.poke(ids.Offset(4))
+        await self.wait_for({"a": b"2", "b": b"1", "c": b"3"})
+
+    async def test_told_records_that_are_known_are_left_out(self):
+        await self.start_idle()
+        self.hear(0, 3, (0, "a", b"0"), (2, "b", b"2"))
+        self.assertEqual({"a": b"1", "b": b"2"}, self.view.by_key)
+
+    async def test_update_that_was_held_up_is_not_fresh(self):
+        await self.start_idle()
+        fresh_at = self.follower._fresh_at
+        self.hear(0, 1, (0, "a", b"old"), outage_s=5.0)
+        self.hear(2, 2, age_s=30.0)
+        self.assertEqual({"a": b"1", "b": b"1"}, self.view.by_key)
+        self.assertEqual(fresh_at, self.follower._fresh_at)
+        self.assertEqual([], self.view.outages)
+
+    async def test_gap_in_what_is_told_is_read(self):
+        await self.start_idle()
+        self.source.add("c", b"3")
+        self.source.add("d", b"4")
+        self.hear(3, 4, (3, "d", b"4"))
+        await self.wait_for({"a": b"1", "b": b"1", "c": b"3", "d": b"4"})
+
+    async def test_outage_that_another_has_noticed(self):
+        await self.start_idle()
+        self.hear(2, 3, (2, "a", None), outage_s=5.0)
+        self.assertEqual([5.0], self.view.outages)
+
+    async def test_tells_what_it_has_read(self):
+        await self.start_idle()
+        self.source.add("a", None)
+        self.follower.poke(ids.Offset(2))
+        await self.wait_for({"b": b"1"})
+        ((update, _),) = self.updates
+        change = keyed_log.Change(ids.Offset(2), "a", None)
+        self.assertEqual(
+            keyed_log.Update(ids.Offset(2), ids.Offset(3), [change], 0.0), update
+        )
+
+    async def test_what_is_told_during_a_read_is_not_taken_twice(self):
+        go_on = asyncio.Event()
+
+        class Slow(MemoryKeyedLog):
+            async def read(self, topic, start, wait_s):
+                page = await super().read(topic, start, wait_s)
+                await go_on.wait()
+                return page
+
+        self.source = Slow()
+        await self.start_idle()
+        self.source.add("a", b"2")
+        self.source.add("b", b"2")
+        self.follower.poke(ids.Offset(3))
+        async with asyncio.timeout(5.0):
+            while not self.source.reads:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.hear(2, 5, (2, "a", b"2"), (4, "a", b"3"))
+        go_on.set()
+        async with asyncio.timeout(5.0):
+            while not self.updates:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.assertEqual({"a": b"3", "b": b"1"}, self.view.by_key)
+        self.assertEqual(5, self.follower._next)
+
     async def test_record_is_put_when_the_log_is_back(self):
         self.source.down = True
         record = keyed_log.KeyedRecord("a", b"1")
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -10,7 +10,7 @@
 
 
 def make_report(name):
-    return peer_reports.Report(ids.InstanceId(name), STATUS, [], [], {}, {}, {})
+    return peer_reports.Report(ids.InstanceId(name), STATUS, [], [], {}, {}, {}, {})
 
 
 class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
