Let late returns of accounts beyond their share yield to new requests

What comes back after 0.5 s has missed its objective of 0.4 s, and took a place that a new request of the same account would have used in time. Change: returned_requests.py knows a rejected request by its prompt when it comes back. In a severe overload, one of an account beyond its share that can no longer be in time is rejected. Accounts within their share and mild overloads are as before.

--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -3,7 +3,15 @@
 import dataclasses
 import random
 
-from teaselsill import account_usage, calls, ids, placement, rejections, routing_table
+from teaselsill import (
+    account_usage,
+    calls,
+    ids,
+    placement,
+    rejections,
+    returned_requests,
+    routing_table,
+)
 
 OBJECTIVE_RATIO = 0.6
 """The part of the objective that a prompt may wait before it is read."""
@@ -17,6 +25,8 @@
 """What is asked for beyond what engines can do, relative to it, in a mere burst."""
 SEVERE_EXCESS = 0.4
 """The same beyond that in a severe overload."""
+YIELDING_SEVERITY = 0.5
+"""In a severer overload, what is late already yields to what can be served in time."""
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 2.0
 
@@ -29,11 +39,28 @@
         wait_s: How long the prompt would wait, in seconds.
         limit_s: How long it may wait, in seconds.
         share_ratio: What the client account has, relative to its fair share.
+        severity: How severe the overload is, from 0 to 1.
+        is_late: Whether the request cannot be answered in time any more, since it was
+            rejected before.
     """
 
     wait_s: float
     limit_s: float
     share_ratio: float
+    severity: float
+    is_late: bool
+
+    @property
+    def has_place(self) -> bool:
+        """Whether the request should be sent.
+
+        An account beyond its share has more requests than can be served. Those that
+        come back late would take the place of new ones that can be served in time.
+        """
+        is_over = self.share_ratio > FAIR_RATIO
+        if self.is_late and is_over and self.severity > YIELDING_SEVERITY:
+            return False
+        return self.wait_s <= self.limit_s
 
 
 class Admission:
@@ -49,6 +76,7 @@
 
     def __init__(self, usage: account_usage.AccountUsage):
         self._usage = usage
+        self._returned = returned_requests.ReturnedRequests()
 
     def check(
         self,
@@ -65,15 +93,19 @@
         """
         if not call.parts:
             return
-        evidence = self.weigh(route, account, choice, now)
-        if evidence.wait_s <= evidence.limit_s:
+        age_s = self._returned.find_age_s(account, call, now)
+        evidence = self.weigh(route, account, choice, now, age_s)
+        if evidence.has_place:
             return
+        self._returned.note_rejected(account, call, now)
         is_over = evidence.share_ratio > FAIR_RATIO
         cause = rejections.Cause.OVER_SHARE if is_over else rejections.Cause.OVERLOADED
         detail = (
             f"would wait {evidence.wait_s:.3f} s, may {evidence.limit_s:.3f} s,"
             f" share ratio {evidence.share_ratio:.2f}"
         )
+        if evidence.is_late:
+            detail += f", asked for {age_s:.2f} s ago"
         raise rejections.RejectedError(cause, detail, choose_retry_after_s(evidence))
 
     def weigh(
@@ -82,8 +114,17 @@
         account: ids.AccountId | None,
         choice: placement.Choice,
         now: float,
+        age_s: float = 0.0,
     ) -> Evidence:
-        """Returns what the decision on a request rests on."""
+        """Returns what the decision on a request rests on.
+
+        Args:
+            route: Its route.
+            account: Its client account.
+            choice: Where it would go.
+            now: The time, in seconds.
+            age_s: How long ago the caller first asked, in seconds.
+        """
         ratio = self._usage.find_ratio(account, now) if account is not None else 0.0
         objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
         excess = self._usage.find_excess(now)
@@ -91,7 +132,8 @@
         part = min(1.0, FULL_WAIT_RATIO / ratio) if ratio else 1.0
         limit_s = OBJECTIVE_RATIO * objective_s * part ** (severity * SHARE_EXPONENT)
         wait_s = choice.candidate.queue.predict_wait_s(now)
-        return Evidence(wait_s, limit_s, ratio)
+        is_late = age_s > objective_s
+        return Evidence(wait_s, limit_s, ratio, severity, is_late)
 
 
 def choose_retry_after_s(evidence: Evidence) -> float:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,3 +1,6 @@
+import collections
+import itertools
+import random
 import unittest
 
 from teaselsill import (
@@ -19,14 +22,15 @@
 
 class AdmissionTest(unittest.TestCase):
     def setUp(self):
+        self.numbers = itertools.count()
         self.usage = account_usage.AccountUsage()
         self.admission = admission.Admission(self.usage)
         self.candidate = test_placement.make_candidate("u")
         self.choice = placement.Choice(self.candidate, 1000, 0.0)
 
-    def is_admitted(self, account, now=0.0):
+    def is_admitted(self, account, now=0.0, call=CALL):
         try:
-            self.admission.check(CALL, ROUTE, account, self.choice, now)
+            self.admission.check(call, ROUTE, account, self.choice, now)
         except rejections.RejectedError as error:
             self.assertIn(error.cause.status, (429, 503))
             self.assertGreater(error.retry_after_s, 0)
@@ -61,12 +65,13 @@
                 owed[account] += requests
                 while owed[account] >= 1:
                     owed[account] -= 1
-                    admitted[account] += self.ask(account, now)
+                    call = self.make_own_call(f"{account}-{next(self.numbers)}")
+                    admitted[account] += self.ask(account, now, call)
         return {a: n / TICKS / asked_by_account[a] for a, n in admitted.items()}
 
-    def ask(self, account, now):
+    def ask(self, account, now, call):
         self.usage.add(account, TOKENS, 0, now)
-        if not self.is_admitted(account, now):
+        if not self.is_admitted(account, now, call):
             return 0
         self.usage.add(account, 0, TOKENS, now)
         self.candidate.queue.add(TOKENS, now)
@@ -114,6 +119,50 @@
         usable = engine_queue.FIRST_RATE * engine_queue.USABLE_RATIO
         self.assertGreater(used, 0.9 * usable)
 
+    def test_flood_is_served_in_time_although_it_comes_back(self):
+        """Half of what was served had been rejected before, and was late by then."""
+        usable = engine_queue.FIRST_RATE * engine_queue.USABLE_RATIO
+        self.usage.capacity = 0.6 * usable * account_usage.MEMORY_S
+        served = {"new": 0, "returned": 0}
+        returning = collections.deque()
+        source = random.Random(1)
+        for tick in range(TICKS):
+            now = tick * 0.01
+            calls = [self.make_own_call(f"{tick}-{n}") for n in range(3)]
+            asking = [("new", call) for call in calls]
+            while returning and returning[0][0] <= now:
+                asking.append(("returned", returning.popleft()[1]))
+            source.shuffle(asking)
+            for name, call in asking:
+                if self.ask(HEAVY, now, call):
+                    served[name] += 1
+                elif name == "new":
+                    returning.append((now + 0.6, call))
+            if tick % 10 == 0:
+                self.ask(LIGHT, now, self.make_own_call(f"light-{tick}"))
+        self.assertLess(served["returned"], 0.1 * served["new"])
+        used = (sum(served.values()) + TICKS / 10) * TOKENS / (TICKS * 0.01)
+        self.assertGreater(used, 0.9 * usable)
+
+    def make_own_call(self, name):
+        return test_placement.make_call(("session", 500), (name, 500))
+
+    def test_returned_request_is_served_if_the_account_is_within_its_share(self):
+        self.usage.capacity = 10 * TOKENS
+        self.usage.engine_capacity = 10 * TOKENS
+        self.usage.add(HEAVY, 100 * TOKENS, 9 * TOKENS, 0.0)
+        self.usage.add(LIGHT, 1 * TOKENS, 1 * TOKENS, 0.0)
+        self.candidate.queue.add(100_000, 0.0)
+        self.assertFalse(self.is_admitted(LIGHT, 0.0))
+        self.assertTrue(self.is_admitted(LIGHT, 2.0))
+
+    def test_returned_request_is_served_in_a_mild_overload(self):
+        self.usage.engine_capacity = 10 * TOKENS
+        self.usage.add(HEAVY, 11 * TOKENS, 10 * TOKENS, 0.0)
+        self.candidate.queue.add(100_000, 0.0)
+        self.assertFalse(self.is_admitted(HEAVY, 0.0))
+        self.assertTrue(self.is_admitted(HEAVY, 2.0))
+
     def test_two_floods_share_evenly(self):
         served = self.play({HEAVY: 5.0, LIGHT: 0.5})
         self.assertAlmostEqual(5.0 * served[HEAVY], 0.5 * served[LIGHT], delta=0.03)
--- /dev/null
+++ b/tests/test_returned_requests.py
@@ -0,0 +1,44 @@
+import unittest
+
+from teaselsill import ids, returned_requests
+from tests import test_placement
+
+ACCOUNT = ids.AccountId("acc")
+CALL = test_placement.make_call(("session", 500), ("own", 500))
+
+
+class ReturnedRequestsTest(unittest.TestCase):
+    def setUp(self):
+        self.returned = returned_requests.ReturnedRequests()
+
+    def find_age_s(self, now, account=ACCOUNT, call=CALL):
+        return self.returned.find_age_s(account, call, now)
+
+    def test_new_request_has_no_age(self):
+        self.assertEqual(0.0, self.find_age_s(5.0))
+
+    def test_age_counts_from_the_first_try(self):
+        self.returned.note_rejected(ACCOUNT, CALL, 1.0)
+        self.returned.note_rejected(ACCOUNT, CALL, 2.0)
+        self.assertEqual(2.5, self.find_age_s(3.5))
+
+    def test_another_request_of_the_session_is_new(self):
+        self.returned.note_rejected(ACCOUNT, CALL, 1.0)
+        other = test_placement.make_call(("session", 500), ("other", 500))
+        self.assertEqual(0.0, self.find_age_s(2.0, call=other))
+        self.assertEqual(0.0, self.find_age_s(2.0, account=ids.AccountId("b")))
+
+    def test_what_comes_back_late_is_new(self):
+        self.returned.note_rejected(ACCOUNT, CALL, 1.0)
+        later = 1.5 + returned_requests.LIFE_S
+        self.assertEqual(0.0, self.find_age_s(later))
+        self.returned.note_rejected(ACCOUNT, CALL, later)
+        self.assertEqual(1.0, self.find_age_s(later + 1.0))
+
+    def test_memory_is_bounded(self):
+        for number in range(returned_requests.MAX_KNOWN + 10):
+            call = test_placement.make_call((f"own{number}", 500))
+            self.returned.note_rejected(ACCOUNT, call, 1.0)
+        self.assertEqual(
+            returned_requests.MAX_KNOWN, len(self.returned._asked_at_by_key)
+        )
