Disturb the links to the store and the upstreams in the soak of entry routers

A loopback proxy (faulty_link.py) before the store and before each upstream delays, resets, silences or cuts one way what passes. Connections that were silenced stay so when the fault ends. A request during a fault, or within 4 s of one, may be cut.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -3,16 +3,19 @@
     .venv/bin/python -m tests.adapter.soak --seed N --seconds S
 
 It starts routers, a store and upstreams on loopback addresses of their own, sends mixed
-requests, kills, freezes, stops and floods routers and takes the store away, and checks
-what callers and upstreams see. It ends with status 1 after a violation.
+requests, kills, freezes, stops and floods routers, takes the store away, disturbs the
+links to the store and to upstreams, and checks what callers and upstreams see. It ends
+with status 1 after a violation.
 """
 
 import argparse
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import enum
 import json
+import math
 import os
 import pathlib
 import random
@@ -25,17 +28,21 @@
 
 from teaselsill import http_messages, tcp_stream
 from tests import entry_bench
-from tests.adapter import store_bench, test_manifest
+from tests.adapter import faulty_link, store_bench, test_manifest
 
 ROOT = pathlib.Path(__file__).parents[2]
 ROUTERS = 3
 UPSTREAMS = 3
+LINKS = UPSTREAMS + 1
+"""One to each upstream, and the last to the store."""
 FIRST_HOST = 40
 """The routers are reached at 127.0.0.40 and after, each with ports of its own."""
 GRACE_S = 6.0
 START_S = 20.0
 SETTLE_S = 4.0
 """After the last failure, before requests must succeed again."""
+LINK_CALM_S = 4.0
+"""How long after a fault a connection that it has silenced may still be used."""
 CALLERS = 12
 FLOOD_CALLERS = 60
 TIMEOUT_S = 4.0
@@ -54,6 +61,17 @@
     STOPPED = "stopped"
     STORE_DOWN = "store-down"
     FLOOD = "flood"
+    LINK_DELAYED = "link-delayed"
+    LINK_ONE_WAY = "link-one-way"
+    LINK_SILENT = "link-silent"
+    LINK_RESET = "link-reset"
+
+
+FAULT_BY_KIND = {
+    Kind.LINK_DELAYED: faulty_link.Fault.DELAYED,
+    Kind.LINK_ONE_WAY: faulty_link.Fault.ONE_WAY,
+    Kind.LINK_SILENT: faulty_link.Fault.SILENT,
+}
 
 
 class Repeat(enum.Enum):
@@ -66,7 +84,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Failure:
-    """One failure: what, at which router, when, and for how long, in seconds."""
+    """One failure: what, at which router or link, when and how long, in seconds."""
 
     kind: Kind
     target: int
@@ -82,7 +100,9 @@
     while at_s < duration_s:
         kind = source.choice(list(Kind))
         hold_s = round(source.uniform(0.3, 2.5), 2)
-        failures.append(Failure(kind, source.randrange(ROUTERS), at_s, hold_s))
+        is_link = kind is Kind.LINK_RESET or kind in FAULT_BY_KIND
+        target = source.randrange(LINKS if is_link else ROUTERS)
+        failures.append(Failure(kind, target, at_s, hold_s))
         at_s = round(at_s + source.uniform(0.5, 3.0), 2)
     return failures
 
@@ -276,6 +296,8 @@
         self._store = store_bench.KeyedStore()
         self._upstreams = [Upstream(f"i-{n}", self._source) for n in range(UPSTREAMS)]
         self._routers: list[Router] = []
+        self._links: list[faulty_link.FaultyLink] = []
+        self._links_calm_at = -math.inf
         self._locks = [asyncio.Lock() for _ in range(ROUTERS)]
         self._number = 0
         self._not_run: set[str] = set()
@@ -284,23 +306,30 @@
 
     async def run(self) -> None:
         """Plays the failures under load and checks what was seen."""
-        async with self._store:
-            for upstream in self._upstreams:
-                await upstream.server.__aenter__()
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self._store)
             self._store.put("keyed.op", "config", make_manifest())
             for upstream in self._upstreams:
-                self._store.register(upstream.server)
-            address = self._store.describe()
-            try:
-                await self._start_routers(f"{address.host}:{address.port}")
-                await self._play()
-            finally:
-                for router in self._routers:
-                    await router.end()
-                for upstream in self._upstreams:
-                    await upstream.server.__aexit__(None, None, None)
+                await stack.enter_async_context(upstream.server)
+                link = await self._link(stack, upstream.server)
+                address = f"{faulty_link.HOST}:{link.port}"
+                self._store.register(upstream.server, Address=address)
+            link = await self._link(stack, self._store)
+            stack.push_async_callback(self._end_routers)
+            await self._start_routers(f"{faulty_link.HOST}:{link.port}")
+            await self._play()
         self._check_runs()
 
+    async def _link(self, stack, server) -> faulty_link.FaultyLink:
+        known = server.describe()
+        link = faulty_link.FaultyLink(known.host, known.port)
+        self._links.append(await stack.enter_async_context(link))
+        return link
+
+    async def _end_routers(self) -> None:
+        for router in self._routers:
+            await router.end()
+
     async def _start_routers(self, store_address: str) -> None:
         for number in range(ROUTERS):
             router = Router(number, store_address, self._folder)
@@ -337,6 +366,11 @@
                 await asyncio.gather(
                     *[self._flood(target, failure.hold_s) for _ in callers]
                 )
+            case Kind.LINK_RESET:
+                self._links[failure.target].reset()
+                self._note_link_fault(0.0)
+            case kind if kind in FAULT_BY_KIND:
+                await self._disturb_link(failure)
             case _:
                 async with self._locks[failure.target]:
                     router = self._routers[failure.target]
@@ -345,6 +379,17 @@
                     except TimeoutError:
                         self.violations.append(f"not back in time: {failure}")
 
+    async def _disturb_link(self, failure: Failure) -> None:
+        self._note_link_fault(failure.hold_s)
+        link = self._links[failure.target]
+        link.fault = FAULT_BY_KIND[failure.kind]
+        await asyncio.sleep(failure.hold_s)
+        link.fault = faulty_link.Fault.NONE
+
+    def _note_link_fault(self, hold_s: float) -> None:
+        calm_at = time.monotonic() + hold_s + LINK_CALM_S
+        self._links_calm_at = max(self._links_calm_at, calm_at)
+
     async def _flood(self, target: int, duration_s: float) -> None:
         until = time.monotonic() + duration_s
         while time.monotonic() < until:
@@ -362,10 +407,12 @@
         if repeat is Repeat.NEVER:
             self._once.add(identity)
         before = [router.disturbances for router in self._routers]
+        began_at = time.monotonic()
         ending = await self._exchange(self._routers[target], identity, repeat)
         self.endings[ending] += 1
         is_calm = before == [router.disturbances for router in self._routers]
         is_calm = is_calm and not any(r.is_disturbed for r in self._routers)
+        is_calm = is_calm and began_at > self._links_calm_at
         is_dropped = any(identity in u.dropped for u in self._upstreams)
         if ending == "cut" and is_calm and not is_dropped:
             self.violations.append(f"{identity} was cut while nothing failed")
--- /dev/null
+++ b/tests/adapter/test_faulty_link.py
@@ -0,0 +1,57 @@
+import asyncio
+import unittest
+
+from teaselsill import tcp_stream
+from tests import entry_bench
+from tests.adapter import faulty_link
+
+
+class FaultyLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = entry_bench.ScriptedUpstream("u", entry_bench.say_ok)
+        await self.enterAsyncContext(self.server)
+        known = self.server.describe()
+        link = faulty_link.FaultyLink(known.host, known.port)
+        self.link = await self.enterAsyncContext(link)
+        self.caller = await self.connect()
+
+    async def connect(self):
+        stream = await tcp_stream.connect(faulty_link.HOST, self.link.port, 1.0)
+        return entry_bench.Caller(stream)
+
+    async def is_silent(self, caller):
+        caller.send()
+        try:
+            async with asyncio.timeout(0.1):
+                await caller.receive()
+        except TimeoutError:
+            return True
+        return False
+
+    async def test_passes_bytes_on(self):
+        self.assertEqual((200, b"ok", True), await self.caller.ask())
+
+    async def test_silenced_connection_stays_so(self):
+        self.link.fault = faulty_link.Fault.SILENT
+        self.assertTrue(await self.is_silent(self.caller))
+        self.assertEqual([], self.server.requests)
+        self.link.fault = faulty_link.Fault.NONE
+        self.assertTrue(await self.is_silent(self.caller))
+        other = await self.connect()
+        self.assertEqual((200, b"ok", True), await other.ask())
+
+    async def test_one_way_cut_loses_the_answer_only(self):
+        self.link.fault = faulty_link.Fault.ONE_WAY
+        self.assertTrue(await self.is_silent(self.caller))
+        self.assertEqual(1, len(self.server.requests))
+
+    async def test_delayed_link_passes_all(self):
+        self.link.fault = faulty_link.Fault.DELAYED
+        self.assertEqual((200, b"ok", True), await self.caller.ask())
+
+    async def test_reset_ends_connections(self):
+        await self.caller.ask()
+        self.link.reset()
+        await self.caller.wait_closed()
+        other = await self.connect()
+        self.assertEqual((200, b"ok", True), await other.ask())
