--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -131,19 +131,27 @@
         if read_at - began_at > wait_s + SLOW_CALL_S:
             read_at = began_at
         outage_s = self._note_reached(read_at)
+        changes = self._take(first, page)
+        update = keyed_log.Update(first, self._next, changes, outage_s)
+        self._on_read(self._topic, update, read_at)
+        if changes:
+            self._on_change(self._topic, changes[-1].offset)
+
+    def _take(
+        self, first: ids.Offset, page: keyed_log.KeyedPage
+    ) -> list[keyed_log.Change]:
+        """Puts what was read from an offset on; returns what was new.
+
+        Another reader may have told of the first records while they were read.
+        """
         changes = []
-        # Another reader may have told of the first ones while they were read.
         told = self._next - first
         for place, record in enumerate(page.records[told:], self._next):
             if self._view.put(record):
-                changes.append(
-                    keyed_log.Change(ids.Offset(place), record.key, record.value)
-                )
+                offset = ids.Offset(place)
+                changes.append(keyed_log.Change(offset, record.key, record.value))
         self._next = max(self._next, page.next)
-        update = keyed_log.Update(first, self._next, changes, outage_s)
-        self._on_read(self._topic, update, read_at)
-        if changes:
-            self._on_change(self._topic, changes[-1].offset)
+        return changes
 
     async def _list(self) -> None:
         began_at = boot_clock.now()
