Disturb the soak's links through the relay that the stand-ins have

faulty_link.py had written the TCP relay of standins/relay.py again. It now only says which fault the relay acts on; the relay can delay bytes and silence one way. The assertions are the same.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,10 +1,12 @@
-"""A TCP relay that can cut its connections or let them go silent."""
+"""A TCP relay that can cut, delay or silence its connections."""
 
 import asyncio
 import enum
 import typing
 
 READ_BYTES = 64 * 1024
+DELAY_S = 0.15
+"""What a delay adds to some bytes."""
 
 
 class Direction(enum.Enum):
@@ -21,6 +23,8 @@
     CUT_BEFORE = "cut-before"
     CUT_AFTER = "cut-after"
     SILENCE = "silence"
+    SILENCE_WAY = "silence-way"
+    DELAY = "delay"
 
 
 Inspect = typing.Callable[["Connection", Direction, bytes], Action]
@@ -83,6 +87,10 @@
                 case Action.SILENCE:
                     self.silence()
                     await self._may_pass.wait()
+                case Action.SILENCE_WAY:
+                    await asyncio.Event().wait()
+                case Action.DELAY:
+                    await asyncio.sleep(DELAY_S)
             if not data:
                 raise ConnectionResetError
             writer.write(data)
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -322,7 +322,7 @@
 
     async def _link(self, stack, server) -> faulty_link.FaultyLink:
         known = server.describe()
-        link = faulty_link.FaultyLink(known.host, known.port)
+        link = faulty_link.FaultyLink(known.port)
         self._links.append(await stack.enter_async_context(link))
         return link
 
@@ -367,7 +367,7 @@
                     *[self._flood(target, failure.hold_s) for _ in callers]
                 )
             case Kind.LINK_RESET:
-                self._links[failure.target].reset()
+                self._links[failure.target].cut()
                 self._note_link_fault(0.0)
             case kind if kind in FAULT_BY_KIND:
                 await self._disturb_link(failure)
--- a/tests/adapter/test_faulty_link.py
+++ b/tests/adapter/test_faulty_link.py
@@ -11,7 +11,7 @@
         self.server = entry_bench.ScriptedUpstream("u", entry_bench.say_ok)
         await self.enterAsyncContext(self.server)
         known = self.server.describe()
-        link = faulty_link.FaultyLink(known.host, known.port)
+        link = faulty_link.FaultyLink(known.port)
         self.link = await self.enterAsyncContext(link)
         self.caller = await self.connect()
 
@@ -51,7 +51,7 @@
 
     async def test_reset_ends_connections(self):
         await self.caller.ask()
-        self.link.reset()
+        self.link.cut()
         await self.caller.wait_closed()
         other = await self.connect()
         self.assertEqual((200, b"ok", True), await other.ask())
