Keep one way to catch up and one to check connections

The forwarder and the relay each gave a caller two rounds of the event loop to leave; both call tcp_stream.catch_up. The limits of keep-alive stood in the store's client and in the routers' links with the same values; they stand in tcp_stream. No behaviour changes.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -19,6 +19,7 @@
     request_line,
     retry_budget,
     routing_table,
+    tcp_stream,
     upstream_attempt,
 )
 
@@ -29,8 +30,6 @@
 """What callers are told whose next connection a router with time will serve."""
 RETRY_AFTER_START_S = 0.5
 """What is told to callers while the router has no configuration."""
-LATE_ROUNDS = 2
-"""How many rounds of the event loop a late router gives its callers to leave."""
 LEAST_USEFUL_S = 0.02
 """With less time left, a request is not sent any more."""
 
@@ -103,7 +102,7 @@
         call = None
         try:
             if self._lag.is_overloaded:
-                await _let_callers_leave()
+                await tcp_stream.catch_up()
             call = self._dialect.read_call(message, received_at)
             line.request = call.id
             await self._forward(call, answer, line)
@@ -328,13 +327,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-async def _let_callers_leave() -> None:
-    """Lets the event loop read what has come, such as the end of a connection.
-
-    A router that is late reads a request and its caller's leaving at once; the
-    request must not be sent then.
-    """
-    for _ in range(LATE_ROUNDS):
-        await asyncio.sleep(0)
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -16,10 +16,6 @@
 FIRST_PAUSE_S = 0.2
 """How long to wait after a failed connection; each time in a row twice as long."""
 MAX_PAUSE_S = 3.0
-KEEP_ALIVE_S = 1
-"""How often a quiet connection is checked."""
-UNACKNOWLEDGED_MS = 1500
-"""A connection ends if sent bytes are not acknowledged for so long."""
 
 logger = logging.getLogger(__name__)
 
@@ -120,7 +116,7 @@
                 pause_s = min(2 * pause_s, MAX_PAUSE_S)
                 continue
             pause_s = FIRST_PAUSE_S
-            stream.check_alive(KEEP_ALIVE_S, UNACKNOWLEDGED_MS)
+            stream.check_alive()
             logger.info("peer connected", extra={"peer": peer})
             self._stream_by_peer[peer] = stream
             try:
--- a/teaselsill/relay.py
+++ b/teaselsill/relay.py
@@ -10,9 +10,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 """The other router was heard of late: what takes long is this one."""
-LEAVE_ROUNDS = 2
-"""How many rounds of the event loop a caller is given to leave before its request is
-passed on: a router that is late reads both at once."""
 
 logger = logging.getLogger(__name__)
 
@@ -98,8 +95,7 @@
 
     async def _has_caller_left(self) -> bool:
         """Tells whether the end of the connection has come with what was read."""
-        for _ in range(LEAVE_ROUNDS):
-            await asyncio.sleep(0)
+        await tcp_stream.catch_up()
         return self._caller.has_left
 
     async def _pass_answer(self) -> None:
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -8,6 +8,12 @@
 
 MAX_UNREAD_BYTES = 256 * 1024
 """With more unread bytes, nothing more is received until some are read."""
+KEEP_ALIVE_S = 1
+"""How often a quiet connection is checked."""
+UNACKNOWLEDGED_MS = 1500
+"""A checked connection ends if bytes are not acknowledged for so long."""
+CATCH_UP_ROUNDS = 2
+"""In so many rounds the event loop has read what had come before."""
 
 
 class ConnectionFailedError(errors.TeaselsillError):
@@ -123,19 +129,14 @@
         """Waits until the other end has closed the connection."""
         await self._left.wait()
 
-    def check_alive(self, period_s: int, longest_ms: int) -> None:
-        """Has the operating system end the connection if the other end is silent.
-
-        Args:
-            period_s: How often a quiet connection is checked, in seconds.
-            longest_ms: How long bytes or checks may go without an answer.
-        """
+    def check_alive(self) -> None:
+        """Has the operating system end the connection if the other end is silent."""
         sock = self._transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
-            sock.setsockopt(socket.IPPROTO_TCP, option, period_s)
+            sock.setsockopt(socket.IPPROTO_TCP, option, KEEP_ALIVE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, longest_ms)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
     def write(self, data: bytes) -> None:
         """Sends bytes, or drops them if the connection has ended."""
@@ -155,6 +156,15 @@
         self._transport.abort()
 
 
+async def catch_up() -> None:
+    """Lets the event loop read what has come, such as the end of a connection.
+
+    A process that is late reads a request and its caller's leaving at once.
+    """
+    for _ in range(CATCH_UP_ROUNDS):
+        await asyncio.sleep(0)
+
+
 async def connect(host: str, port: int, timeout_s: float) -> TcpStream:
     """Opens a connection.
 
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -51,14 +51,9 @@
         self._parser = http_messages.AnswerParser(method, is_expected)
         self._stream.write(request)
 
-    def check_alive(self, period_s: int, longest_ms: int) -> None:
-        """Has the operating system find out if the other end falls silent.
-
-        Args:
-            period_s: How often a quiet connection is checked, in seconds.
-            longest_ms: How long it may be silent, in milliseconds.
-        """
-        self._stream.check_alive(period_s, longest_ms)
+    def check_alive(self) -> None:
+        """Has the operating system end the connection if the other end is silent."""
+        self._stream.check_alive()
 
     async def receive(self) -> list[http_messages.Part]:
         """Waits for the next parts of the answer.
