Derive what was kept twice; call the routers' status by one name

FleetView had find_status(router) beside a _find_status of its own, which is describe_status now, as at the router. Tests: the view of the follower's test stands there, two scripts that were written alike are one in entry_bench. Assertions are unchanged.

--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -30,7 +30,7 @@
 """The cost of a generated token, in prompt tokens."""
 
 
-FindStatus = collections.abc.Callable[[], peer_reports.RouterStatus]
+DescribeStatus = collections.abc.Callable[[], peer_reports.RouterStatus]
 OnSeen = collections.abc.Callable[[str, ids.Offset], None]
 OnReading = collections.abc.Callable[[str, peer_reports.Reading], None]
 
@@ -41,7 +41,7 @@
     Args:
         router: This router.
         known: The upstreams.
-        find_status: Returns how much this router has to do.
+        describe_status: Returns how much this router has to do.
         on_seen: Called with a topic of the platform's log and the offset of a change
             that another router has seen there.
         on_reading: Called with a topic and what another router has read of it.
@@ -54,7 +54,7 @@
         self,
         router: ids.InstanceId,
         known: directory.Directory,
-        find_status: FindStatus,
+        describe_status: DescribeStatus,
         on_seen: OnSeen = lambda topic, offset: None,
         on_reading: OnReading = lambda topic, reading: None,
     ):
@@ -66,7 +66,7 @@
         self._notebook = peer_reports.Notebook(router)
         self._told: dict[ids.UpstreamId, upstream_load.Summary] = {}
         self._told_all_at = float("-inf")
-        self._find_status = find_status
+        self._describe_status = describe_status
         self._heard_at_by_router: dict[ids.InstanceId, float] = {}
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._router_by_host: dict[str, ids.InstanceId] = {}
@@ -196,7 +196,9 @@
         }
         self._told = work_by_upstream
         self._has_seen_change = False
-        return self._notebook.take(self._find_status(), changed, self._seen_by_topic)
+        return self._notebook.take(
+            self._describe_status(), changed, self._seen_by_topic
+        )
 
     def apply(self, report: peer_reports.Report) -> None:
         """Takes the report of another router."""
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -62,7 +62,7 @@
         self,
         view: fleet_view.FleetView,
         lag: loop_lag.LoopLag,
-        describe_status: fleet_view.FindStatus,
+        describe_status: fleet_view.DescribeStatus,
         find_idle_timeout_s: collections.abc.Callable[[], float],
     ):
         self._view = view
--- a/teaselsill/returned_requests.py
+++ b/teaselsill/returned_requests.py
@@ -33,11 +33,8 @@
             call: The request.
             now: The time, in seconds.
         """
-        key = _make_key(account, call)
-        if now - self._asked_at_by_key.get(key, now) <= LIFE_S:
-            self._asked_at_by_key.setdefault(key, now)
-        else:
-            self._asked_at_by_key[key] = now
+        if not self.find_age_s(account, call, now):
+            self._asked_at_by_key[_make_key(account, call)] = now
         if len(self._asked_at_by_key) > MAX_KNOWN:
             self._asked_at_by_key.popitem(last=False)
 
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -176,6 +176,17 @@
     return http_messages.encode_chunk(b"id: %d\ndata: x\n\n" % number)
 
 
+def stream_until(go_on):
+    """Returns a script that sends an event, and the stream's end once it may."""
+
+    async def script(request, stream):
+        stream.write(stream_head(request) + event(1))
+        await go_on.wait()
+        stream.write(http_messages.END_OF_CHUNKS)
+
+    return script
+
+
 async def say_ok(request, stream):
     """A script that answers at once."""
     stream.write(answer(request))
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -16,12 +16,7 @@
 class StopTest(EntryCase):
     async def test_request_in_hand_is_finished_and_its_connection_closed(self):
         go_on = asyncio.Event()
-
-        async def script(request, stream):
-            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
-            await go_on.wait()
-            stream.write(http_messages.END_OF_CHUNKS)
-
+        script = entry_bench.stream_until(go_on)
         bench = await self.start(script, is_stream=True, timeout_s=30.0)
         caller = await bench.connect()
         caller.send()
@@ -74,12 +69,7 @@
 
     async def test_connection_is_not_closed_unannounced_for_an_overload(self):
         go_on = asyncio.Event()
-
-        async def script(request, stream):
-            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
-            await go_on.wait()
-            stream.write(http_messages.END_OF_CHUNKS)
-
+        script = entry_bench.stream_until(go_on)
         bench = await self.start(script, is_stream=True, timeout_s=30.0)
         caller = await bench.connect()
         caller.send("1")
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -8,10 +8,33 @@
 TOPIC = "keyed.t"
 
 
+class MemoryView(keyed_log.View):
+    def __init__(self):
+        self.by_key = {}
+        self.outages = []
+        self.changed = asyncio.Event()
+
+    def put(self, record):
+        if record.value is None:
+            self.by_key.pop(record.key, None)
+        else:
+            self.by_key[record.key] = record.value
+        self.changed.set()
+        return True
+
+    def keep_only(self, keys):
+        self.by_key = {k: v for k, v in self.by_key.items() if k in keys}
+        self.changed.set()
+
+    def note_outage(self, lasted_s):
+        self.outages.append(lasted_s)
+        self.changed.set()
+
+
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.source = test_keyed_log.MemoryKeyedLog()
-        self.view = test_keyed_log.MemoryView()
+        self.view = MemoryView()
         self.seen = []
         self.updates = []
 
