Let the fuzz of the settings change a field whose table is gone

Cause: a fault of the test. Its changes may first replace a table such as [Listen] and then a field in it; it raised TypeError or KeyError itself.

--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -145,7 +145,9 @@
         for (*tables, name), value in changes:
             table = content
             for key in tables:
-                table = table[key]
+                table = table.get(key)
+            if not isinstance(table, dict):
+                continue  # An earlier change has taken the table away.
             if value is None:
                 table.pop(name, None)
             else:
