Bound what an upstream sends without end, in a head, a trailer or an event

Cause: the parser of answers and the cutter of events kept whatever came until it ended. A head, trailer, chunk extension or run of interim answers without end was held in memory, or ignored for as long as the request had time; an event without end was kept and searched anew from its start with each read. An answer that was not whole at the deadline did not count against its upstream. Ruled out: bytes after a whole answer (reading pauses at 256 KB, the connection is closed within 0.25 s), and a body without end, which passes through with back pressure and is cut at the deadline. Change: 256 KB that yield no part of an answer, or an event longer than that, end the connection and count as a failure; so does an answer that is not whole at the deadline.

--- a/teaselsill/http_messages.py
+++ b/teaselsill/http_messages.py
@@ -31,6 +31,9 @@
 FIRST_FINAL_STATUS = 200
 """Lower statuses are interim: the answer still follows."""
 END_OF_CHUNKS = b"0\r\n\r\n"
+MAX_UNUSED_BYTES = 256 * 1024
+"""So many received bytes without a part of an answer are taken for a head or a trailer
+without end."""
 
 
 class MalformedMessageError(errors.TeaselsillError):
@@ -313,6 +316,7 @@
         self._is_expected = is_expected
         self._parser = httptools.HttpResponseParser(self)
         self._head: Head | None = None
+        self._unused_bytes = 0
         self._parts: list[Part] = []
         self._reason = ""
         self._headers: Headers = []
@@ -335,6 +339,11 @@
                 raise MalformedMessageError(str(error)) from error
             self.has_extra = True
         parts, self._parts = self._parts, []
+        self._unused_bytes = 0 if parts else self._unused_bytes + len(data)
+        if self._unused_bytes > MAX_UNUSED_BYTES:
+            raise MalformedMessageError(
+                f"no part of an answer in {self._unused_bytes} bytes"
+            )
         return parts
 
     def close(self) -> list[Part]:
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -183,12 +183,16 @@
             outcome = await self._relay(forwarding, candidate, connection, number)
         except upstream_connection.AnswerFailedError as error:
             outcome = Failed(str(error))
+        except event_stream.EventTooLargeError as error:
+            connection.abort()
+            outcome = Failed(str(error))
         finally:
             watching.cancel()
             candidate.load.remove(number)
             self._view.note_ended(candidate)
             if outcome is None:
                 connection.abort()
+                self._note_broken_off(forwarding, candidate)
         self._note_outcome(forwarding, candidate, outcome)
         self._directory.pool(target).put(connection)
         return outcome
@@ -207,6 +211,15 @@
                 result = upstream_health.Result.ANSWERED
         candidate.health.note(result, self._now())
 
+    def _note_broken_off(self, forwarding, candidate) -> None:
+        """Counts an answer against its upstream that was not whole in time.
+
+        Before the deadline it was broken off because the caller has left.
+        """
+        now = self._now()
+        if now >= forwarding.deadline:
+            candidate.health.note(upstream_health.Result.FAILED, now)
+
     async def _connect(
         self, forwarding: Forwarding, target: upstream_list.Upstream
     ) -> upstream_connection.UpstreamConnection:
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -28,6 +28,14 @@
         self.assertEqual(whole, cutter.feed(whole + b"id: 9\r\n"))
         self.assertEqual("8", cutter.last_event)
 
+    def test_event_without_end_is_refused(self):
+        cutter = event_stream.EventCutter()
+        piece = b"data: x\n" * 1000
+        with self.assertRaises(event_stream.EventTooLargeError):
+            for _ in range(2 * event_stream.MAX_EVENT_BYTES // len(piece)):
+                cutter.feed(piece)
+        self.assertEqual(b"", cutter.take_rest())
+
     @hypothesis.given(strategies.lists(strategies.integers(0, len(STREAM))))
     def test_whole_events_whatever_the_reads(self, cuts):
         cutter = event_stream.EventCutter()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,7 +1,13 @@
 import asyncio
 import unittest
 
-from teaselsill import http_messages, retry_budget, routing_table, upstream_list
+from teaselsill import (
+    http_messages,
+    retry_budget,
+    routing_table,
+    upstream_health,
+    upstream_list,
+)
 from tests import entry_bench
 
 NEVER = routing_table.Repeat.NEVER
@@ -124,6 +130,60 @@
             self.assertEqual((200, request.encode(), True), await bench.ask(request))
 
 
+def send_for_ever(start, piece):
+    """Returns a script that sends bytes until its connection is closed."""
+
+    async def script(request, stream):
+        stream.write(start(request))
+        while True:
+            stream.write(piece)
+            await stream.drain()
+            await asyncio.sleep(0)
+
+    return script
+
+
+class EndlessBytesTest(ForwardingCase):
+    async def test_head_without_end_ends_the_connection_at_once(self):
+        endless = send_for_ever(
+            lambda request: b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 99
+        )
+        bench = await self.start(endless, timeout_s=4.0)
+        async with asyncio.timeout(2.0):
+            self.assertEqual((502, b"", True), await bench.ask())
+            await self.upstreams[0].wait_cut()
+
+    async def test_event_without_end_is_sought_elsewhere(self):
+        chunk = http_messages.encode_chunk(b"data: x\n" * 99)
+        endless = send_for_ever(entry_bench.stream_head, chunk)
+
+        async def second(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            stream.write(http_messages.END_OF_CHUNKS)
+
+        fields = {"repeat": RESUME, "is_stream": True, "max_upstreams": 2}
+        for scripts in ((endless, second), (second, endless)):
+            bench = await self.start(*scripts, timeout_s=4.0, **fields)
+            async with asyncio.timeout(3.0):
+                status, body, is_complete = await bench.ask()
+            self.assertEqual(
+                (200, b"id: 1\ndata: x\n\n", True), (status, body, is_complete)
+            )
+
+    async def test_body_without_end_is_cut_at_the_deadline_and_counts(self):
+        def start(request):
+            return entry_bench.answer(request).partition(b"content-length")[0] + b"\r\n"
+
+        bench = await self.start(send_for_ever(start, b"x" * 99), timeout_s=0.2)
+        for request in range(upstream_health.MIN_FAILURES):
+            self.assertEqual((200, False), (await bench.ask(str(request)))[::2])
+        (candidate,) = bench.known.candidates(
+            bench.forwarder.table.service_by_name[entry_bench.SERVICE], set()
+        )
+        now = asyncio.get_running_loop().time()
+        self.assertTrue(candidate.health.is_avoided(now))
+
+
 class RepeatTest(ForwardingCase):
     async def test_unrepeatable_request_is_sent_once(self):
         bench = await self.start(reset, reset, repeat=NEVER, max_upstreams=3)
--- a/tests/test_http_messages.py
+++ b/tests/test_http_messages.py
@@ -145,6 +145,34 @@
         self.assertEqual(200, parts[0].status)
         self.assertEqual(http_messages.End(), parts[-1])
 
+    def test_head_without_end_is_no_answer(self):
+        for start in (b"HTTP/1.1 200 OK\r\nx: ", b"HTTP/1.1 200 "):
+            with self.subTest(start=start):
+                self.check_gives_up(start, b"a" * 10_000)
+
+    def test_interim_answers_without_end_are_no_answer(self):
+        self.check_gives_up(b"", b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n" * 250)
+
+    def test_trailer_without_end_is_no_answer(self):
+        chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        self.check_gives_up(chunked + b"2\r\nok\r\n0\r\n", b"x: y\r\n" * 1600)
+        self.check_gives_up(chunked + b"2;", b"x" * 10_000)
+
+    def check_gives_up(self, start, more):
+        parser = http_messages.AnswerParser("GET")
+        with self.assertRaises(http_messages.MalformedMessageError):
+            parser.feed(start)
+            for _ in range(2 * http_messages.MAX_UNUSED_BYTES // len(more)):
+                parser.feed(more)
+
+    def test_long_body_is_not_taken_for_an_endless_head(self):
+        parser = http_messages.AnswerParser("GET")
+        parser.feed(b"HTTP/1.1 200 OK\r\n\r\n")
+        piece = b"a" * 10_000
+        for _ in range(2 * http_messages.MAX_UNUSED_BYTES // len(piece)):
+            (part,) = parser.feed(piece)
+            self.assertEqual(piece, part.data)
+
     @hypothesis.given(strategies.binary(max_size=300))
     def test_any_bytes_give_parts_or_a_fault(self, data):
         parser = http_messages.AnswerParser("GET")
