Follow what a server says of itself: that it leaves, and that it wants a pause

Cause: two things are new on the wire. A server that leaves says so in all its answers, and a 503 may state for how long a router should send nothing. Neither was read; a server that refuses was only avoided, and used when no other was left. Leaving binds the rest of that server's life, whatever its entry says, and is told to the other routers, since an answer may have passed through one of them. A pause is kept strictly; if all servers of a service want one, callers are rejected at once with the time at which the first ends. What another instance at the same address says (421) counts for neither. Tests: seen failing first; the stand-in upstream of tests/entry_bench.py does both.

--- a/teaselsill/calls.py
+++ b/teaselsill/calls.py
@@ -64,6 +64,9 @@
         idle_timeout_s: How long it keeps an idle connection, if it says so.
         running: How many requests it runs; none if it does not say.
         waiting: How many requests wait there; none if it does not say.
+        is_leaving: Whether it says that it is leaving.
+        pause_s: How long it wants no request of this router, in seconds, if it has
+            refused the request and says so.
     """
 
     request: str | None = None
@@ -73,6 +76,8 @@
     idle_timeout_s: float | None = None
     running: int | None = None
     waiting: int | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class Dialect(abc.ABC):
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -51,6 +51,21 @@
             and (upstream.id, upstream.born_ms) not in self._misplaced
         ]
 
+    def find_pause_left_s(self, service: routing_table.Service, now: float) -> float:
+        """Returns how long until the first upstream of a service wants requests again.
+
+        Args:
+            service: The service.
+            now: The event loop's time, in seconds.
+
+        Returns:
+            The time in seconds; 0 if an upstream wants no pause, or none is listed.
+        """
+        return min(
+            (c.health.find_pause_left_s(now) for c in self.candidates(service, set())),
+            default=0.0,
+        )
+
     def find(self, upstream_id: ids.UpstreamId) -> placement.Candidate | None:
         """Returns what is known of an upstream, or none if it is not listed."""
         upstream = self.listed.by_id.get(upstream_id)
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -14,6 +14,7 @@
     keyed_log,
     peer_reports,
     placement,
+    upstream_list,
     upstream_load,
 )
 
@@ -173,6 +174,11 @@
         self._update_outstanding(candidate, now)
         self._notebook.add_begun(candidate.upstream.id, unread_tokens)
 
+    def note_leaving(self, upstream: upstream_list.Upstream) -> None:
+        """Takes note that an upstream has said in an answer that it leaves."""
+        if self._directory.listed.note_leaving(upstream):
+            self._notebook.add_leaving(upstream.id, upstream.born_ms)
+
     def note_ended(self, candidate: placement.Candidate) -> None:
         """Takes note that a request of this router is at an engine no more."""
         self._update_outstanding(candidate, self._now())
@@ -210,6 +216,8 @@
             self._on_reading(topic, reading)
         for topic, offset in report.seen_by_topic.items():
             self._on_seen(topic, offset)
+        for leaving in report.leaving:
+            self._apply_leaving(leaving)
         for read in report.reads:
             candidate = self._directory.find(read.upstream)
             if candidate is not None:
@@ -229,6 +237,11 @@
                 candidate.load.note_peer(report.router, work, now)
                 self._update_outstanding(candidate, now)
 
+    def _apply_leaving(self, leaving: peer_reports.Leaving) -> None:
+        known = self._directory.listed.by_id.get(leaving.upstream)
+        if known is not None and known.born_ms == leaving.born_ms:
+            self._directory.listed.note_leaving(known)
+
     def set_capacity(self, tokens_per_s: float) -> None:
         """Takes what all engines together process, in tokens a second; 0 if unknown."""
         self.usage.capacity = tokens_per_s * account_usage.MEMORY_S
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -261,9 +261,7 @@
             self._view.guess_unseen_tokens(),
         )
         if choice is None:
-            self._give_up(
-                forwarding, rejections.Cause.NO_UPSTREAM, "no upstream is left"
-            )
+            self._give_up_without_upstream(forwarding, now)
         if forwarding.deadline - now < LEAST_USEFUL_S:
             raise TimeoutError
         self._note_choice(forwarding, choice, now)
@@ -283,6 +281,21 @@
         line.wait_ms = round(1000 * wait_s, 1)
         line.copied_from = choice.fetch_from.id if choice.fetch_from else None
 
+    def _give_up_without_upstream(
+        self, forwarding: upstream_attempt.Forwarding, now: float
+    ) -> None:
+        """Ends a request for which no upstream is left.
+
+        Raises:
+            RejectedError: Always.
+        """
+        pause_s = self._directory.find_pause_left_s(forwarding.service, now)
+        if pause_s and not forwarding.possible_runs:
+            raise rejections.RejectedError(
+                rejections.Cause.UPSTREAMS_PAUSED, "all upstreams want a pause", pause_s
+            )
+        self._give_up(forwarding, rejections.Cause.NO_UPSTREAM, "no upstream is left")
+
     def _give_up(
         self, forwarding: upstream_attempt.Forwarding, cause, reason: str
     ) -> None:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -66,6 +66,18 @@
     age_s: float
 
 
+class Leaving(msgspec.Struct, array_like=True, frozen=True):
+    """An upstream that has said in an answer that it leaves.
+
+    Attributes:
+        upstream: The upstream.
+        born_ms: The start of its life, in Unix milliseconds.
+    """
+
+    upstream: ids.UpstreamId
+    born_ms: int
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What a router has done since its last report.
 
@@ -79,6 +91,7 @@
         seen_by_topic: The offset of the last change that it has seen in each topic of
             the platform's log.
         reading_by_topic: What it has read of topics that one router reads for all.
+        leaving: The upstreams that have told it that they leave.
     """
 
     router: ids.InstanceId
@@ -89,6 +102,7 @@
     work_by_upstream: dict[ids.UpstreamId, upstream_load.Summary]
     seen_by_topic: dict[str, ids.Offset]
     reading_by_topic: dict[str, Reading]
+    leaving: list[Leaving] = []
 
 
 class Notebook:
@@ -101,6 +115,7 @@
     def __init__(self, router: ids.InstanceId):
         self._router = router
         self._reads: list[Read] = []
+        self._leaving: list[Leaving] = []
         self._begun_by_upstream: dict[ids.UpstreamId, int] = {}
         self._asked_by_account: dict[ids.AccountId, int] = {}
         self._admitted_by_account: dict[ids.AccountId, int] = {}
@@ -112,6 +127,7 @@
         """Whether there is nothing new to tell."""
         return not (
             self._reads
+            or self._leaving
             or self._asked_by_account
             or self._begun_by_upstream
             or self._update_by_topic
@@ -138,6 +154,10 @@
         """Takes note of a prompt that is sent to an engine."""
         self._reads.append(Read(upstream, list(parts), unread_tokens))
 
+    def add_leaving(self, upstream: ids.UpstreamId, born_ms: int) -> None:
+        """Takes note of an upstream that has said that it leaves."""
+        self._leaving.append(Leaving(upstream, born_ms))
+
     def add_asked(self, account: ids.AccountId, cost: int) -> None:
         """Takes note of a request of a client account."""
         known = self._asked_by_account.get(account, 0)
@@ -173,8 +193,10 @@
             work_by_upstream,
             seen_by_topic,
             self._take_readings(),
+            self._leaving,
         )
         self._reads = []
+        self._leaving = []
         self._begun_by_upstream = {}
         self._asked_by_account = {}
         self._admitted_by_account = {}
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -73,7 +73,8 @@
 ) -> Choice | None:
     """Returns the best upstream for a request, or none if there is none.
 
-    Upstreams that fail or are silent are avoided unless there is no other.
+    Upstreams that fail or are silent are avoided unless there is no other. One that
+    wants a pause gets nothing.
 
     Args:
         call: The request.
@@ -83,6 +84,7 @@
         unseen_tokens: How many prompt tokens other routers are guessed to have sent to
             engines without having told of it yet.
     """
+    candidates = [c for c in candidates if not c.health.find_pause_left_s(now)]
     if not candidates:
         return None
     sound = [c for c in candidates if not is_doubtful(c, now)] or candidates
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -17,6 +17,7 @@
     NO_ROUTE = ("no-route", 404)
     NOT_CONFIGURED = ("not-configured", 503)
     NO_UPSTREAM = ("no-upstream", 503)
+    UPSTREAMS_PAUSED = ("upstreams-paused", 503)
     NOT_TAKEN = ("not-taken", 503)
     OVERLOADED = ("overloaded", 503)
     OVER_SHARE = ("over-share", 429)
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -307,6 +307,10 @@
         if notes.running is not None:
             total = notes.running + (notes.waiting or 0)
             candidate.load.note_report(total, self._now())
+        if notes.is_leaving:
+            self._view.note_leaving(candidate.upstream)
+        if notes.pause_s is not None:
+            candidate.health.pause(self._now(), notes.pause_s)
         if notes.is_wrong_instance:
             self._directory.note_misplaced(candidate.upstream)
             return NotRun("another instance has the address")
--- a/teaselsill/upstream_health.py
+++ b/teaselsill/upstream_health.py
@@ -38,6 +38,26 @@
         self._recent: collections.deque[tuple[float, Result]] = collections.deque()
         self._avoided_until = float("-inf")
         self._avoided_s = AVOIDED_S
+        self._paused_until = float("-inf")
+
+    def pause(self, now: float, for_s: float) -> None:
+        """Takes note that the upstream wants no request for some time.
+
+        Args:
+            now: The time, in seconds.
+            for_s: How long, in seconds.
+        """
+        if now + for_s <= self._paused_until:
+            return
+        self._paused_until = now + for_s
+        logger.info(
+            "upstream wants a pause",
+            extra={"upstream": self._upstream, "for_s": for_s},
+        )
+
+    def find_pause_left_s(self, now: float) -> float:
+        """Returns how long the upstream still wants no request, in seconds."""
+        return max(0.0, self._paused_until - now)
 
     def note(self, result: Result, now: float) -> None:
         """Takes note of how a request ended.
--- a/teaselsill/upstream_list.py
+++ b/teaselsill/upstream_list.py
@@ -97,6 +97,21 @@
         )
         return True
 
+    def note_leaving(self, upstream: Upstream) -> bool:
+        """Takes note that an upstream says that it leaves; returns whether it is new.
+
+        This holds for the rest of its life, whatever its entry says later.
+        """
+        life = upstream.id, upstream.born_ms
+        if life in self._left:
+            return False
+        self._left.add(life)
+        listed = self.by_id.get(upstream.id)
+        if listed is not None and listed.born_ms == upstream.born_ms:
+            self.by_id[upstream.id] = dataclasses.replace(listed, state=State.LEAVING)
+        logger.info("upstream says that it leaves", extra={"upstream": upstream.id})
+        return True
+
     def discard(self, upstream_id: ids.UpstreamId, reason: str) -> None:
         """Drops an upstream whose entry cannot be used."""
         if upstream_id in self.by_id:
--- a/tests/adapter/test_words.py
+++ b/tests/adapter/test_words.py
@@ -133,6 +133,19 @@
         ))  # fmt: skip
         self.assertIsNone(self.read(200, (words.LOAD, "3,x,8")).running)
 
+    def test_leaving_and_pause(self):
+        notes = self.read(200, (words.LEAVING, "1"))
+        self.assertEqual((True, None), (notes.is_leaving, notes.pause_s))
+        notes = self.read(503, (words.RETRY_AFTER, "2.5"))
+        self.assertEqual((False, 2.5), (notes.is_leaving, notes.pause_s))
+        for status, value in ((200, "2"), (503, "-1"), (503, "nan"), (503, "soon")):
+            with self.subTest(status=status, value=value):
+                self.assertIsNone(self.read(status, (words.RETRY_AFTER, value)).pause_s)
+
+    def test_another_instance_says_nothing_of_the_expected_one(self):
+        notes = self.read(421, (words.LEAVING, "1"), (words.RETRY_AFTER, "2"))
+        self.assertEqual((False, None), (notes.is_leaving, notes.pause_s))
+
     def test_refusal_names_the_request_and_when_to_return(self):
         call = read(HEADERS)
         headers = dict(words.Words().make_refusal_headers(call, 1.5))
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -57,6 +57,8 @@
             has_not_run=head.get("not-run") is not None,
             is_wrong_instance=head.status == 421,
             is_sealed=head.get("seal") is not None,
+            is_leaving=head.get("leaving") is not None,
+            pause_s=float(head.get("pause")) if head.get("pause") else None,
         )
 
     def make_refusal_headers(self, call, retry_after_s):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 
 from teaselsill import (
     http_messages,
+    ids,
     retry_budget,
     routing_table,
     upstream_health,
@@ -184,6 +185,45 @@
         self.assertTrue(candidate.health.is_avoided(now))
 
 
+class ServerWishesTest(ForwardingCase):
+    async def test_upstream_that_says_that_it_leaves_gets_no_more(self):
+        async def leave(request, stream):
+            stream.write(entry_bench.answer(request, headers=[("leaving", "1")]))
+
+        bench = await self.start(leave, entry_bench.say_ok)
+        for request in range(20):
+            self.assertEqual(200, (await bench.ask(str(request)))[0])
+        self.assertLessEqual(len(self.upstreams[0].requests), 1)
+        (told,) = bench.view.take_report().leaving
+        self.assertEqual("u0", told.upstream)
+
+    async def test_leaving_that_others_tell_binds_here(self):
+        bench = await self.start(entry_bench.say_ok)
+        upstream = self.upstreams[0].describe()
+        other = entry_bench.fleet_view.FleetView(
+            ids.InstanceId("o"), bench.known, bench.router.describe_status
+        )
+        other.note_leaving(upstream)
+        bench.view.apply(other.take_report())
+        self.assertEqual(503, (await bench.ask())[0])
+
+    async def test_upstream_that_wants_a_pause_gets_nothing_meanwhile(self):
+        busy = refuse(503, ("not-run", "1"), ("pause", "0.3"))
+        bench = await self.start(busy, entry_bench.say_ok)
+        for request in range(20):
+            self.assertEqual(200, (await bench.ask(str(request)))[0])
+        self.assertEqual(1, len(self.upstreams[0].requests))
+
+    async def test_callers_are_told_when_the_first_pause_ends(self):
+        busy = refuse(503, ("not-run", "1"), ("pause", "3"))
+        bench = await self.start(busy, busy)
+        caller = await bench.connect()
+        await caller.ask("1")
+        self.assertEqual(503, (await caller.ask("2"))[0])
+        self.assertEqual(2, self.count_requests())
+        self.assertRegex(caller.received, rb"retry-after: (3.00|2.9)")
+
+
 class RepeatTest(ForwardingCase):
     async def test_unrepeatable_request_is_sent_once(self):
         bench = await self.start(reset, reset, repeat=NEVER, max_upstreams=3)
--- a/tests/test_upstream_list.py
+++ b/tests/test_upstream_list.py
@@ -33,6 +33,18 @@
         self.listed.put(make_upstream())
         self.assertEqual([], self.usable())
 
+    def test_upstream_that_says_that_it_leaves_is_not_used_again(self):
+        upstream = make_upstream()
+        self.listed.put(upstream)
+        self.listed.note_leaving(upstream)
+        self.listed.put(upstream)
+        self.assertEqual([], self.usable())
+
+    def test_what_an_earlier_life_said_does_not_bind_the_next(self):
+        self.listed.put(make_upstream(born_ms=2))
+        self.listed.note_leaving(make_upstream(born_ms=1))
+        self.assertEqual(["u"], self.usable())
+
     def test_new_life_under_the_same_id_is_used(self):
         self.listed.put(make_upstream(state=upstream_list.State.LEAVING))
         self.listed.put(make_upstream(born_ms=2))
