Tell other data centres through one contact each

Cause: each router sent its report to each other. Weighed: a digest tree over all routers (three hops at 300, and increments that must not be counted twice when the tree changes), subsets of the engines for each router (the shared prompts then lose their place when the subset changes), and this: a router tells the routers of its data centre itself, and one contact in each other one, which passes the report on. Two hops, no election, nothing agreed: each router has its own order of contacts, so the passing on is spread; a contact that is not reached or not heard for 1.5 s is the last choice for 5 s, and a second connection stands in reserve. Change: report_routes.py decides, peer_links.py keeps only the connections that are used; routers write their data centre beside their address. Not shown: the age of reports at decisions, which has one hop more; the number of reports that a router reads is the same as before.

--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -1,4 +1,4 @@
-"""Connections between entry routers: each sends its reports to all others."""
+"""Connections between entry routers, on which each hears of the work of all others."""
 
 import asyncio
 import collections.abc
@@ -6,7 +6,17 @@
 import math
 import random
 
-from teaselsill import fleet_view, ids, listener, peer_reports, tcp_stream, wire
+import msgspec
+
+from teaselsill import (
+    fleet_view,
+    ids,
+    listener,
+    peer_reports,
+    report_routes,
+    tcp_stream,
+    wire,
+)
 
 IDLE_REPORT_S = 0.5
 MAX_REPORT_BYTES = 1024 * 1024
@@ -16,6 +26,8 @@
 FIRST_PAUSE_S = 0.2
 """How long to wait after a failed connection; each time in a row twice as long."""
 MAX_PAUSE_S = 3.0
+DOUBT_S = 5.0
+"""For so long a contact is the last choice that was not reached, or not heard."""
 
 logger = logging.getLogger(__name__)
 
@@ -28,15 +40,24 @@
 
     Args:
         router: This router.
+        data_centre: Where it runs.
         on_report: Takes the others' reports.
     """
 
-    def __init__(self, router: ids.InstanceId, on_report: OnReport):
+    def __init__(
+        self,
+        router: ids.InstanceId,
+        data_centre: ids.DataCentre,
+        on_report: OnReport,
+    ):
         self._router = router
         self._on_report = on_report
+        self._routes = report_routes.ReportRoutes(router, data_centre)
         self._stream_by_peer: dict[ids.InstanceId, tcp_stream.TcpStream] = {}
+        self._connected_at_by_peer: dict[ids.InstanceId, float] = {}
+        self._heard_at_by_peer: dict[ids.InstanceId, float] = {}
+        self._doubted_until_by_peer: dict[ids.InstanceId, float] = {}
         self._dialing_by_peer: dict[ids.InstanceId, asyncio.Task] = {}
-        self._address_by_peer: dict[ids.InstanceId, tuple[str, int]] = {}
         self._receiving: set[asyncio.Task] = set()
         self._listener: listener.Listener | None = None
 
@@ -60,38 +81,92 @@
         for task in [*self._dialing_by_peer.values(), *self._receiving]:
             task.cancel()
 
-    def put_peer(self, peer: ids.InstanceId, host: str, port: int) -> None:
-        """Connects to a router, or to its new address."""
-        if peer == self._router or self._address_by_peer.get(peer) == (host, port):
+    def put_peer(self, peer: report_routes.Peer) -> None:
+        """Takes another router, or its new address."""
+        if peer.id == self._router or self._routes.peer_by_id.get(peer.id) == peer:
             return
-        self.remove_peer(peer)
-        self._address_by_peer[peer] = host, port
-        task = asyncio.create_task(self._stay_connected(peer, host, port))
-        self._dialing_by_peer[peer] = task
+        self._hang_up(peer.id)
+        self._routes.put(peer)
+        self._connect_wanted()
 
     def remove_peer(self, peer: ids.InstanceId) -> None:
         """Ends the connection to a router that has left."""
-        self._address_by_peer.pop(peer, None)
-        task = self._dialing_by_peer.pop(peer, None)
-        if task is not None:
-            task.cancel()
+        self._hang_up(peer)
+        self._routes.remove(peer)
+        self._connect_wanted()
 
     def keep_only(self, peers: set[ids.InstanceId]) -> None:
         """Ends the connections to all other routers."""
-        for peer in list(self._address_by_peer):
+        for peer in list(self._routes.peer_by_id):
             if peer not in peers:
                 self.remove_peer(peer)
 
     def send(self, report: peer_reports.Report) -> None:
-        """Sends a report to all routers that are connected."""
+        """Sends a report to the routers nearby and to a contact in each data centre."""
+        self._doubt_silent_contacts()
+        self._connect_wanted()
+        self._send_to(self._routes.list_near(), report)
+        contacts = [
+            contact
+            for ranked in self._list_contacts()
+            if (contact := self._find_connected(ranked)) is not None
+        ]
+        if contacts:
+            self._send_to(contacts, msgspec.structs.replace(report, passes_on=True))
+
+    def _send_to(self, peers, report: peer_reports.Report) -> None:
         packed = wire.pack(report)
-        for peer, stream in self._stream_by_peer.items():
+        for peer in peers:
+            stream = self._stream_by_peer.get(peer)
+            if stream is None:
+                continue
             if stream.unsent_bytes > MAX_UNSENT_BYTES:
                 logger.warning("peer does not read", extra={"peer": peer})
                 stream.abort()
             else:
                 stream.write(packed)
 
+    def _list_contacts(self) -> list[list[ids.InstanceId]]:
+        now = _now()
+        return self._routes.list_contacts(
+            lambda peer: self._doubted_until_by_peer.get(peer, -math.inf) > now
+        )
+
+    def _find_connected(self, peers: list[ids.InstanceId]) -> ids.InstanceId | None:
+        return next((peer for peer in peers if peer in self._stream_by_peer), None)
+
+    def _doubt_silent_contacts(self) -> None:
+        """Doubts contacts that have been connected for long and are not heard."""
+        silent_since = _now() - fleet_view.HEARD_S
+        for ranked in self._list_contacts():
+            for peer in ranked:
+                connected_at = self._connected_at_by_peer.get(peer, math.inf)
+                heard_at = self._heard_at_by_peer.get(peer, -math.inf)
+                if max(connected_at, heard_at) < silent_since:
+                    self._doubt(peer, "silent")
+
+    def _doubt(self, peer: ids.InstanceId, reason: str) -> None:
+        now = _now()
+        if self._doubted_until_by_peer.get(peer, -math.inf) <= now:
+            logger.info("peer doubted", extra={"peer": peer, "reason": reason})
+        self._doubted_until_by_peer[peer] = now + DOUBT_S
+
+    def _connect_wanted(self) -> None:
+        """Connects to those that are told, and ends the other connections."""
+        wanted = set(self._routes.list_near()).union(*self._list_contacts())
+        for peer in self._dialing_by_peer.keys() - wanted:
+            self._hang_up(peer)
+        for peer in wanted - self._dialing_by_peer.keys():
+            task = asyncio.create_task(
+                self._stay_connected(self._routes.peer_by_id[peer])
+            )
+            self._dialing_by_peer[peer] = task
+
+    def _hang_up(self, peer: ids.InstanceId) -> None:
+        task = self._dialing_by_peer.pop(peer, None)
+        if task is not None:
+            task.cancel()
+
     async def report_on(self, view: fleet_view.FleetView) -> None:
         """Sends what a view has learned, for ever."""
         sent_at = -math.inf
@@ -102,31 +177,41 @@
                 sent_at = loop.time()
                 self.send(view.take_report())
 
-    async def _stay_connected(self, peer, host: str, port: int) -> None:
+    async def _stay_connected(self, peer: report_routes.Peer) -> None:
         """Keeps a connection to one router until it is cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
             try:
-                stream = await tcp_stream.connect(host, port, CONNECT_TIMEOUT_S)
+                stream = await tcp_stream.connect(
+                    peer.host, peer.port, CONNECT_TIMEOUT_S
+                )
             except tcp_stream.ConnectionFailedError as error:
                 logger.info(
-                    "peer not reached", extra={"peer": peer, "reason": str(error)}
+                    "peer not reached", extra={"peer": peer.id, "reason": str(error)}
                 )
+                self._doubt(peer.id, "not reached")
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
                 pause_s = min(2 * pause_s, MAX_PAUSE_S)
                 continue
             pause_s = FIRST_PAUSE_S
-            stream.check_alive()
-            logger.info("peer connected", extra={"peer": peer})
-            self._stream_by_peer[peer] = stream
-            try:
-                await stream.wait_left()
-            finally:
-                del self._stream_by_peer[peer]
-                stream.abort()
-            logger.info("peer lost", extra={"peer": peer})
+            await self._keep(peer.id, stream)
+            logger.info("peer lost", extra={"peer": peer.id})
             await asyncio.sleep(pause_s)
 
+    async def _keep(self, peer: ids.InstanceId, stream: tcp_stream.TcpStream) -> None:
+        """Has a connection used until it ends."""
+        stream.check_alive()
+        logger.info("peer connected", extra={"peer": peer})
+        self._stream_by_peer[peer] = stream
+        self._connected_at_by_peer[peer] = _now()
+        try:
+            await stream.wait_left()
+        finally:
+            if self._stream_by_peer.get(peer) is stream:
+                del self._stream_by_peer[peer]
+                del self._connected_at_by_peer[peer]
+            stream.abort()
+
     def _accept(self, stream: tcp_stream.TcpStream) -> None:
         task = asyncio.create_task(self._receive(stream))
         self._receiving.add(task)
@@ -138,10 +223,22 @@
         try:
             while data := await stream.read():
                 for report in unpacker.feed(data):
-                    self._on_report(report)
+                    self._take(report)
         except tcp_stream.ConnectionResetError:
             pass
         except wire.MalformedMessageError as error:
             logger.warning("malformed report", extra={"reason": str(error)})
         finally:
             stream.abort()
+
+    def _take(self, report: peer_reports.Report) -> None:
+        """Takes a report, and passes it on if its sender cannot reach those nearby."""
+        self._heard_at_by_peer[report.router] = _now()
+        self._on_report(report)
+        if report.passes_on:
+            near = self._routes.list_near()
+            self._send_to(near, msgspec.structs.replace(report, passes_on=False))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -92,6 +92,7 @@
             the platform's log.
         reading_by_topic: What it has read of topics that one router reads for all.
         leaving: The upstreams that have told it that they leave.
+        passes_on: Whether the receiver passes it on to the routers of its data centre.
     """
 
     router: ids.InstanceId
@@ -103,6 +104,7 @@
     seen_by_topic: dict[str, ids.Offset]
     reading_by_topic: dict[str, Reading]
     leaving: list[Leaving] = []
+    passes_on: bool = False
 
 
 class Notebook:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,7 +1,14 @@
 import asyncio
 import unittest
 
-from teaselsill import ids, peer_links, peer_reports, tcp_stream
+from teaselsill import (
+    ids,
+    listener,
+    peer_links,
+    peer_reports,
+    report_routes,
+    tcp_stream,
+)
 from tests import entry_bench
 
 STATUS = peer_reports.RouterStatus(
@@ -13,10 +20,21 @@
     return peer_reports.Report(ids.InstanceId(name), STATUS, [], [], {}, {}, {}, {})
 
 
+def make_peer(name, links, data_centre="a"):
+    return report_routes.Peer(
+        ids.InstanceId(name),
+        ids.DataCentre(data_centre),
+        entry_bench.HOST,
+        links.port,
+    )
+
+
 class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
-    async def make(self, name):
+    async def make(self, name, data_centre="a"):
         received = asyncio.Queue()
-        links = peer_links.PeerLinks(ids.InstanceId(name), received.put_nowait)
+        links = peer_links.PeerLinks(
+            ids.InstanceId(name), ids.DataCentre(data_centre), received.put_nowait
+        )
         self.addCleanup(links.close)
         links.listen(entry_bench.HOST, 0)
         return links, received
@@ -35,11 +53,13 @@
         first, _ = await self.make("first")
         second, received = await self.make("second")
         port = second.port
-        first.put_peer(ids.InstanceId("second"), entry_bench.HOST, port)
+        first.put_peer(make_peer("second", second))
         report = await self.send_until_heard(first, received, "first")
         self.assertEqual("first", report.router)
         second.close()
-        again = peer_links.PeerLinks(ids.InstanceId("second"), received.put_nowait)
+        again = peer_links.PeerLinks(
+            ids.InstanceId("second"), ids.DataCentre("a"), received.put_nowait
+        )
         self.addCleanup(again.close)
         again.listen(entry_bench.HOST, port)
         await asyncio.sleep(0.05)
@@ -49,7 +69,7 @@
 
     async def test_router_does_not_connect_to_itself(self):
         first, received = await self.make("first")
-        first.put_peer(ids.InstanceId("first"), entry_bench.HOST, first.port)
+        first.put_peer(make_peer("first", first))
         first.send(make_report("first"))
         await asyncio.sleep(0.05)
         self.assertTrue(received.empty())
@@ -62,5 +82,67 @@
             await stranger.wait_left()
         stranger.abort()
         second, _ = await self.make("second")
-        second.put_peer(ids.InstanceId("first"), entry_bench.HOST, first.port)
+        second.put_peer(make_peer("first", first))
         await self.send_until_heard(second, received, "second")
+
+    async def make_fleet(self, data_centre_by_name):
+        """Starts routers that know each other; returns links and reports by name."""
+        fleet = {n: await self.make(n, dc) for n, dc in data_centre_by_name.items()}
+        for links, _ in fleet.values():
+            for name, (other, _) in fleet.items():
+                links.put_peer(make_peer(name, other, data_centre_by_name[name]))
+        return fleet
+
+    async def send_until_all_hear(self, fleet, sender, names):
+        async with asyncio.timeout(8.0):
+            while any(fleet[name][1].empty() for name in names):
+                fleet[sender][0].send(make_report(sender))
+                await asyncio.sleep(0.02)
+
+    async def test_report_is_passed_on_in_another_data_centre(self):
+        fleet = await self.make_fleet({"s": "a", "x": "b", "y": "b", "z": "b"})
+        await self.send_until_all_hear(fleet, "s", "xyz")
+        for name in "xyz":
+            self.drain(fleet[name][1])
+        fleet["s"][0].send(make_report("s"))
+        await asyncio.sleep(0.1)
+        reports = [report for n in "xyz" for report in self.drain(fleet[n][1])]
+        self.assertEqual(3, len(reports))
+        self.assertEqual(1, sum(report.passes_on for report in reports))
+
+    def drain(self, received):
+        return [received.get_nowait() for _ in range(received.qsize())]
+
+    async def test_silent_contact_is_replaced(self):
+        """A contact that is frozen passes nothing on to the routers beside it."""
+        sender, _ = await self.make("s")
+        sound, received = await self.make("sound", "b")
+        frozen = listener.Listener(entry_bench.HOST, 0, lambda stream: None)
+        self.addCleanup(frozen.close)
+        names = (f"frozen{n}" for n in range(100))
+        first = next(name for name in names if self.ranks_before("s", name, "sound"))
+        sender.put_peer(make_peer("sound", sound, "b"))
+        sender.put_peer(
+            report_routes.Peer(
+                ids.InstanceId(first), ids.DataCentre("b"), *frozen.address
+            )
+        )
+        sound.put_peer(make_peer("s", sender))
+        await asyncio.sleep(0.1)
+        sender.send(make_report("s"))
+        await asyncio.sleep(0.1)
+        self.assertTrue(received.empty())
+        async with asyncio.timeout(5.0):
+            while received.empty():
+                sound.send(make_report("sound"))
+                sender.send(make_report("s"))
+                await asyncio.sleep(0.02)
+
+    def ranks_before(self, sender, first, second):
+        routes = report_routes.ReportRoutes(ids.InstanceId(sender), ids.DataCentre("a"))
+        for name in (first, second):
+            routes.put(
+                report_routes.Peer(ids.InstanceId(name), ids.DataCentre("b"), "", 0)
+            )
+        ((chosen, _),) = routes.list_contacts(lambda peer: False)
+        return chosen == first
