Divide the burst of retries by the routers that there are

Cause: each router took 1/64 of the burst. With more than 64 routers the parts add up to more than the burst (at 300 to 4.7 times as much), a BUDGET break that small sites cannot show; with 4 routers 15/16 of the burst were never used. Change: the part is the burst divided by twice the routers that have been known at a time, from the list in the store; none before that list has been read. Twice, since others may have just started and know more of them.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards a caller's request to an upstream, and to another one where that is safe."""
 
 import asyncio
+import collections.abc
 import logging
 
 from teaselsill import (
@@ -48,6 +49,7 @@
         admitting: Decides which requests are sent and which are rejected.
         sink: Takes the metrics.
         lag: Tells whether the process has too much work.
+        count_routers: Returns how many routers there are; 0 if that is not known.
 
     Attributes:
         table: The configuration in force, or none.
@@ -65,6 +67,7 @@
         admitting: admission.Admission,
         sink: entry_metrics.EntryMetrics,
         lag: loop_lag.LoopLag,
+        count_routers: collections.abc.Callable[[], int],
     ):
         self.table: routing_table.RoutingTable | None = None
         self.underway = 0
@@ -77,6 +80,7 @@
         self._admission = admitting
         self._metrics = sink
         self._lag = lag
+        self._count_routers = count_routers
         self._sender = upstream_attempt.Sender(dialect, known, view, sink)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
@@ -323,7 +327,7 @@
 
     def _spend_retry(self, forwarding: upstream_attempt.Forwarding, why: str) -> bool:
         budget = self._budget_of(forwarding.service.name)
-        if budget.spend(self._now()):
+        if budget.spend(self._now(), self._count_routers()):
             return True
         logger.info(
             "retry budget is spent",
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -53,6 +53,7 @@
         self._router = router
         self._on_report = on_report
         self._routes = report_routes.ReportRoutes(router, data_centre)
+        self._most_peers = 0
         self._stream_by_peer: dict[ids.InstanceId, tcp_stream.TcpStream] = {}
         self._connected_at_by_peer: dict[ids.InstanceId, float] = {}
         self._heard_at_by_peer: dict[ids.InstanceId, float] = {}
@@ -87,8 +88,13 @@
             return
         self._hang_up(peer.id)
         self._routes.put(peer)
+        self._most_peers = max(self._most_peers, len(self._routes.peer_by_id))
         self._connect_wanted()
 
+    def count_routers(self) -> int:
+        """Returns how many routers there have been at a time, with this one."""
+        return self._most_peers + 1
+
     def remove_peer(self, peer: ids.InstanceId) -> None:
         """Ends the connection to a router that has left."""
         self._hang_up(peer)
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -22,7 +22,7 @@
 
 HOST = "127.0.0.1"
 SERVICE = ids.ServiceName("s")
-BUDGET = retry_budget.BudgetPolicy(ratio=1.0, window_s=10.0, floor=5.0)
+BUDGET = retry_budget.BudgetPolicy(ratio=1.0, window_s=10.0, burst=10.0)
 
 
 class PlainDialect(calls.Dialect):
@@ -233,6 +233,7 @@
             admission.Admission(view.usage),
             self.metrics,
             self.lag,
+            count_routers=lambda: 1,
         )
         self.router = entry_router.EntryRouter(
             entry_router.Place(ids.DataCentre("a"), HOST, 0, cores),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -295,7 +295,7 @@
 
     async def test_retry_budget_bounds_all_requests_together(self):
         bench = await self.start(reset, reset, repeat=FREELY, max_upstreams=2)
-        bench.forwarder.limit_retries(retry_budget.BudgetPolicy(0.0, 10.0, 1.0))
+        bench.forwarder.limit_retries(retry_budget.BudgetPolicy(0.0, 10.0, 2.0))
         for request in range(5):
             self.assertEqual(502, (await bench.ask(str(request)))[0])
         self.assertEqual(6, self.count_requests())
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -8,7 +8,8 @@
 RATIO = 0.2
 WINDOW_S = 10.0
 FLOOR = 1.0
-POLICY = retry_budget.BudgetPolicy(RATIO, WINDOW_S, FLOOR)
+BURST = 2.0
+POLICY = retry_budget.BudgetPolicy(RATIO, WINDOW_S, BURST)
 
 
 class RetryBudgetTest(unittest.TestCase):
@@ -16,24 +17,38 @@
         budget = retry_budget.RetryBudget(POLICY)
         for _ in range(10):
             budget.note_request(0.0)
-        spent = sum(budget.spend(1.0) for _ in range(10))
+        spent = sum(budget.spend(1.0, 1) for _ in range(10))
         self.assertEqual(3, spent)
 
     def test_window_slides(self):
         budget = retry_budget.RetryBudget(
-            retry_budget.BudgetPolicy(0.0, WINDOW_S, FLOOR)
+            retry_budget.BudgetPolicy(0.0, WINDOW_S, BURST)
         )
-        self.assertTrue(budget.spend(0.0))
-        self.assertFalse(budget.spend(9.9))
-        self.assertTrue(budget.spend(10.0))
+        self.assertTrue(budget.spend(0.0, 1))
+        self.assertFalse(budget.spend(9.9, 1))
+        self.assertTrue(budget.spend(10.0, 1))
 
     def test_another_policy_counts_what_was_spent(self):
         budget = retry_budget.RetryBudget(POLICY)
-        self.assertTrue(budget.spend(0.0))
-        self.assertFalse(budget.spend(1.0))
-        budget.policy = retry_budget.BudgetPolicy(RATIO, WINDOW_S, 2.0)
-        self.assertTrue(budget.spend(2.0))
-        self.assertFalse(budget.spend(3.0))
+        self.assertTrue(budget.spend(0.0, 1))
+        self.assertFalse(budget.spend(1.0, 1))
+        budget.policy = retry_budget.BudgetPolicy(RATIO, WINDOW_S, 4.0)
+        self.assertTrue(budget.spend(2.0, 1))
+        self.assertFalse(budget.spend(3.0, 1))
+
+    def test_routers_together_keep_to_the_burst(self):
+        """Every router spends all that it may in one window, with no request at all."""
+        for routers in (4, 26, 80, 300):
+            for known in (routers // 2 + 1, routers):
+                with self.subTest(routers=routers, known=known):
+                    policy = retry_budget.BudgetPolicy(RATIO, WINDOW_S, 176.0)
+                    budgets = [retry_budget.RetryBudget(policy) for _ in range(routers)]
+                    spent = [b.spend(0.0, known) for b in budgets for _ in range(180)]
+                    self.assertLessEqual(sum(spent), policy.burst)
+
+    def test_router_that_does_not_know_the_others_has_no_part_of_the_burst(self):
+        budget = retry_budget.RetryBudget(POLICY)
+        self.assertFalse(budget.spend(0.0, 0))
 
     @hypothesis.given(
         strategies.lists(
@@ -50,7 +65,7 @@
             if not is_retry:
                 budget.note_request(now)
                 requested.append(now)
-            elif budget.spend(now):
+            elif budget.spend(now, 1):
                 spent.append(now)
         for end in spent:
             window = [t for t in spent if end - WINDOW_S < t <= end]
