Tell stalled from slow, and a standstill of the router from silence

Ruled out: cutting slow streams that go on (a test with 0.7 s between events); moving streams that may not be repeated, which can only end at their deadline. Change: progress is a whole event; without one for six of the route's longest pauses, 1.5 s at least, a stream that may be resumed goes on elsewhere. Silence is judged only if the router has run for longer than the silence. The time left also counts on the boot clock.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -6,6 +6,7 @@
 
 from teaselsill import (
     admission,
+    boot_clock,
     caller_connection,
     calls,
     directory,
@@ -81,7 +82,7 @@
         self._metrics = sink
         self._lag = lag
         self._count_routers = count_routers
-        self._sender = upstream_attempt.Sender(dialect, known, view, sink)
+        self._sender = upstream_attempt.Sender(dialect, known, view, sink, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
     def follow(self, table: routing_table.RoutingTable) -> None:
@@ -174,13 +175,15 @@
         line.route = route.name
         line.account = account
         line.version = table.version
+        limit_s = calls.find_limit_s(call, route)
         forwarding = upstream_attempt.Forwarding(
             call=call,
             route=route,
             service=service,
             account=account,
             answer=answer,
-            deadline=call.received_at + calls.find_limit_s(call, route),
+            deadline=call.received_at + limit_s,
+            boot_deadline=boot_clock.now() + limit_s,
             events=event_stream.EventCutter(call.last_event),
             line=line,
         )
@@ -263,10 +266,11 @@
             self._data_centre,
             now,
             self._view.guess_unseen_tokens(),
+            self._lag.find_running_s(now),
         )
         if choice is None:
             self._give_up_without_upstream(forwarding, now)
-        if forwarding.deadline - now < LEAST_USEFUL_S:
+        if forwarding.find_left_s(now) < LEAST_USEFUL_S:
             raise TimeoutError
         self._note_choice(forwarding, choice, now)
         if not forwarding.sends:
--- a/teaselsill/loop_lag.py
+++ b/teaselsill/loop_lag.py
@@ -19,6 +19,8 @@
 FIRST_HOLD_S = 3.0
 """How long it counts as overloaded at least; each time in a row twice as long."""
 MAX_HOLD_S = 12.0
+STANDSTILL_S = 0.5
+"""A longer delay means that the process did not run."""
 AGAIN_S = 6.0
 """An overload that begins so soon after the last one is in a row with it."""
 
@@ -41,6 +43,21 @@
         self.is_overloaded = False
         self._hold_s = FIRST_HOLD_S
         self._changed_at = -math.inf
+        self._measured_at = math.inf
+        self._ran_since = -math.inf
+
+    def find_running_s(self, now: float) -> float:
+        """Returns for how long the process has run without a standstill, in seconds.
+
+        After a standstill what has come meanwhile is not read yet, so nothing can be
+        told from what has not been heard.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        if now - self._measured_at > PERIOD_S + STANDSTILL_S:
+            return 0.0
+        return now - self._ran_since
 
     def add(self, delay_s: float, now: float) -> None:
         """Takes one measurement.
@@ -49,6 +66,9 @@
             delay_s: The delay, in seconds.
             now: The time, in seconds.
         """
+        self._measured_at = now
+        if delay_s > STANDSTILL_S:
+            self._ran_since = now
         sample_s = min(MAX_SAMPLE_S, max(0.0, delay_s))
         self.average_s += WEIGHT * (sample_s - self.average_s)
         lasted_s = now - self._changed_at
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import math
 import random
 
 from teaselsill import (
@@ -70,6 +71,7 @@
     data_centre: ids.DataCentre,
     now: float,
     unseen_tokens: float = 0.0,
+    running_s: float = math.inf,
 ) -> Choice | None:
     """Returns the best upstream for a request, or none if there is none.
 
@@ -83,11 +85,12 @@
         now: The time, in seconds.
         unseen_tokens: How many prompt tokens other routers are guessed to have sent to
             engines without having told of it yet.
+        running_s: How long the router has run without a standstill, in seconds.
     """
     candidates = [c for c in candidates if not c.health.find_pause_left_s(now)]
     if not candidates:
         return None
-    sound = [c for c in candidates if not is_doubtful(c, now)] or candidates
+    sound = [c for c in candidates if not is_doubtful(c, now, running_s)] or candidates
     random.shuffle(sound)
     if call.parts:
         return _choose_engine(call, sound, now, unseen_tokens / len(sound))
@@ -108,9 +111,15 @@
     return max(candidates, key=lambda c: home_rank(shared, c.upstream), default=None)
 
 
-def is_doubtful(candidate: Candidate, now: float) -> bool:
-    """Tells whether an upstream is better avoided."""
-    if candidate.load.is_silent(now, SILENCE_S):
+def is_doubtful(candidate: Candidate, now: float, running_s: float) -> bool:
+    """Tells whether an upstream is better avoided.
+
+    Args:
+        candidate: The upstream.
+        now: The time, in seconds.
+        running_s: How long the router has run without a standstill, in seconds.
+    """
+    if running_s > SILENCE_S and candidate.load.is_silent(now, SILENCE_S):
         candidate.health.avoid(now, "silent")
         return True
     return candidate.health.is_avoided(now)
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from teaselsill import (
+    boot_clock,
     caller_connection,
     calls,
     directory,
@@ -12,6 +13,7 @@
     fleet_view,
     http_messages,
     ids,
+    loop_lag,
     placement,
     request_line,
     routing_table,
@@ -32,6 +34,10 @@
 SLOW_RATIO = 2.5
 """A repeatable call is tried elsewhere after so many times its objective."""
 MIN_SLOW_S = 0.3
+STALL_PAUSES = 6.0
+"""A stream is stalled after so many times the longest pause that is on time."""
+MIN_STALL_S = 1.5
+"""A pause is no stall before that; callers abandon a stream after 2 s or more."""
 FIRST_REDIRECT_STATUS = 300
 FIRST_FAILURE_STATUS = 500
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
@@ -87,6 +93,8 @@
         account: The client account; none for a public route.
         answer: The answer to the caller.
         deadline: When it must have its answer, on the event loop's clock, in seconds.
+        boot_deadline: The same on the boot clock, which goes on while the router is
+            suspended.
         events: Cuts the answer into events if it can be resumed.
         excluded: The upstreams that do not get it any more.
         sends: How many times it was sent.
@@ -101,6 +109,7 @@
     account: ids.AccountId | None
     answer: caller_connection.CallerAnswer
     deadline: float
+    boot_deadline: float
     events: event_stream.EventCutter
     line: request_line.RequestLine
     notes: calls.AnswerNotes = NO_NOTES
@@ -108,6 +117,14 @@
     sends: int = 0
     possible_runs: int = 0
 
+    def find_left_s(self, now: float) -> float:
+        """Returns how long there is for the answer, in seconds.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        return min(self.deadline - now, self.boot_deadline - boot_clock.now())
+
     @property
     def has_begun(self) -> bool:
         """Whether the caller has got a part of an answer."""
@@ -137,6 +154,7 @@
         known: The upstreams.
         view: What is known of the work of all routers.
         sink: Takes the metrics.
+        lag: Tells whether the process has stood still.
     """
 
     def __init__(
@@ -145,11 +163,13 @@
         known: directory.Directory,
         view: fleet_view.FleetView,
         sink: entry_metrics.EntryMetrics,
+        lag: loop_lag.LoopLag,
     ):
         self._dialect = dialect
         self._directory = known
         self._view = view
         self._metrics = sink
+        self._lag = lag
 
     async def attempt(
         self, forwarding: Forwarding, choice: placement.Choice
@@ -177,7 +197,9 @@
                 forwarding.account, forwarding.call, candidate, choice.unread_tokens
             )
         outcome = None
-        watching = asyncio.create_task(self._watch(forwarding, candidate, connection))
+        watching = asyncio.create_task(
+            self._watch(forwarding, candidate, work, connection)
+        )
         try:
             self._send(forwarding, choice, connection, now)
             outcome = await self._relay(forwarding, candidate, connection, number)
@@ -240,7 +262,7 @@
             call,
             choice.candidate.upstream,
             forwarding.account,
-            forwarding.deadline - now,
+            forwarding.find_left_s(now),
             last_event,
             choice.fetch_from,
         )
@@ -279,23 +301,26 @@
                         await forwarding.answer.end()
                         return Delivered(forwarding.answer.status)
 
-    async def _watch(self, forwarding, candidate, connection) -> None:
+    async def _watch(self, forwarding, candidate, work, connection) -> None:
         """Ends a try once another upstream is better asked."""
         while forwarding.is_repeatable:
             await asyncio.sleep(CHECK_S)
-            if self._should_move_on(forwarding, candidate):
+            if self._should_move_on(forwarding, candidate, work):
                 connection.abort("the upstream is silent or slow")
                 return
 
-    def _should_move_on(self, forwarding: Forwarding, candidate) -> bool:
+    def _should_move_on(self, forwarding: Forwarding, candidate, work) -> bool:
         """Tells whether a request is better sent to another upstream now."""
         if forwarding.possible_runs >= forwarding.route.max_upstreams:
             return False
         now = self._now()
-        if candidate.load.is_silent(now, placement.SILENCE_S):
+        running_s = self._lag.find_running_s(now)
+        is_silent = candidate.load.is_silent(now, placement.SILENCE_S)
+        if is_silent and running_s > placement.SILENCE_S:
             return True
         if forwarding.route.is_stream:
-            return False
+            stall_s = find_stall_s(forwarding.route)
+            return running_s > stall_s and work.has_stalled(now, stall_s)
         waited_s = now - forwarding.call.received_at
         return waited_s > max(MIN_SLOW_S, SLOW_RATIO * forwarding.route.objective_s)
 
@@ -336,17 +361,24 @@
         return None
 
     async def _pass_on(self, forwarding, candidate, number, data: bytes) -> None:
-        work = candidate.load.start(number)
+        work = candidate.load.start(number, self._now())
         if work is not None:
             self._view.note_begun(candidate, work.unread_tokens)
         if forwarding.route.repeat is routing_table.Repeat.RESUME:
             data = forwarding.events.feed(data)
+        if data:
+            candidate.load.note_progress(number, self._now())
         await forwarding.answer.write(data)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
 
+def find_stall_s(route: routing_table.Route) -> float:
+    """Returns after how long without an event a stream has stalled, in seconds."""
+    return max(MIN_STALL_S, STALL_PAUSES * route.pause_s)
+
+
 def _skip_rest(parts, connection) -> None:
     """Keeps a connection whose refused answer has been received as a whole."""
     if not any(isinstance(part, http_messages.End) for part in parts):
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -29,12 +29,29 @@
     Attributes:
         unread_tokens: What of its prompt the upstream must still read.
         sent_at: When it was sent, in seconds.
-        has_started: Whether the answer has begun.
+        started_at: When the answer began, in seconds; none if it has not.
+        progressed_at: When data of it last passed to the caller, in seconds.
     """
 
     unread_tokens: int
     sent_at: float
-    has_started: bool = False
+    started_at: float | None = None
+    progressed_at: float | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the answer has begun."""
+        return self.started_at is not None
+
+    def has_stalled(self, now: float, stall_s: float) -> bool:
+        """Tells whether the answer has begun and then made no progress for long.
+
+        Args:
+            now: The time, in seconds.
+            stall_s: How long is long, in seconds.
+        """
+        progressed_at = self.progressed_at or self.started_at
+        return progressed_at is not None and now - progressed_at > stall_s
 
 
 class UpstreamLoad:
@@ -66,21 +83,31 @@
         self.own_unread_tokens += work.unread_tokens
         return number
 
-    def start(self, number: int) -> Work | None:
-        """Takes note of data of an answer; returns the work if it is the first."""
+    def start(self, number: int, now: float) -> Work | None:
+        """Takes note of data of an answer; returns the work if it is the first.
+
+        Args:
+            number: The number of the request.
+            now: The time, in seconds.
+        """
         work = self._work_by_number[number]
         if work.has_started:
             return None
-        work.has_started = True
+        work.started_at = now
         self.own_unread_tokens -= work.unread_tokens
         return work
 
-    def remove(self, number: int) -> None:
-        """Takes note that a request has ended."""
+    def note_progress(self, number: int, now: float) -> None:
+        """Takes note that data of an answer has passed to the caller."""
+        self._work_by_number[number].progressed_at = now
+
+    def remove(self, number: int) -> Work:
+        """Takes note that a request has ended; returns it."""
         work = self._work_by_number.pop(number)
         self.own -= 1
         if not work.has_started:
             self.own_unread_tokens -= work.unread_tokens
+        return work
 
     def note_report(self, total: int, now: float) -> None:
         """Takes note of how many requests the upstream says that it has."""
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -86,7 +86,7 @@
     async def test_others_know_when_an_answer_has_begun_and_ended(self):
         candidate, number = self.send()
         self.tell()
-        candidate.load.start(number)
+        candidate.load.start(number, 1.0)
         self.first.note_begun(candidate, 1000)
         self.tell()
         told = find_candidate(self.second_known)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,7 +1,10 @@
 import asyncio
+import time
 import unittest
+import unittest.mock
 
 from teaselsill import (
+    boot_clock,
     http_messages,
     ids,
     retry_budget,
@@ -293,6 +296,21 @@
         self.assertEqual(504, (await bench.ask())[0])
         self.assertEqual([1, 1], [len(u.requests) for u in self.upstreams])
 
+    async def test_time_in_which_the_router_was_suspended_counts(self):
+        """The event loop's clock stands still then: a dead request was passed on."""
+        suspended_s = 0.0
+        now = boot_clock.now
+
+        async def refuse_and_suspend(request, stream):
+            nonlocal suspended_s
+            suspended_s = 5.0
+            await refuse(503, ("not-run", "1"))(request, stream)
+
+        bench = await self.start(refuse_and_suspend, refuse_and_suspend, timeout_s=2.0)
+        with unittest.mock.patch.object(boot_clock, "now", lambda: now() + suspended_s):
+            self.assertEqual(503, (await bench.ask())[0])
+        self.assertEqual(1, self.count_requests())
+
     async def test_retry_budget_bounds_all_requests_together(self):
         bench = await self.start(reset, reset, repeat=FREELY, max_upstreams=2)
         bench.forwarder.limit_retries(retry_budget.BudgetPolicy(0.0, 10.0, 2.0))
@@ -360,6 +378,67 @@
         self.assertEqual((200, False), (status, is_complete))
         self.assertTrue(body.endswith(b"id: 4\ndata: x\n\n"), body)
 
+    async def test_stray_bytes_do_not_keep_a_stalled_stream(self):
+        """A stalled stream that sent a byte now and then lasted to its deadline."""
+
+        async def stall(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            while True:
+                stream.write(http_messages.encode_chunk(b":"))
+                await asyncio.sleep(0.1)
+
+        script = self.make_stream([])
+
+        async def stall_first(request, stream):
+            await (script if request.get("last") else stall)(request, stream)
+
+        bench = await self.start(
+            stall_first,
+            stall_first,
+            repeat=RESUME,
+            is_stream=True,
+            max_upstreams=2,
+            timeout_s=4.5,
+        )
+        status, body, is_complete = await bench.ask()
+        self.assertEqual((200, True), (status, is_complete))
+        self.assertEqual(6, body.count(b"id:"))
+
+    async def test_slow_stream_that_goes_on_is_left_alone(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request))
+            for number in range(1, 4):
+                stream.write(entry_bench.event(number))
+                await asyncio.sleep(0.7)
+            stream.write(http_messages.END_OF_CHUNKS)
+
+        bench = await self.start(
+            script, script, repeat=RESUME, is_stream=True, max_upstreams=2, timeout_s=4
+        )
+        self.assertEqual((200, True), (await bench.ask())[::2])
+        self.assertEqual(1, self.count_requests())
+
+    async def test_work_is_not_moved_because_the_router_stood_still(self):
+        """After a pause all upstreams seemed silent; their streams were begun anew."""
+
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await asyncio.sleep(0.1)
+            stream.write(entry_bench.event(2) + http_messages.END_OF_CHUNKS)
+
+        bench = await self.start(
+            script, script, repeat=RESUME, is_stream=True, max_upstreams=2, timeout_s=4
+        )
+        measuring = asyncio.create_task(bench.lag.run())
+        self.addCleanup(measuring.cancel)
+        caller = await bench.connect()
+        caller.send()
+        await caller.receive_until(b"id: 1")
+        asyncio.get_running_loop().call_soon(time.sleep, 1.2)
+        await caller.receive_until(b"id: 2")
+        self.assertEqual(1, self.count_requests())
+        self.assertEqual(200, (await bench.ask("2"))[0])
+
     async def test_stream_that_may_not_be_repeated_is_not_resumed(self):
         script = self.make_stream([4])
         bench = await self.start(
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from teaselsill import loop_lag
@@ -51,3 +52,15 @@
         self.add(0.2, 5)
         self.pass_time(loop_lag.FIRST_HOLD_S + 0.2)
         self.assertFalse(self.lag.is_overloaded)
+
+    def test_what_was_not_heard_in_a_standstill_says_nothing(self):
+        self.assertEqual(math.inf, self.lag.find_running_s(5.0))
+        self.lag.add(0.0, 10.0)
+        long_s = loop_lag.STANDSTILL_S + 0.1
+        self.assertEqual(
+            0.0, self.lag.find_running_s(10.0 + long_s + loop_lag.PERIOD_S)
+        )
+        self.lag.add(long_s, 11.0)
+        self.assertEqual(0.0, self.lag.find_running_s(11.0))
+        self.lag.add(0.01, 11.05)
+        self.assertAlmostEqual(0.05, self.lag.find_running_s(11.05))
