Place and admit prompts by the wait for a free slot as well

Cause: a request at an engine whose batch is full waits until one ends, but only the prompt tokens before it were counted: with 12 slots an engine that had read all its prompts looked idle. Change: slot_wait.py learns how long requests hold a slot of a service; what is ahead of one more request beyond the slots, in turns of that time, counts in the choice of the engine and in admission. Test: a full batch against an engine that still reads; the prediction against a random batch, first come first served.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -8,6 +8,7 @@
     placement,
     prompt_memory,
     routing_table,
+    slot_wait,
     upstream_connection,
     upstream_health,
     upstream_list,
@@ -33,6 +34,7 @@
         self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
         self._candidate_by_life: dict[Life, placement.Candidate] = {}
         self._pool_by_life: dict[Life, upstream_connection.ConnectionPool] = {}
+        self._hold_by_service: dict[ids.ServiceName, slot_wait.HoldTime] = {}
         self._misplaced: set[Life] = set()
 
     def candidates(
@@ -127,6 +129,9 @@
         for pool in self._pool_by_life.values():
             pool.close()
 
+    def _find_hold(self, service: ids.ServiceName) -> slot_wait.HoldTime:
+        return self._hold_by_service.setdefault(service, slot_wait.HoldTime())
+
     def _candidate(self, upstream: upstream_list.Upstream) -> placement.Candidate:
         life = upstream.id, upstream.born_ms
         known = self._candidate_by_life.get(life)
@@ -139,6 +144,7 @@
                 queue=engine_queue.EngineQueue(),
                 memory=prompt_memory.PromptMemory(capacity),
                 health=upstream_health.UpstreamHealth(upstream.id),
+                hold=self._find_hold(upstream.service),
             )
             self._candidate_by_life[life] = known
         known.upstream = upstream
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -282,7 +282,7 @@
     def _note_choice(self, forwarding, choice: placement.Choice, now: float) -> None:
         if not forwarding.call.parts:
             return
-        wait_s = choice.candidate.queue.predict_wait_s(now)
+        wait_s = choice.candidate.predict_wait_s(now)
         self._metrics.predicted_wait_s.observe(wait_s)
         line = forwarding.line
         line.unread_tokens = choice.unread_tokens
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -10,6 +10,7 @@
     engine_queue,
     ids,
     prompt_memory,
+    slot_wait,
     upstream_health,
     upstream_list,
     upstream_load,
@@ -38,6 +39,7 @@
         memory: What it keeps of prompts.
         queue: The prompts that it has still to read.
         health: How it has answered.
+        hold: How long requests hold a slot at the upstreams of its service.
     """
 
     upstream: upstream_list.Upstream
@@ -45,6 +47,19 @@
     memory: prompt_memory.PromptMemory
     queue: engine_queue.EngineQueue
     health: upstream_health.UpstreamHealth
+    hold: slot_wait.HoldTime = dataclasses.field(default_factory=slot_wait.HoldTime)
+
+    def predict_slot_wait_s(self, now: float) -> float:
+        """Returns how long one more request waits there for a free slot, in seconds."""
+        requests = self.load.count(now)
+        return self.hold.predict_wait_s(requests, self.upstream.slots)
+
+    def predict_wait_s(self, now: float) -> float:
+        """Returns how long a prompt waits there before it is read, in seconds.
+
+        The prompts before it are read while it waits for a slot.
+        """
+        return max(self.queue.predict_wait_s(now), self.predict_slot_wait_s(now))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -210,8 +210,7 @@
             outcome = Failed(str(error))
         finally:
             watching.cancel()
-            candidate.load.remove(number)
-            self._view.note_ended(candidate)
+            self._note_ended(candidate, candidate.load.remove(number))
             if outcome is None:
                 connection.abort()
                 self._note_broken_off(forwarding, candidate)
@@ -233,6 +232,11 @@
                 result = upstream_health.Result.ANSWERED
         candidate.health.note(result, self._now())
 
+    def _note_ended(self, candidate, work: upstream_load.Work) -> None:
+        if work.started_at is not None:
+            candidate.hold.note(self._now() - work.started_at)
+        self._view.note_ended(candidate)
+
     def _note_broken_off(self, forwarding, candidate) -> None:
         """Counts an answer against its upstream that was not whole in time.
 
--- /dev/null
+++ b/tests/test_slot_wait.py
@@ -0,0 +1,31 @@
+import random
+import unittest
+
+from teaselsill import slot_wait
+
+SLOTS = 12
+HOLD_S = 1.5
+
+
+class HoldTimeTest(unittest.TestCase):
+    def setUp(self):
+        self.hold = slot_wait.HoldTime()
+        for _ in range(200):
+            self.hold.note(HOLD_S)
+
+    def test_no_wait_while_a_slot_is_free(self):
+        self.assertEqual(0.0, self.hold.predict_wait_s(SLOTS - 1, SLOTS))
+        self.assertEqual(0.0, self.hold.predict_wait_s(1000, 0))
+
+    def test_predicts_the_wait_behind_a_full_batch(self):
+        """Requests that hold a slot for a random time, first come first served."""
+        source = random.Random(3)
+        waits = []
+        for _ in range(2000):
+            ends = sorted(source.expovariate(1 / HOLD_S) for _ in range(SLOTS))
+            for _ in range(3):
+                ends.append(ends.pop(0) + source.expovariate(1 / HOLD_S))
+                ends.sort()
+            waits.append(ends[0])
+        predicted = self.hold.predict_wait_s(SLOTS + 3, SLOTS)
+        self.assertAlmostEqual(sum(waits) / len(waits), predicted, delta=0.1 * HOLD_S)
