Keep prompts in their data centre while work is about even

Cause: placement of prompts had no term for distance, so two of three went to another data centre, with their body and their stream of events. Change: an engine in another data centre counts as 2,000 prompt tokens farther; a shared part that nobody is known to keep has a home in each data centre. What engines elsewhere keep is copied as before.

--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -24,7 +24,9 @@
 """What copying a kept token to another engine costs, relative to reading it."""
 LEAST_FETCHED_TOKENS = 64
 DISTANCE_REQUESTS = 0.5
-"""What another data centre costs, in running requests."""
+"""What another data centre costs a plain call, in running requests."""
+DISTANCE_TOKENS = 2000
+"""What another data centre costs a prompt and its answer, in prompt tokens."""
 SILENCE_S = 0.8
 """An upstream that has work and sends nothing for so long is avoided."""
 
@@ -108,17 +110,19 @@
     sound = [c for c in candidates if not is_doubtful(c, now, running_s)] or candidates
     random.shuffle(sound)
     if call.parts:
-        return _choose_engine(call, sound, now, unseen_tokens / len(sound))
+        spread = unseen_tokens / len(sound)
+        return _choose_engine(call, sound, data_centre, now, spread)
     scores = [_score_plain(c, data_centre, now) for c in sound]
     least = min(scores)
     return Choice(sound[scores.index(least)], 0, least)
 
 
 def find_home(call: calls.Call, candidates: list[Candidate]) -> Candidate | None:
-    """Returns the upstream that all routers take for the home of a shared prompt.
+    """Returns the upstream that routers take for the home of a shared prompt.
 
     The last part of a prompt is the request's own. What comes before is shared, and
-    is kept by one upstream if all routers prefer the same one for it.
+    is kept by one upstream if all routers prefer the same one for it. The routers of a
+    data centre have a home there, so that few prompts and answers leave it.
     """
     if len(call.parts) < 2:
         return None
@@ -148,7 +152,11 @@
 
 
 def _choose_engine(
-    call: calls.Call, candidates: list[Candidate], now: float, spread: float
+    call: calls.Call,
+    candidates: list[Candidate],
+    data_centre: ids.DataCentre,
+    now: float,
+    spread: float,
 ) -> Choice:
     """Returns the engine that has the least to read before the answer begins.
 
@@ -159,7 +167,8 @@
     most = max(held_tokens)
     holder = candidates[held_tokens.index(most)]
     shared = sum(part.tokens for part in call.parts[:-1])
-    home = None if most >= shared else find_home(call, candidates)
+    near = [c for c in candidates if c.upstream.data_centre == data_centre]
+    home = None if most >= shared else find_home(call, near or candidates)
     best = None
     for candidate, held in zip(candidates, held_tokens, strict=True):
         fetched = most - held
@@ -171,6 +180,9 @@
         score = unread + FETCH_RATIO * fetched
         score += candidate.queue.count_planned(now) + spread * random.random()
         score += TOKENS_PER_REQUEST * candidate.load.count(now)
+        if candidate.upstream.data_centre != data_centre:
+            score += DISTANCE_TOKENS
+        score += candidate.predict_slot_wait_s(now) * candidate.queue.rate
         if best is None or score < best.score:
             fetch_from = holder.upstream if fetched else None
             best = Choice(candidate, unread, score, fetch_from)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,9 +16,9 @@
 HERE = ids.DataCentre("a")
 
 
-def make_candidate(name, data_centre="a", memory_tokens=100_000):
+def make_candidate(name, data_centre="a", memory_tokens=100_000, slots=100):
     upstream = test_upstream_list.make_upstream(
-        name, data_centre=ids.DataCentre(data_centre)
+        name, data_centre=ids.DataCentre(data_centre), slots=slots
     )
     return placement.Candidate(
         upstream=upstream,
@@ -105,6 +105,38 @@
         seen = {choose(call, candidates).candidate.upstream.id for _ in range(20)}
         self.assertEqual({"u0"}, seen)
 
+    def test_prompt_stays_in_its_data_centre_while_work_is_about_even(self):
+        call = make_call(("session", 4000), ("own", 1000))
+        near, far = make_candidate("near"), make_candidate("far", "b")
+        far.memory.note_read(call.parts[:1])
+        near.queue.add(500, 0.0)
+        choice = choose(call, [near, far])
+        self.assertIs(near, choice.candidate)
+        self.assertIs(far.upstream, choice.fetch_from)
+        near.queue.add(10_000, 0.0)
+        self.assertIs(far, choose(call, [near, far]).candidate)
+
+    def test_each_data_centre_has_a_home_for_a_shared_part(self):
+        candidates = [make_candidate(f"u{n}", "ab"[n % 2]) for n in range(10)]
+        for number in range(20):
+            call = make_call((f"s{number}", 4000), ("own", 1000))
+            home = choose(call, candidates).candidate
+            self.assertEqual(HERE, home.upstream.data_centre)
+            self.assertIs(home, placement.find_home(call, candidates[::2]))
+
+    def test_full_batch_is_no_idle_engine(self):
+        """Twelve long answers run at an engine that has read all of their prompts."""
+        call = make_call(("session", 4000), ("own", 1000))
+        full, reading = (make_candidate(name, slots=12) for name in ("full", "reading"))
+        full.memory.note_read(call.parts[:1])
+        for number in range(12):
+            full.load.add(upstream_load.Work(0, 0.0))
+            if number < 8:
+                reading.load.add(upstream_load.Work(0, 0.0))
+        reading.queue.add(5000, 0.0)
+        self.assertIs(reading, choose(call, [full, reading]).candidate)
+        self.assertGreater(full.predict_wait_s(0.0), 0.05)
+
     def test_silent_upstream_is_avoided(self):
         silent, other = make_candidate("silent"), make_candidate("other")
         silent.load.add(upstream_load.Work(10, 0.0))
