--- a/teaselsill/request_line.py
+++ b/teaselsill/request_line.py
@@ -36,6 +36,8 @@
         wait_ms: How long the prompt was expected to wait there, in milliseconds.
         copied_from: The engine that it was told to copy a part of the prompt from.
         peers: How many other routers had been heard of late.
+        quiet_ms: How long nothing of the answer had come when it was broken off, in
+            milliseconds.
     """
 
     request: str = ""
@@ -53,6 +55,7 @@
     wait_ms: float = 0.0
     copied_from: ids.UpstreamId | None = None
     peers: int = 0
+    quiet_ms: float = 0.0
 
     def write(self, logger: logging.Logger) -> None:
         """Writes the line without the fields that say nothing.
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -213,7 +213,7 @@
             self._note_ended(candidate, candidate.load.remove(number))
             if outcome is None:
                 connection.abort()
-                self._note_broken_off(forwarding, candidate)
+                self._note_broken_off(forwarding, candidate, work)
         self._note_outcome(forwarding, candidate, outcome)
         self._directory.pool(target).put(connection)
         return outcome
@@ -237,12 +237,14 @@
             candidate.hold.note(self._now() - work.started_at)
         self._view.note_ended(candidate)
 
-    def _note_broken_off(self, forwarding, candidate) -> None:
+    def _note_broken_off(self, forwarding, candidate, work) -> None:
         """Counts an answer against its upstream that was not whole in time.
 
         Before the deadline it was broken off because the caller has left.
         """
         now = self._now()
+        last_at = work.progressed_at or work.started_at or work.sent_at
+        forwarding.line.quiet_ms = round(1000 * (now - last_at), 1)
         if now >= forwarding.deadline:
             candidate.health.note(upstream_health.Result.FAILED, now)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -476,6 +476,23 @@
 
 
 class LeavingCallerTest(ForwardingCase):
+    async def test_log_tells_how_long_nothing_had_come(self):
+        go_on = asyncio.Event()
+        bench = await self.start(
+            entry_bench.stream_until(go_on), is_stream=True, timeout_s=30.0
+        )
+        caller = await bench.connect()
+        with self.assertLogs("teaselsill.forwarding", "WARNING") as logs:
+            caller.send()
+            await caller.receive_until(b"id: 1")
+            await asyncio.sleep(0.1)
+            caller.leave()
+            await self.upstreams[0].wait_cut()
+            await asyncio.sleep(0.05)
+        (record,) = logs.records
+        self.assertEqual("caller-gone", record.ending)
+        self.assertGreaterEqual(record.quiet_ms, 100)
+
     async def test_upstream_stops_when_the_caller_leaves(self):
         began = asyncio.Event()
 
