Draw two routers for a connection that is handed over, and take the freer one

Cause: by reports that are a third of a second old, every flooded router of a data centre chose the same least loaded one: 600 of 600 choices in the replay. Change: the one with less to do of two drawn at random; less than a quarter of the choices fall on one of twelve, and the least loaded is still taken most often. Test: test_offload.ChooseTest, seen failing first.

--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -8,11 +8,14 @@
 import collections.abc
 import logging
 import math
+import random
 
 from teaselsill import fleet_view, ids, loop_lag, peer_reports, relay, tcp_stream
 
 LOAD_RATIO = 0.5
 """Only a router with less than this part of the own load takes a connection."""
+DRAWN = 2
+"""How many routers are drawn for each choice."""
 RELAY_COST = 0.25
 """What a connection costs that another router serves, relative to an own request."""
 CHOICE_LIFE_S = 0.05
@@ -31,7 +34,9 @@
 ) -> ids.InstanceId | None:
     """Returns the router that should serve a new connection instead, or none.
 
-    Routers of the same data centre go first, since bytes between data centres cost.
+    Routers of the same data centre go first, since bytes between data centres cost. Of
+    two that are drawn at random the one with less to do is taken: with old reports, the
+    least loaded of all would be chosen by every router at once.
 
     Args:
         own: The load of this router.
@@ -44,7 +49,9 @@
         if status.takes_connections and status.load < most_load
     ]
     near = [r for r in able if others[r].data_centre == own.data_centre]
-    return min(near or able, key=lambda r: others[r].load, default=None)
+    eligible = near or able
+    drawn = random.sample(eligible, min(DRAWN, len(eligible)))
+    return min(drawn, key=lambda r: others[r].load, default=None)
 
 
 class Offloader:
--- a/tests/test_offload.py
+++ b/tests/test_offload.py
@@ -1,3 +1,5 @@
+import collections
+import random
 import unittest
 
 from teaselsill import ids, offload
@@ -31,6 +33,15 @@
         others = name_all(make_status("a", 300.0), make_status("b", 250.0))
         self.assertIsNone(offload.choose(make_status("a", 400.0), others))
 
+    def test_routers_that_know_the_same_do_not_all_choose_the_same(self):
+        """Several flooded routers go by reports that are a third of a second old."""
+        random.seed(1)
+        others = name_all(*(make_status(load=load) for load in range(12)))
+        chosen = [offload.choose(make_status(load=400.0), others) for _ in range(600)]
+        counts = collections.Counter(chosen)
+        self.assertLess(max(counts.values()), 0.25 * len(chosen))
+        self.assertGreater(counts["r0"], counts["r8"])
+
     def test_flood_spreads_until_the_loads_are_alike(self):
         """Replays a flood at a slow router beside one as slow and a fast one."""
         cores_by_router = {"slow": 0.4, "fast": 2.0}
