Answer what was just accepted when a planned stop begins to refuse connections

Cause, shown by a test that sends a request in the moment at which the listening address is closed: connections in the accept queue were reset by the operating system, and a connection whose first request had not been read yet counted as idle and was closed. Change: closing an address first accepts what has come; a new connection counts as busy for 1 s until its first request; the stop waits for connections being set up. Test: StopTest.test_request_that_was_just_accepted_is_answered, a reset seen first.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -23,6 +23,8 @@
 }
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_VERSION_WITHOUT_CHUNKS = "1.0"
+FIRST_REQUEST_S = 1.0
+"""A new connection's first request is taken to be on its way for so long."""
 
 logger = logging.getLogger(__name__)
 
@@ -140,7 +142,7 @@
             was not announced, as long as no other request has come.
 
     Attributes:
-        is_idle: Whether no request is being received or answered.
+        is_idle: Whether no request is being received or answered, or will come at once.
     """
 
     def __init__(
@@ -158,13 +160,17 @@
         self._must_close = must_close
         self._parser: http_messages.RequestParser | None = None
         self._is_answering = False
+        self._has_answered = False
+        self._opened_at = _now()
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or answered."""
+        """Whether no request is being received or answered, or will come at once."""
         if self._is_answering or self._stream.has_unread:
             return False
-        return self._parser is None or not self._parser.is_midway
+        if self._parser is not None and self._parser.is_midway:
+            return False
+        return self._has_answered or _now() - self._opened_at > FIRST_REQUEST_S
 
     def close(self) -> None:
         """Closes the connection."""
@@ -200,6 +206,7 @@
             await self._answer(request, answer)
         finally:
             self._is_answering = False
+            self._has_answered = True
         if answer.progress is not Progress.WHOLE or not answer.keeps_open:
             return False
         return self._stream.has_unread or not self._must_close()
@@ -269,3 +276,7 @@
         headers = [("content-length", "0"), ("connection", "close")]
         self._stream.write(http_messages.encode_head(status, reason, headers))
         await self._stream.drain()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -226,7 +226,8 @@
         self._forwarder.is_stopping = True
         while self._now() < deadline:
             self._close_idle()
-            if not self._tasks:
+            is_accepting = any(known.is_accepting for known in self._listeners)
+            if not self._tasks and not is_accepting:
                 break
             await asyncio.sleep(STOP_CHECK_S)
         logger.info(
--- a/teaselsill/listener.py
+++ b/teaselsill/listener.py
@@ -56,11 +56,21 @@
         """The host and port."""
         return self._socket.getsockname()[:2]
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether there are connections that `on_stream` will get without a wait."""
+        return bool(self._connecting)
+
     def close(self) -> None:
-        """Accepts nothing more."""
+        """Accepts what has come until now, and nothing more.
+
+        The operating system would reset the connections that wait to be accepted.
+        """
         if self._socket.fileno() < 0:
             return
         self._loop.remove_reader(self._socket)
+        self._accept_waiting()
+        self._loop.remove_reader(self._socket)
         self._socket.close()
 
     def _resume(self) -> None:
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -1,5 +1,7 @@
 import asyncio
+import socket
 import unittest
+import unittest.mock
 
 from teaselsill import caller_connection, http_messages, tcp_stream
 from tests import entry_bench
@@ -49,6 +51,31 @@
         with self.assertRaises(tcp_stream.ConnectionFailedError):
             await bench.connect()
 
+    async def test_request_that_was_just_accepted_is_answered(self):
+        """Connections that had come a moment before were closed unread."""
+        for ticks in range(6):
+            with self.subTest(ticks=ticks):
+                bench = await self.start()
+                with unittest.mock.patch.object(
+                    entry_bench.entry_router, "LISTEN_AFTER_STOP_S", 0.0
+                ):
+                    stopping = asyncio.create_task(bench.router.stop())
+                    for _ in range(ticks):
+                        await asyncio.sleep(0)
+                    try:
+                        late = socket.create_connection((entry_bench.HOST, bench.port))
+                    except ConnectionRefusedError:
+                        continue
+                    late.sendall(
+                        b"POST /x/1 HTTP/1.1\r\nhost: a.example\r\nid: 1\r\n\r\n"
+                    )
+                    reading = asyncio.create_task(asyncio.to_thread(late.recv, 100))
+                    async with asyncio.timeout(8.0):
+                        await stopping
+                        bench.router.close()
+                        self.assertRegex(await reading, rb"HTTP/1.1 (200|503) ")
+                late.close()
+
 
 class CallerConnectionTest(EntryCase):
     async def test_many_requests_on_one_connection(self):
