--- a/teaselsill/report_routes.py
+++ b/teaselsill/report_routes.py
@@ -50,17 +50,21 @@
         self.peer_by_id: dict[ids.InstanceId, Peer] = {}
         self._router = router
         self._data_centre = data_centre
+        self._rank_by_id: dict[ids.InstanceId, bytes] = {}
         self._ranked_by_data_centre: dict[ids.DataCentre, list[ids.InstanceId]] = {}
 
     def put(self, peer: Peer) -> None:
         """Takes another router, or its new address."""
         self.peer_by_id[peer.id] = peer
-        self._rank()
+        if peer.id not in self._rank_by_id:
+            self._rank_by_id[peer.id] = self._find_rank(peer.id)
+        self._sort()
 
     def remove(self, peer: ids.InstanceId) -> None:
         """Forgets a router that has left."""
         self.peer_by_id.pop(peer, None)
-        self._rank()
+        self._rank_by_id.pop(peer, None)
+        self._sort()
 
     def list_near(self) -> list[ids.InstanceId]:
         """Returns the other routers of the own data centre."""
@@ -80,12 +84,12 @@
             if data_centre != self._data_centre
         ]
 
-    def _rank(self) -> None:
+    def _sort(self) -> None:
         self._ranked_by_data_centre = {}
-        for peer in sorted(self.peer_by_id.values(), key=self._find_rank):
-            ranked = self._ranked_by_data_centre.setdefault(peer.data_centre, [])
-            ranked.append(peer.id)
+        for peer in sorted(self.peer_by_id, key=self._rank_by_id.__getitem__):
+            data_centre = self.peer_by_id[peer].data_centre
+            self._ranked_by_data_centre.setdefault(data_centre, []).append(peer)
 
-    def _find_rank(self, peer: Peer) -> bytes:
-        text = f"{self._router}/{peer.id}".encode()
+    def _find_rank(self, peer: ids.InstanceId) -> bytes:
+        text = f"{self._router}/{peer}".encode()
         return hashlib.blake2b(text, digest_size=8).digest()
