Count what engines can do in the cost of requests, for what is beyond the shares

Cause: what engines can do was their prompt tokens a second, what accounts use is the cost of whole requests: with the parts of prompts that engines keep and twice what they generate. Change: the capacity beyond the stated one is the engines' rate times the relation of cost to tokens read, of late, at most 3. Severity stays as it was. Test: test_what_engines_keep_of_prompts_is_no_work_for_them, seen failing first.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -9,6 +9,9 @@
 RECENT_S = 0.1
 """How long computed figures are used again."""
 LEAST_TOKENS = 1.0
+LEAST_UNREAD_TOKENS = 10_000
+"""With fewer, nothing is told from their relation to the cost."""
+MAX_COST_RATIO = 3.0
 TRIES = 2
 """How often a caller tries: what was rejected comes back and is asked for again."""
 
@@ -20,7 +23,7 @@
         capacity: What is shared out in the time that counts, in tokens. While less than
             this is asked for, nobody has more than its share. 0 if it is unknown: then
             what has been admitted is shared out.
-        engine_capacity: What the engines are estimated to do in that time, in tokens.
+        engine_capacity: How many prompt tokens engines can read in that time.
     """
 
     def __init__(self):
@@ -28,6 +31,7 @@
         self.engine_capacity = 0.0
         self._asked_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._admitted_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
+        self._unread = decaying_sum.DecayingSum(MEMORY_S)
         self._level = math.inf
         self._possible_level = math.inf
         self._excess = 0.0
@@ -47,6 +51,15 @@
         _add(self._asked_by_account, account, asked, now)
         _add(self._admitted_by_account, account, admitted, now)
 
+    def add_unread(self, tokens: int, now: float) -> None:
+        """Takes note of prompt tokens that an engine has to read for what it was sent.
+
+        Args:
+            tokens: How many; what it keeps of a prompt is not read.
+            now: The time, in seconds.
+        """
+        self._unread.add(tokens, now)
+
     def find_ratio(self, account: ids.AccountId, now: float) -> float:
         """Returns what an account has been given, relative to its max-min share.
 
@@ -87,11 +100,22 @@
         given = self.capacity or admitted
         self._level = max(LEAST_TOKENS, find_level(asked, given))
         possible = max(admitted, self.engine_capacity, LEAST_TOKENS)
-        most = max(given, self.engine_capacity)
+        cost_ratio = self._find_cost_ratio(admitted, now)
+        most = max(given, self.engine_capacity * cost_ratio)
         self._possible_level = max(LEAST_TOKENS, find_level(asked, most))
         wanted = admitted + (sum(asked) - admitted) / TRIES
         self._excess = max(0.0, wanted / possible - 1.0)
 
+    def _find_cost_ratio(self, admitted: float, now: float) -> float:
+        """Returns the cost of what was sent, relative to the tokens to read for it.
+
+        The cost holds what engines keep of the prompts, and what they generate.
+        """
+        unread = self._unread.read(now)
+        if unread < LEAST_UNREAD_TOKENS:
+            return 1.0
+        return min(MAX_COST_RATIO, max(1.0, admitted / unread))
+
 
 def find_level(demands: list[float], capacity: float) -> float:
     """Returns the largest share that no demand needs to exceed.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -111,6 +111,17 @@
         self.assertFalse(self.is_admitted(HEAVY))
         self.assertTrue(self.is_admitted(LIGHT))
 
+    def test_what_engines_keep_of_prompts_is_no_work_for_them(self):
+        """They were taken to be full by the cost of prompts that they hardly read."""
+        self.usage.capacity = 10 * TOKENS
+        self.usage.engine_capacity = 15 * TOKENS
+        self.usage.add(HEAVY, 100 * TOKENS, 25 * TOKENS, 0.0)
+        self.usage.add(LIGHT, 2 * TOKENS, 2 * TOKENS, 0.0)
+        self.candidate.queue.add(3000, 0.0)
+        self.assertFalse(self.is_admitted(HEAVY))
+        self.usage.add_unread(13 * TOKENS, 0.0)
+        self.assertTrue(self.is_admitted(HEAVY, account_usage.RECENT_S + 0.01))
+
     def test_what_nobody_else_wants_is_shared_evenly_among_floods(self):
         self.usage.capacity = 10 * TOKENS
         self.usage.engine_capacity = 30 * TOKENS
