Have one router read the routers' entries for all

Cause: each router read the list of routers by itself, at once after each change and every 25 s: a start of 68 or a rolling restart of 27 is read 68 times over. Change: as with the servers' entries, the first router in the order of names reads and tells; another reads if it was told nothing for 5 s and its turn. Test: test_one_router_reads_the_routers_entries_for_all.

--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -7,9 +7,17 @@
 import unittest
 
 import msgspec
-from adapter import router_role, settings
-
-from teaselsill import http_messages, listener, retry_budget, tcp_stream
+from adapter import router_role, settings, views
+
+from teaselsill import (
+    http_messages,
+    ids,
+    keyed_log,
+    listener,
+    peer_reports,
+    retry_budget,
+    tcp_stream,
+)
 from tests import entry_bench, test_peer_links
 from tests.adapter import store_bench, test_manifest, test_settings
 
@@ -177,6 +185,21 @@
         self.assertEqual(0.0, role._find_servers_wait_s())
         self.assertLess(alone_s, 0.5)
 
+    async def test_one_router_reads_the_routers_entries_for_all(self):
+        role = self.make_role()
+        self.assertGreater(role._find_peers_wait_s(), 0.0)
+        role._view.apply(test_peer_links.make_report("a"))
+        self.assertEqual(0.0, role._find_peers_wait_s())
+        self.assertGreaterEqual(role._find_peers_pause_s(), router_role.PEERS_BLIND_S)
+        role._peers_follower._next = ids.Offset(4)
+        entry = msgspec.json.encode(views.RouterEntry(f"{HOST}:7", "b"))
+        change = keyed_log.Change(ids.Offset(4), "edge-2", entry)
+        update = keyed_log.Update(ids.Offset(4), ids.Offset(5), [change], 0.0)
+        reading = peer_reports.Reading(update, age_s=0.1)
+        role._hear_reading(router_role.ROUTERS_TOPIC, reading)
+        self.assertIn("edge-2", role._links._routes.peer_by_id)
+        role._links.close()
+
     async def test_log_that_changes_all_the_time_is_read_now_and_then(self):
         role = self.make_role()
         bounds = msgspec.structs.replace(role._settings.bounds, drain_ms=0.0)
