--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -20,7 +20,7 @@
 """What another running request slows a prompt down, in prompt tokens."""
 LONG_PROMPT_TOKENS = 16_000
 """Reading so many tokens holds up the events of all answers that run there."""
-TOKENS_PER_HELD_UP = 10_000
+TOKENS_PER_HELD_UP = 3_000
 """What each answer costs that a long prompt holds up, in prompt tokens."""
 HOME_RATIO = 0.9
 """The part of a prompt's shared tokens that its home upstream is taken to hold."""
