Part the decision to try elsewhere from the sending; blame only what is endless

Found by reading the change again. moving_on.py holds when a request is better sent elsewhere, without input or output; the score of an engine has a function of its own.

--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -181,20 +181,32 @@
         if candidate is home and not fetched:
             held = max(held, int(HOME_RATIO * shared))
         unread = max(0, call.prompt_tokens - held - fetched)
-        score = unread + FETCH_RATIO * fetched
-        score += candidate.queue.count_planned(now) + spread * random.random()
-        is_long = unread >= LONG_PROMPT_TOKENS
-        tokens_per_request = TOKENS_PER_HELD_UP if is_long else TOKENS_PER_REQUEST
-        score += tokens_per_request * candidate.load.count(now)
+        score = unread + FETCH_RATIO * fetched + spread * random.random()
+        score += _score_engine(candidate, unread, now)
         if candidate.upstream.data_centre != data_centre:
             score += DISTANCE_TOKENS
-        score += candidate.predict_slot_wait_s(now) * candidate.queue.rate
         if best is None or score < best.score:
             fetch_from = holder.upstream if fetched else None
             best = Choice(candidate, unread, score, fetch_from)
     return best
 
 
+def _score_engine(candidate: Candidate, unread: int, now: float) -> float:
+    """Returns what the work at an engine costs one more prompt, and the prompt it.
+
+    Args:
+        candidate: The engine.
+        unread: How many tokens of the prompt it would have to read.
+        now: The time, in seconds.
+    """
+    is_long = unread >= LONG_PROMPT_TOKENS
+    tokens_per_request = TOKENS_PER_HELD_UP if is_long else TOKENS_PER_REQUEST
+    requests = candidate.load.count(now)
+    slot_wait_tokens = candidate.predict_slot_wait_s(now) * candidate.queue.rate
+    planned = candidate.queue.count_planned(now)
+    return planned + tokens_per_request * requests + slot_wait_tokens
+
+
 def home_rank(part: calls.PromptPart, upstream: upstream_list.Upstream) -> int:
     """Returns an upstream's rank for a prompt part, which all routers agree on."""
     text = f"{part.id}/{upstream.id}/{upstream.born_ms}".encode()
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -14,6 +14,7 @@
     http_messages,
     ids,
     loop_lag,
+    moving_on,
     placement,
     request_line,
     routing_table,
@@ -31,13 +32,6 @@
 """A connection that was idle for longer is not used for a request."""
 MAX_IDLE_UNREPEATABLE_S = 1.0
 """The same for a request that cannot be sent again if the connection turns out dead."""
-SLOW_RATIO = 2.5
-"""A repeatable call is tried elsewhere after so many times its objective."""
-MIN_SLOW_S = 0.3
-STALL_PAUSES = 6.0
-"""A stream is stalled after so many times the longest pause that is on time."""
-MIN_STALL_S = 1.5
-"""A pause is no stall before that; callers abandon a stream after 2 s or more."""
 FIRST_REDIRECT_STATUS = 300
 FIRST_FAILURE_STATUS = 500
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
@@ -238,14 +232,15 @@
         self._view.note_ended(candidate)
 
     def _note_broken_off(self, forwarding, candidate, work) -> None:
-        """Counts an answer against its upstream that was not whole in time.
+        """Takes note of an answer that was broken off at its deadline or before.
 
-        Before the deadline it was broken off because the caller has left.
+        Before the deadline that was because the caller has left.
         """
         now = self._now()
         last_at = work.progressed_at or work.started_at or work.sent_at
         forwarding.line.quiet_ms = round(1000 * (now - last_at), 1)
-        if now >= forwarding.deadline:
+        is_late = now >= forwarding.deadline
+        if is_late and moving_on.is_endless(forwarding.route, work, now):
             candidate.health.note(upstream_health.Result.FAILED, now)
 
     async def _connect(
@@ -320,15 +315,14 @@
         if forwarding.possible_runs >= forwarding.route.max_upstreams:
             return False
         now = self._now()
-        running_s = self._lag.find_running_s(now)
-        is_silent = candidate.load.is_silent(now, placement.SILENCE_S)
-        if is_silent and running_s > placement.SILENCE_S:
-            return True
-        if forwarding.route.is_stream:
-            stall_s = find_stall_s(forwarding.route)
-            return running_s > stall_s and work.has_stalled(now, stall_s)
-        waited_s = now - forwarding.call.received_at
-        return waited_s > max(MIN_SLOW_S, SLOW_RATIO * forwarding.route.objective_s)
+        return moving_on.should_move_on(
+            forwarding.route,
+            candidate.load,
+            work,
+            now - forwarding.call.received_at,
+            now,
+            self._lag.find_running_s(now),
+        )
 
     async def _start(self, forwarding, candidate, connection, head) -> Outcome | None:
         """Begins the answer to the caller, or returns why this one is not taken."""
@@ -380,11 +374,6 @@
         return asyncio.get_running_loop().time()
 
 
-def find_stall_s(route: routing_table.Route) -> float:
-    """Returns after how long without an event a stream has stalled, in seconds."""
-    return max(MIN_STALL_S, STALL_PAUSES * route.pause_s)
-
-
 def _skip_rest(parts, connection) -> None:
     """Keeps a connection whose refused answer has been received as a whole."""
     if not any(isinstance(part, http_messages.End) for part in parts):
