--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -16,6 +16,7 @@
     http_messages,
     ids,
     loop_lag,
+    outcomes,
     placement,
     rejections,
     request_line,
@@ -176,7 +177,7 @@
         line.account = account
         line.version = table.version
         limit_s = calls.find_limit_s(call, route)
-        forwarding = upstream_attempt.Forwarding(
+        forwarding = outcomes.Forwarding(
             call=call,
             route=route,
             service=service,
@@ -219,7 +220,7 @@
             )
         return account
 
-    async def _try_upstreams(self, forwarding: upstream_attempt.Forwarding) -> None:
+    async def _try_upstreams(self, forwarding: outcomes.Forwarding) -> None:
         """Sends a request until it is answered or nothing more may be tried.
 
         Raises:
@@ -230,16 +231,16 @@
             choice = self._choose(forwarding)
             outcome = await self._sender.attempt(forwarding, choice)
             match outcome:
-                case upstream_attempt.Delivered():
+                case outcomes.Delivered():
                     return
-                case upstream_attempt.Unsent(reason=reason):
+                case outcomes.Unsent(reason=reason):
                     unreachable += 1
                     if unreachable >= MAX_CONNECT_TRIES:
                         self._give_up(forwarding, rejections.Cause.NO_UPSTREAM, reason)
-                case upstream_attempt.NotRun(reason=reason):
+                case outcomes.NotRun(reason=reason):
                     if not self._may_send_again(forwarding):
                         self._give_up(forwarding, rejections.Cause.NOT_TAKEN, reason)
-                case upstream_attempt.Failed(reason=reason):
+                case outcomes.Failed(reason=reason):
                     if not self._may_run_again(forwarding):
                         self._give_up(
                             forwarding, rejections.Cause.ANSWER_FAILED, reason
@@ -257,7 +258,7 @@
                 },
             )
 
-    def _choose(self, forwarding: upstream_attempt.Forwarding) -> placement.Choice:
+    def _choose(self, forwarding: outcomes.Forwarding) -> placement.Choice:
         now = self._now()
         candidates = self._directory.candidates(forwarding.service, forwarding.excluded)
         choice = placement.choose(
@@ -290,7 +291,7 @@
         line.copied_from = choice.fetch_from.id if choice.fetch_from else None
 
     def _give_up_without_upstream(
-        self, forwarding: upstream_attempt.Forwarding, now: float
+        self, forwarding: outcomes.Forwarding, now: float
     ) -> None:
         """Ends a request for which no upstream is left.
 
@@ -304,9 +305,7 @@
             )
         self._give_up(forwarding, rejections.Cause.NO_UPSTREAM, "no upstream is left")
 
-    def _give_up(
-        self, forwarding: upstream_attempt.Forwarding, cause, reason: str
-    ) -> None:
+    def _give_up(self, forwarding: outcomes.Forwarding, cause, reason: str) -> None:
         """Ends a request with what is true of all that was tried.
 
         Raises:
@@ -319,17 +318,17 @@
         )
         raise rejections.RejectedError(cause, reason, wait_s)
 
-    def _may_send_again(self, forwarding: upstream_attempt.Forwarding) -> bool:
+    def _may_send_again(self, forwarding: outcomes.Forwarding) -> bool:
         """Spends a retry on a request that has not run."""
         return self._spend_retry(forwarding, "not run")
 
-    def _may_run_again(self, forwarding: upstream_attempt.Forwarding) -> bool:
+    def _may_run_again(self, forwarding: outcomes.Forwarding) -> bool:
         """Spends a retry on a request that may have run, if it may run again."""
         if not forwarding.may_run_elsewhere:
             return False
         return self._spend_retry(forwarding, "failed")
 
-    def _spend_retry(self, forwarding: upstream_attempt.Forwarding, why: str) -> bool:
+    def _spend_retry(self, forwarding: outcomes.Forwarding, why: str) -> bool:
         budget = self._budget_of(forwarding.service.name)
         if budget.spend(self._now(), self._count_routers()):
             return True
--- a/teaselsill/moving_on.py
+++ b/teaselsill/moving_on.py
@@ -48,7 +48,7 @@
 def is_endless(
     route: routing_table.Route, work: upstream_load.Work, now: float
 ) -> bool:
-    """Tells whether an answer that is not whole at its deadline is the upstream's fault.
+    """Tells whether the upstream is to blame for an answer not whole at its deadline.
 
     A stream that goes on, or an answer that has not begun, had too little time.
     """
--- /dev/null
+++ b/teaselsill/outcomes.py
@@ -0,0 +1,115 @@
+"""A caller's request under way, and what may come of one try at an upstream."""
+
+import dataclasses
+
+from teaselsill import (
+    boot_clock,
+    caller_connection,
+    calls,
+    event_stream,
+    ids,
+    request_line,
+    routing_table,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivered:
+    """The caller has the whole answer.
+
+    Attributes:
+        status: Its status.
+    """
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsent:
+    """The upstream could not be reached: it has not seen the request."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The upstream has refused the request and states that it has not run."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """There is no whole answer; the request may have run."""
+
+    reason: str
+
+
+Outcome = Delivered | Unsent | NotRun | Failed
+
+
+NO_NOTES = calls.AnswerNotes()
+
+
+@dataclasses.dataclass(slots=True)
+class Forwarding:
+    """A request under way.
+
+    Attributes:
+        call: The request.
+        route: Its route.
+        service: The service that it goes to.
+        account: The client account; none for a public route.
+        answer: The answer to the caller.
+        deadline: When it must have its answer, on the event loop's clock, in seconds.
+        boot_deadline: The same on the boot clock, which goes on while the router is
+            suspended.
+        events: Cuts the answer into events if it can be resumed.
+        excluded: The upstreams that do not get it any more.
+        sends: How many times it was sent.
+        possible_runs: How many upstreams may have run it.
+        line: Its log line.
+        notes: What the last answer's head says.
+    """
+
+    call: calls.Call
+    route: routing_table.Route
+    service: routing_table.Service
+    account: ids.AccountId | None
+    answer: caller_connection.CallerAnswer
+    deadline: float
+    boot_deadline: float
+    events: event_stream.EventCutter
+    line: request_line.RequestLine
+    notes: calls.AnswerNotes = NO_NOTES
+    excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    possible_runs: int = 0
+
+    def find_left_s(self, now: float) -> float:
+        """Returns how long there is for the answer, in seconds.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        return min(self.deadline - now, self.boot_deadline - boot_clock.now())
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has got a part of an answer."""
+        return self.answer.progress is not caller_connection.Progress.NOTHING
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether another upstream may run it although one may have run it."""
+        match self.route.repeat:
+            case routing_table.Repeat.FREELY:
+                return not self.has_begun
+            case routing_table.Repeat.RESUME:
+                return True
+        return False
+
+    @property
+    def may_run_elsewhere(self) -> bool:
+        """Whether it is repeatable, and its route allows another upstream."""
+        return self.is_repeatable and self.possible_runs < self.route.max_upstreams
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -4,19 +4,16 @@
 import dataclasses
 
 from teaselsill import (
-    boot_clock,
-    caller_connection,
     calls,
     directory,
     entry_metrics,
     event_stream,
     fleet_view,
     http_messages,
-    ids,
     loop_lag,
     moving_on,
+    outcomes,
     placement,
-    request_line,
     routing_table,
     tcp_stream,
     upstream_connection,
@@ -38,108 +35,6 @@
 """Statuses that tell a caller that its request has not run."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Delivered:
-    """The caller has the whole answer.
-
-    Attributes:
-        status: Its status.
-    """
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unsent:
-    """The upstream could not be reached: it has not seen the request."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
-    """The upstream has refused the request and states that it has not run."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """There is no whole answer; the request may have run."""
-
-    reason: str
-
-
-Outcome = Delivered | Unsent | NotRun | Failed
-
-
-NO_NOTES = calls.AnswerNotes()
-
-
-@dataclasses.dataclass(slots=True)
-class Forwarding:
-    """A request under way.
-
-    Attributes:
-        call: The request.
-        route: Its route.
-        service: The service that it goes to.
-        account: The client account; none for a public route.
-        answer: The answer to the caller.
-        deadline: When it must have its answer, on the event loop's clock, in seconds.
-        boot_deadline: The same on the boot clock, which goes on while the router is
-            suspended.
-        events: Cuts the answer into events if it can be resumed.
-        excluded: The upstreams that do not get it any more.
-        sends: How many times it was sent.
-        possible_runs: How many upstreams may have run it.
-        line: Its log line.
-        notes: What the last answer's head says.
-    """
-
-    call: calls.Call
-    route: routing_table.Route
-    service: routing_table.Service
-    account: ids.AccountId | None
-    answer: caller_connection.CallerAnswer
-    deadline: float
-    boot_deadline: float
-    events: event_stream.EventCutter
-    line: request_line.RequestLine
-    notes: calls.AnswerNotes = NO_NOTES
-    excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    possible_runs: int = 0
-
-    def find_left_s(self, now: float) -> float:
-        """Returns how long there is for the answer, in seconds.
-
-        Args:
-            now: The event loop's time, in seconds.
-        """
-        return min(self.deadline - now, self.boot_deadline - boot_clock.now())
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether the caller has got a part of an answer."""
-        return self.answer.progress is not caller_connection.Progress.NOTHING
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Whether another upstream may run it although one may have run it."""
-        match self.route.repeat:
-            case routing_table.Repeat.FREELY:
-                return not self.has_begun
-            case routing_table.Repeat.RESUME:
-                return True
-        return False
-
-    @property
-    def may_run_elsewhere(self) -> bool:
-        """Whether it is repeatable, and its route allows another upstream."""
-        return self.is_repeatable and self.possible_runs < self.route.max_upstreams
-
-
 class Sender:
     """Sends requests to upstreams and their answers to callers.
 
@@ -166,8 +61,8 @@
         self._lag = lag
 
     async def attempt(
-        self, forwarding: Forwarding, choice: placement.Choice
-    ) -> Outcome:
+        self, forwarding: outcomes.Forwarding, choice: placement.Choice
+    ) -> outcomes.Outcome:
         """Sends a request to one upstream and its answer to the caller."""
         candidate = choice.candidate
         target = candidate.upstream
@@ -176,7 +71,7 @@
             connection = await self._connect(forwarding, target)
         except tcp_stream.ConnectionFailedError as error:
             candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
-            return Unsent(str(error))
+            return outcomes.Unsent(str(error))
         forwarding.line.upstreams.append(target.id)
         forwarding.sends += 1
         forwarding.possible_runs += 1
@@ -198,10 +93,10 @@
             self._send(forwarding, choice, connection, now)
             outcome = await self._relay(forwarding, candidate, connection, number)
         except upstream_connection.AnswerFailedError as error:
-            outcome = Failed(str(error))
+            outcome = outcomes.Failed(str(error))
         except event_stream.EventTooLargeError as error:
             connection.abort()
-            outcome = Failed(str(error))
+            outcome = outcomes.Failed(str(error))
         finally:
             watching.cancel()
             self._note_ended(candidate, candidate.load.remove(number))
@@ -212,15 +107,15 @@
         self._directory.pool(target).put(connection)
         return outcome
 
-    def _note_outcome(self, forwarding, candidate, outcome: Outcome) -> None:
+    def _note_outcome(self, forwarding, candidate, outcome: outcomes.Outcome) -> None:
         match outcome:
-            case NotRun():
+            case outcomes.NotRun():
                 forwarding.possible_runs -= 1
                 result = upstream_health.Result.FAILED
-            case Failed():
+            case outcomes.Failed():
                 forwarding.events.drop_rest()
                 result = upstream_health.Result.FAILED
-            case Delivered(status=status) if status >= FIRST_FAILURE_STATUS:
+            case outcomes.Delivered(status=status) if status >= FIRST_FAILURE_STATUS:
                 result = upstream_health.Result.FAILED
             case _:
                 result = upstream_health.Result.ANSWERED
@@ -244,7 +139,7 @@
             candidate.health.note(upstream_health.Result.FAILED, now)
 
     async def _connect(
-        self, forwarding: Forwarding, target: upstream_list.Upstream
+        self, forwarding: outcomes.Forwarding, target: upstream_list.Upstream
     ) -> upstream_connection.UpstreamConnection:
         is_once = forwarding.route.repeat is routing_table.Repeat.NEVER
         max_idle_s = MAX_IDLE_UNREPEATABLE_S if is_once else MAX_IDLE_S
@@ -255,7 +150,9 @@
             target.host, target.port, CONNECT_TIMEOUT_S
         )
 
-    def _send(self, forwarding: Forwarding, choice, connection, now: float) -> None:
+    def _send(
+        self, forwarding: outcomes.Forwarding, choice, connection, now: float
+    ) -> None:
         call = forwarding.call
         message = call.message
         last_event = forwarding.events.last_event
@@ -277,7 +174,9 @@
 
         connection.send(message.method, request, is_expected)
 
-    async def _relay(self, forwarding, candidate, connection, number) -> Outcome:
+    async def _relay(
+        self, forwarding, candidate, connection, number
+    ) -> outcomes.Outcome:
         """Passes an answer on, part by part.
 
         Raises:
@@ -300,7 +199,7 @@
                     case http_messages.End():
                         await forwarding.answer.write(forwarding.events.take_rest())
                         await forwarding.answer.end()
-                        return Delivered(forwarding.answer.status)
+                        return outcomes.Delivered(forwarding.answer.status)
 
     async def _watch(self, forwarding, candidate, work, connection) -> None:
         """Ends a try once another upstream is better asked."""
@@ -310,7 +209,7 @@
                 connection.abort("the upstream is silent or slow")
                 return
 
-    def _should_move_on(self, forwarding: Forwarding, candidate, work) -> bool:
+    def _should_move_on(self, forwarding: outcomes.Forwarding, candidate, work) -> bool:
         """Tells whether a request is better sent to another upstream now."""
         if forwarding.possible_runs >= forwarding.route.max_upstreams:
             return False
@@ -324,7 +223,9 @@
             self._lag.find_running_s(now),
         )
 
-    async def _start(self, forwarding, candidate, connection, head) -> Outcome | None:
+    async def _start(
+        self, forwarding, candidate, connection, head
+    ) -> outcomes.Outcome | None:
         """Begins the answer to the caller, or returns why this one is not taken."""
         notes = forwarding.notes
         if notes.idle_timeout_s is not None:
@@ -338,20 +239,20 @@
             candidate.health.pause(self._now(), notes.pause_s)
         if notes.is_wrong_instance:
             self._directory.note_misplaced(candidate.upstream)
-            return NotRun("another instance has the address")
+            return outcomes.NotRun("another instance has the address")
         if notes.has_not_run:
-            return NotRun(f"refused with {head.status}")
+            return outcomes.NotRun(f"refused with {head.status}")
         is_success = head.status < FIRST_FAILURE_STATUS
         if head.status in PROMISE_STATUSES:
-            return Failed(f"status {head.status}, though it may have run")
+            return outcomes.Failed(f"status {head.status}, though it may have run")
         is_proved = notes.is_sealed and notes.request is not None
         if head.status < FIRST_REDIRECT_STATUS and not is_proved:
-            return Failed("the answer has no proof of its origin")
+            return outcomes.Failed("the answer has no proof of its origin")
         if forwarding.has_begun:
             is_same = head.status == forwarding.answer.status
-            return None if is_same else Failed(f"status {head.status}")
+            return None if is_same else outcomes.Failed(f"status {head.status}")
         if not is_success and forwarding.may_run_elsewhere:
-            return Failed(f"status {head.status}")
+            return outcomes.Failed(f"status {head.status}")
         if forwarding.route.repeat is routing_table.Repeat.RESUME:
             head = dataclasses.replace(head, framing=http_messages.Framing.CHUNKED)
         await forwarding.answer.start(head)
