Keep the contact that is connected

Cause, found by reading: entries of routers that are gone stay in the list for ever. When the doubt of such a router had run out after 5 s it became the contact again, the connection to the one in use was ended, and for up to 0.5 s its data centre heard nothing. Change: a connected contact goes before those that are not connected. Test: test_contact_stays_although_routers_that_are_gone_rank_higher, seen failing first.

--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -28,6 +28,8 @@
 MAX_PAUSE_S = 3.0
 DOUBT_S = 5.0
 """For so long a contact is the last choice that was not reached, or not heard."""
+UNCONNECTED_PENALTY = 1
+DOUBTED_PENALTY = 2
 
 logger = logging.getLogger(__name__)
 
@@ -133,10 +135,16 @@
                 stream.write(packed)
 
     def _list_contacts(self) -> list[list[ids.InstanceId]]:
-        now = _now()
-        return self._routes.list_contacts(
-            lambda peer: self._doubted_until_by_peer.get(peer, -math.inf) > now
-        )
+        return self._routes.list_contacts(self._find_penalty)
+
+    def _find_penalty(self, peer: ids.InstanceId) -> int:
+        """Returns how little a router suits as a contact.
+
+        One that is connected stays the contact: others may be gone for good.
+        """
+        if self._doubted_until_by_peer.get(peer, -math.inf) > _now():
+            return DOUBTED_PENALTY
+        return 0 if peer in self._stream_by_peer else UNCONNECTED_PENALTY
 
     def _find_connected(self, peers: list[ids.InstanceId]) -> ids.InstanceId | None:
         return next((peer for peer in peers if peer in self._stream_by_peer), None)
--- a/teaselsill/report_routes.py
+++ b/teaselsill/report_routes.py
@@ -32,7 +32,7 @@
     port: int
 
 
-IsDoubtful = collections.abc.Callable[[ids.InstanceId], bool]
+FindPenalty = collections.abc.Callable[[ids.InstanceId], int]
 
 
 class ReportRoutes:
@@ -70,16 +70,17 @@
         """Returns the other routers of the own data centre."""
         return self._ranked_by_data_centre.get(self._data_centre, [])
 
-    def list_contacts(self, is_doubtful: IsDoubtful) -> list[list[ids.InstanceId]]:
+    def list_contacts(self, find_penalty: FindPenalty) -> list[list[ids.InstanceId]]:
         """Returns the contacts in each other data centre, the best first.
 
         Each router has an order of its own, so that the work of passing on is spread.
 
         Args:
-            is_doubtful: Tells whether a router may not pass reports on.
+            find_penalty: Returns how little a router suits; the least goes first, and
+                the router's own order decides between equals.
         """
         return [
-            sorted(ranked, key=is_doubtful)[:CONTACTS]
+            sorted(ranked, key=find_penalty)[:CONTACTS]
             for data_centre, ranked in self._ranked_by_data_centre.items()
             if data_centre != self._data_centre
         ]
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -138,11 +138,28 @@
                 sender.send(make_report("s"))
                 await asyncio.sleep(0.02)
 
+    async def test_contact_stays_although_routers_that_are_gone_rank_higher(self):
+        """Entries of routers that are gone stay in the list for ever."""
+        sender, _ = await self.make("s")
+        sound, received = await self.make("sound", "b")
+        sender.put_peer(make_peer("sound", sound, "b"))
+        await self.send_until_heard(sender, received, "s")
+        gone = [n for n in map("gone{}".format, range(20))]
+        gone = [n for n in gone if self.ranks_before("s", n, "sound")]
+        self.assertGreater(len(gone), report_routes.CONTACTS)
+        for name in gone:
+            peer = ids.InstanceId(name)
+            data_centre = ids.DataCentre("b")
+            sender.put_peer(report_routes.Peer(peer, data_centre, "127.0.0.9", 1))
+        sender.send(make_report("s"))
+        async with asyncio.timeout(5.0):
+            await received.get()
+
     def ranks_before(self, sender, first, second):
         routes = report_routes.ReportRoutes(ids.InstanceId(sender), ids.DataCentre("a"))
         for name in (first, second):
             routes.put(
                 report_routes.Peer(ids.InstanceId(name), ids.DataCentre("b"), "", 0)
             )
-        ((chosen, _),) = routes.list_contacts(lambda peer: False)
+        ((chosen, _),) = routes.list_contacts(lambda peer: 0)
         return chosen == first
--- a/tests/test_report_routes.py
+++ b/tests/test_report_routes.py
@@ -22,16 +22,16 @@
     return routes
 
 
-def is_sound(peer):
-    return False
+def find_no_penalty(peer):
+    return 0
 
 
 class ReportRoutesTest(unittest.TestCase):
-    def spread(self, sender, routes_by_id, is_doubtful=is_sound):
+    def spread(self, sender, routes_by_id, find_penalty=find_no_penalty):
         """Returns how often each router gets a report of one of them."""
         routes = routes_by_id[sender]
         heard = collections.Counter(routes.list_near())
-        for contact, *_ in routes.list_contacts(is_doubtful):
+        for contact, *_ in routes.list_contacts(find_penalty):
             heard[contact] += 1
             heard.update(routes_by_id[contact].list_near())
         return heard
@@ -45,23 +45,23 @@
 
     def test_reports_across_data_centres_do_not_grow_with_the_routers(self):
         for routers in (8, 68, 300):
-            contacts = make_routes(0, routers).list_contacts(is_sound)
+            contacts = make_routes(0, routers).list_contacts(find_no_penalty)
             self.assertEqual(DATA_CENTRES - 1, len(contacts))
 
     def test_passing_on_is_spread(self):
         passed_on = collections.Counter()
         for number in range(ROUTERS):
-            for first, *_ in make_routes(number).list_contacts(is_sound):
+            for first, *_ in make_routes(number).list_contacts(find_no_penalty):
                 passed_on[first] += 1
         mean = ROUTERS * (DATA_CENTRES - 1) / ROUTERS
         self.assertLess(max(passed_on.values()), 3 * mean)
 
     def test_doubtful_contact_is_the_last_choice(self):
         routes = make_routes(0)
-        firsts = [contacts[0] for contacts in routes.list_contacts(is_sound)]
-        others = routes.list_contacts(lambda peer: peer in firsts)
+        firsts = [contacts[0] for contacts in routes.list_contacts(find_no_penalty)]
+        others = routes.list_contacts(lambda peer: int(peer in firsts))
         self.assertFalse({contacts[0] for contacts in others} & set(firsts))
-        everybody = routes.list_contacts(lambda peer: True)
+        everybody = routes.list_contacts(lambda peer: 1)
         self.assertEqual(firsts, [contacts[0] for contacts in everybody])
 
     def test_router_that_has_left_or_moved(self):
