Hand connections only to routers whose configuration is no older

A busy router handed connections to any router with less to do, also to one that had not got the versions which its own callers had seen. Change: routers tell the version they serve by; one with an older version is not chosen, and idle relays to a router that has told of an older one twice are ended. Tests: test_offload.test_nobody_with_an_older_configuration and test_relay.test_router_that_lags_behind_gets_no_more_requests, both seen failing first.

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -144,6 +144,7 @@
             work / self.cores,
             takes_connections=self.is_ready and not self._lag.is_busy,
             recalls_connections=self._is_stopping or self._offloader.has_many,
+            version=self._forwarder.version,
         )
 
     @property
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -86,6 +86,11 @@
         self._sender = upstream_attempt.Sender(dialect, known, view, sink, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
+    @property
+    def version(self) -> ids.Version:
+        """The version of the configuration in force."""
+        return self.table.version if self.table is not None else ids.NO_VERSION
+
     def follow(self, table: routing_table.RoutingTable) -> None:
         """Puts a configuration into force."""
         self.table = table
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -34,6 +34,7 @@
 ) -> ids.InstanceId | None:
     """Returns the router that should serve a new connection instead, or none.
 
+    Its configuration is no older than the own one, which callers here have seen.
     Routers of the same data centre go first, since bytes between data centres cost. Of
     two that are drawn at random the one with less to do is taken: with old reports, the
     least loaded of all would be chosen by every router at once.
@@ -46,7 +47,9 @@
     able = [
         router
         for router, status in others.items()
-        if status.takes_connections and status.load < most_load
+        if status.takes_connections
+        and status.load < most_load
+        and status.version >= own.version
     ]
     near = [r for r in able if others[r].data_centre == own.data_centre]
     eligible = near or able
@@ -79,6 +82,7 @@
         self._relays: set[relay.Relay] = set()
         self._chosen: ids.InstanceId | None = None
         self._chose_at = -math.inf
+        self._lagging: set[ids.InstanceId] = set()
 
     @property
     def cost(self) -> float:
@@ -107,17 +111,29 @@
         return True
 
     def tend(self, longest_idle_s: float = math.inf) -> None:
-        """Ends relays that are idle, or whose router has not been heard for long.
+        """Ends relays that are idle, or whose router lags or is not heard any more.
+
+        A router lags that has told of an older configuration than this one's twice.
 
         Args:
             longest_idle_s: Another limit on idle connections, in seconds.
         """
         now = _now()
+        lagging = self._find_lagging()
         for handed_over in list(self._relays):
-            if not self._view.is_heard(handed_over.router):
+            router = handed_over.router
+            lags = router in lagging and router in self._lagging
+            if not self._view.is_heard(router):
                 handed_over.break_off()
-            elif handed_over.is_idle(now, longest_idle_s):
+            elif handed_over.is_idle(now, 0.0 if lags else longest_idle_s):
                 handed_over.close()
+        self._lagging = lagging
+
+    def _find_lagging(self) -> set[ids.InstanceId]:
+        """Returns the routers whose configuration is older than this one's."""
+        version = self._describe_status().version
+        statuses = self._view.list_statuses()
+        return {router for router, s in statuses.items() if s.version < version}
 
     async def _hand_over(self, caller: tcp_stream.TcpStream) -> relay.Relay | None:
         if not self._lag.is_busy or len(self._relays) >= MAX_RELAYS:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -44,6 +44,7 @@
         takes_connections: Whether it has time for more.
         recalls_connections: Whether the connections that it has handed over are to end
             with their next answers.
+        version: The version of the configuration that it serves by.
     """
 
     data_centre: ids.DataCentre
@@ -52,6 +53,7 @@
     load: float
     takes_connections: bool
     recalls_connections: bool
+    version: ids.Version = ids.NO_VERSION
 
 
 class Reading(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -32,7 +32,7 @@
     return view, known
 
 
-def make_status(data_centre="a", load=0.0, takes_connections=True):
+def make_status(data_centre="a", load=0.0, takes_connections=True, version=1):
     return peer_reports.RouterStatus(
         ids.DataCentre(data_centre),
         "127.0.0.1",
@@ -40,6 +40,7 @@
         load,
         takes_connections,
         recalls_connections=False,
+        version=ids.Version(version),
     )
 
 
--- a/tests/test_offload.py
+++ b/tests/test_offload.py
@@ -33,6 +33,16 @@
         others = name_all(make_status("a", 300.0), make_status("b", 250.0))
         self.assertIsNone(offload.choose(make_status("a", 400.0), others))
 
+    def test_nobody_with_an_older_configuration(self):
+        """A caller was told that a route did not exist that it had used before."""
+        others = name_all(make_status(load=0.0, version=9), make_status(load=80.0))
+        own = make_status(load=400.0, version=10)
+        self.assertIsNone(offload.choose(own, others))
+        others = name_all(
+            make_status(load=0.0, version=9), make_status(load=80.0, version=10)
+        )
+        self.assertEqual("r1", offload.choose(own, others))
+
     def test_routers_that_know_the_same_do_not_all_choose_the_same(self):
         """Several flooded routers go by reports that are a third of a second old."""
         random.seed(1)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -157,6 +157,16 @@
         self.assertEqual((200, b"ok", True), await caller.ask("4"))
         await caller.wait_closed()
 
+    async def test_router_that_lags_behind_gets_no_more_requests(self):
+        await self.start()
+        caller = await self.busy.connect()
+        await caller.ask("1")
+        self.busy.follow(version=2)
+        await caller.wait_closed()
+        caller = await self.busy.connect()
+        self.other.forwarder.table = None
+        self.assertEqual((200, b"ok", True), await caller.ask("2"))
+
     async def test_request_under_way_is_not_idle(self):
         async def script(request, stream):
             await asyncio.sleep(0.6)
