--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -12,6 +12,7 @@
 LEAST_UNREAD_TOKENS = 10_000
 """With fewer, nothing is told from their relation to the cost."""
 MAX_COST_RATIO = 3.0
+"""A higher relation is not trusted: little was read for it."""
 TRIES = 2
 """How often a caller tries: what was rejected comes back and is asked for again."""
 
