--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -66,10 +66,8 @@
 
         Above 1 it has more than its share, and other accounts want more than theirs.
         """
-        admitted = self._admitted_by_account.get(account)
-        if admitted is None:
-            return 0.0
-        return admitted.read(now) / self._find_level(now)
+        self._refresh(now)
+        return self._read_admitted(account, now) / self._level
 
     def find_possible_ratio(self, account: ids.AccountId, now: float) -> float:
         """Returns what an account has been given, relative to a share of all there is.
@@ -77,20 +75,17 @@
         Engines may do more than the stated capacity. What they do beyond it is for the
         accounts that ask for more than their share, in equal parts.
         """
-        admitted = self._admitted_by_account.get(account)
-        if admitted is None:
-            return 0.0
         self._refresh(now)
-        return admitted.read(now) / self._possible_level
+        return self._read_admitted(account, now) / self._possible_level
 
     def find_excess(self, now: float) -> float:
         """Returns how much more is asked for than engines can do, relative to that."""
         self._refresh(now)
         return self._excess
 
-    def _find_level(self, now: float) -> float:
-        self._refresh(now)
-        return self._level
+    def _read_admitted(self, account: ids.AccountId, now: float) -> float:
+        admitted = self._admitted_by_account.get(account)
+        return admitted.read(now) if admitted is not None else 0.0
 
     def _refresh(self, now: float) -> None:
         if now - self._refreshed_at <= RECENT_S:
--- a/teaselsill/moving_on.py
+++ b/teaselsill/moving_on.py
@@ -27,11 +27,9 @@
         work: The request there.
         waited_s: How long ago the caller sent it, in seconds.
         now: The event loop's time, in seconds.
-        running_s: How long the router has run without a standstill, in seconds. What
-            came in a standstill has not been read, so silence tells nothing then.
+        running_s: How long the router has run without a standstill, in seconds.
     """
-    is_silent = load.is_silent(now, placement.SILENCE_S)
-    if is_silent and running_s > placement.SILENCE_S:
+    if placement.is_silent(load, now, running_s):
         return True
     if route.is_stream:
         return has_stalled(route, work, now) and running_s > find_stall_s(route)
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -112,11 +112,11 @@
     def send(self, report: peer_reports.Report) -> None:
         """Sends a report to the routers nearby and to a contact in each data centre."""
         self._doubt_silent_contacts()
-        self._connect_wanted()
+        ranked_contacts = self._connect_wanted()
         self._send_to(self._routes.list_near(), report)
         contacts = [
             contact
-            for ranked in self._list_contacts()
+            for ranked in ranked_contacts
             if (contact := self._find_connected(ranked)) is not None
         ]
         if contacts:
@@ -165,9 +165,14 @@
             logger.info("peer doubted", extra={"peer": peer, "reason": reason})
         self._doubted_until_by_peer[peer] = now + DOUBT_S
 
-    def _connect_wanted(self) -> None:
-        """Connects to those that are told, and ends the other connections."""
-        wanted = set(self._routes.list_near()).union(*self._list_contacts())
+    def _connect_wanted(self) -> list[list[ids.InstanceId]]:
+        """Connects to those that are told, and ends the other connections.
+
+        Returns:
+            The contacts in each other data centre, the best first.
+        """
+        contacts = self._list_contacts()
+        wanted = set(self._routes.list_near()).union(*contacts)
         for peer in self._dialing_by_peer.keys() - wanted:
             self._hang_up(peer)
         for peer in wanted - self._dialing_by_peer.keys():
@@ -175,6 +180,7 @@
                 self._stay_connected(self._routes.peer_by_id[peer])
             )
             self._dialing_by_peer[peer] = task
+        return contacts
 
     def _hang_up(self, peer: ids.InstanceId) -> None:
         task = self._dialing_by_peer.pop(peer, None)
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -134,6 +134,18 @@
     return max(candidates, key=lambda c: home_rank(shared, c.upstream), default=None)
 
 
+def is_silent(load: upstream_load.UpstreamLoad, now: float, running_s: float) -> bool:
+    """Tells whether an upstream has work and sends nothing for too long.
+
+    Args:
+        load: The work there.
+        now: The time, in seconds.
+        running_s: How long the router has run without a standstill, in seconds. What
+            came in a standstill has not been read, so silence tells nothing then.
+    """
+    return running_s > SILENCE_S and load.is_silent(now, SILENCE_S)
+
+
 def is_doubtful(candidate: Candidate, now: float, running_s: float) -> bool:
     """Tells whether an upstream is better avoided.
 
@@ -142,7 +154,7 @@
         now: The time, in seconds.
         running_s: How long the router has run without a standstill, in seconds.
     """
-    if running_s > SILENCE_S and candidate.load.is_silent(now, SILENCE_S):
+    if is_silent(candidate.load, now, running_s):
         candidate.health.avoid(now, "silent")
         return True
     return candidate.health.is_avoided(now)
