Say in each request's line and in metrics what its admission rested on

Admission.weigh returns the evidence and Admission.check decides on it; the forwarder writes it into the line between the two. No decision is changed: the tests of admission pass with the calls renamed. The metrics page has what each account asks for, is given and has of its share.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -1,5 +1,6 @@
 """How much of the engines each client account uses, and what its fair share is."""
 
+import dataclasses
 import math
 
 from teaselsill import decaying_sum, ids
@@ -17,6 +18,21 @@
 """How often a caller tries: what was rejected comes back and is asked for again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """What a client account has, as far as this router knows.
+
+    Attributes:
+        asked_tokens_per_s: The cost of its requests of late, in tokens a second.
+        admitted_tokens_per_s: The same of those that were sent to an engine.
+        ratio: What it has been given, relative to its max-min share.
+    """
+
+    asked_tokens_per_s: float
+    admitted_tokens_per_s: float
+    ratio: float
+
+
 class AccountUsage:
     """The use of all client accounts, as reported by all routers.
 
@@ -83,6 +99,17 @@
         self._refresh(now)
         return self._excess
 
+    def list_shares(self, now: float) -> dict[ids.AccountId, Share]:
+        """Returns what each client account has that has asked for anything."""
+        return {
+            account: Share(
+                asked.read_rate(now),
+                self._read_admitted(account, now) / MEMORY_S,
+                self.find_ratio(account, now),
+            )
+            for account, asked in self._asked_by_account.items()
+        }
+
     def _read_admitted(self, account: ids.AccountId, now: float) -> float:
         admitted = self._admitted_by_account.get(account)
         return admitted.read(now) if admitted is not None else 0.0
--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -41,7 +41,10 @@
         wait_s: How long the prompt would wait, in seconds.
         limit_s: How long it may wait, in seconds.
         share_ratio: What the client account has, relative to its fair share.
+        possible_ratio: The same relative to its share of all that engines can do.
         severity: How severe the overload is, from 0 to 1.
+        age_s: How long ago it was first asked for and rejected, in seconds; 0 if it is
+            a new one.
         is_late: Whether the request cannot be answered in time any more, since it was
             rejected before.
     """
@@ -49,7 +52,9 @@
     wait_s: float
     limit_s: float
     share_ratio: float
+    possible_ratio: float
     severity: float
+    age_s: float
     is_late: bool
 
     @property
@@ -80,53 +85,29 @@
         self._usage = usage
         self._returned = returned_requests.ReturnedRequests()
 
-    def check(
-        self,
-        call: calls.Call,
-        route: routing_table.Route,
-        account: ids.AccountId | None,
-        choice: placement.Choice,
-        now: float,
-    ) -> None:
-        """Checks that a request is worth sending.
-
-        Raises:
-            RejectedError: It is rejected; it has not run.
-        """
-        if not call.parts:
-            return
-        age_s = self._returned.find_age_s(account, call, now)
-        evidence = self.weigh(route, account, choice, now, age_s)
-        if evidence.has_place:
-            return
-        self._returned.note_rejected(account, call, now)
-        is_over = evidence.share_ratio > FAIR_RATIO
-        cause = rejections.Cause.OVER_SHARE if is_over else rejections.Cause.OVERLOADED
-        detail = (
-            f"would wait {evidence.wait_s:.3f} s, may {evidence.limit_s:.3f} s,"
-            f" share ratio {evidence.share_ratio:.2f}"
-        )
-        if evidence.is_late:
-            detail += f", asked for {age_s:.2f} s ago"
-        raise rejections.RejectedError(cause, detail, choose_retry_after_s(evidence))
-
     def weigh(
         self,
+        call: calls.Call,
         route: routing_table.Route,
         account: ids.AccountId | None,
         choice: placement.Choice,
         now: float,
-        age_s: float = 0.0,
-    ) -> Evidence:
+    ) -> Evidence | None:
         """Returns what the decision on a request rests on.
 
         Args:
+            call: The request.
             route: Its route.
             account: Its client account.
             choice: Where it would go.
             now: The time, in seconds.
-            age_s: How long ago the caller first asked, in seconds.
+
+        Returns:
+            The evidence, or none for a call without a prompt, which is always sent.
         """
+        if not call.parts:
+            return None
+        age_s = self._returned.find_age_s(account, call, now)
         ratio, possible_ratio = self._find_ratios(account, now)
         objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
         excess = self._usage.find_excess(now)
@@ -136,9 +117,46 @@
             OBJECTIVE_RATIO * _find_part(ratio) ** exponent,
             IDLE_RATIO * _find_part(possible_ratio) ** exponent,
         )
-        wait_s = choice.candidate.predict_wait_s(now)
-        is_late = age_s > objective_s
-        return Evidence(wait_s, limit_s, ratio, severity, is_late)
+        return Evidence(
+            wait_s=choice.candidate.predict_wait_s(now),
+            limit_s=limit_s,
+            share_ratio=ratio,
+            possible_ratio=possible_ratio,
+            severity=severity,
+            age_s=age_s,
+            is_late=age_s > objective_s,
+        )
+
+    def check(
+        self,
+        call: calls.Call,
+        account: ids.AccountId | None,
+        evidence: Evidence,
+        now: float,
+    ) -> None:
+        """Checks that a request is worth sending.
+
+        Args:
+            call: The request.
+            account: Its client account.
+            evidence: What the decision rests on.
+            now: The time, in seconds.
+
+        Raises:
+            RejectedError: It is rejected; it has not run.
+        """
+        if evidence.has_place:
+            return
+        self._returned.note_rejected(account, call, now)
+        is_over = evidence.share_ratio > FAIR_RATIO
+        cause = rejections.Cause.OVER_SHARE if is_over else rejections.Cause.OVERLOADED
+        detail = (
+            f"would wait {evidence.wait_s:.3f} s, may {evidence.limit_s:.3f} s,"
+            f" share ratio {evidence.share_ratio:.2f}"
+        )
+        if evidence.is_late:
+            detail += f", asked for {evidence.age_s:.2f} s ago"
+        raise rejections.RejectedError(cause, detail, choose_retry_after_s(evidence))
 
     def _find_ratios(
         self, account: ids.AccountId | None, now: float
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-from teaselsill import directory
+from teaselsill import account_usage, directory
 
 LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 WAIT_BOUNDS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
@@ -38,13 +38,34 @@
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
         self._avoided = self._gauge("upstream_avoided", "Whether it is avoided.")
+        self._asked = self._gauge(
+            "account_asked_tokens_per_second", "What is asked for.", "account"
+        )
+        self._admitted = self._gauge(
+            "account_admitted_tokens_per_second", "What was sent.", "account"
+        )
+        self._share_ratio = self._gauge(
+            "account_share_ratio", "What an account has of its share.", "account"
+        )
 
-    def render(self, now: float) -> bytes:
+    def render(self, now: float, usage: account_usage.AccountUsage) -> bytes:
         """Returns all metrics as text.
 
         Args:
             now: The event loop's time, in seconds.
+            usage: What the client accounts use, of which gauges are taken as well.
         """
+        self._set_upstreams(now)
+        self._set_accounts(now, usage)
+        return prometheus_client.generate_latest(self._registry)
+
+    def _set_accounts(self, now: float, usage: account_usage.AccountUsage) -> None:
+        for account, share in usage.list_shares(now).items():
+            self._asked.labels(account).set(share.asked_tokens_per_s)
+            self._admitted.labels(account).set(share.admitted_tokens_per_s)
+            self._share_ratio.labels(account).set(share.ratio)
+
+    def _set_upstreams(self, now: float) -> None:
         for gauge in (self._running, self._planned, self._rate, self._avoided):
             gauge.clear()
         for upstream in self._directory.listed.by_id.values():
@@ -56,7 +77,6 @@
             self._planned.labels(*labels).set(candidate.queue.count_planned(now))
             self._rate.labels(*labels).set(candidate.queue.rate)
             self._avoided.labels(*labels).set(candidate.health.is_avoided(now))
-        return prometheus_client.generate_latest(self._registry)
 
     def _count(self, name: str, text: str, *labels: str):
         return prometheus_client.Counter(
@@ -73,11 +93,11 @@
             buckets=bounds_s,
         )
 
-    def _gauge(self, name: str, text: str):
+    def _gauge(self, name: str, text: str, *labels: str):
         return prometheus_client.Gauge(
             name,
             text,
-            ("service", "upstream"),
+            labels or ("service", "upstream"),
             namespace=NAMESPACE,
             registry=self._registry,
         )
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -278,22 +278,28 @@
             self._give_up_without_upstream(forwarding, now)
         if forwarding.find_left_s(now) < LEAST_USEFUL_S:
             raise TimeoutError
-        self._note_choice(forwarding, choice, now)
-        if not forwarding.sends:
-            self._admission.check(
-                forwarding.call, forwarding.route, forwarding.account, choice, now
-            )
+        self._admit(forwarding, choice, now)
         return choice
 
-    def _note_choice(self, forwarding, choice: placement.Choice, now: float) -> None:
-        if not forwarding.call.parts:
+    def _admit(self, forwarding, choice: placement.Choice, now: float) -> None:
+        """Takes note of where a request goes, and rejects one that is not worth it.
+
+        Raises:
+            RejectedError: It is rejected; it has not run.
+        """
+        call = forwarding.call
+        evidence = self._admission.weigh(
+            call, forwarding.route, forwarding.account, choice, now
+        )
+        if evidence is None:
             return
-        wait_s = choice.candidate.predict_wait_s(now)
-        self._metrics.predicted_wait_s.observe(wait_s)
+        self._metrics.predicted_wait_s.observe(evidence.wait_s)
         line = forwarding.line
         line.unread_tokens = choice.unread_tokens
-        line.wait_ms = round(1000 * wait_s, 1)
         line.copied_from = choice.fetch_from.id if choice.fetch_from else None
+        line.note_evidence(evidence)
+        if not forwarding.sends:
+            self._admission.check(call, forwarding.account, evidence, now)
 
     def _give_up_without_upstream(
         self, forwarding: outcomes.Forwarding, now: float
--- a/teaselsill/request_line.py
+++ b/teaselsill/request_line.py
@@ -4,7 +4,7 @@
 import enum
 import logging
 
-from teaselsill import ids
+from teaselsill import admission, ids
 
 
 class Ending(enum.Enum):
@@ -34,6 +34,10 @@
         first_ms: The time to the head of its answer, in milliseconds.
         unread_tokens: What the last upstream had to read of the prompt.
         wait_ms: How long the prompt was expected to wait there, in milliseconds.
+        limit_ms: How long it might have waited, in milliseconds.
+        share_ratio: What its client account had, relative to its fair share.
+        possible_ratio: The same relative to its share of all that engines can do.
+        severity: How severe the overload was, from 0 to 1.
         copied_from: The engine that it was told to copy a part of the prompt from.
         peers: How many other routers had been heard of late.
         quiet_ms: How long nothing of the answer had come when it was broken off, in
@@ -53,10 +57,22 @@
     first_ms: float = 0.0
     unread_tokens: int = 0
     wait_ms: float = 0.0
+    limit_ms: float = 0.0
+    share_ratio: float = 0.0
+    possible_ratio: float = 0.0
+    severity: float = 0.0
     copied_from: ids.UpstreamId | None = None
     peers: int = 0
     quiet_ms: float = 0.0
 
+    def note_evidence(self, evidence: admission.Evidence) -> None:
+        """Takes note of what the decision to send the request rested on."""
+        self.wait_ms = round(1000 * evidence.wait_s, 1)
+        self.limit_ms = round(1000 * evidence.limit_s, 1)
+        self.share_ratio = round(evidence.share_ratio, 2)
+        self.possible_ratio = round(evidence.possible_ratio, 2)
+        self.severity = round(evidence.severity, 2)
+
     def write(self, logger: logging.Logger) -> None:
         """Writes the line without the fields that say nothing.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -29,8 +29,9 @@
         self.choice = placement.Choice(self.candidate, 1000, 0.0)
 
     def is_admitted(self, account, now=0.0, call=CALL):
+        evidence = self.admission.weigh(call, ROUTE, account, self.choice, now)
         try:
-            self.admission.check(call, ROUTE, account, self.choice, now)
+            self.admission.check(call, account, evidence, now)
         except rejections.RejectedError as error:
             self.assertIn(error.cause.status, (429, 503))
             self.assertGreater(error.retry_after_s, 0)
@@ -49,7 +50,8 @@
     def test_plain_call_is_not_held_to_a_queue(self):
         self.candidate.queue.add(100_000, 0.0)
         call = test_placement.make_call()
-        self.admission.check(call, ROUTE, LIGHT, self.choice, 0.0)
+        evidence = self.admission.weigh(call, ROUTE, LIGHT, self.choice, 0.0)
+        self.assertIsNone(evidence)
 
     def play(self, asked_by_account):
         """Plays 10 s of a steady load and returns the part of it that was admitted.
@@ -82,7 +84,7 @@
         self.usage.capacity = 10 * TOKENS
         self.usage.add(HEAVY, 100 * TOKENS, 9 * TOKENS, 0.0)
         self.usage.add(LIGHT, 4.1 * TOKENS, 4.1 * TOKENS, 0.0)
-        near = self.admission.weigh(ROUTE, LIGHT, self.choice, 0.0)
+        near = self.admission.weigh(CALL, ROUTE, LIGHT, self.choice, 0.0)
         self.assertGreater(near.share_ratio, 0.6)
         self.assertEqual(near.limit_s, admission.OBJECTIVE_RATIO * ROUTE.objective_s)
 
@@ -92,8 +94,8 @@
         middle = ids.AccountId("middle")
         self.usage.add(HEAVY, 100 * TOKENS, 20 * TOKENS, 0.0)
         self.usage.add(middle, 9 * TOKENS, 7 * TOKENS, 0.0)
-        flooding = self.admission.weigh(ROUTE, HEAVY, self.choice, 0.0)
-        moderate = self.admission.weigh(ROUTE, middle, self.choice, 0.0)
+        flooding = self.admission.weigh(CALL, ROUTE, HEAVY, self.choice, 0.0)
+        moderate = self.admission.weigh(CALL, ROUTE, middle, self.choice, 0.0)
         self.assertLess(10 * flooding.limit_s, moderate.limit_s)
 
     def test_flood_may_use_what_nobody_else_wants(self):
@@ -103,7 +105,7 @@
         self.usage.add(HEAVY, 100 * TOKENS, 25 * TOKENS, 0.0)
         self.usage.add(LIGHT, 2 * TOKENS, 2 * TOKENS, 0.0)
         self.candidate.queue.add(3000, 0.0)
-        evidence = self.admission.weigh(ROUTE, HEAVY, self.choice, 0.0)
+        evidence = self.admission.weigh(CALL, ROUTE, HEAVY, self.choice, 0.0)
         self.assertEqual(1.0, evidence.severity)
         self.assertGreater(evidence.share_ratio, 3)
         self.assertTrue(evidence.has_place)
@@ -144,7 +146,7 @@
         self.usage.engine_capacity = 30 * TOKENS
         self.usage.add(HEAVY, 29 * TOKENS, 25 * TOKENS, 0.0)
         self.usage.add(LIGHT, 2 * TOKENS, 2 * TOKENS, 0.0)
-        burst = self.admission.weigh(ROUTE, HEAVY, self.choice, 0.0)
+        burst = self.admission.weigh(CALL, ROUTE, HEAVY, self.choice, 0.0)
         self.assertGreater(burst.share_ratio, 3)
         self.assertEqual(burst.limit_s, admission.OBJECTIVE_RATIO * ROUTE.objective_s)
 
--- /dev/null
+++ b/tests/test_entry_metrics.py
@@ -0,0 +1,20 @@
+import unittest
+
+from teaselsill import account_usage, directory, entry_metrics, ids
+
+
+class EntryMetricsTest(unittest.TestCase):
+    def test_page_shows_what_each_client_account_has(self):
+        usage = account_usage.AccountUsage()
+        usage.capacity = 600.0
+        usage.add(ids.AccountId("heavy"), asked=3000, admitted=1200, now=0.0)
+        usage.add(ids.AccountId("light"), asked=300, admitted=300, now=0.0)
+        metrics = entry_metrics.EntryMetrics(directory.Directory())
+        page = metrics.render(0.0, usage).decode()
+        asked = 'teaselsill_account_asked_tokens_per_second{account="heavy"} 1000.0'
+        admitted = (
+            'teaselsill_account_admitted_tokens_per_second{account="heavy"} 400.0'
+        )
+        ratio = 'teaselsill_account_share_ratio{account="heavy"} 4.0'
+        for line in (asked, admitted, ratio):
+            self.assertIn(line, page.splitlines())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -46,7 +46,7 @@
         self.assertIn(b"r-served 0", self.count_requests(self.busy))
 
     def count_requests(self, bench):
-        page = bench.metrics.render(0.0)
+        page = bench.metrics.render(0.0, bench.view.usage)
         served = page.count(b'teaselsill_requests_total{cause="",ending="delivered"}')
         return b"r-served %d" % served
 
--- /dev/null
+++ b/tests/test_request_line.py
@@ -0,0 +1,29 @@
+import logging
+import unittest
+
+from teaselsill import admission, request_line
+
+logger = logging.getLogger("teaselsill.tests.request_line")
+
+
+class RequestLineTest(unittest.TestCase):
+    def test_delivered_request_tells_what_its_admission_rested_on(self):
+        """A trace could not tell why a router let an account's request pass."""
+        line = request_line.RequestLine(ending=request_line.Ending.DELIVERED)
+        line.note_evidence(
+            admission.Evidence(
+                wait_s=0.0516,
+                limit_s=0.24,
+                share_ratio=1.444,
+                possible_ratio=0.3,
+                severity=0.5,
+                age_s=0.0,
+                is_late=False,
+            )
+        )
+        with self.assertLogs(logger, "INFO") as logs:
+            line.write(logger)
+        (record,) = logs.records
+        self.assertEqual((51.6, 240.0), (record.wait_ms, record.limit_ms))
+        self.assertEqual((1.44, 0.3), (record.share_ratio, record.possible_ratio))
+        self.assertEqual(0.5, record.severity)
