Give accounts that are rejected an even share of what is really given

Cause: beyond the stated shares an account might wait a tenth of the objective while it had less than its share of what engines were *estimated* to do. Engines did less, so all accounts below the estimate had the same limit of 40 ms, and who asked most often got most of the moments in which the wait was that short: a race, not a share. Where the estimate hid the overload altogether (severity 0), accounts that asked for little were rejected as often as floods.

Change: an account's wait follows what it has of an even share of all that has been given of late, by the fifth power: longer below it, shorter above. Nothing is estimated; the sum that is given stays what the waits allow. The ratio of cost to tokens read goes, with what counted it. The even share is kept as a part of all that is given, so that it moves with it between two computations.

test_what_engines_keep_of_prompts_is_no_work_for_them pinned the estimate: a flood was held back until enough was known to be unread. It is replaced by test_flood_is_not_held_to_an_estimate_of_the_engines, which holds for any estimate and still asks that a queue of 0.3 s holds the flood back.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -10,10 +10,6 @@
 RECENT_S = 0.1
 """How long computed figures are used again."""
 LEAST_TOKENS = 1.0
-LEAST_UNREAD_TOKENS = 10_000
-"""With fewer, nothing is told from their relation to the cost."""
-MAX_COST_RATIO = 3.0
-"""A higher relation is not trusted: little was read for it."""
 TRIES = 2
 """How often a caller tries: what was rejected comes back and is asked for again."""
 
@@ -48,9 +44,9 @@
         self.engine_capacity = 0.0
         self._asked_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
         self._admitted_by_account: dict[ids.AccountId, decaying_sum.DecayingSum] = {}
-        self._unread = decaying_sum.DecayingSum(MEMORY_S)
         self._level = math.inf
-        self._possible_level = math.inf
+        self._given = decaying_sum.DecayingSum(MEMORY_S)
+        self._even_part = math.inf
         self._excess = 0.0
         self._refreshed_at = -math.inf
 
@@ -67,15 +63,7 @@
         """
         _add(self._asked_by_account, account, asked, now)
         _add(self._admitted_by_account, account, admitted, now)
-
-    def add_unread(self, tokens: int, now: float) -> None:
-        """Takes note of prompt tokens that an engine has to read for what it was sent.
-
-        Args:
-            tokens: How many; what it keeps of a prompt is not read.
-            now: The time, in seconds.
-        """
-        self._unread.add(tokens, now)
+        self._given.add(admitted, now)
 
     def find_ratio(self, account: ids.AccountId, now: float) -> float:
         """Returns what an account has been given, relative to its max-min share.
@@ -85,14 +73,15 @@
         self._refresh(now)
         return self._read_admitted(account, now) / self._level
 
-    def find_possible_ratio(self, account: ids.AccountId, now: float) -> float:
-        """Returns what an account has been given, relative to a share of all there is.
+    def find_given_ratio(self, account: ids.AccountId, now: float) -> float:
+        """Returns what an account has been given, relative to an even share of all.
 
-        Engines may do more than the stated capacity. What they do beyond it is for the
-        accounts that ask for more than their share, in equal parts.
+        All is what has been given to any account, whatever the capacity is. 0 if
+        nobody wants more than it has.
         """
         self._refresh(now)
-        return self._read_admitted(account, now) / self._possible_level
+        even_share = self._even_part * max(LEAST_TOKENS, self._given.read(now))
+        return self._read_admitted(account, now) / even_share
 
     def find_excess(self, now: float) -> float:
         """Returns how much more is asked for than engines can do, relative to that."""
@@ -119,26 +108,15 @@
             return
         self._refreshed_at = now
         asked = [d.read(now) for d in self._asked_by_account.values()]
-        admitted = sum(d.read(now) for d in self._admitted_by_account.values())
-        given = self.capacity or admitted
-        self._level = max(LEAST_TOKENS, find_level(asked, given))
-        possible = max(admitted, self.engine_capacity, LEAST_TOKENS)
-        cost_ratio = self._find_cost_ratio(admitted, now)
-        most = max(given, self.engine_capacity * cost_ratio)
-        self._possible_level = max(LEAST_TOKENS, find_level(asked, most))
-        wanted = admitted + (sum(asked) - admitted) / TRIES
+        given = self._given.read(now)
+        even_share = max(LEAST_TOKENS, find_level(asked, given))
+        self._even_part = even_share / max(LEAST_TOKENS, given)
+        stated = self.capacity or given
+        self._level = max(LEAST_TOKENS, find_level(asked, stated))
+        possible = max(given, self.engine_capacity, LEAST_TOKENS)
+        wanted = given + (sum(asked) - given) / TRIES
         self._excess = max(0.0, wanted / possible - 1.0)
 
-    def _find_cost_ratio(self, admitted: float, now: float) -> float:
-        """Returns the cost of what was sent, relative to the tokens to read for it.
-
-        The cost holds what engines keep of the prompts, and what they generate.
-        """
-        unread = self._unread.read(now)
-        if unread < LEAST_UNREAD_TOKENS:
-            return 1.0
-        return min(MAX_COST_RATIO, max(1.0, admitted / unread))
-
 
 def find_level(demands: list[float], capacity: float) -> float:
     """Returns the largest share that no demand needs to exceed.
--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -23,6 +23,11 @@
 """Up to this ratio of its fair share an account may wait as long as any."""
 SHARE_EXPONENT = 4.0
 """How fast the wait that is allowed falls beyond that in a severe overload."""
+EVENNESS_EXPONENT = 5.0
+"""How fast it falls with what an account has beyond an even share of all that is given,
+and grows with what it has less."""
+LEAST_GIVEN_RATIO = 0.1
+"""With less, an account may wait as long as any in any case."""
 MILD_EXCESS = 0.05
 """What is asked for beyond what engines can do, relative to it, in a mere burst."""
 SEVERE_EXCESS = 0.4
@@ -41,7 +46,7 @@
         wait_s: How long the prompt would wait, in seconds.
         limit_s: How long it may wait, in seconds.
         share_ratio: What the client account has, relative to its fair share.
-        possible_ratio: The same relative to its share of all that engines can do.
+        given_ratio: The same relative to an even share of all that has been given.
         severity: How severe the overload is, from 0 to 1.
         age_s: How long ago it was first asked for and rejected, in seconds; 0 if it is
             a new one.
@@ -52,7 +57,7 @@
     wait_s: float
     limit_s: float
     share_ratio: float
-    possible_ratio: float
+    given_ratio: float
     severity: float
     age_s: float
     is_late: bool
@@ -108,20 +113,16 @@
         if not call.parts:
             return None
         age_s = self._returned.find_age_s(account, call, now)
-        ratio, possible_ratio = self._find_ratios(account, now)
+        ratio, given_ratio = self._find_ratios(account, now)
         objective_s = route.objective_s or DEFAULT_OBJECTIVE_S
         excess = self._usage.find_excess(now)
         severity = min(1.0, max(0.0, excess - MILD_EXCESS) / SEVERE_EXCESS)
-        exponent = severity * SHARE_EXPONENT
-        limit_s = objective_s * max(
-            OBJECTIVE_RATIO * _find_part(ratio) ** exponent,
-            IDLE_RATIO * _find_part(possible_ratio) ** exponent,
-        )
+        limit_s = objective_s * find_limit_ratio(ratio, given_ratio, severity)
         return Evidence(
             wait_s=choice.candidate.predict_wait_s(now),
             limit_s=limit_s,
             share_ratio=ratio,
-            possible_ratio=possible_ratio,
+            given_ratio=given_ratio,
             severity=severity,
             age_s=age_s,
             is_late=age_s > objective_s,
@@ -161,18 +162,30 @@
     def _find_ratios(
         self, account: ids.AccountId | None, now: float
     ) -> tuple[float, float]:
-        """Returns what an account has, by its share and by that of all there is."""
+        """Returns what an account has, by its share and by an even one of all."""
         if account is None:
             return 0.0, 0.0
         return (
             self._usage.find_ratio(account, now),
-            self._usage.find_possible_ratio(account, now),
+            self._usage.find_given_ratio(account, now),
         )
 
 
-def _find_part(ratio: float) -> float:
-    """Returns what an account may wait of the longest wait, by what it has."""
-    return min(1.0, FULL_WAIT_RATIO / ratio) if ratio else 1.0
+def find_limit_ratio(share_ratio: float, given_ratio: float, severity: float) -> float:
+    """Returns how long a prompt may wait, relative to the objective.
+
+    Args:
+        share_ratio: What its account has, relative to its fair share.
+        given_ratio: The same relative to an even share of all that has been given.
+        severity: How severe the overload is, from 0 to 1.
+    """
+    if given_ratio < LEAST_GIVEN_RATIO:
+        return OBJECTIVE_RATIO
+    evenness = given_ratio**-EVENNESS_EXPONENT
+    part = min(1.0, FULL_WAIT_RATIO / share_ratio) if share_ratio else 1.0
+    within_share = OBJECTIVE_RATIO * part ** (severity * SHARE_EXPONENT)
+    limit = max(within_share * min(1.0, evenness), IDLE_RATIO * evenness)
+    return min(OBJECTIVE_RATIO, limit)
 
 
 def choose_retry_after_s(evidence: Evidence) -> float:
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -176,7 +176,6 @@
         if account is not None:
             cost = find_cost(call)
             self.usage.add(account, 0, cost, now)
-            self.usage.add_unread(unread_tokens, now)
             self._notebook.add_admitted(account, cost)
 
     def note_begun(self, candidate: placement.Candidate, unread_tokens: int) -> None:
@@ -243,7 +242,6 @@
                 candidate.memory.note_read(parts)
                 candidate.queue.add(read.unread_tokens, now)
                 self._told_tokens.add(read.unread_tokens, now)
-                self.usage.add_unread(read.unread_tokens, now)
         for usage in report.usages:
             self.usage.add(usage.account, usage.asked, usage.admitted, now)
         for upstream, tokens in report.begun_by_upstream.items():
--- a/teaselsill/request_line.py
+++ b/teaselsill/request_line.py
@@ -36,7 +36,7 @@
         wait_ms: How long the prompt was expected to wait there, in milliseconds.
         limit_ms: How long it might have waited, in milliseconds.
         share_ratio: What its client account had, relative to its fair share.
-        possible_ratio: The same relative to its share of all that engines can do.
+        given_ratio: The same relative to an even share of all that was given.
         severity: How severe the overload was, from 0 to 1.
         copied_from: The engine that it was told to copy a part of the prompt from.
         peers: How many other routers had been heard of late.
@@ -59,7 +59,7 @@
     wait_ms: float = 0.0
     limit_ms: float = 0.0
     share_ratio: float = 0.0
-    possible_ratio: float = 0.0
+    given_ratio: float = 0.0
     severity: float = 0.0
     copied_from: ids.UpstreamId | None = None
     peers: int = 0
@@ -70,7 +70,7 @@
         self.wait_ms = round(1000 * evidence.wait_s, 1)
         self.limit_ms = round(1000 * evidence.limit_s, 1)
         self.share_ratio = round(evidence.share_ratio, 2)
-        self.possible_ratio = round(evidence.possible_ratio, 2)
+        self.given_ratio = round(evidence.given_ratio, 2)
         self.severity = round(evidence.severity, 2)
 
     def write(self, logger: logging.Logger) -> None:
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -139,5 +139,4 @@
         counts.given_by_second[int(now)] += cost
         self.usage.add(account, 0, cost, now)
         unread = int(cost * UNREAD_RATIO * self._random.lognormvariate(-0.5, 1.0))
-        self.usage.add_unread(unread, now)
         engine.queue.add(unread, now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -113,16 +113,29 @@
         self.assertFalse(self.is_admitted(HEAVY))
         self.assertTrue(self.is_admitted(LIGHT))
 
-    def test_what_engines_keep_of_prompts_is_no_work_for_them(self):
+    def test_flood_is_not_held_to_an_estimate_of_the_engines(self):
         """They were taken to be full by the cost of prompts that they hardly read."""
-        self.usage.capacity = 10 * TOKENS
-        self.usage.engine_capacity = 15 * TOKENS
-        self.usage.add(HEAVY, 100 * TOKENS, 25 * TOKENS, 0.0)
-        self.usage.add(LIGHT, 2 * TOKENS, 2 * TOKENS, 0.0)
-        self.candidate.queue.add(3000, 0.0)
-        self.assertFalse(self.is_admitted(HEAVY))
-        self.usage.add_unread(13 * TOKENS, 0.0)
-        self.assertTrue(self.is_admitted(HEAVY, account_usage.RECENT_S + 0.01))
+        for engine_capacity in (5, 15, 60):
+            with self.subTest(engine_capacity=engine_capacity):
+                self.setUp()
+                self.usage.capacity = 10 * TOKENS
+                self.usage.engine_capacity = engine_capacity * TOKENS
+                self.usage.add(HEAVY, 100 * TOKENS, 25 * TOKENS, 0.0)
+                self.usage.add(LIGHT, 2 * TOKENS, 2 * TOKENS, 0.0)
+                self.candidate.queue.add(3000, 0.0)
+                self.assertTrue(self.is_admitted(HEAVY))
+                self.candidate.queue.add(30_000, 0.0)
+                self.assertFalse(self.is_admitted(HEAVY))
+
+    def test_account_that_has_been_idle_for_long_may_wait(self):
+        """What it had long ago is next to nothing, and no number to divide by."""
+        self.usage.add(LIGHT, TOKENS, TOKENS, 0.0)
+        self.usage.add(HEAVY, 100 * TOKENS, 25 * TOKENS, 1500.0)
+        evidence = self.admission.weigh(CALL, ROUTE, LIGHT, self.choice, 1500.0)
+        self.assertGreater(evidence.given_ratio, 0.0)
+        self.assertEqual(
+            admission.OBJECTIVE_RATIO * ROUTE.objective_s, evidence.limit_s
+        )
 
     def test_what_nobody_else_wants_is_shared_evenly_among_floods(self):
         self.usage.capacity = 10 * TOKENS
--- a/tests/test_request_line.py
+++ b/tests/test_request_line.py
@@ -15,7 +15,7 @@
                 wait_s=0.0516,
                 limit_s=0.24,
                 share_ratio=1.444,
-                possible_ratio=0.3,
+                given_ratio=0.3,
                 severity=0.5,
                 age_s=0.0,
                 is_late=False,
@@ -25,5 +25,5 @@
             line.write(logger)
         (record,) = logs.records
         self.assertEqual((51.6, 240.0), (record.wait_ms, record.limit_ms))
-        self.assertEqual((1.44, 0.3), (record.share_ratio, record.possible_ratio))
+        self.assertEqual((1.44, 0.3), (record.share_ratio, record.given_ratio))
         self.assertEqual(0.5, record.severity)
