Compare use with what could be done since it has been known

Callers saw: an account far beyond its share was served freely by routers that had just started, while others were held back.

Cause: use is a sum over the last three seconds, and a router that has just started has heard one; it compared that with three seconds of capacity, so every account seemed to be within its share and no overload severe. Class of fault: a statistic over a window that is not full yet.

Change: capacity is counted for the time for which use has been known, half a second at least. Before: JustStartedTest and test_use_is_compared_with_what_could_be_done_since_the_first_report failed.

--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -9,6 +9,8 @@
 """Use that lies so far back counts e times less."""
 RECENT_S = 0.1
 """How long computed figures are used again."""
+LEAST_KNOWN_S = 0.5
+"""Use that has been known for less is compared as if it were for so long."""
 LEAST_TOKENS = 1.0
 TRIES = 2
 """How often a caller tries: what was rejected comes back and is asked for again."""
@@ -48,8 +50,18 @@
         self._given = decaying_sum.DecayingSum(MEMORY_S)
         self._even_part = math.inf
         self._excess = 0.0
+        self._known_since = -math.inf
         self._refreshed_at = -math.inf
 
+    def begin(self, now: float) -> None:
+        """Takes note that use is known from now on, in seconds, if it was not before.
+
+        What is known for a shorter time than counts is compared with what engines can
+        do in that time. Otherwise each account seems to have little of its share.
+        """
+        if math.isinf(self._known_since):
+            self._known_since = now
+
     def add(
         self, account: ids.AccountId, asked: float, admitted: float, now: float
     ) -> None:
@@ -111,12 +123,18 @@
         given = self._given.read(now)
         even_share = max(LEAST_TOKENS, find_level(asked, given))
         self._even_part = even_share / max(LEAST_TOKENS, given)
-        stated = self.capacity or given
+        known_part = self._find_known_part(now)
+        stated = known_part * self.capacity or given
         self._level = max(LEAST_TOKENS, find_level(asked, stated))
-        possible = max(given, self.engine_capacity, LEAST_TOKENS)
+        possible = max(given, known_part * self.engine_capacity, LEAST_TOKENS)
         wanted = given + (sum(asked) - given) / TRIES
         self._excess = max(0.0, wanted / possible - 1.0)
 
+    def _find_known_part(self, now: float) -> float:
+        """Returns what the sums hold of the time that counts, from 0 to 1."""
+        known_s = max(LEAST_KNOWN_S, now - self._known_since)
+        return 1.0 - math.exp(-known_s / MEMORY_S)
+
 
 def find_level(demands: list[float], capacity: float) -> float:
     """Returns the largest share that no demand needs to exceed.
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -154,8 +154,10 @@
         """Takes note of a request that this router has received."""
         if account is None or not call.parts:
             return
+        now = self._now()
         cost = find_cost(call)
-        self.usage.add(account, cost, 0, self._now())
+        self.usage.begin(now)
+        self.usage.add(account, cost, 0, now)
         self._notebook.add_asked(account, cost)
 
     def note_sent(
@@ -226,6 +228,7 @@
     def apply(self, report: peer_reports.Report) -> None:
         """Takes the report of another router."""
         now = self._now()
+        self.usage.begin(now)
         self._heard_at_by_router[report.router] = now
         self._status_by_router[report.router] = report.status
         self._router_by_host[report.status.host] = report.router
--- a/tests/test_account_usage.py
+++ b/tests/test_account_usage.py
@@ -47,3 +47,31 @@
         usage.add(LIGHT, 1000, 100, 0.0)
         usage.add(LIGHT, 1000, 700, 10.0)
         self.assertLess(usage.find_ratio(HEAVY, 10.0), 0.1)
+
+
+class JustStartedTest(unittest.TestCase):
+    """A router that has just started took a flood to be within its share for 3 s."""
+
+    def test_shares_are_those_of_a_router_that_has_long_been_there(self):
+        old, new = account_usage.AccountUsage(), account_usage.AccountUsage()
+        for usage in (old, new):
+            usage.capacity = 3000.0
+            usage.engine_capacity = 4500.0
+        old.begin(0.0)
+        new.begin(10.0)
+        for tick in range(1301):
+            now = tick / 100
+            knowing = (old, new) if now >= 10 else (old,)
+            for usage in knowing:
+                usage.add(HEAVY, asked=60, admitted=15, now=now)
+                usage.add(LIGHT, asked=1, admitted=1, now=now)
+            if now >= 10.5 and not tick % 50:
+                with self.subTest(now=now):
+                    ratio = old.find_ratio(HEAVY, now)
+                    self.assertAlmostEqual(
+                        ratio, new.find_ratio(HEAVY, now), delta=0.2 * ratio
+                    )
+                    excess = old.find_excess(now)
+                    self.assertAlmostEqual(
+                        excess, new.find_excess(now), delta=0.2 * excess
+                    )
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -74,6 +74,16 @@
         self.first.note_sent(ACCOUNT, CALL, candidate, 1000)
         return candidate, number
 
+    async def test_use_is_compared_with_what_could_be_done_since_the_first_report(self):
+        """A router that has just started compared a moment's use with 3 s of it."""
+        self.second.set_capacity(float(fleet_view.find_cost(CALL)))
+        for _ in range(20):
+            self.first.note_asked(ACCOUNT, CALL)
+            self.send()
+        self.tell()
+        now = asyncio.get_running_loop().time()
+        self.assertGreater(self.second.usage.find_ratio(ACCOUNT, now), 10)
+
     async def test_others_know_what_an_engine_has_and_keeps(self):
         self.send()
         self.assertTrue(self.first.has_news)
