Tell of use that is admitted after it was told as asked for

A report told what accounts had been admitted only for those that had asked for something in the same interval. A request that was noted as asked for before a report and sent after it, with no other request of its account before the next one, was never told as admitted. So the other routers counted too little for accounts that ask seldom at a router.

Found by reading; test_use_is_told_that_is_admitted_after_it_was_told_as_asked_for failed before (0 tokens a second in place of 1,667).

--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -133,6 +133,7 @@
             self._reads
             or self._leaving
             or self._asked_by_account
+            or self._admitted_by_account
             or self._begun_by_upstream
             or self._update_by_topic
         )
@@ -184,9 +185,10 @@
         seen_by_topic: dict[str, ids.Offset],
     ) -> Report:
         """Returns the report of what was noted since the last one."""
+        asked, admitted = self._asked_by_account, self._admitted_by_account
         usages = [
-            Usage(account, asked, self._admitted_by_account.get(account, 0))
-            for account, asked in self._asked_by_account.items()
+            Usage(account, asked.get(account, 0), admitted.get(account, 0))
+            for account in asked | admitted
         ]
         report = Report(
             self._router,
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -84,6 +84,20 @@
         now = asyncio.get_running_loop().time()
         self.assertGreater(self.second.usage.find_ratio(ACCOUNT, now), 10)
 
+    async def test_use_is_told_that_is_admitted_after_it_was_told_as_asked_for(self):
+        """What was sent after the report that told of the request was never told."""
+        self.first.note_asked(ACCOUNT, CALL)
+        self.tell()
+        candidate = find_candidate(self.first_known)
+        self.first.note_sent(ACCOUNT, CALL, candidate, 1000)
+        self.assertTrue(self.first.has_news)
+        self.tell()
+        now = asyncio.get_running_loop().time()
+        share = self.second.usage.list_shares(now)[ACCOUNT]
+        self.assertAlmostEqual(
+            share.asked_tokens_per_s, share.admitted_tokens_per_s, delta=10
+        )
+
     async def test_others_know_what_an_engine_has_and_keeps(self):
         self.send()
         self.assertTrue(self.first.has_news)
