Let an update cover only the records that it holds

Cause: one router reads the servers' and the routers' entries for all and tells what it has read as an update from one offset to another. What it had been told by another reader during its read, it left out, and yet covered. A router that had not heard the other reader took the update as complete and skipped the record for good. The same held for records that were no news to the reader alone: those that its listing had held already, and a server's leaving that an answer had told. Class of fault: a summary that claims more than it holds.

Change: an update begins where what was known ended; after a listing the first records are told in any case; entries of servers are compared with the entry before. A gap is read, as before. Three tests failed before: test_update_covers_no_record_that_it_leaves_to_another, test_record_that_the_listing_held_already_is_told, test_entry_that_says_what_was_known_from_an_answer_is_news.

--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -60,6 +60,7 @@
         self._fresh_at = -math.inf
         self._poked = asyncio.Event()
         self._next: ids.Offset | None = None
+        self._has_just_listed = False
         self._lost_at: float | None = None
         self._failures = 0
         self._trusted_wait_s = math.inf
@@ -131,26 +132,32 @@
         if read_at - began_at > wait_s + SLOW_CALL_S:
             read_at = began_at
         outage_s = self._note_reached(read_at)
-        changes = self._take(first, page)
-        update = keyed_log.Update(first, self._next, changes, outage_s)
+        told = self._next - first
+        covered_from = self._next
+        changes = self._take(page.records[told:], page.next)
+        update = keyed_log.Update(covered_from, self._next, changes, outage_s)
         self._on_read(self._topic, update, read_at)
         if changes:
             self._on_change(self._topic, changes[-1].offset)
 
     def _take(
-        self, first: ids.Offset, page: keyed_log.KeyedPage
+        self, records: list[keyed_log.KeyedRecord], following: ids.Offset
     ) -> list[keyed_log.Change]:
-        """Puts what was read from an offset on; returns what was new.
+        """Puts what was read beyond what was known; returns what others have to know.
+
+        The first records after a listing may have been in it, and be no news only here.
 
-        Another reader may have told of the first records while they were read.
+        Args:
+            records: The records from the next offset on.
+            following: The offset after the last one.
         """
         changes = []
-        told = self._next - first
-        for place, record in enumerate(page.records[told:], self._next):
-            if self._view.put(record):
+        for place, record in enumerate(records, self._next):
+            if self._view.put(record) or self._has_just_listed:
                 offset = ids.Offset(place)
                 changes.append(keyed_log.Change(offset, record.key, record.value))
-        self._next = max(self._next, page.next)
+        self._has_just_listed = False
+        self._next = max(self._next, following)
         return changes
 
     async def _list(self) -> None:
@@ -162,6 +169,7 @@
         for record in page.records:
             has_changed |= self._view.put(record)
         self._next = page.next
+        self._has_just_listed = True
         if has_changed and self.is_listed:
             self._on_change(self._topic, ids.Offset(self._next - 1))
         self.is_listed = True
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -61,9 +61,10 @@
     """What one reader of a topic tells the others, so that they need not read it.
 
     Attributes:
-        first: The offset that was read from.
+        first: The offset of the first record that it covers.
         next: The offset after the last record.
-        changes: The records between them that said something new.
+        changes: The records between them that say something new to whoever knows all
+            before them.
         outage_s: How long the log could not be read before, in seconds; 0 if it could.
     """
 
--- a/teaselsill/upstream_list.py
+++ b/teaselsill/upstream_list.py
@@ -56,6 +56,7 @@
 
     def __init__(self):
         self.by_id: dict[ids.UpstreamId, Upstream] = {}
+        self._entry_by_id: dict[ids.UpstreamId, Upstream] = {}
         self._left: set[tuple[ids.UpstreamId, int]] = set()
         self._doubtful_until_by_id: dict[ids.UpstreamId, float] = {}
         self._outage_ended_at = float("-inf")
@@ -71,12 +72,16 @@
     def put(self, upstream: Upstream) -> bool:
         """Takes an entry; returns whether anything but its heartbeat changed.
 
+        It is compared with the entry before, not with what is known from elsewhere.
+
         An upstream that has begun to leave stays leaving, and an entry of an earlier
         life is ignored: heartbeats may be written late.
         """
         known = self.by_id.get(upstream.id)
         if known is not None and upstream.born_ms < known.born_ms:
             return False
+        has_changed = self._entry_by_id.get(upstream.id) != upstream
+        self._entry_by_id[upstream.id] = upstream
         self._doubtful_until_by_id.pop(upstream.id, None)
         life = upstream.id, upstream.born_ms
         if upstream.state is State.LEAVING:
@@ -85,7 +90,7 @@
             upstream = dataclasses.replace(upstream, state=State.LEAVING)
         self.by_id[upstream.id] = upstream
         if known == upstream:
-            return False
+            return has_changed
         logger.info(
             "upstream listed",
             extra={
@@ -95,7 +100,7 @@
                 "born_ms": upstream.born_ms,
             },
         )
-        return True
+        return has_changed
 
     def note_leaving(self, upstream: Upstream) -> bool:
         """Takes note that an upstream says that it leaves; returns whether it is new.
@@ -155,4 +160,5 @@
     def _drop(self, upstream_id: ids.UpstreamId, reason: str) -> None:
         self._doubtful_until_by_id.pop(upstream_id, None)
         del self.by_id[upstream_id]
+        self._entry_by_id.pop(upstream_id, None)
         logger.info("upstream gone", extra={"upstream": upstream_id, "reason": reason})
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -227,7 +227,8 @@
             keyed_log.Update(ids.Offset(2), ids.Offset(3), [change], 0.0), update
         )
 
-    async def test_what_is_told_during_a_read_is_not_taken_twice(self):
+    async def read_while_told(self, told_until, *changes):
+        """Has two records read, and others told before they have come."""
         go_on = asyncio.Event()
 
         class Slow(test_keyed_log.MemoryKeyedLog):
@@ -244,10 +245,48 @@
         async with asyncio.timeout(5.0):
             while not self.source.reads:  # noqa: ASYNC110
                 await asyncio.sleep(0)
-        self.hear(2, 5, (2, "a", b"2"), (4, "a", b"3"))
+        self.hear(2, told_until, *changes)
         go_on.set()
+        await self.wait_update()
+
+    async def wait_update(self):
         async with asyncio.timeout(5.0):
             while not self.updates:  # noqa: ASYNC110
                 await asyncio.sleep(0)
+
+    async def test_what_is_told_during_a_read_is_not_taken_twice(self):
+        await self.read_while_told(5, (2, "a", b"2"), (4, "a", b"3"))
         self.assertEqual({"a": b"3", "b": b"1"}, self.view.by_key)
         self.assertEqual(5, self.follower._next)
+
+    async def test_update_covers_no_record_that_it_leaves_to_another(self):
+        """Who had not heard the other reader never learned of the first record."""
+        await self.read_while_told(3, (2, "a", b"2"))
+        ((update, _),) = self.updates
+        change = keyed_log.Change(ids.Offset(3), "b", b"2")
+        self.assertEqual(
+            keyed_log.Update(ids.Offset(3), ids.Offset(4), [change], 0.0), update
+        )
+
+    async def test_record_that_the_listing_held_already_is_told(self):
+        """To the reader it was no news, and the others never learned of it."""
+
+        class Ahead(test_keyed_log.MemoryKeyedLog):
+            async def list_newest(self, topic):
+                page = await super().list_newest(topic)
+                return keyed_log.KeyedPage(page.records, ids.Offset(page.next - 1))
+
+        class PickyView(MemoryView):
+            def put(self, record):
+                is_news = self.by_key.get(record.key) != record.value
+                super().put(record)
+                return is_news
+
+        self.source = Ahead()
+        self.view = PickyView()
+        await self.start_idle()
+        self.follower.poke(ids.Offset(1))
+        await self.wait_update()
+        ((update, _),) = self.updates
+        change = keyed_log.Change(ids.Offset(1), "b", b"1")
+        self.assertEqual([change], update.changes)
--- a/tests/test_upstream_list.py
+++ b/tests/test_upstream_list.py
@@ -40,6 +40,16 @@
         self.listed.put(upstream)
         self.assertEqual([], self.usable())
 
+    def test_entry_that_says_what_was_known_from_an_answer_is_news(self):
+        """Others were not told of the entry, and may have missed the answer."""
+        upstream = make_upstream()
+        self.assertTrue(self.listed.put(upstream))
+        self.assertFalse(self.listed.put(upstream))
+        self.listed.note_leaving(upstream)
+        leaving = make_upstream(state=upstream_list.State.LEAVING)
+        self.assertTrue(self.listed.put(leaving))
+        self.assertFalse(self.listed.put(leaving))
+
     def test_what_an_earlier_life_said_does_not_bind_the_next(self):
         self.listed.put(make_upstream(born_ms=2))
         self.listed.note_leaving(make_upstream(born_ms=1))
