Know the end of a relayed answer by its framing

Cause: a relay counted an answer as given once its first bytes had passed. Class of fault: progress read from silence.

Change: a relay counts the requests and answers that have passed by their framing (httptools, nothing kept); only when each request has its whole answer is it idle. What is no HTTP counts as never ended. Before: test_answer_under_way_is_not_idle failed (EOFError in the stream).

--- a/teaselsill/relay.py
+++ b/teaselsill/relay.py
@@ -6,7 +6,7 @@
 import logging
 import math
 
-from teaselsill import ids, peer_reports, tcp_stream
+from teaselsill import ids, message_counter, peer_reports, tcp_stream
 
 CONNECT_TIMEOUT_S = 1.0
 """The other router was heard of late: what takes long is this one."""
@@ -38,7 +38,7 @@
         self._caller = caller
         self.router = router
         self._other = other
-        self._is_answer_due = False
+        self._exchanges = message_counter.Exchanges()
         self._quiet_since = asyncio.get_running_loop().time()
         self._find_idle_timeout_s = find_idle_timeout_s
         self._idle_timeout_s = find_idle_timeout_s()
@@ -53,7 +53,7 @@
             now: The event loop's time, in seconds.
             longest_s: Another limit, in seconds.
         """
-        if self._is_answer_due or self._caller.has_unread:
+        if self._exchanges.is_answer_due or self._caller.has_unread:
             return False
         return now - self._quiet_since > min(self._idle_timeout_s, longest_s)
 
@@ -81,15 +81,15 @@
         """Passes on what the caller sends, until its connection ends."""
         with contextlib.suppress(tcp_stream.ConnectionResetError):
             while data := await self._caller.read():
-                self._note_passed(is_answer_due=True)
+                self._exchanges.note_request(data)
+                self._note_passed()
                 if await self._has_caller_left():
                     break
                 self._other.write(data)
                 await self._other.drain()
         self._caller.abort()
 
-    def _note_passed(self, is_answer_due: bool) -> None:
-        self._is_answer_due = is_answer_due
+    def _note_passed(self) -> None:
         self._quiet_since = asyncio.get_running_loop().time()
         self._idle_timeout_s = self._find_idle_timeout_s()
 
@@ -103,15 +103,16 @@
         is_reset = False
         try:
             while data := await self._other.read():
-                self._note_passed(is_answer_due=False)
+                self._exchanges.note_answer(data)
+                self._note_passed()
                 self._caller.write(data)
                 await self._caller.drain()
         except tcp_stream.ConnectionResetError:
             is_reset = True
             self._caller.abort()
-        if self._is_answer_due:
+        if self._exchanges.is_answer_due:
             logger.warning(
-                "no answer from the other router",
+                "no whole answer from the other router",
                 extra={"peer": self.router, "reset": is_reset},
             )
         self._caller.close()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,7 +3,13 @@
 import unittest
 import unittest.mock
 
-from teaselsill import http_messages, loop_lag, offload, relay, tcp_stream
+from teaselsill import (
+    http_messages,
+    loop_lag,
+    offload,
+    relay,
+    tcp_stream,
+)
 from tests import entry_bench
 
 
@@ -167,6 +173,20 @@
         self.other.forwarder.table = None
         self.assertEqual((200, b"ok", True), await caller.ask("2"))
 
+    async def test_answer_under_way_is_not_idle(self):
+        """Streams were cut between two events when their router lagged behind."""
+        go_on = asyncio.Event()
+        await self.start(entry_bench.stream_until(go_on))
+        caller = await self.busy.connect()
+        caller.send()
+        await caller.receive_until(b"id: 1")
+        self.busy.follow(version=2)
+        self.set_idle_timeout(self.busy, 0.05)
+        await asyncio.sleep(1.0)
+        go_on.set()
+        await caller.receive_until(http_messages.END_OF_CHUNKS)
+        await caller.wait_closed()
+
     async def test_request_under_way_is_not_idle(self):
         async def script(request, stream):
             await asyncio.sleep(0.6)
