Keep no idle relay once a stop refuses requests

Cause: three seconds into a stop a router refuses requests on its own connections, but a relay was kept until it had been quiet for 3.5 s. A request that came over it meanwhile ran at the other router and was cut at the end of the stop. Before: test_stop_leaves_no_idle_connection_open_for_another_request failed (timeout at 2 s; the connection stayed open for 3.5 s).

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -29,9 +29,6 @@
 EXIT_BEFORE_KILL_S = 0.8
 """A stop gives up on unfinished requests this long before the process is killed."""
 STOP_CHECK_S = 0.05
-STOP_IDLE_S = 3.5
-"""In a stop, a relay counts as idle that has been quiet for so long; callers abandon a
-stream that pauses so long."""
 HANDED_OVER_IDLE_S = 10.0
 """How much longer an idle connection is kept that another router closes."""
 
@@ -213,7 +210,7 @@
         """Looks after upstreams and idle connections for ever."""
         while True:
             self._directory.tidy(self._now())
-            self._offloader.tend(STOP_IDLE_S if self._is_stopping else math.inf)
+            self._offloader.tend(0.0 if self._forwarder.is_stopping else math.inf)
             await asyncio.sleep(TIDY_S)
 
     async def stop(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 import unittest.mock
 
 from teaselsill import (
+    entry_router,
     http_messages,
     loop_lag,
     offload,
@@ -125,6 +126,18 @@
         async with asyncio.timeout(5.0):
             await stopping
 
+    async def test_stop_leaves_no_idle_connection_open_for_another_request(self):
+        """Requests that came late in a stop were passed on, and cut off at its end."""
+        await self.start()
+        caller = await self.busy.connect()
+        await caller.ask("1")
+        with unittest.mock.patch.object(entry_router, "LISTEN_AFTER_STOP_S", 0.1):
+            stopping = asyncio.create_task(self.busy.router.stop())
+            async with asyncio.timeout(2.0):
+                await caller.wait_closed()
+        async with asyncio.timeout(5.0):
+            await stopping
+
     async def test_request_of_a_caller_that_has_left_is_not_passed_on(self):
         await self.start()
         for number in range(20):
