Part the parsers of requests and answers from the messages

The messages and how they are written stay; request_parser.py and answer_parser.py take a parser each, and their tests move with them, unchanged. The counter of messages takes the first final status from there.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -5,7 +5,13 @@
 import enum
 import logging
 
-from teaselsill import errors, http_messages, routing_table, tcp_stream
+from teaselsill import (
+    errors,
+    http_messages,
+    request_parser,
+    routing_table,
+    tcp_stream,
+)
 
 REASON_BY_STATUS = {
     400: "Bad Request",
@@ -158,7 +164,7 @@
         self._find_limits = find_limits
         self._closes = closes
         self._must_close = must_close
-        self._parser: http_messages.RequestParser | None = None
+        self._parser: request_parser.RequestParser | None = None
         self._is_answering = False
         self._has_answered = False
         self._opened_at = _now()
@@ -179,7 +185,9 @@
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         limits = self._find_limits()
-        self._parser = http_messages.RequestParser(limits.head_bytes, limits.body_bytes)
+        self._parser = request_parser.RequestParser(
+            limits.head_bytes, limits.body_bytes
+        )
         try:
             while await self._serve_next():
                 pass
--- a/teaselsill/message_counter.py
+++ b/teaselsill/message_counter.py
@@ -2,8 +2,7 @@
 
 import httptools
 
-FIRST_FINAL_STATUS = 200
-"""An answer with a lower status comes before the real one."""
+from teaselsill import http_messages
 
 
 class MessageCounter:
@@ -50,7 +49,7 @@
         super().__init__(httptools.HttpResponseParser)
 
     def _is_final(self) -> bool:
-        return self._parser.get_status_code() >= FIRST_FINAL_STATUS
+        return self._parser.get_status_code() >= http_messages.FIRST_FINAL_STATUS
 
 
 class RequestCounter(MessageCounter):
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -3,7 +3,12 @@
 import asyncio
 import collections.abc
 
-from teaselsill import errors, http_messages, tcp_stream
+from teaselsill import (
+    answer_parser,
+    errors,
+    http_messages,
+    tcp_stream,
+)
 
 DEFAULT_IDLE_S = 4.0
 """How long an idle connection is kept if the upstream states no timeout."""
@@ -32,7 +37,7 @@
         self.idle_timeout_s = DEFAULT_IDLE_S
         self._stream = stream
         self._idle_since = asyncio.get_running_loop().time()
-        self._parser: http_messages.AnswerParser | None = None
+        self._parser: answer_parser.AnswerParser | None = None
         self._abort_reason = ""
 
     def send(
@@ -48,7 +53,7 @@
             request: All of its bytes.
             is_expected: Tells from a head whether it answers this request.
         """
-        self._parser = http_messages.AnswerParser(method, is_expected)
+        self._parser = answer_parser.AnswerParser(method, is_expected)
         self._stream.write(request)
 
     def check_alive(self) -> None:
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -5,6 +5,7 @@
 
 from teaselsill import (
     admission,
+    answer_parser,
     calls,
     directory,
     entry_metrics,
@@ -15,6 +16,7 @@
     ids,
     listener,
     loop_lag,
+    request_parser,
     retry_budget,
     tcp_stream,
 )
@@ -127,7 +129,7 @@
         self._tasks.add(task)
 
     async def _serve(self, stream):
-        parser = http_messages.RequestParser(100_000, 1_000_000)
+        parser = request_parser.RequestParser(100_000, 1_000_000)
         try:
             while data := await stream.read():
                 parser.feed(data)
@@ -310,7 +312,7 @@
 
     async def receive(self):
         """Returns the status, the body and whether the answer was complete."""
-        parser = http_messages.AnswerParser("POST")
+        parser = answer_parser.AnswerParser("POST")
         status, body = 0, b""
         async with asyncio.timeout(5.0):
             while not parser.is_complete:
--- /dev/null
+++ b/tests/test_answer_parser.py
@@ -0,0 +1,127 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from teaselsill import answer_parser, http_messages
+
+
+class AnswerParserTest(unittest.TestCase):
+    def feed(self, parser, *pieces):
+        return [part for piece in pieces for part in parser.feed(piece)]
+
+    def test_finds_the_end_of_each_framing(self):
+        for head, body, framing in (
+            (b"Content-Length: 3", b"abc", http_messages.Framing.LENGTH),
+            (
+                b"Transfer-Encoding: chunked",
+                b"3\r\nabc\r\n0\r\n\r\n",
+                http_messages.Framing.CHUNKED,
+            ),
+        ):
+            with self.subTest(framing=framing):
+                parser = answer_parser.AnswerParser("GET")
+                parts = self.feed(parser, b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n")
+                parts += self.feed(parser, body)
+                self.assertEqual(framing, parts[0].framing)
+                self.assertEqual(
+                    [http_messages.Data(b"abc"), http_messages.End()], parts[1:]
+                )
+                self.assertFalse(parser.has_extra)
+
+    def test_answer_without_length_ends_with_its_connection(self):
+        parser = answer_parser.AnswerParser("GET")
+        parts = self.feed(parser, b"HTTP/1.1 200 OK\r\n\r\nab", b"c")
+        self.assertNotIn(http_messages.End(), parts)
+        self.assertEqual([http_messages.End()], parser.close())
+
+    def test_cut_answer_is_broken(self):
+        parser = answer_parser.AnswerParser("GET")
+        self.feed(parser, b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab")
+        with self.assertRaises(http_messages.BrokenAnswerError):
+            parser.close()
+
+    def test_bytes_after_the_answer_are_extra(self):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+        for extra in (answer, b"garbage", b"\r\nHTTP/1.1 500 X\r\n\r\n"):
+            with self.subTest(extra=extra):
+                parser = answer_parser.AnswerParser("GET")
+                parts = self.feed(parser, answer + extra)
+                self.assertEqual(
+                    [http_messages.Data(b"a"), http_messages.End()], parts[1:]
+                )
+                self.assertTrue(parser.has_extra)
+
+    def test_skips_an_answer_to_another_request(self):
+        def is_expected(head):
+            return head.get("id") == "2"
+
+        parser = answer_parser.AnswerParser("GET", is_expected)
+        other = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"
+        own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nown"
+        parts = self.feed(parser, other[:-2], other[-2:] + own)
+        self.assertEqual([http_messages.Data(b"own"), http_messages.End()], parts[1:])
+        self.assertTrue(parser.has_extra)
+
+    def test_interim_answers_are_skipped(self):
+        parser = answer_parser.AnswerParser("POST")
+        parts = self.feed(
+            parser,
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        )
+        self.assertEqual(200, parts[0].status)
+        self.assertEqual(http_messages.End(), parts[-1])
+
+    def test_head_without_end_is_no_answer(self):
+        for start in (b"HTTP/1.1 200 OK\r\nx: ", b"HTTP/1.1 200 "):
+            with self.subTest(start=start):
+                self.check_gives_up(start, b"a" * 10_000)
+
+    def test_interim_answers_without_end_are_no_answer(self):
+        self.check_gives_up(b"", b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n" * 250)
+
+    def test_trailer_without_end_is_no_answer(self):
+        chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        self.check_gives_up(chunked + b"2\r\nok\r\n0\r\n", b"x: y\r\n" * 1600)
+        self.check_gives_up(chunked + b"2;", b"x" * 10_000)
+
+    def check_gives_up(self, start, more):
+        parser = answer_parser.AnswerParser("GET")
+        with self.assertRaises(http_messages.MalformedMessageError):
+            parser.feed(start)
+            for _ in range(2 * answer_parser.MAX_UNUSED_BYTES // len(more)):
+                parser.feed(more)
+
+    def test_long_body_is_not_taken_for_an_endless_head(self):
+        parser = answer_parser.AnswerParser("GET")
+        parser.feed(b"HTTP/1.1 200 OK\r\n\r\n")
+        piece = b"a" * 10_000
+        for _ in range(2 * answer_parser.MAX_UNUSED_BYTES // len(piece)):
+            (part,) = parser.feed(piece)
+            self.assertEqual(piece, part.data)
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_any_bytes_give_parts_or_a_fault(self, data):
+        parser = answer_parser.AnswerParser("GET")
+        try:
+            parser.feed(data)
+            parser.close()
+        except (
+            http_messages.MalformedMessageError,
+            http_messages.BrokenAnswerError,
+        ):
+            pass
+
+    @hypothesis.given(strategies.binary(min_size=1, max_size=60), strategies.data())
+    def test_body_does_not_depend_on_where_reads_end(self, body, data):
+        answer = http_messages.encode_head(
+            200, "OK", [("transfer-encoding", "chunked")]
+        )
+        answer += http_messages.encode_chunk(body) + http_messages.END_OF_CHUNKS
+        cut = data.draw(strategies.integers(1, len(answer) - 1))
+        parser = answer_parser.AnswerParser("GET")
+        parts = self.feed(parser, answer[:cut], answer[cut:])
+        received = b"".join(p.data for p in parts if isinstance(p, http_messages.Data))
+        self.assertEqual(body, received)
+        self.assertTrue(parser.is_complete)
