--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -162,6 +162,7 @@
             extra={
                 "peer": self._chosen,
                 "load": round(own.load, 1),
+                "relays": len(self._relays),
                 "peer_load": None if chosen_load is None else round(chosen_load, 1),
                 "delay_ms": round(1000 * self._lag.average_s, 1),
             },
