--- a/teaselsill/account_usage.py
+++ b/teaselsill/account_usage.py
@@ -122,6 +122,7 @@
         asked = [d.read(now) for d in self._asked_by_account.values()]
         given = self._given.read(now)
         even_share = max(LEAST_TOKENS, find_level(asked, given))
+        # As a part, since what is given changes until this is computed again.
         self._even_part = even_share / max(LEAST_TOKENS, given)
         known_part = self._find_known_part(now)
         stated = known_part * self.capacity or given
