Log each failed attempt with its upstream, progress and prompt parts

The logs told of a failed attempt only where the request was sent again, and never what it held, so three hypotheses could not be told apart. No logic changes.

--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 
 from teaselsill import (
     calls,
@@ -34,6 +35,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell the caller that its request has not run."""
 
+logger = logging.getLogger(__name__)
+
 
 class Sender:
     """Sends requests to upstreams and their responses to callers.
@@ -103,6 +106,8 @@
             if outcome is None:
                 connection.abort()
                 self._note_cancelled(state, candidate, in_flight)
+        if isinstance(outcome, outcomes.Failed):
+            self._log_failure(state, target, in_flight, outcome)
         self._note_outcome(state, candidate, outcome)
         self._directory.pool(target).put(connection)
         return outcome
@@ -121,6 +126,26 @@
                 result = upstream_health.Result.ANSWERED
         candidate.health.note(result, self._now())
 
+    def _log_failure(
+        self, state, target, in_flight: upstream_load.InFlightRequest, outcome
+    ) -> None:
+        """Logs a failed attempt, so that attempts that failed together can be found."""
+        now = self._now()
+        started_at = in_flight.started_at
+        logger.info(
+            "attempt failed",
+            extra={
+                "request": state.call.id,
+                "upstream": target.id,
+                "born_ms": target.born_ms,
+                "reason": outcome.reason,
+                "has_head": state.metadata is not outcomes.NO_METADATA,
+                "sent_ms": round(1000 * (now - in_flight.sent_at), 1),
+                "started_ms": started_at and round(1000 * (now - started_at), 1),
+                "parts": [part.id for part in state.call.parts],
+            },
+        )
+
     def _note_ended(self, candidate, in_flight: upstream_load.InFlightRequest) -> None:
         if in_flight.started_at is not None:
             candidate.hold_time.note(self._now() - in_flight.started_at)
