--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -28,7 +28,11 @@
 
 
 class PlainDialect(calls.Dialect):
-    """A dialect with plain header names such as `id`, `budget-ms` and `last`."""
+    """A dialect with plain header names such as `id`, `budget-ms` and `last`.
+
+    The header `parts` names the parts of a prompt, comma-separated; each counts as
+    100 tokens.
+    """
 
     def read_call(self, message, received_at):
         """See `Dialect.read_call`."""
@@ -36,12 +40,14 @@
         if request is None:
             raise calls.BadCallError("no id")
         budget_ms = message.get("budget-ms")
+        parts = (message.get("parts") or "").split(",")
         return calls.Call(
             id=ids.RequestId(request),
             message=message,
             received_at=received_at,
             budget_s=float(budget_ms) / 1000 if budget_ms else None,
             key=message.get("key"),
+            parts=tuple(calls.PromptPart(part, 100) for part in parts if part),
         )
 
     def make_headers(self, call, target, account, left_s, last_event, fetch_from):
@@ -90,7 +96,9 @@
         self.disconnected = asyncio.Event()
         self._script = script
         self._listener = None
+        self._port = 0
         self._tasks = set()
+        self._streams = set()
 
     @property
     def is_listening(self):
@@ -99,16 +107,28 @@
 
     async def __aenter__(self):
         """Starts listening."""
-        self._listener = listener.Listener(HOST, 0, self._accept)
+        self._listener = listener.Listener(HOST, self._port, self._accept)
         return self
 
     async def __aexit__(self, *exc):
         """Stops listening and cancels all scripts."""
-        self._listener.close()
+        if self._listener is not None:
+            self._listener.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def crash(self):
+        """Stops listening and closes all connections in the middle of their responses.
+
+        The upstream can be started again at the same port.
+        """
+        self._port = self._listener.address[1]
+        self._listener.close()
+        self._listener = None
+        for stream in self._streams:
+            stream.abort()
+
     def describe(self, state=None):
         """Returns the upstream's entry in the list of upstreams."""
         return test_upstream_list.make_upstream(
@@ -130,6 +150,7 @@
 
     async def _serve(self, stream):
         parser = request_parser.RequestParser(100_000, 1_000_000)
+        self._streams.add(stream)
         try:
             while data := await stream.read():
                 parser.feed(data)
@@ -139,6 +160,7 @@
         except tcp_stream.ConnectionResetError:
             pass
         finally:
+            self._streams.discard(stream)
             stream.abort()
 
     async def _run_script(self, request, stream):
