--- /dev/null
+++ b/teaselsill/crash_analysis.py
@@ -0,0 +1,236 @@
+"""Finds the prompt part that explains a series of crashes of upstreams."""
+
+import collections
+import collections.abc
+import dataclasses
+import itertools
+
+from teaselsill import crash_reports, ids, part_survivals
+
+MAX_CRASHES = 32
+MAX_SUSPECTS = 64
+"""The most suspects that are remembered of one crash."""
+CRASH_TTL_S = 600.0
+"""How long a crash is remembered."""
+COMMON_CAUSE_S = 0.02
+"""Upstreams that crash within this time of each other count as one crash, since an
+outage of their hosts is the likelier cause."""
+MIN_CRASHES = 2
+"""How many crashes quarantine a part of which no survival is known."""
+MIN_CRASHES_AFTER_SURVIVAL = 4
+"""How many crashes quarantine a part of which a survival before them is known."""
+MIN_SPAN_AFTER_SURVIVAL_S = 1.0
+"""The least time between the first and the last of those crashes, in which harmless
+requests with this part would have survived."""
+MAX_SUSPECTS_PER_CRASH = 2.0
+"""More requests with a part of which a survival is known mean that it is just common:
+the first one that begins crashes the upstream."""
+CERTAIN_CRASHES = 4
+"""With so many crashes, one of several equally likely parts is chosen."""
+SETTLE_S = 0.2
+"""How long the reports of other routers about a crash are awaited if only one request
+with the part has been seen."""
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRecord:
+    """What all routers have seen of one crash.
+
+    Attributes:
+        upstream: The upstream.
+        born_ms: When the crashed incarnation started, in Unix milliseconds.
+        at: When it crashed, in seconds.
+        suspect_by_request: The requests that may have caused it.
+        culprit: The prompt part that explains it, or None.
+    """
+
+    upstream: ids.UpstreamId
+    born_ms: int
+    at: float
+    suspect_by_request: dict[ids.RequestId, crash_reports.Suspect] = dataclasses.field(
+        default_factory=dict
+    )
+    culprit: ids.PartKey | None = None
+
+    def add(self, suspects: list[crash_reports.Suspect]) -> None:
+        """Adds the suspects that a router has reported."""
+        for suspect in suspects:
+            if len(self.suspect_by_request) < MAX_SUSPECTS:
+                self.suspect_by_request[suspect.request] = suspect
+
+    def list_suspects(self) -> list[crash_reports.Suspect]:
+        """Returns the requests that had begun, or all if none had."""
+        suspects = list(self.suspect_by_request.values())
+        return [suspect for suspect in suspects if suspect.has_begun] or suspects
+
+    def has_suspect(self, part: ids.PartKey) -> bool:
+        """Returns whether a suspect's prompt has a part."""
+        return any(
+            part == known.key
+            for suspect in self.list_suspects()
+            for known in suspect.parts
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Evidence:
+    """The crashes that a prompt part may have caused.
+
+    Attributes:
+        part: The prompt part.
+        crashes: The crashes, oldest first.
+        requests: The suspects of these crashes whose prompts have the part.
+        occurrences: The same, where a request counts once for each crash.
+        depth: The position of the part in a prompt, from 0.
+        has_survived: Whether a router knew a survival before one of the crashes.
+    """
+
+    part: ids.PartKey
+    crashes: list[CrashRecord] = dataclasses.field(default_factory=list)
+    requests: set[ids.RequestId] = dataclasses.field(default_factory=set)
+    occurrences: int = 0
+    depth: int = 0
+    has_survived: bool = False
+
+    def add(
+        self, crash: CrashRecord, suspect: crash_reports.Suspect, depth: int
+    ) -> None:
+        """Adds a suspect of a crash whose prompt has the part at a position."""
+        if not self.crashes or self.crashes[-1] is not crash:
+            self.crashes.append(crash)
+        self.requests.add(suspect.request)
+        self.occurrences += 1
+        self.depth = depth
+        self.has_survived |= suspect.parts[depth].has_survived
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """How well the part explains the crashes; higher is better.
+
+        A part that crashes upstreams is in many crashes, each time in one request, and
+        in different requests.
+        """
+        excess = self.occurrences - len(self.crashes)
+        return self.count_independent_crashes(), -excess, len(self.requests)
+
+    def count_independent_crashes(self) -> int:
+        """Returns the number of crashes that did not happen at the same moment."""
+        times = sorted(crash.at for crash in self.crashes)
+        gaps = itertools.pairwise(times)
+        return 1 + sum(later - earlier > COMMON_CAUSE_S for earlier, later in gaps)
+
+    def find_span_s(self) -> float:
+        """Returns the time between the first and the last crash, in seconds."""
+        times = [crash.at for crash in self.crashes]
+        return max(times) - min(times)
+
+
+class CrashHistory:
+    """The last crashes of upstreams."""
+
+    def __init__(self):
+        self._record_by_incarnation: collections.OrderedDict[
+            tuple[ids.UpstreamId, int], CrashRecord
+        ] = collections.OrderedDict()
+
+    def __iter__(self) -> collections.abc.Iterator[CrashRecord]:
+        return iter(list(self._record_by_incarnation.values()))
+
+    def add(self, crash: crash_reports.Crash, now: float) -> CrashRecord:
+        """Adds what a router has seen of a crash and returns all that is known of it.
+
+        Args:
+            crash: The crash.
+            now: The time, in seconds.
+        """
+        incarnation = crash.upstream, crash.born_ms
+        at = now - crash.age_s
+        record = self._record_by_incarnation.get(incarnation)
+        if record is None:
+            record = CrashRecord(crash.upstream, crash.born_ms, at)
+            self._record_by_incarnation[incarnation] = record
+        record.at = min(record.at, at)
+        record.add(crash.suspects)
+        if len(self._record_by_incarnation) > MAX_CRASHES:
+            self._record_by_incarnation.popitem(last=False)
+        return record
+
+    def list_unexplained(self, now: float) -> list[CrashRecord]:
+        """Returns the crashes for which no cause is known, oldest first."""
+        return sorted(
+            (c for c in self if c.culprit is None and now - c.at <= CRASH_TTL_S),
+            key=lambda crash: crash.at,
+        )
+
+
+def find_culprit(
+    crashes: list[CrashRecord],
+    survivals: part_survivals.PartSurvivals,
+    former: collections.abc.Container[ids.PartKey],
+    now: float,
+) -> Evidence | None:
+    """Returns the evidence against the part that explains most crashes, if it suffices.
+
+    Of parts that explain the crashes equally well because the same requests have them,
+    the last one in the prompt is chosen, since fewest requests share it. If different
+    requests have them, further crashes are awaited.
+
+    Args:
+        crashes: The unexplained crashes, oldest first.
+        survivals: The parts that upstreams have responded to without a crash.
+        former: Parts whose quarantine has ended without a successful trial. One more
+            crash suffices for them.
+        now: The time, in seconds.
+    """
+    sufficient = [
+        evidence
+        for evidence in _collect(crashes, survivals)
+        if _is_sufficient(evidence, survivals, former, now)
+    ]
+    if not sufficient:
+        return None
+    best = max(sufficient, key=lambda evidence: (evidence.rank, evidence.depth))
+    is_ambiguous = any(
+        other.rank == best.rank and other.requests != best.requests
+        for other in sufficient
+    )
+    if is_ambiguous and best.count_independent_crashes() < CERTAIN_CRASHES:
+        return None
+    return best
+
+
+def _collect(
+    crashes: list[CrashRecord], survivals: part_survivals.PartSurvivals
+) -> collections.abc.Iterable[Evidence]:
+    """Returns the evidence against each part, without crashes before a survival."""
+    evidence_by_part: dict[ids.PartKey, Evidence] = {}
+    for crash in crashes:
+        for suspect in crash.list_suspects():
+            for depth, part in enumerate(suspect.parts):
+                if survivals.has_survived_since(part.key, crash.at):
+                    continue
+                evidence = evidence_by_part.setdefault(part.key, Evidence(part.key))
+                evidence.add(crash, suspect, depth)
+    return evidence_by_part.values()
+
+
+def _is_sufficient(
+    evidence: Evidence,
+    survivals: part_survivals.PartSurvivals,
+    former: collections.abc.Container[ids.PartKey],
+    now: float,
+) -> bool:
+    if evidence.part in former:
+        return True
+    independent = evidence.count_independent_crashes()
+    if evidence.has_survived or survivals.has_survived(evidence.part, now):
+        suspects_per_crash = evidence.occurrences / len(evidence.crashes)
+        return (
+            independent >= MIN_CRASHES_AFTER_SURVIVAL
+            and evidence.find_span_s() >= MIN_SPAN_AFTER_SURVIVAL_S
+            and suspects_per_crash <= MAX_SUSPECTS_PER_CRASH
+        )
+    if independent < MIN_CRASHES:
+        return False
+    newest_at = max(crash.at for crash in evidence.crashes)
+    return len(evidence.requests) > 1 or now - newest_at >= SETTLE_S
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -57,6 +57,15 @@
             and (upstream.id, upstream.born_ms) not in self._address_reused
         ]
 
+    def is_usable(self, upstream: upstream_list.Upstream) -> bool:
+        """Returns whether an upstream is listed and has not begun to leave."""
+        listed = self.listed.by_id.get(upstream.id)
+        return (
+            listed is not None
+            and listed.born_ms == upstream.born_ms
+            and listed.state is upstream_list.State.READY
+        )
+
     def find_pause_left_s(self, service: routing_table.Service, now: float) -> float:
         """Returns how long until the first paused upstream takes requests again.
 
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -22,6 +22,8 @@
         request_s: Time from a request's last byte to the end of its response.
         first_byte_s: Time from a request's last byte to the head of its response.
         predicted_wait_s: The predicted wait at an engine that admission was based on.
+        crashes: Crashes of upstreams that this router has seen, by service.
+        quarantines: Prompt parts that were put under quarantine.
     """
 
     def __init__(self, upstreams: directory.Directory):
@@ -35,6 +37,8 @@
             "first_byte_seconds", LATENCY_BOUNDS_S, "route"
         )
         self.predicted_wait_s = self._histogram("predicted_wait_seconds", WAIT_BOUNDS_S)
+        self.crashes = self._counter("upstream_crashes", "Crashes seen.", "service")
+        self.quarantines = self._counter("quarantines", "Prompt parts quarantined.")
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -243,6 +243,7 @@
         self._close_listeners()
         for task in self._tasks:
             task.cancel()
+        self._forwarder.close()
         self._directory.close()
 
     def _close_listeners(self) -> None:
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import hashlib
 import math
 
 from teaselsill import (
@@ -14,6 +15,7 @@
     keyed_log,
     peer_reports,
     placement,
+    quarantine,
     upstream_list,
     upstream_load,
 )
@@ -54,6 +56,7 @@
 
     Attributes:
         usage: The usage of the client accounts.
+        quarantine: The prompt parts that crash upstreams.
     """
 
     def __init__(
@@ -80,11 +83,17 @@
         self._urgent = asyncio.Event()
         self._on_log_change = on_log_change
         self._on_log_reading = on_log_reading
+        self.quarantine = quarantine.Quarantine()
+        self.quarantine.outbox.on_news = self._urgent.set
 
     @property
     def has_unreported_changes(self) -> bool:
         """Whether there is something new to report to the other routers."""
-        return self._has_log_change or not self._report_builder.is_empty
+        return (
+            self._has_log_change
+            or not self.quarantine.outbox.is_empty
+            or not self._report_builder.is_empty
+        )
 
     def note_log_change(self, topic: str, offset: ids.Offset) -> None:
         """Records a change in the platform's log, to report it to the others."""
@@ -111,6 +120,15 @@
         live = filter(self.is_live, self._last_received_at_by_router)
         return sum(other < self._router for other in live)
 
+    def is_responsible(self, key: str) -> bool:
+        """Returns whether this router does the work for a key that one router does.
+
+        Routers that know the same live routers agree on it, by rendezvous hashing.
+        """
+        live = filter(self.is_live, self._last_received_at_by_router)
+        chosen = max([self._router, *live], key=lambda r: _rank_router(key, r))
+        return chosen == self._router
+
     def count_live_peers(self) -> int:
         """Returns how many other routers are live."""
         return sum(map(self.is_live, self._last_received_at_by_router))
@@ -233,7 +251,10 @@
         self._has_log_change = False
         self._urgent.clear()
         return self._report_builder.take(
-            self._describe_status(), changed, self._offset_by_topic
+            self._describe_status(),
+            changed,
+            self._offset_by_topic,
+            self.quarantine.take_news(now, self.find_rank() == 0),
         )
 
     def apply(self, report: peer_reports.Report) -> None:
@@ -249,6 +270,7 @@
             self._on_log_change(topic, offset)
         for leaving in report.leaving:
             self._apply_leaving(leaving)
+        self.quarantine.apply(report.crash_news, now)
         for prompt in report.assigned_prompts:
             candidate = self._directory.find(prompt.upstream)
             if candidate is not None:
@@ -292,3 +314,7 @@
 def find_cost(call: calls.Call) -> int:
     """Returns the cost of a request, in prompt tokens."""
     return call.prompt_tokens + OUTPUT_WEIGHT * call.expected_output_tokens
+
+
+def _rank_router(key: str, router: ids.InstanceId) -> bytes:
+    return hashlib.blake2b(f"{key}/{router}".encode(), digest_size=8).digest()
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -18,6 +18,7 @@
     loop_lag,
     outcomes,
     placement,
+    quarantine,
     rejections,
     request_log_line,
     retry_budget,
@@ -83,6 +84,8 @@
         self._metrics = metrics
         self._lag = lag
         self._count_routers = count_routers
+        self._quarantine = view.quarantine
+        self._quarantine.on_quarantined = self._handle_quarantined
         self._sender = upstream_attempt.Sender(dialect, upstreams, view, metrics, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
@@ -97,6 +100,10 @@
         self._directory.service_by_name = table.service_by_name
         self._view.set_capacity(table.limits.tokens_per_s)
 
+    def close(self) -> None:
+        """Cancels the background tasks."""
+        self._sender.close()
+
     def limit_retries(self, policy: retry_budget.BudgetPolicy) -> None:
         """Applies a new limit on retries; retries already spent still count."""
         self._budget_policy = policy
@@ -182,10 +189,11 @@
         account = self._find_account(table, route, call)
         service = table.service_by_name[route.choose_service(call.id)]
         self._budget_of(service.name).note_request(call.received_at)
-        self._view.note_received(account, call)
         line.route = route.name
         line.account = account
         line.version = table.version
+        self._check_quarantine(call)
+        self._view.note_received(account, call)
         limit_s = calls.find_limit_s(call, route)
         state = outcomes.RequestState(
             call=call,
@@ -272,6 +280,37 @@
                 },
             )
 
+    def _handle_quarantined(self, part: ids.PartKey) -> None:
+        self._metrics.quarantines.inc()
+        self._sender.abort_quarantined(part)
+
+    def _check_quarantine(
+        self, call: calls.Call, possible_runs: int = 0
+    ) -> quarantine.Permission:
+        """Returns the permission to send a request.
+
+        Args:
+            call: The request.
+            possible_runs: How many upstreams may have run it.
+
+        Raises:
+            RejectedError: A part of its prompt is quarantined.
+        """
+        permission = self._quarantine.check(
+            call.parts, self._now(), self._view.is_responsible
+        )
+        match permission:
+            case quarantine.Blocked(part=part, retry_after_s=retry_after_s):
+                reason = f"prompt part {part} is quarantined, it crashes upstreams"
+                if possible_runs:
+                    raise rejections.RejectedError(
+                        rejections.Cause.ANSWER_FAILED, reason
+                    )
+                raise rejections.RejectedError(
+                    rejections.Cause.QUARANTINED, reason, retry_after_s
+                )
+        return permission
+
     def _choose(self, state: outcomes.RequestState) -> placement.Choice:
         """Chooses the upstream for the next attempt.
 
@@ -280,7 +319,10 @@
             TimeoutError: Too little time is left.
         """
         now = self._now()
+        permission = self._check_quarantine(state.call, state.possible_runs)
         candidates = self._directory.candidates(state.service, state.excluded)
+        if isinstance(permission, quarantine.Trial):
+            candidates = placement.find_least_loaded(candidates, now)
         choice = placement.choose(
             state.call,
             candidates,
@@ -294,6 +336,8 @@
         if state.find_time_left_s(now) < MIN_TIME_LEFT_S:
             raise TimeoutError
         self._admit(state, choice, now)
+        if isinstance(permission, quarantine.Trial):
+            self._quarantine.note_trial(permission.part, now)
         return choice
 
     def _admit(self, state, choice: placement.Choice, now: float) -> None:
@@ -354,13 +398,23 @@
         raise rejections.RejectedError(cause, reason, wait_s)
 
     def _allow_resend(self, state: outcomes.RequestState) -> bool:
-        """Spends a retry on a request that has not run, if the budget allows it."""
+        """Spends a retry on a request that has not run, if the budget allows it.
+
+        Raises:
+            RejectedError: A part of its prompt is quarantined.
+        """
+        self._check_quarantine(state.call, state.possible_runs)
         return self._spend_retry(state, "not run")
 
     def _allow_rerun(self, state: outcomes.RequestState) -> bool:
-        """Spends a retry on a request that may have run, if it is safe to repeat."""
+        """Spends a retry on a request that may have run, if it is safe to repeat.
+
+        Raises:
+            RejectedError: A part of its prompt is quarantined.
+        """
         if not state.may_run_elsewhere:
             return False
+        self._check_quarantine(state.call, state.possible_runs)
         return self._spend_retry(state, "failed")
 
     def _spend_retry(self, state: outcomes.RequestState, why: str) -> bool:
--- a/teaselsill/ids.py
+++ b/teaselsill/ids.py
@@ -9,6 +9,7 @@
 InstanceId = typing.NewType("InstanceId", str)
 DataCentre = typing.NewType("DataCentre", str)
 RequestId = typing.NewType("RequestId", str)
+PartKey = typing.NewType("PartKey", str)
 
 Incarnation = typing.NewType("Incarnation", str)
 """Identifies one run of a process; it changes with every restart."""
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -48,6 +48,8 @@
 Outcome = Delivered | Unsent | NotRun | Failed
 
 
+MAX_CRASHES = 2
+"""A request is not sent again once it was beginning at so many crashes."""
 NO_METADATA = calls.ResponseMetadata()
 
 
@@ -69,6 +71,7 @@
         excluded: The upstreams that must not get the request any more.
         sends: How many times it was sent.
         possible_runs: How many upstreams may have run it.
+        crashes: How many upstreams have crashed when they began to respond to it.
         line: Its log line.
         metadata: The metadata of the last response.
     """
@@ -86,6 +89,7 @@
     excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
     sends: int = 0
     possible_runs: int = 0
+    crashes: int = 0
 
     def find_time_left_s(self, now: float) -> float:
         """Returns the time left until the deadline, in seconds.
@@ -112,5 +116,12 @@
 
     @property
     def may_run_elsewhere(self) -> bool:
-        """Whether it is repeatable and its route allows one more upstream."""
-        return self.is_repeatable and self.possible_runs < self.route.max_upstreams
+        """Whether it is repeatable and its route allows one more upstream.
+
+        A request that was beginning when two upstreams crashed may be the cause.
+        """
+        return (
+            self.is_repeatable
+            and self.possible_runs < self.route.max_upstreams
+            and self.crashes < MAX_CRASHES
+        )
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from teaselsill import boot_clock, calls, ids, keyed_log, upstream_load
+from teaselsill import (
+    boot_clock,
+    calls,
+    crash_reports,
+    ids,
+    keyed_log,
+    upstream_load,
+)
 
 
 class AssignedPrompt(msgspec.Struct, array_like=True, frozen=True):
@@ -96,6 +103,7 @@
         log_reading_by_topic: What it has read of topics that one router reads for all.
         leaving: The upstreams that have announced to it that they leave.
         should_forward: Whether the receiver forwards it within its data centre.
+        crash_news: What it has learnt about crashes of upstreams.
     """
 
     router: ids.InstanceId
@@ -108,6 +116,7 @@
     log_reading_by_topic: dict[str, LogReading]
     leaving: list[Leaving] = []
     should_forward: bool = False
+    crash_news: crash_reports.News = crash_reports.NO_NEWS
 
 
 class ReportBuilder:
@@ -186,6 +195,7 @@
         status: RouterStatus,
         load_by_upstream: dict[ids.UpstreamId, upstream_load.LoadSummary],
         offset_by_topic: dict[str, ids.Offset],
+        crash_news: crash_reports.News,
     ) -> Report:
         """Returns the report and starts to collect the next one."""
         requested, admitted = self._requested_by_account, self._admitted_by_account
@@ -203,6 +213,7 @@
             offset_by_topic,
             self._take_log_readings(),
             self._leaving,
+            crash_news=crash_news,
         )
         self._assigned_prompts = []
         self._leaving = []
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -125,6 +125,16 @@
     return Choice(healthy[scores.index(least)], 0, least)
 
 
+def find_least_loaded(candidates: list[Candidate], now: float) -> list[Candidate]:
+    """Returns the candidate with the fewest requests; none if there are none.
+
+    Args:
+        candidates: The upstreams.
+        now: The time, in seconds.
+    """
+    return sorted(candidates, key=lambda c: c.load.count(now))[:1]
+
+
 def find_home(call: calls.Call, candidates: list[Candidate]) -> Candidate | None:
     """Returns the home upstream of a prompt's shared prefix, by rendezvous hashing.
 
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -19,6 +19,7 @@
     NO_UPSTREAM = ("no-upstream", 503)
     UPSTREAMS_PAUSED = ("upstreams-paused", 503)
     NOT_TAKEN = ("not-taken", 503)
+    QUARANTINED = ("quarantined", 503)
     OVERLOADED = ("overloaded", 503)
     OVER_SHARE = ("over-share", 429)
     TIMEOUT_UNSENT = ("timeout-unsent", 503)
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import errno
 import socket
 
 from teaselsill import errors
@@ -20,6 +21,10 @@
     """A connection could not be opened."""
 
 
+class ConnectionRefusedError(ConnectionFailedError):
+    """Nothing listens on the port."""
+
+
 class ConnectionResetError(errors.TeaselsillError):
     """The connection ended without an orderly close."""
 
@@ -176,6 +181,8 @@
         async with asyncio.timeout(timeout_s):
             _, stream = await loop.create_connection(TcpStream, host, port)
     except (OSError, TimeoutError) as error:
-        reason = str(error) or "timeout"
-        raise ConnectionFailedError(f"{host}:{port}: {reason}") from error
+        reason = f"{host}:{port}: {str(error) or 'timeout'}"
+        if isinstance(error, OSError) and error.errno == errno.ECONNREFUSED:
+            raise ConnectionRefusedError(reason) from error
+        raise ConnectionFailedError(reason) from error
     return stream
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -6,15 +6,18 @@
 
 from teaselsill import (
     calls,
+    crash_detector,
     directory,
     entry_metrics,
     event_stream,
     failover,
     fleet_view,
     http_messages,
+    ids,
     loop_lag,
     outcomes,
     placement,
+    quarantine,
     routing_table,
     tcp_stream,
     upstream_connection,
@@ -30,6 +33,10 @@
 """Connections that have been idle for longer are not used for a request."""
 MAX_IDLE_UNREPEATABLE_S = 1.0
 """The limit for requests that cannot be sent again if the connection is dead."""
+BEGINNING_S = 0.5
+"""A response that began less than this long before a crash may have caused it."""
+SURVIVAL_S = 1.0
+"""A response that has gone on for this long will not crash its upstream."""
 FIRST_REDIRECT_STATUS = 300
 FIRST_FAILURE_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -38,6 +45,34 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Attempt:
+    """An attempt in progress.
+
+    Attributes:
+        state: The request.
+        target: The upstream.
+        in_flight: The request at that upstream.
+        connection: The connection to it.
+    """
+
+    state: outcomes.RequestState
+    target: upstream_list.Upstream
+    in_flight: upstream_load.InFlightRequest
+    connection: upstream_connection.UpstreamConnection
+
+    def may_crash_upstream(self, now: float) -> bool:
+        """Returns whether the response has not begun, or only just.
+
+        Args:
+            now: The time, in seconds.
+        """
+        head_at = self.in_flight.head_at
+        if head_at is None or not self.in_flight.has_started:
+            return True
+        return now - head_at <= BEGINNING_S
+
+
 class Sender:
     """Sends requests to upstreams and their responses to callers.
 
@@ -62,6 +97,23 @@
         self._view = view
         self._metrics = metrics
         self._lag = lag
+        self._quarantine = view.quarantine
+        self._detector = crash_detector.CrashDetector(
+            upstreams, view.quarantine, metrics
+        )
+        self._attempts: set[Attempt] = set()
+
+    def close(self) -> None:
+        """Cancels the background tasks."""
+        self._detector.close()
+
+    def abort_quarantined(self, part: ids.PartKey) -> None:
+        """Aborts the attempts that may still crash an upstream because of a part."""
+        now = self._now()
+        for attempt in list(self._attempts):
+            shared = quarantine.list_shared(attempt.state.call.parts)
+            if part in shared and attempt.may_crash_upstream(now):
+                attempt.connection.abort("a part of the prompt is quarantined")
 
     async def attempt(
         self, state: outcomes.RequestState, choice: placement.Choice
@@ -88,28 +140,35 @@
             self._view.note_sent(
                 state.account, state.call, candidate, choice.prefill_tokens
             )
+        attempt = Attempt(state, target, in_flight, connection)
+        self._attempts.add(attempt)
         outcome = None
+        is_lost = False
         watchdog = asyncio.create_task(
             self._watch_progress(state, candidate, in_flight, connection)
         )
         try:
             self._send(state, choice, connection, now)
-            outcome = await self._relay_response(state, candidate, connection, number)
+            outcome = await self._relay_response(attempt, candidate, number)
         except upstream_connection.ResponseFailedError as error:
             outcome = outcomes.Failed(str(error))
+            is_lost = isinstance(error, upstream_connection.ConnectionLostError)
         except event_stream.EventTooLargeError as error:
             connection.abort()
             outcome = outcomes.Failed(str(error))
         finally:
             watchdog.cancel()
+            self._attempts.discard(attempt)
             self._note_ended(candidate, candidate.load.remove(number))
             if outcome is None:
                 connection.abort()
                 self._note_cancelled(state, candidate, in_flight)
         if isinstance(outcome, outcomes.Failed):
-            self._log_failure(state, target, in_flight, outcome)
+            self._log_failure(attempt, outcome)
         self._note_outcome(state, candidate, outcome)
         self._directory.pool(target).put(connection)
+        if is_lost and await self._has_crashed(attempt):
+            state.crashes += 1
         return outcome
 
     def _note_outcome(self, state, candidate, outcome: outcomes.Outcome) -> None:
@@ -126,23 +185,42 @@
                 result = upstream_health.Result.ANSWERED
         candidate.health.note(result, self._now())
 
-    def _log_failure(
-        self, state, target, in_flight: upstream_load.InFlightRequest, outcome
-    ) -> None:
+    async def _has_crashed(self, attempt: Attempt) -> bool:
+        """Returns whether an upstream may have crashed because of a lost attempt."""
+        call = attempt.state.call
+        if not quarantine.list_shared(call.parts):
+            return False
+        now = self._now()
+        if not attempt.may_crash_upstream(now):
+            return False
+        has_begun = attempt.in_flight.head_at is not None
+        suspect = self._quarantine.make_suspect(call.id, call.parts, has_begun, now)
+        has_crashed = await self._detector.check(attempt.target, suspect)
+        return has_crashed and has_begun
+
+    def _note_survival(self, state, in_flight: upstream_load.InFlightRequest) -> None:
+        """Records that a response has not crashed its upstream."""
+        if in_flight.has_survived or in_flight.head_at is None:
+            return
+        in_flight.has_survived = True
+        self._quarantine.note_survival(state.call.parts, in_flight.head_at)
+
+    def _log_failure(self, attempt: Attempt, outcome: outcomes.Failed) -> None:
         """Logs a failed attempt, so that attempts that failed together can be found."""
         now = self._now()
+        in_flight = attempt.in_flight
         started_at = in_flight.started_at
         logger.info(
             "attempt failed",
             extra={
-                "request": state.call.id,
-                "upstream": target.id,
-                "born_ms": target.born_ms,
+                "request": attempt.state.call.id,
+                "upstream": attempt.target.id,
+                "born_ms": attempt.target.born_ms,
                 "reason": outcome.reason,
-                "has_head": state.metadata is not outcomes.NO_METADATA,
+                "has_head": in_flight.head_at is not None,
                 "sent_ms": round(1000 * (now - in_flight.sent_at), 1),
                 "started_ms": started_at and round(1000 * (now - started_at), 1),
-                "parts": [part.id for part in state.call.parts],
+                "parts": [part.id for part in attempt.state.call.parts],
             },
         )
 
@@ -202,7 +280,7 @@
         connection.send(message.method, request, is_expected)
 
     async def _relay_response(
-        self, state, candidate, connection, number
+        self, attempt: Attempt, candidate, number
     ) -> outcomes.Outcome:
         """Relays a response to the caller, part by part.
 
@@ -210,6 +288,8 @@
             ResponseFailedError: The response is incomplete or malformed.
             EventTooLargeError: An event of the response is larger than allowed.
         """
+        state, in_flight = attempt.state, attempt.in_flight
+        connection = attempt.connection
         while True:
             parts = await connection.receive()
             candidate.load.last_received_at = self._now()
@@ -222,11 +302,16 @@
                         if failure is not None:
                             _abort_if_incomplete(parts, connection)
                             return failure
+                        in_flight.head_at = self._now()
                     case http_messages.Data(data=data):
                         await self._relay_body(state, candidate, number, data)
+                        if self._now() - in_flight.head_at > SURVIVAL_S:
+                            self._note_survival(state, in_flight)
                     case http_messages.End():
                         await state.response.write(state.events.take_partial_event())
                         await state.response.end()
+                        if state.response.status < FIRST_REDIRECT_STATUS:
+                            self._note_survival(state, in_flight)
                         return outcomes.Delivered(state.response.status)
 
     async def _watch_progress(self, state, candidate, in_flight, connection) -> None:
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -21,6 +21,14 @@
     """No complete response arrived; the upstream may have run the request."""
 
 
+class ConnectionLostError(ResponseFailedError):
+    """The upstream closed or reset the connection before the response was complete."""
+
+
+class AttemptAbortedError(ResponseFailedError):
+    """This router closed the connection before the response was complete."""
+
+
 class UpstreamConnection:
     """One HTTP connection to an upstream.
 
@@ -74,9 +82,7 @@
             http_messages.MalformedMessageError,
             tcp_stream.ConnectionResetError,
         ) as error:
-            reason = self._abort_reason or str(error)
-            self.abort()
-            raise ResponseFailedError(reason) from error
+            raise self._fail(error) from error
         for part in parts:
             match part:
                 case http_messages.Head(keep_alive=False):
@@ -110,6 +116,16 @@
         self._abort_reason = reason
         self._stream.abort()
 
+    def _fail(self, error: Exception) -> ResponseFailedError:
+        """Closes the connection and returns the error that tells why."""
+        abort_reason = self._abort_reason
+        self.abort()
+        if abort_reason:
+            return AttemptAbortedError(abort_reason)
+        if isinstance(error, http_messages.MalformedMessageError):
+            return ResponseFailedError(str(error))
+        return ConnectionLostError(str(error))
+
     def _finish(self) -> None:
         if (
             self._parser.has_extra_bytes
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -30,14 +30,18 @@
     Attributes:
         prefill_tokens: The prompt tokens that the upstream must still prefill.
         sent_at: When it was sent, in seconds.
+        head_at: When the head of the response arrived, in seconds; None if it has not.
         started_at: When the response started, in seconds; None if it has not.
         progressed_at: When response data was last passed to the caller, in seconds.
+        has_survived: Whether its response has gone on without a crash of the upstream.
     """
 
     prefill_tokens: int
     sent_at: float
+    head_at: float | None = None
     started_at: float | None = None
     progressed_at: float | None = None
+    has_survived: bool = False
 
     @property
     def has_started(self) -> bool:
--- /dev/null
+++ b/tests/test_crash_analysis.py
@@ -0,0 +1,176 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from teaselsill import crash_analysis, crash_reports, ids, part_survivals
+
+NOW = 100.0
+SETTLED_S = crash_analysis.SETTLE_S
+
+
+def make_suspect(request, *parts, has_begun=True, survived=()):
+    """Returns a suspect; `survived` names the parts with a known survival."""
+    shared = [
+        crash_reports.SuspectPart(ids.PartKey(part), part in survived) for part in parts
+    ]
+    return crash_reports.Suspect(ids.RequestId(request), shared, has_begun)
+
+
+def make_crash(number, *suspects, age_s=0.0):
+    """Returns the report of a crash of one of several upstreams."""
+    return crash_reports.Crash(ids.UpstreamId(f"u{number}"), 1, age_s, list(suspects))
+
+
+class CulpritTest(unittest.TestCase):
+    def setUp(self):
+        self.history = crash_analysis.CrashHistory()
+        self.survivals = part_survivals.PartSurvivals()
+        self.former = set()
+
+    def add(self, number, *suspects, at):
+        self.history.add(make_crash(number, *suspects, age_s=NOW - at), NOW)
+
+    def find(self, now=NOW):
+        culprit = crash_analysis.find_culprit(
+            self.history.list_unexplained(now), self.survivals, self.former, now
+        )
+        return culprit and culprit.part
+
+    def test_one_crash_is_no_evidence(self):
+        self.add(1, make_suspect("a", "bad"), at=90)
+        self.assertIsNone(self.find())
+
+    def test_two_crashes_with_a_part_in_common(self):
+        self.add(1, make_suspect("a", "x", "bad"), make_suspect("b", "y"), at=90)
+        self.add(2, make_suspect("c", "z", "bad"), make_suspect("d", "w"), at=91)
+        self.assertEqual("bad", self.find())
+
+    def test_one_request_that_was_sent_again_counts_after_other_reports(self):
+        self.add(1, make_suspect("a", "bad"), at=90)
+        self.add(2, make_suspect("a", "bad"), at=NOW)
+        self.assertIsNone(self.find())
+        self.assertEqual("bad", self.find(NOW + SETTLED_S))
+
+    def test_bystanders_that_were_sent_again_together_leave_it_open(self):
+        """Which of the two crashes upstreams is not known before the third crash."""
+        for number, at in ((1, 90), (2, 91)):
+            suspects = make_suspect("a", "bad"), make_suspect("b", "sound")
+            self.add(number, *suspects, at=at)
+        self.assertIsNone(self.find())
+        self.add(3, make_suspect("c", "bad"), at=92)
+        self.assertEqual("bad", self.find())
+
+    def test_the_part_that_fewest_requests_share_is_chosen(self):
+        self.add(1, make_suspect("a", "first", "thing", "bad"), at=90)
+        self.add(2, make_suspect("b", "first", "thing", "bad"), at=91)
+        self.assertEqual("bad", self.find())
+
+    def test_first_part_that_crashes_upstreams(self):
+        self.add(1, make_suspect("a", "bad", "x"), at=90)
+        self.add(2, make_suspect("b", "bad", "y"), at=91)
+        self.assertEqual("bad", self.find())
+
+    def test_part_of_many_bystanders_is_not_chosen(self):
+        bystanders = [make_suspect(f"s{n}", "first", f"t{n}") for n in range(5)]
+        self.add(1, make_suspect("a", "first", "bad"), *bystanders, at=90)
+        self.add(2, make_suspect("b", "first", "bad"), *bystanders[:3], at=91)
+        self.assertEqual("bad", self.find())
+
+    def test_survival_after_a_crash_clears_a_part(self):
+        self.add(1, make_suspect("a", "sound"), at=90)
+        self.add(2, make_suspect("b", "sound"), at=92)
+        self.survivals.note(ids.PartKey("sound"), 91.0)
+        self.assertIsNone(self.find())
+
+    def test_part_that_has_survived_before_needs_more_crashes(self):
+        self.survivals.note(ids.PartKey("old"), 80.0)
+        for number in range(1, 4):
+            self.add(number, make_suspect(f"{number}", "old"), at=90 + number)
+            self.assertIsNone(self.find())
+        self.add(4, make_suspect("4", "old"), at=94)
+        self.assertEqual("old", self.find())
+
+    def test_survival_known_to_another_router_counts(self):
+        for number in (1, 2):
+            suspect = make_suspect(f"{number}", "old", survived=("old",))
+            self.add(number, suspect, at=90 + number)
+        self.assertIsNone(self.find())
+
+    def test_upstreams_that_crash_at_the_same_moment_count_once(self):
+        """A whole rack that fails is no evidence against a part."""
+        for number in range(6):
+            self.add(number, make_suspect(f"{number}", "sound"), at=90 + number / 1000)
+        self.assertIsNone(self.find())
+
+    def test_common_part_is_not_blamed_for_an_outage(self):
+        self.survivals.note(ids.PartKey("first"), 80.0)
+        for number in range(8):
+            suspects = [make_suspect(f"{number}-{n}", "first") for n in range(5)]
+            self.add(number, *suspects, at=90 + number)
+        self.assertIsNone(self.find())
+
+    def test_requests_without_a_response_count_only_if_none_had_begun(self):
+        waiting = make_suspect("w", "sound", has_begun=False)
+        self.add(1, make_suspect("a", "bad"), waiting, at=90)
+        self.add(2, make_suspect("b", "bad"), waiting, at=91)
+        self.assertEqual("bad", self.find())
+        self.add(3, make_suspect("v", "quiet", has_begun=False), at=92)
+        self.add(4, make_suspect("u", "quiet", has_begun=False), at=93)
+        for crash in self.history:
+            if crash.at < 92:
+                crash.culprit = ids.PartKey("bad")
+        self.assertEqual("quiet", self.find())
+
+    def test_former_part_needs_one_crash(self):
+        self.former.add(ids.PartKey("bad"))
+        self.add(1, make_suspect("a", "bad"), at=90)
+        self.assertEqual("bad", self.find())
+
+    def test_reports_of_one_crash_are_merged(self):
+        self.add(1, make_suspect("a", "bad"), at=90)
+        self.add(1, make_suspect("b", "bad"), at=90.1)
+        self.assertIsNone(self.find())
+        (crash,) = self.history
+        self.assertEqual({"a", "b"}, set(crash.suspect_by_request))
+
+    def test_history_is_bounded(self):
+        for number in range(2 * crash_analysis.MAX_CRASHES):
+            suspects = [make_suspect(f"{number}-{n}", f"{n}") for n in range(100)]
+            self.add(number, *suspects, at=90)
+        crashes = list(self.history)
+        self.assertEqual(crash_analysis.MAX_CRASHES, len(crashes))
+        for crash in crashes:
+            self.assertEqual(crash_analysis.MAX_SUSPECTS, len(crash.suspect_by_request))
+
+
+class CulpritPropertyTest(unittest.TestCase):
+    """Among random bystanders, the part at all crashes is found and no other."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.lists(
+                strategies.tuples(
+                    strategies.integers(0, 40), strategies.integers(0, 300)
+                ),
+                max_size=8,
+            ),
+            min_size=3,
+            max_size=8,
+        )
+    )
+    def test_the_part_that_all_crashes_have(self, bystanders_by_crash):
+        history = crash_analysis.CrashHistory()
+        survivals = part_survivals.PartSurvivals()
+        for number, bystanders in enumerate(bystanders_by_crash):
+            suspects = [make_suspect(f"d{number}", "system", f"t{number}", "bad")]
+            for thing, request in set(bystanders):
+                suspects.append(make_suspect(f"r{request}", "system", f"s{thing}"))
+            history.add(make_crash(number, *suspects, age_s=50 - number), NOW)
+        culprit = crash_analysis.find_culprit(
+            history.list_unexplained(NOW), survivals, set(), NOW
+        )
+        if culprit is not None:
+            self.assertEqual("bad", culprit.part)
+        else:
+            self.assertLess(len(bystanders_by_crash), crash_analysis.CERTAIN_CRASHES)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,10 +5,13 @@
 
 from teaselsill import (
     boot_clock,
+    crash_reports,
     http_messages,
     ids,
+    quarantine_entry,
     retry_budget,
     routing_table,
+    upstream_attempt,
     upstream_health,
     upstream_list,
 )
@@ -525,3 +528,99 @@
                 caller.abort()
                 await self.upstreams[0].wait_disconnected()
                 self.assertEqual(0, bench.forwarder.active_requests)
+
+
+class QuarantineTest(ForwardingCase):
+    """Requests with a prompt part that crashes upstreams."""
+
+    async def start(self, *scripts, **fields):
+        bench = await super().start(*scripts, **fields)
+        self.quarantine = bench.view.quarantine
+        return bench
+
+    def put_under_quarantine(self, part="bad", age_s=0.0):
+        now = asyncio.get_running_loop().time()
+        quarantined = crash_reports.QuarantinedPart(ids.PartKey(part), age_s, 0)
+        self.quarantine.apply(crash_reports.News(quarantined=[quarantined]), now)
+
+    async def test_request_is_rejected_at_once_and_not_sent(self):
+        bench = await self.start(entry_bench.respond_ok)
+        self.put_under_quarantine()
+        caller = await bench.connect()
+        self.assertEqual((503, b"", True), await caller.ask(parts="first,bad,own"))
+        self.assertRegex(caller.received, rb"retry-after: 1[45]\.")
+        self.assertEqual(0, self.count_requests())
+
+    async def test_requests_with_the_other_parts_are_served(self):
+        bench = await self.start(entry_bench.respond_ok)
+        self.put_under_quarantine()
+        for number, parts in enumerate(("first,own", "first,other,own", "own", "bad")):
+            self.assertEqual(200, (await bench.ask(f"{number}", parts=parts))[0])
+
+    async def test_rejected_requests_do_not_count_as_demand_of_their_account(self):
+        bench = await self.start(entry_bench.respond_ok)
+        bench.apply_configuration(2, keys={"k": "acc"})
+        self.put_under_quarantine()
+        await bench.ask(parts="bad,own", key="k")
+        now = asyncio.get_running_loop().time()
+        self.assertEqual({}, bench.view.usage.list_shares(now))
+
+    async def test_request_that_waits_at_an_upstream_is_aborted(self):
+        """It may have run, so it is not said that it has not."""
+
+        received = asyncio.Event()
+
+        async def wait(request, stream):
+            received.set()
+            await asyncio.sleep(5.0)
+
+        bench = await self.start(wait)
+        caller = await bench.connect()
+        caller.send(parts="bad,own", budget_ms="5000")
+        await received.wait()
+        self.put_under_quarantine()
+        self.assertEqual((502, b"", True), await caller.receive())
+        await self.upstreams[0].wait_disconnected()
+
+    async def test_response_under_way_is_not_aborted(self):
+        go_on = asyncio.Event()
+        script = entry_bench.stream_until(go_on)
+        bench = await self.start(script, is_stream=True, timeout_s=5.0)
+        caller = await bench.connect()
+        caller.send(parts="bad,own")
+        await caller.receive_until(b"id: 1")
+        await asyncio.sleep(upstream_attempt.BEGINNING_S + 0.1)
+        self.put_under_quarantine()
+        await asyncio.sleep(0.05)
+        go_on.set()
+        await caller.receive_until(http_messages.LAST_CHUNK)
+
+    async def test_trial_that_is_served_ends_the_quarantine(self):
+        bench = await self.start(entry_bench.respond_ok)
+        self.put_under_quarantine(age_s=quarantine_entry.TRIAL_AFTER_S)
+        for number in range(3):
+            self.assertEqual(200, (await bench.ask(f"{number}", parts="bad,own"))[0])
+        self.assertEqual([], self.quarantine.list_parts())
+
+    async def test_only_one_trial_is_under_way(self):
+        go_on = asyncio.Event()
+        script = entry_bench.stream_until(go_on)
+        bench = await self.start(script, is_stream=True)
+        self.put_under_quarantine(age_s=quarantine_entry.TRIAL_AFTER_S)
+        caller = await bench.connect()
+        caller.send(parts="bad,own")
+        await caller.receive_until(b"id: 1")
+        self.assertEqual(503, (await bench.ask("2", parts="bad,own"))[0])
+        go_on.set()
+
+    async def test_request_that_was_beginning_at_two_crashes_is_not_sent_again(self):
+        async def crash(request, stream):
+            stream.write(entry_bench.stream_head(request))
+            await asyncio.sleep(0.02)
+            upstream = next(u for u in self.upstreams if request in u.requests)
+            upstream.crash()
+
+        fields = {"repeat": RESUME, "is_stream": True, "max_upstreams": 5}
+        bench = await self.start(*[crash] * 5, **fields)
+        self.assertEqual((200, b"", False), await bench.ask(parts="x,own"))
+        self.assertEqual(2, self.count_requests())
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,295 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from teaselsill import (
+    calls,
+    crash_reports,
+    ids,
+    quarantine,
+    quarantine_entry,
+    wire,
+)
+from tests import test_crash_analysis
+
+BAD = ids.PartKey("bad")
+TRIAL_AFTER_S = quarantine_entry.TRIAL_AFTER_S
+
+
+def make_parts(*names):
+    """Returns the parts of a prompt, with a last part of its own."""
+    return tuple(calls.PromptPart(name, 100) for name in (*names, "own"))
+
+
+class Router:
+    """The quarantine of one router.
+
+    Attributes:
+        quarantine: The quarantine.
+        quarantined: The parts that it has been told to be put under quarantine.
+    """
+
+    def __init__(self, is_responsible=True):
+        self.quarantine = quarantine.Quarantine()
+        self.quarantined = []
+        self.quarantine.on_quarantined = self.quarantined.append
+        self._is_responsible = is_responsible
+
+    def check(self, *names, now):
+        """Returns whether a request with these parts may be sent."""
+        return self.quarantine.check(
+            make_parts(*names), now, lambda part: self._is_responsible
+        )
+
+    def see_crash(self, number, request, *names, now):
+        """Records a crash in which a request was beginning."""
+        suspect = self.quarantine.make_suspect(
+            ids.RequestId(request), make_parts(*names), True, now
+        )
+        crash = test_crash_analysis.make_crash(number, suspect)
+        self.quarantine.note_crash(crash, now)
+
+    def survive(self, *names, began_at):
+        """Records a response that did not crash its upstream."""
+        self.quarantine.note_survival(make_parts(*names), began_at)
+
+    def tell(self, *others, now, should_repeat=False):
+        """Sends its news to other routers; returns how many bytes that took."""
+        packed = wire.pack(self.quarantine.take_news(now, should_repeat))
+        for other in others:
+            unpacker = wire.Unpacker(message_type=crash_reports.News)
+            for news in unpacker.feed(packed):
+                other.quarantine.apply(news, now)
+        return len(packed)
+
+
+class QuarantineTest(unittest.TestCase):
+    def setUp(self):
+        self.router = Router()
+        self.other = Router(is_responsible=False)
+
+    def put_under_quarantine(self):
+        self.router.see_crash(1, "a", "first", "bad", now=10.0)
+        self.router.see_crash(2, "b", "first", "bad", now=11.0)
+        self.assertEqual([BAD], self.router.quarantined)
+
+    def assert_blocked(self, permission, retry_after_s=None):
+        self.assertIsInstance(permission, quarantine.Blocked)
+        if retry_after_s is not None:
+            self.assertAlmostEqual(retry_after_s, permission.retry_after_s)
+
+    def test_requests_with_the_part_are_rejected_until_the_trial(self):
+        self.put_under_quarantine()
+        self.assert_blocked(
+            self.router.check("first", "bad", now=12.0), TRIAL_AFTER_S - 1
+        )
+
+    def test_sound_requests_that_share_the_other_parts_are_served(self):
+        self.put_under_quarantine()
+        self.assertEqual(quarantine.ALLOWED, self.router.check("first", now=12.0))
+        self.assertEqual(
+            quarantine.ALLOWED, self.router.check("first", "other", now=12.0)
+        )
+
+    def test_the_last_part_is_never_quarantined(self):
+        for number in range(8):
+            self.router.see_crash(number, f"{number}", now=10.0 + number)
+        self.assertEqual([], self.router.quarantined)
+        self.assertEqual(quarantine.ALLOWED, self.router.check(now=20.0))
+
+    def test_all_routers_learn_of_it(self):
+        self.router.see_crash(1, "a", "bad", now=10.0)
+        self.router.tell(self.other, now=10.0)
+        self.other.see_crash(2, "b", "bad", now=11.0)
+        self.other.tell(self.router, now=11.0)
+        for router in (self.router, self.other):
+            self.assertEqual([BAD], router.quarantined)
+            self.assert_blocked(router.check("bad", now=11.1))
+
+    def test_router_that_has_just_started_is_told(self):
+        self.put_under_quarantine()
+        self.router.tell(now=11.0)
+        started = Router(is_responsible=False)
+        self.router.tell(started, now=11.0 + quarantine.REPEAT_S, should_repeat=True)
+        self.assert_blocked(started.check("bad", now=13.0))
+
+    def test_crash_of_a_request_that_was_under_way_is_no_failed_trial(self):
+        self.put_under_quarantine()
+        self.router.see_crash(3, "c", "bad", now=11.5)
+        self.assert_blocked(self.router.check("bad", now=12.0), TRIAL_AFTER_S - 0.5)
+
+    def test_one_router_sends_one_trial(self):
+        self.put_under_quarantine()
+        self.router.tell(self.other, now=11.0)
+        due_at = 11.0 + TRIAL_AFTER_S
+        self.assert_blocked(self.other.check("bad", now=due_at))
+        self.assertEqual(
+            quarantine.Trial(BAD), self.router.check("first", "bad", now=due_at)
+        )
+        self.router.quarantine.note_trial(BAD, due_at)
+        self.assert_blocked(self.router.check("bad", now=due_at + 0.1))
+
+    def test_part_that_was_mended_is_released_everywhere(self):
+        self.put_under_quarantine()
+        self.router.tell(self.other, now=11.0)
+        due_at = 11.0 + TRIAL_AFTER_S
+        self.router.quarantine.note_trial(BAD, due_at)
+        self.router.survive("first", "bad", began_at=due_at)
+        self.router.tell(self.other, now=due_at + 1)
+        for router in (self.router, self.other):
+            self.assertEqual(quarantine.ALLOWED, router.check("bad", now=due_at + 1))
+
+    def test_repeated_news_do_not_renew_an_ended_quarantine(self):
+        self.put_under_quarantine()
+        self.router.tell(self.other, now=11.0)
+        self.other.survive("bad", began_at=20.0)
+        self.router.tell(self.other, now=21.0, should_repeat=True)
+        self.assertEqual(quarantine.ALLOWED, self.other.check("bad", now=21.0))
+        self.other.tell(self.router, now=21.0)
+        self.assertEqual(quarantine.ALLOWED, self.router.check("bad", now=21.0))
+
+    def test_failed_trials_become_rarer(self):
+        self.put_under_quarantine()
+        now = 11.0
+        for failed in range(8):
+            wait_s = min(TRIAL_AFTER_S * 2**failed, quarantine_entry.MAX_TRIAL_AFTER_S)
+            self.assert_blocked(self.router.check("bad", now=now), wait_s)
+            now += wait_s
+            self.assertEqual(quarantine.Trial(BAD), self.router.check("bad", now=now))
+            self.router.quarantine.note_trial(BAD, now)
+            now += 0.2
+            self.router.see_crash(10 + failed, f"trial{failed}", "bad", now=now)
+
+    def test_quarantine_that_cannot_be_tried_ends(self):
+        """One more crash renews it."""
+        self.put_under_quarantine()
+        now = 12.0 + TRIAL_AFTER_S * quarantine_entry.END_RATIO
+        self.assertEqual(quarantine.ALLOWED, self.router.check("bad", now=now))
+        self.router.see_crash(3, "c", "bad", now=now + 1)
+        self.assert_blocked(self.router.check("bad", now=now + 1))
+
+    def test_crashes_that_a_cleared_part_explained_count_against_others(self):
+        """The wrong one of two parts was chosen, since it is nearer to the end."""
+        self.router.see_crash(1, "a", "bad", "sound", now=10.0)
+        self.router.see_crash(2, "b", "bad", "sound", now=11.0)
+        self.assertEqual(["sound"], self.router.quarantined)
+        self.router.survive("sound", began_at=12.0)
+        self.router.see_crash(3, "c", "bad", "x", now=13.0)
+        self.assertEqual(["sound", "bad"], self.router.quarantined)
+
+    def test_two_parts_are_told_apart(self):
+        for number, part in enumerate(("one", "two", "one", "two")):
+            self.router.see_crash(number, f"{number}", "first", part, now=10.0 + number)
+            self.router.survive("first", began_at=10.1 + number)
+        self.assertEqual(["one", "two"], self.router.quarantined)
+
+    def test_survival_elsewhere_clears_a_suspected_part(self):
+        self.router.see_crash(1, "a", "sound", now=10.0)
+        self.router.tell(self.other, now=10.0)
+        self.other.survive("sound", began_at=10.5)
+        self.other.tell(self.router, now=12.0)
+        self.router.see_crash(2, "b", "sound", now=13.0)
+        self.assertEqual([], self.router.quarantined)
+
+    def test_survival_that_was_known_before_the_crash_was_told_is_reported(self):
+        self.other.survive("sound", began_at=10.1)
+        self.router.see_crash(1, "a", "sound", now=10.0)
+        self.router.tell(self.other, now=10.2)
+        self.other.tell(self.router, now=10.2)
+        self.router.see_crash(2, "b", "sound", now=13.0)
+        self.assertEqual([], self.router.quarantined)
+
+    def test_cut_off_router_decides_by_what_it_sees(self):
+        self.router.see_crash(1, "a", "bad", now=10.0)
+        self.router.see_crash(2, "b", "bad", now=11.0)
+        self.other.see_crash(3, "c", "bad", now=10.0)
+        self.other.see_crash(4, "d", "bad", now=11.0)
+        self.router.tell(self.other, now=20.0)
+        self.other.tell(self.router, now=20.0)
+        for router in (self.router, self.other):
+            self.assertEqual([BAD], router.quarantined)
+
+
+class BoundsTest(unittest.TestCase):
+    """A caller who makes up new parts must not fill the routers' memory or links."""
+
+    def test_quarantined_parts_are_bounded(self):
+        router = Router()
+        for number in range(3 * quarantine.MAX_QUARANTINED):
+            for half in range(2):
+                crash = f"{number}-{half}"
+                now = 10.0 + number + 0.1 * half
+                router.see_crash(crash, crash, f"p{number}", now=now)
+        parts = router.quarantine.list_parts()
+        self.assertEqual(quarantine.MAX_QUARANTINED, len(parts))
+        self.assertIn(f"p{3 * quarantine.MAX_QUARANTINED - 1}", parts)
+
+    def test_long_prompts_and_long_ids_make_short_reports(self):
+        router = Router()
+        names = [f"{n}" * 2000 for n in range(1000)]
+        router.see_crash(1, "a", *names, now=10.0)
+        parts = quarantine.MAX_PARTS_PER_SUSPECT
+        limit = parts * (crash_reports.MAX_KEY_CHARS + 5) + 100
+        self.assertLess(router.tell(now=10.0), limit)
+
+    def test_unknown_parts_of_a_long_prompt_are_reported(self):
+        router = Router()
+        names = [f"{n}" for n in range(1000)]
+        router.survive(*names[1:], began_at=5.0)
+        suspect = router.quarantine.make_suspect(
+            ids.RequestId("a"), make_parts(*names), True, 10.0
+        )
+        self.assertEqual(["0"], [part.key for part in suspect.parts])
+
+    def test_messages_of_hundreds_of_routers(self):
+        """Each router tells each suspected part at most once after each crash."""
+        routers = [Router() for _ in range(300)]
+        for router in routers:
+            router.survive("first", began_at=1.0)
+        seen = routers[0]
+        sent_bytes = 0
+        for number in range(2):
+            now = 10.0 + number
+            seen.see_crash(number, f"{number}", "first", "bad", now=now)
+            sent_bytes += seen.tell(*routers[1:], now=now)
+            for router in routers[1:]:
+                router.survive("first", began_at=now + 0.1)
+            for router in routers[1:]:
+                sent_bytes += router.tell(*routers, now=now + 1.2)
+        for router in routers:
+            self.assertEqual([BAD], router.quarantined)
+        self.assertLess(sent_bytes, 300 * 100)
+
+
+class QuarantinePropertyTest(unittest.TestCase):
+    """In any order of crashes and survivals, routers that hear all agree."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["crash", "survive"]),
+                strategies.integers(0, 2),
+                strategies.sampled_from(["x", "y", "z"]),
+            ),
+            max_size=30,
+        )
+    )
+    def test_a_part_that_has_survived_since_is_allowed(self, steps):
+        routers = [Router() for _ in range(3)]
+        last_by_part = {}
+        for number, (step, at, part) in enumerate(steps):
+            now = 10.0 + number
+            router = routers[at]
+            if step == "crash":
+                router.see_crash(number, f"{number}", part, now=now)
+            else:
+                router.survive(part, began_at=now)
+            last_by_part[part] = step
+            for sender in routers:
+                sender.tell(*routers, now=now + 0.01, should_repeat=True)
+            parts = [sorted(r.quarantine.list_parts()) for r in routers]
+            self.assertEqual([parts[0]] * 3, parts)
+            for name, last_step in last_by_part.items():
+                if last_step == "survive":
+                    self.assertNotIn(name, parts[0])
