Treat a stream that ends inside an event as broken off

What callers saw: an upstream's stream with neither a length nor chunks that broke inside an event looked complete, with the rest of the event or without its end; a resumable one was not resumed.

Cause: the end of the connection was taken for the end of the stream, and the bytes after the last event were passed on as if they belonged to it. The same with a length, and towards callers of HTTP/1.0, for whom a broken response ended with an orderly close, also through a relay.

Change: a stream inside an event at its end is a failed attempt (resumed where that is allowed); event streams are passed on in chunks; where the connection's end is the response's, a broken one is reset. A HEAD request on a resumable route got an end mark of chunks: mended.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -75,6 +75,7 @@
         self._request = request
         self._should_close = should_close
         self._is_chunked = False
+        self._ends_with_connection = False
 
     async def start(self, head: http_messages.Head) -> None:
         """Writes the head of an upstream's response."""
@@ -84,6 +85,7 @@
                 headers = [h for h in headers if h[0] != "content-length"]
                 if self._request.version == LAST_VERSION_WITHOUT_CHUNKS:
                     self.keep_alive = False
+                    self._ends_with_connection = True
                 else:
                     self._is_chunked = True
                     headers.append(("transfer-encoding", "chunked"))
@@ -110,7 +112,10 @@
         """Aborts the connection so that the response does not look complete."""
         self.progress = Progress.ABORTED
         self.keep_alive = False
-        self._stream.abort()
+        if self._ends_with_connection:
+            self._stream.reset()
+        else:
+            self._stream.abort()
 
     async def send_error(self, status: int, headers: http_messages.Headers) -> None:
         """Writes an error response of the router with an empty body.
--- a/teaselsill/event_stream.py
+++ b/teaselsill/event_stream.py
@@ -57,3 +57,35 @@
     def drop_partial_event(self) -> None:
         """Discards the bytes after the last complete event."""
         self._buffer = b""
+
+
+class EventBoundary:
+    """Follows a stream to tell whether it is inside an event, without keeping it.
+
+    A line of an event has then arrived, but not yet the empty line that ends the event.
+    Comments belong to no event.
+    """
+
+    def __init__(self):
+        self._has_field = False
+        self._line_start = b""
+
+    @property
+    def is_inside(self) -> bool:
+        """Whether the stream is inside an event."""
+        return self._has_field or _is_field(self._line_start)
+
+    def feed(self, data: bytes) -> None:
+        """Follows received bytes."""
+        *complete, rest = (self._line_start + data).split(b"\n")
+        for line in complete:
+            if not line.rstrip(b"\r"):
+                self._has_field = False
+            elif _is_field(line):
+                self._has_field = True
+        self._line_start = rest[:1]
+
+
+def _is_field(line: bytes) -> bool:
+    """Returns whether a line, or its beginning, is neither empty nor a comment."""
+    return bool(line.rstrip(b"\r")) and not line.startswith(b":")
--- a/teaselsill/http_messages.py
+++ b/teaselsill/http_messages.py
@@ -23,6 +23,7 @@
     }
 )
 """Headers that apply to one connection only and are not forwarded."""
+EVENT_STREAM_TYPE = "text/event-stream"
 FIRST_FINAL_STATUS = 200
 """Lower statuses are interim: the final response still follows."""
 LAST_CHUNK = b"0\r\n\r\n"
@@ -105,6 +106,12 @@
         """Returns the value of a header; see `get_header`."""
         return get_header(self.headers, name)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body is a stream of server-sent events."""
+        media_type = (self.get("content-type") or "").partition(";")[0]
+        return media_type.strip().lower() == EVENT_STREAM_TYPE
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Data:
--- a/teaselsill/relay.py
+++ b/teaselsill/relay.py
@@ -78,7 +78,14 @@
         logger.warning(
             "router stopped reporting, aborting relay", extra={"peer": self.router}
         )
-        self._caller.abort()
+        self._abort_response()
+
+    def _abort_response(self) -> None:
+        """Ends the connection so that a pending response does not look complete."""
+        if self._exchanges.is_response_pending:
+            self._caller.reset()
+        else:
+            self._caller.abort()
 
     async def _relay_requests(self) -> None:
         """Relays the caller's bytes until the caller's connection ends."""
@@ -112,7 +119,7 @@
                 await self._caller.drain()
         except tcp_stream.ConnectionResetError:
             is_reset = True
-            self._caller.abort()
+            self._abort_response()
         if self._exchanges.is_response_pending:
             logger.warning(
                 "incomplete response from the other router",
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -4,6 +4,7 @@
 import collections
 import errno
 import socket
+import struct
 
 from teaselsill import errors
 
@@ -160,6 +161,14 @@
         """Closes the connection at once, without sending buffered bytes."""
         self._transport.abort()
 
+    def reset(self) -> None:
+        """Resets the connection, so that the peer takes nothing for an orderly end."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._transport.abort()
+
 
 async def process_pending_events() -> None:
     """Lets the event loop read what has already arrived, such as an end of stream.
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -54,12 +54,16 @@
         target: The upstream.
         in_flight: The request at that upstream.
         connection: The connection to it.
+        boundary: Tells whether its stream of events is inside an event.
     """
 
     state: outcomes.RequestState
     target: upstream_list.Upstream
     in_flight: upstream_load.InFlightRequest
     connection: upstream_connection.UpstreamConnection
+    boundary: event_stream.EventBoundary = dataclasses.field(
+        default_factory=event_stream.EventBoundary
+    )
 
     def may_crash_upstream(self, now: float) -> bool:
         """Returns whether the response has not begun, or only just.
@@ -290,6 +294,7 @@
         """
         state, in_flight = attempt.state, attempt.in_flight
         connection = attempt.connection
+        is_event_stream = False
         while True:
             parts = await connection.receive()
             candidate.load.last_received_at = self._now()
@@ -303,11 +308,16 @@
                             _abort_if_incomplete(parts, connection)
                             return failure
                         in_flight.head_at = self._now()
+                        is_event_stream = part.is_event_stream
                     case http_messages.Data(data=data):
+                        if is_event_stream:
+                            attempt.boundary.feed(data)
                         await self._relay_body(state, candidate, number, data)
                         if self._now() - in_flight.head_at > SURVIVAL_S:
                             self._note_survival(state, in_flight)
                     case http_messages.End():
+                        if attempt.boundary.is_inside:
+                            return outcomes.Failed("the stream ended inside an event")
                         await state.response.write(state.events.take_partial_event())
                         await state.response.end()
                         if state.response.status < FIRST_REDIRECT_STATUS:
@@ -372,7 +382,9 @@
             return None if is_same else outcomes.Failed(f"status {head.status}")
         if not is_success and state.may_run_elsewhere:
             return outcomes.Failed(f"status {head.status}")
-        if state.route.repeat is routing_table.Repeat.RESUME:
+        has_body = head.framing is not http_messages.Framing.NONE
+        is_resumable = state.route.repeat is routing_table.Repeat.RESUME
+        if has_body and (head.is_event_stream or is_resumable):
             head = dataclasses.replace(head, framing=http_messages.Framing.CHUNKED)
         await state.response.start(head)
         took_s = self._now() - state.call.received_at
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -48,3 +48,30 @@
             self.assertTrue(not returned or returned.endswith(b"\n\n"))
             self.assertEqual(returned.count(b"id:"), int(splitter.last_event_id or 0))
         self.assertEqual(STREAM, returned)
+
+
+class EventBoundaryTest(unittest.TestCase):
+    def is_inside(self, *pieces):
+        boundary = event_stream.EventBoundary()
+        for piece in pieces:
+            boundary.feed(piece)
+        return boundary.is_inside
+
+    def test_outside_of_events(self):
+        for stream in (b"", STREAM, b"data: a\r\n\r\n", b"\n", b": c", b": c\n\n: d\n"):
+            self.assertFalse(self.is_inside(stream), stream)
+
+    def test_inside_an_event(self):
+        for stream in (b"d", b"data: a", b"data: a\n", b"data: a\r\n: c\n", b": c\nid"):
+            self.assertTrue(self.is_inside(stream), stream)
+            self.assertTrue(self.is_inside(STREAM + stream), stream)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(
+                [b"\n", b"\r\n", b":", b": c", b"data: a", b"i", b"\n\n"]
+            )
+        )
+    )
+    def test_division_into_pieces_does_not_matter(self, pieces):
+        self.assertEqual(self.is_inside(b"".join(pieces)), self.is_inside(*pieces))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -493,6 +493,105 @@
         self.assertEqual((200, False), (status, is_complete))
 
 
+class StreamWithoutLengthTest(ForwardingCase):
+    """A stream may have neither a length nor chunks and end with its connection."""
+
+    def make_stream(self, *ends):
+        """Returns a script that sends events 1 to 6 and closes the connection.
+
+        Args:
+            ends: The bytes at which each connection in turn ends instead.
+        """
+        remaining_ends = list(ends)
+
+        async def script(request, stream):
+            fields = [
+                ("id", request.get("id")),
+                ("seal", "s"),
+                ("content-type", "text/event-stream"),
+            ]
+            stream.write(http_messages.encode_head(200, "OK", fields))
+            first = int(request.get("last") or 0) + 1
+            sent = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(first, 7))
+            if remaining_ends:
+                end = remaining_ends.pop(0)
+                sent = sent[: sent.index(end) + len(end)]
+            for start in range(0, len(sent), 5):
+                stream.write(sent[start : start + 5])
+                await asyncio.sleep(0.002)
+            stream.close()
+
+        return script
+
+    async def ask(self, script, **fields):
+        bench = await self.start(script, script, is_stream=True, **fields)
+        return await bench.ask()
+
+    async def test_complete_stream(self):
+        for fields in ({}, {"repeat": RESUME}):
+            status, body, is_complete = await self.ask(self.make_stream(), **fields)
+            self.assertEqual((200, True), (status, is_complete))
+            self.assertEqual(6, body.count(b"data: x\n\n"))
+
+    async def test_stream_that_ends_inside_an_event_does_not_look_complete(self):
+        for end in (b"id: 3\nda", b"id: 3\ndata: x\n", b"id: 3", b"i"):
+            status, _, is_complete = await self.ask(self.make_stream(end))
+            self.assertEqual((200, False), (status, is_complete), end)
+
+    async def test_stream_that_ends_inside_an_event_is_resumed(self):
+        status, body, is_complete = await self.ask(
+            self.make_stream(b"id: 4\ndat"), repeat=RESUME, max_upstreams=2
+        )
+        self.assertEqual((200, True), (status, is_complete))
+        complete = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 7))
+        self.assertEqual(complete, body)
+
+    async def test_comment_at_the_end_is_no_event(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            stream.write(http_messages.encode_chunk(b": bye\r\n"))
+            stream.write(http_messages.LAST_CHUNK)
+
+        for fields in ({}, {"repeat": RESUME}):
+            self.assertTrue((await self.ask(script, **fields))[2])
+
+    async def test_stream_with_a_length_that_ends_inside_an_event(self):
+        async def script(request, stream):
+            fields = [("content-type", "text/event-stream")]
+            body = b"id: 1\ndata: x\n\nid: 2\nda"
+            stream.write(entry_bench.make_response(request, body, headers=fields))
+
+        self.assertFalse((await self.ask(script))[2])
+
+    async def test_response_to_head_has_no_chunks(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request))
+
+        for fields in ({}, {"repeat": RESUME}):
+            bench = await self.start(script, is_stream=True, **fields)
+            caller = await bench.connect()
+            for request in ("1", "2"):
+                caller.send(request, method="HEAD")
+                await caller.receive_until(b"\r\n\r\n")
+                self.assertTrue(caller.received.startswith(b"HTTP/1.1 200"))
+                self.assertEqual(1, caller.received.count(b"\r\n\r\n"))
+
+    async def test_response_that_is_no_stream_may_end_anywhere(self):
+        async def script(request, stream):
+            stream.write(entry_bench.make_response(request, b"error", status=404))
+
+        self.assertEqual((404, b"error", True), await self.ask(script))
+
+    async def test_broken_stream_to_a_caller_without_chunks_is_reset(self):
+        """A caller of HTTP/1.0 knows only by the reset that it is not complete."""
+        script = self.make_stream(b"id: 3\nda")
+        bench = await self.start(script, is_stream=True)
+        caller = await bench.connect()
+        caller.send_bytes(b"POST /x/1 HTTP/1.0\r\nhost: a.example\r\nid: 1\r\n\r\n")
+        status, _, is_complete = await caller.receive()
+        self.assertEqual((200, False), (status, is_complete))
+
+
 class CallerDisconnectTest(ForwardingCase):
     async def test_log_shows_how_long_the_upstream_had_been_silent(self):
         go_on = asyncio.Event()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -52,6 +52,26 @@
         self.assertIn(b"r-served 1", self.describe_served(self.other))
         self.assertIn(b"r-served 0", self.describe_served(self.busy))
 
+    async def test_broken_stream_to_a_caller_without_chunks_is_reset(self):
+        """The relay must not turn the other router's reset into an orderly end."""
+
+        async def script(request, stream):
+            fields = [
+                ("id", request.get("id")),
+                ("seal", "s"),
+                ("content-type", "text/event-stream"),
+            ]
+            stream.write(http_messages.encode_head(200, "OK", fields) + b"id: 1\nda")
+            await asyncio.sleep(0.05)
+            stream.close()
+
+        await self.start(script)
+        caller = await self.busy.connect()
+        caller.send_bytes(b"POST /x/1 HTTP/1.0\r\nhost: a.example\r\nid: 1\r\n\r\n")
+        status, _, is_complete = await caller.receive()
+        self.assertEqual((200, False), (status, is_complete))
+        self.assertEqual(1, len(self.upstream.requests))
+
     def describe_served(self, bench):
         page = bench.metrics.render(0.0, bench.view.usage)
         served = page.count(b'teaselsill_requests_total{cause="",ending="delivered"}')
