Reset only connections that are still open

Cause: a relay whose other router had stopped reporting was reset after its caller's connection had ended; uvloop has no socket then.

Before: test_connection_that_has_ended failed on both event loops' kinds of error.

--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -163,8 +163,8 @@
 
     def reset(self) -> None:
         """Resets the connection, so that the peer takes nothing for an orderly end."""
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
+        if not self._transport.is_closing():
+            sock = self._transport.get_extra_info("socket")
             linger = struct.pack("ii", 1, 0)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self._transport.abort()
