Await the other routers' reports before a prompt part is blamed

Cause: a router decided by its own requests 30 ms after a crash, when the request that had caused it was another router's; bystanders that had been sent again together looked the same. Reports held only requests that had begun, so a later crash was not put down to a part already quarantined. A router with a late event loop saw the crashes of one outage 20 ms apart.

Change: a crash counts 0.12 s after it happened; waiting requests are told too and explain a crash by a part already known; crashes within 50 ms count once.

--- a/teaselsill/crash_analysis.py
+++ b/teaselsill/crash_analysis.py
@@ -12,7 +12,7 @@
 """The most suspects that are remembered of one crash."""
 CRASH_TTL_S = 600.0
 """How long a crash is remembered."""
-COMMON_CAUSE_S = 0.02
+COMMON_CAUSE_S = 0.05
 """Upstreams that crash within this time of each other count as one crash, since an
 outage of their hosts is the likelier cause."""
 MIN_CRASHES = 2
@@ -27,9 +27,9 @@
 the first one that begins crashes the upstream."""
 CERTAIN_CRASHES = 4
 """With so many crashes, one of several equally likely parts is chosen."""
-SETTLE_S = 0.2
-"""How long the reports of other routers about a crash are awaited if only one request
-with the part has been seen."""
+SETTLE_S = 0.12
+"""How long after a crash the reports of other routers about it are awaited: the request
+that has caused it may be theirs, and others of it may be bystanders."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,22 +52,30 @@
     )
     culprit: ids.PartKey | None = None
 
+    @property
+    def settled_at(self) -> float:
+        """When all routers should have told what they have seen of it, in seconds."""
+        return self.at + SETTLE_S
+
     def add(self, suspects: list[crash_reports.Suspect]) -> None:
-        """Adds the suspects that a router has reported."""
+        """Adds the suspects that a router has reported, first those that had begun."""
         for suspect in suspects:
-            if len(self.suspect_by_request) < MAX_SUSPECTS:
-                self.suspect_by_request[suspect.request] = suspect
+            self.suspect_by_request[suspect.request] = suspect
+        if len(self.suspect_by_request) > MAX_SUSPECTS:
+            known = self.suspect_by_request.values()
+            kept = sorted(known, key=lambda suspect: not suspect.has_begun)
+            self.suspect_by_request = {s.request: s for s in kept[:MAX_SUSPECTS]}
 
     def list_suspects(self) -> list[crash_reports.Suspect]:
         """Returns the requests that had begun, or all if none had."""
         suspects = list(self.suspect_by_request.values())
         return [suspect for suspect in suspects if suspect.has_begun] or suspects
 
-    def has_suspect(self, part: ids.PartKey) -> bool:
-        """Returns whether a suspect's prompt has a part."""
+    def may_be_due_to(self, part: ids.PartKey) -> bool:
+        """Returns whether a suspect's prompt has a part, begun or not."""
         return any(
             part == known.key
-            for suspect in self.list_suspects()
+            for suspect in self.suspect_by_request.values()
             for known in suspect.parts
         )
 
@@ -156,7 +164,11 @@
         return record
 
     def list_unexplained(self, now: float) -> list[CrashRecord]:
-        """Returns the crashes for which no cause is known, oldest first."""
+        """Returns the crashes for which no cause is known, oldest first.
+
+        Args:
+            now: The time, in seconds.
+        """
         return sorted(
             (c for c in self if c.culprit is None and now - c.at <= CRASH_TTL_S),
             key=lambda crash: crash.at,
@@ -171,6 +183,8 @@
 ) -> Evidence | None:
     """Returns the evidence against the part that explains most crashes, if it suffices.
 
+    Crashes of which other routers may not have told yet do not count.
+
     Of parts that explain the crashes equally well because the same requests have them,
     the last one in the prompt is chosen, since fewest requests share it. If different
     requests have them, further crashes are awaited.
@@ -182,9 +196,10 @@
             crash suffices for them.
         now: The time, in seconds.
     """
+    settled = [crash for crash in crashes if now >= crash.settled_at]
     sufficient = [
         evidence
-        for evidence in _collect(crashes, survivals)
+        for evidence in _collect(settled, survivals)
         if _is_sufficient(evidence, survivals, former, now)
     ]
     if not sufficient:
@@ -230,7 +245,4 @@
             and evidence.find_span_s() >= MIN_SPAN_AFTER_SURVIVAL_S
             and suspects_per_crash <= MAX_SUSPECTS_PER_CRASH
         )
-    if independent < MIN_CRASHES:
-        return False
-    newest_at = max(crash.at for crash in evidence.crashes)
-    return len(evidence.requests) > 1 or now - newest_at >= SETTLE_S
+    return independent >= MIN_CRASHES
--- a/teaselsill/crash_detector.py
+++ b/teaselsill/crash_detector.py
@@ -119,6 +119,7 @@
         if len(self._crashed_at_by_incarnation) > MAX_KNOWN_CRASHES:
             self._crashed_at_by_incarnation.popitem(last=False)
         begun = [suspect for suspect in suspects if suspect.has_begun]
+        waiting = [suspect for suspect in suspects if not suspect.has_begun]
         now = _now()
         logger.warning(
             "upstream crashed",
@@ -127,10 +128,10 @@
                 "born_ms": upstream.born_ms,
                 "ago_ms": round(1000 * (now - crashed_at), 1),
                 "beginning": [suspect.request for suspect in begun],
-                "waiting": len(suspects) - len(begun),
+                "waiting": len(waiting),
             },
         )
-        reported = (begun or suspects)[:MAX_REPORTED_SUSPECTS]
+        reported = [*begun, *waiting][:MAX_REPORTED_SUSPECTS]
         self._quarantine.note_crash(
             crash_reports.Crash(
                 upstream.id, upstream.born_ms, now - crashed_at, reported
--- a/teaselsill/quarantine.py
+++ b/teaselsill/quarantine.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 
 from teaselsill import (
     calls,
@@ -79,8 +80,8 @@
             collections.OrderedDict()
         )
         self._watched: set[ids.PartKey] = set()
-        self._decide_at = float("inf")
-        self._repeated_at = float("-inf")
+        self._decide_at = math.inf
+        self._repeated_at = -math.inf
 
     def list_parts(self) -> list[ids.PartKey]:
         """Returns the quarantined parts."""
@@ -99,8 +100,7 @@
             now: The time, in seconds.
             is_responsible: Returns whether this router is the one that tries a part.
         """
-        if now >= self._decide_at:
-            self._decide(now)
+        self._decide_if_due(now)
         if not self._entry_by_part:
             return ALLOWED
         permission = ALLOWED
@@ -177,7 +177,6 @@
                     "retry_after_s": entry.find_trial_after_s(),
                 },
             )
-        self._decide(now)
 
     def apply(self, news: crash_reports.News, now: float) -> None:
         """Applies what another router has told."""
@@ -190,21 +189,25 @@
             self._add(crash, now)
         for quarantined in news.quarantined:
             self._adopt(quarantined, now)
-        if news.crashes:
-            self._decide(now)
+        self._decide_if_due(now)
 
-    def take_news(self, now: float, should_repeat: bool) -> crash_reports.News:
+    def take_news(
+        self, now: float, should_repeat: bool, has_new_router: bool = False
+    ) -> crash_reports.News:
         """Returns what the other routers have not been told yet.
 
         Args:
             now: The time, in seconds.
             should_repeat: Whether this router is the one that repeats all quarantined
                 parts from time to time, for routers that have not heard of them.
+            has_new_router: Whether it repeats them now, since there is such a router.
         """
+        self._decide_if_due(now)
         for entry in list(self._entry_by_part.values()):
             if entry.has_ended(now):
                 self._expire(entry)
-        if should_repeat and now - self._repeated_at >= REPEAT_S:
+        is_due = has_new_router or now - self._repeated_at >= REPEAT_S
+        if should_repeat and is_due:
             self._repeated_at = now
             self.outbox.add_entries(self._entry_by_part.values())
         return self.outbox.take(now)
@@ -217,11 +220,11 @@
         if record.culprit is not None:
             return self._entry_by_part.get(record.culprit)
         for entry in self._entry_by_part.values():
-            if record.has_suspect(entry.part):
+            if record.may_be_due_to(entry.part):
                 record.culprit = entry.part
                 entry.note_crash(record.at)
                 return entry
-        self._decide_at = now + crash_analysis.SETTLE_S
+        self._decide_at = min(self._decide_at, record.settled_at)
         self._update_watched(now)
         return None
 
@@ -249,10 +252,19 @@
             if is_news:
                 self.outbox.add_survival(part, self._survivals.find_began_at(part))
 
+    def _decide_if_due(self, now: float) -> None:
+        """Decides once after each new piece of evidence, when it has settled."""
+        if now < self._decide_at:
+            return
+        self._decide(now)
+        unexplained = self._history.list_unexplained(now)
+        unsettled = [
+            crash.settled_at for crash in unexplained if crash.settled_at > now
+        ]
+        self._decide_at = min(unsettled, default=math.inf)
+
     def _decide(self, now: float) -> None:
         """Quarantines all parts against which there is enough evidence."""
-        if now >= self._decide_at:
-            self._decide_at = float("inf")
         while True:
             culprit = crash_analysis.find_culprit(
                 self._history.list_unexplained(now),
@@ -304,7 +316,7 @@
         self._former.pop(entry.part, None)
         self._watched.add(entry.part)
         for crash in self._history:
-            if crash.culprit is None and crash.has_suspect(entry.part):
+            if crash.culprit is None and crash.may_be_due_to(entry.part):
                 crash.culprit = entry.part
         self.on_quarantined(entry.part)
 
@@ -320,10 +332,11 @@
         self._former.pop(part, None)
         is_suspected = False
         for crash in self._history:
-            if crash.at >= began_at or not crash.has_suspect(part):
+            if crash.at >= began_at or not crash.may_be_due_to(part):
                 continue
             if crash.culprit == part:
                 crash.culprit = None
+                self._decide_at = -math.inf
             is_suspected = True
         entry = self._entry_by_part.get(part)
         if entry is not None and began_at > entry.crashed_at:
