Tell routers that have just started what is quarantined

Cause: the first router in the order of names repeated the quarantined parts, also when it had just started and knew none; a router that had ended was taken for live for 1.5 s; the others connected to a new one only after their backoff, up to 0.7 s later.

Change: reports tell how long their router has run. The first three that have run for 5 s repeat the parts, at once for a router that has started or was not heard; its connection is opened when its first report comes.

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import math
+import time
 
 from teaselsill import (
     caller_connection,
@@ -119,6 +120,7 @@
         self._handover_port = 0
         self._tasks: set[asyncio.Task] = set()
         self._listeners: list[listener.Listener] = []
+        self._started_at = time.monotonic()
         self._was_ready = False
 
     @property
@@ -142,6 +144,7 @@
             takes_connections=self.is_ready and not self._lag.is_busy,
             recalls_connections=self._is_stopping or self._offloader.has_many_relays,
             version=self._forwarder.version,
+            uptime_s=int(time.monotonic() - self._started_at),
         )
 
     @property
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -34,6 +34,8 @@
 """How often the load at all engines is reported, even if it has not changed."""
 LIVENESS_S = 1.5
 """A router counts as live for this long after a report."""
+TELLERS = 3
+"""How many routers tell new ones what all others know: some may just have ended."""
 OUTPUT_WEIGHT = 2
 """The cost of a generated token, in prompt tokens."""
 
@@ -77,6 +79,7 @@
         self._reported_all_at = float("-inf")
         self._describe_status = describe_status
         self._last_received_at_by_router: dict[ids.InstanceId, float] = {}
+        self._has_new_router = False
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._router_by_host: dict[str, ids.InstanceId] = {}
         self._peer_tokens = decaying_sum.DecayingSum(PEER_RATE_DECAY_S)
@@ -91,6 +94,7 @@
         """Whether there is something new to report to the other routers."""
         return (
             self._has_log_change
+            or self._has_new_router
             or not self.quarantine.outbox.is_empty
             or not self._report_builder.is_empty
         )
@@ -250,18 +254,18 @@
         self._reported_load = load_by_upstream
         self._has_log_change = False
         self._urgent.clear()
-        return self._report_builder.take(
-            self._describe_status(),
-            changed,
-            self._offset_by_topic,
-            self.quarantine.take_news(now, self.find_rank() == 0),
+        status = self._describe_status()
+        news = self.quarantine.take_news(
+            now, self._is_teller(status), self._has_new_router
         )
+        self._has_new_router = False
+        return self._report_builder.take(status, changed, self._offset_by_topic, news)
 
     def apply(self, report: peer_reports.Report) -> None:
         """Applies the report of another router."""
         now = self._now()
         self.usage.start_tracking(now)
-        self._last_received_at_by_router[report.router] = now
+        self._note_received_report(report, now)
         self._status_by_router[report.router] = report.status
         self._router_by_host[report.status.host] = report.router
         for topic, reading in report.log_reading_by_topic.items():
@@ -290,6 +294,24 @@
                 candidate.load.note_peer(report.router, load, now)
                 self._update_outstanding(candidate, now)
 
+    def _note_received_report(self, report: peer_reports.Report, now: float) -> None:
+        known = self._status_by_router.get(report.router)
+        has_restarted = report.status.has_restarted_since(known)
+        if has_restarted or not self.is_live(report.router):
+            self._has_new_router = True
+            self._urgent.set()
+        self._last_received_at_by_router[report.router] = now
+
+    def _is_teller(self, status: peer_reports.RouterStatus) -> bool:
+        """Returns whether this router tells new ones what all others know.
+
+        Args:
+            status: The status of this router.
+        """
+        status_by_router = self.list_statuses() | {self._router: status}
+        settled = [r for r, each in status_by_router.items() if each.is_settled]
+        return self._router in sorted(settled or status_by_router)[:TELLERS]
+
     def _apply_leaving(self, leaving: peer_reports.Leaving) -> None:
         known = self._directory.listed.by_id.get(leaving.upstream)
         if known is not None and known.born_ms == leaving.born_ms:
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import logging
 import math
 import random
@@ -61,6 +62,8 @@
         self._last_received_at_by_peer: dict[ids.InstanceId, float] = {}
         self._suspected_until_by_peer: dict[ids.InstanceId, float] = {}
         self._connection_task_by_peer: dict[ids.InstanceId, asyncio.Task] = {}
+        self._heard_again_by_peer: dict[ids.InstanceId, asyncio.Event] = {}
+        self._status_by_peer: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._receiving: set[asyncio.Task] = set()
         self._listener: listener.Listener | None = None
 
@@ -185,6 +188,8 @@
         return contacts
 
     def _disconnect(self, peer: ids.InstanceId) -> None:
+        self._heard_again_by_peer.pop(peer, None)
+        self._status_by_peer.pop(peer, None)
         task = self._connection_task_by_peer.pop(peer, None)
         if task is not None:
             task.cancel()
@@ -201,6 +206,7 @@
 
     async def _keep_connected(self, peer: report_routes.Peer) -> None:
         """Keeps a connection to one router until it is cancelled."""
+        heard_again = self._heard_again_by_peer.setdefault(peer.id, asyncio.Event())
         backoff_s = INITIAL_BACKOFF_S
         while True:
             try:
@@ -212,13 +218,13 @@
                     "peer not reached", extra={"peer": peer.id, "reason": str(error)}
                 )
                 self._suspect(peer.id, "not reached")
-                await asyncio.sleep(backoff_s * random.uniform(0.7, 1.0))
+                await _wait(heard_again, backoff_s * random.uniform(0.7, 1.0))
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
                 continue
             backoff_s = INITIAL_BACKOFF_S
             await self._use(peer.id, stream)
             logger.info("peer lost", extra={"peer": peer.id})
-            await asyncio.sleep(backoff_s)
+            await _wait(heard_again, backoff_s)
 
     async def _use(self, peer: ids.InstanceId, stream: tcp_stream.TcpStream) -> None:
         """Uses a connection for reports until it ends."""
@@ -253,17 +259,42 @@
         finally:
             stream.abort()
 
+    def _note_heard(self, report: peer_reports.Report) -> None:
+        """Records a report, and connects at once to a router that has just started.
+
+        It knows nothing until it is told.
+        """
+        peer = report.router
+        now = _now()
+        last_received_at = self._last_received_at_by_peer.get(peer, -math.inf)
+        self._last_received_at_by_peer[peer] = now
+        was_silent = now - last_received_at > fleet_view.LIVENESS_S
+        known = self._status_by_peer.get(peer)
+        has_restarted = report.status.has_restarted_since(known)
+        self._status_by_peer[peer] = report.status
+        heard_again = self._heard_again_by_peer.get(peer)
+        if heard_again is not None and (was_silent or has_restarted):
+            heard_again.set()
+
     def _handle_report(self, report: peer_reports.Report) -> None:
         """Handles a report, and forwards it to the local routers if its sender asks.
 
         The sender has no connections to them.
         """
-        self._last_received_at_by_peer[report.router] = _now()
+        self._note_heard(report)
         self._on_report(report)
         if report.should_forward:
             local = self._routes.list_local()
             self._send_to(local, msgspec.structs.replace(report, should_forward=False))
 
 
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Waits until an event occurs, at most for a time, and clears it."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    event.clear()
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -11,6 +11,9 @@
     upstream_load,
 )
 
+SETTLED_S = 5
+"""A router that has run for so long has heard what the other routers know."""
+
 
 class AssignedPrompt(msgspec.Struct, array_like=True, frozen=True):
     """A prompt that was sent to an engine.
@@ -52,6 +55,7 @@
         recalls_connections: Whether the connections that it has handed over are to be
             closed after their next responses.
         version: The version of the configuration that is in force there.
+        uptime_s: How long it has run, in seconds.
     """
 
     data_centre: ids.DataCentre
@@ -61,6 +65,16 @@
     takes_connections: bool
     recalls_connections: bool
     version: ids.Version = ids.NO_VERSION
+    uptime_s: int = 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it has run for long enough to know what the others know."""
+        return self.uptime_s >= SETTLED_S
+
+    def has_restarted_since(self, earlier: "RouterStatus | None") -> bool:
+        """Returns whether the router was started after an earlier status, if any."""
+        return earlier is None or self.uptime_s < earlier.uptime_s
 
 
 class LogReading(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,8 +1,11 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from teaselsill import (
     boot_clock,
+    crash_reports,
     directory,
     fleet_view,
     ids,
@@ -188,6 +191,47 @@
         self.first.apply(self.second.take_report())
         self.assertEqual((0, 1), (self.first.find_rank(), self.second.find_rank()))
 
+    def quarantine_at_second(self):
+        now = asyncio.get_running_loop().time()
+        part = crash_reports.QuarantinedPart(ids.PartKey("bad"), 0.0, 0)
+        self.second.quarantine.apply(crash_reports.News(quarantined=[part]), now)
+
+    def set_settled(self, view, is_settled):
+        uptime_s = peer_reports.SETTLED_S if is_settled else 0
+        status = msgspec.structs.replace(make_status(), uptime_s=uptime_s)
+        view._describe_status = lambda: status
+
+    async def test_first_router_that_has_just_started_does_not_speak_for_all(self):
+        """It knows no quarantined parts, and would keep the others from telling it."""
+        self.quarantine_at_second()
+        self.set_settled(self.second, True)
+        self.set_settled(self.first, False)
+        self.pass_report()
+        self.assertTrue(self.second.has_unreported_changes)
+        self.first.apply(self.second.take_report())
+        self.assertEqual(["bad"], self.first.quarantine.list_parts())
+
+    async def test_router_that_has_restarted_in_a_moment_is_told_at_once(self):
+        self.quarantine_at_second()
+        self.set_settled(self.second, True)
+        self.set_settled(self.first, True)
+        self.pass_report()
+        self.second.take_report()
+        self.assertEqual([], self.second.take_report().crash_news.quarantined)
+        self.set_settled(self.first, False)
+        self.pass_report()
+        (quarantined,) = self.second.take_report().crash_news.quarantined
+        self.assertEqual("bad", quarantined.part)
+
+    async def test_few_routers_tell_a_new_one(self):
+        self.set_settled(self.second, True)
+        self.quarantine_at_second()
+        for name in ("a", "b", "c"):
+            view, _ = make_view(name)
+            self.set_settled(view, True)
+            self.second.apply(view.take_report())
+        self.assertEqual([], self.second.take_report().crash_news.quarantined)
+
     async def test_report_on_an_unknown_upstream_is_ignored(self):
         report = peer_reports.Report(
             ids.InstanceId("r"),
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from teaselsill import (
     ids,
     listener,
@@ -16,8 +18,9 @@
 )
 
 
-def make_report(name):
-    return peer_reports.Report(ids.InstanceId(name), STATUS, [], [], {}, {}, {}, {})
+def make_report(name, uptime_s=0):
+    status = msgspec.structs.replace(STATUS, uptime_s=uptime_s)
+    return peer_reports.Report(ids.InstanceId(name), status, [], [], {}, {}, {}, {})
 
 
 def make_peer(name, links, data_centre="a"):
@@ -67,6 +70,31 @@
             received.get_nowait()
         await self.send_until_received(first, received, "first")
 
+    async def test_router_that_has_started_again_is_connected_to_at_once(self):
+        """Until the others connect to it, it does not know what they know."""
+        first, received_by_first = await self.make("first")
+        second, received = await self.make("second")
+        port = second.port
+        first.put_peer(make_peer("second", second))
+        second.put_peer(make_peer("first", first))
+        await self.send_until_received(first, received, "first")
+        second.send(make_report("second", uptime_s=1))
+        await received_by_first.get()
+        second.close()
+        await asyncio.sleep(0.8)
+        again, received = await self.make("second")
+        again.close()
+        again.listen(entry_bench.HOST, port)
+        again.put_peer(make_peer("first", first))
+        started_at = asyncio.get_running_loop().time()
+        async with asyncio.timeout(5.0):
+            while received.empty():
+                again.send(make_report("second"))
+                first.send(make_report("first"))
+                await asyncio.sleep(0.01)
+        took_s = asyncio.get_running_loop().time() - started_at
+        self.assertLess(took_s, peer_links.INITIAL_BACKOFF_S)
+
     async def test_router_does_not_connect_to_itself(self):
         first, received = await self.make("first")
         first.put_peer(make_peer("first", first))
