Blame the requests that had only a head, and clear common parts sooner

Cause: no survival was known then, and one bystander a crash fitted as well as the cause, of which several requests were about to begin. Responses with data were broken off with the rest, so nothing could clear the part before the trial.

Change: reports tell how far a response had come. A part whose requests had a head and no data goes before one whose requests had data; parts with more than three requests a crash are just common. A response that has gone on for 0.5 s has survived (1 s before), and one with data is not broken off, so that it clears a part that was quarantined wrongly.

Before: test_several_requests_that_are_about_to_crash_an_upstream, test_common_part_is_not_blamed_after_a_restart and test_response_under_way_ends_a_wrong_quarantine failed.

--- a/teaselsill/crash_analysis.py
+++ b/teaselsill/crash_analysis.py
@@ -22,9 +22,9 @@
 MIN_SPAN_AFTER_SURVIVAL_S = 1.0
 """The least time between the first and the last of those crashes, in which harmless
 requests with this part would have survived."""
-MAX_SUSPECTS_PER_CRASH = 2.0
-"""More requests with a part of which a survival is known mean that it is just common:
-the first one that begins crashes the upstream."""
+MAX_SUSPECTS_PER_CRASH = 3.0
+"""More requests with a part mean that it is just common: the first one that begins
+crashes the upstream."""
 CERTAIN_CRASHES = 4
 """With so many crashes, one of several equally likely parts is chosen."""
 SETTLE_S = 0.12
@@ -89,6 +89,8 @@
         crashes: The crashes, oldest first.
         requests: The suspects of these crashes whose prompts have the part.
         occurrences: The same, where a request counts once for each crash.
+        crashes_with_head: In how many of the crashes the response to one of these
+            requests had a head and no data.
         depth: The position of the part in a prompt, from 0.
         has_survived: Whether a router knew a survival before one of the crashes.
     """
@@ -97,8 +99,10 @@
     crashes: list[CrashRecord] = dataclasses.field(default_factory=list)
     requests: set[ids.RequestId] = dataclasses.field(default_factory=set)
     occurrences: int = 0
+    crashes_with_head: int = 0
     depth: int = 0
     has_survived: bool = False
+    _has_head: bool = False
 
     def add(
         self, crash: CrashRecord, suspect: crash_reports.Suspect, depth: int
@@ -106,20 +110,25 @@
         """Adds a suspect of a crash whose prompt has the part at a position."""
         if not self.crashes or self.crashes[-1] is not crash:
             self.crashes.append(crash)
+            self._has_head = False
+        if suspect.stage is crash_reports.Stage.HEAD and not self._has_head:
+            self._has_head = True
+            self.crashes_with_head += 1
         self.requests.add(suspect.request)
         self.occurrences += 1
         self.depth = depth
         self.has_survived |= suspect.parts[depth].has_survived
 
     @property
-    def rank(self) -> tuple[int, int, int]:
+    def rank(self) -> tuple[int, int, int, int]:
         """How well the part explains the crashes; higher is better.
 
-        A part that crashes upstreams is in many crashes, each time in one request, and
-        in different requests.
+        A part that crashes upstreams is in many crashes, each time in a request whose
+        response has just begun, rarely in more than one, and in different requests.
         """
+        independent = self.count_independent_crashes()
         excess = self.occurrences - len(self.crashes)
-        return self.count_independent_crashes(), -excess, len(self.requests)
+        return independent, self.crashes_with_head, -excess, len(self.requests)
 
     def count_independent_crashes(self) -> int:
         """Returns the number of crashes that did not happen at the same moment."""
@@ -237,12 +246,12 @@
 ) -> bool:
     if evidence.part in former:
         return True
+    if evidence.occurrences > MAX_SUSPECTS_PER_CRASH * len(evidence.crashes):
+        return False
     independent = evidence.count_independent_crashes()
     if evidence.has_survived or survivals.has_survived(evidence.part, now):
-        suspects_per_crash = evidence.occurrences / len(evidence.crashes)
         return (
             independent >= MIN_CRASHES_AFTER_SURVIVAL
             and evidence.find_span_s() >= MIN_SPAN_AFTER_SURVIVAL_S
-            and suspects_per_crash <= MAX_SUSPECTS_PER_CRASH
         )
     return independent >= MIN_CRASHES
--- a/teaselsill/crash_reports.py
+++ b/teaselsill/crash_reports.py
@@ -1,5 +1,6 @@
 """What entry routers tell each other about crashes of upstreams and their causes."""
 
+import enum
 import hashlib
 
 import msgspec
@@ -11,6 +12,17 @@
 DIGEST_BYTES = 8
 
 
+class Stage(enum.IntEnum):
+    """How far the response to a request had come when its upstream crashed."""
+
+    WAITING = 0
+    """Nothing had arrived."""
+    HEAD = 1
+    """Its head had arrived, but no data."""
+    DATA = 2
+    """Data had arrived, but the response had begun only shortly before."""
+
+
 class SuspectPart(msgspec.Struct, array_like=True, frozen=True):
     """A part of the prompt of a request that may have crashed an upstream.
 
@@ -30,13 +42,17 @@
     Attributes:
         request: The request.
         parts: The parts of its prompt that other requests may share, in order.
-        has_begun: Whether its response had begun shortly before the crash. Otherwise it
-            had not begun at all.
+        stage: How far its response had come.
     """
 
     request: ids.RequestId
     parts: list[SuspectPart]
-    has_begun: bool
+    stage: Stage
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the response had begun."""
+        return self.stage is not Stage.WAITING
 
 
 class Crash(msgspec.Struct, array_like=True, frozen=True):
--- a/teaselsill/quarantine.py
+++ b/teaselsill/quarantine.py
@@ -142,7 +142,7 @@
         self,
         request: ids.RequestId,
         parts: tuple[calls.PromptPart, ...],
-        has_begun: bool,
+        stage: crash_reports.Stage,
         now: float,
     ) -> crash_reports.Suspect:
         """Returns the description of a request that was broken off.
@@ -150,7 +150,7 @@
         Args:
             request: The request.
             parts: The parts of its prompt.
-            has_begun: Whether its response had begun shortly before.
+            stage: How far its response had come.
             now: The time, in seconds.
         """
         shared = [
@@ -159,9 +159,7 @@
         ]
         if len(shared) > MAX_PARTS_PER_SUSPECT:
             shared = [part for part in shared if not part.has_survived]
-        return crash_reports.Suspect(
-            request, shared[-MAX_PARTS_PER_SUSPECT:], has_begun
-        )
+        return crash_reports.Suspect(request, shared[-MAX_PARTS_PER_SUSPECT:], stage)
 
     def note_crash(self, crash: crash_reports.Crash, now: float) -> None:
         """Records a crash that this router has seen."""
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -7,6 +7,7 @@
 from teaselsill import (
     calls,
     crash_detector,
+    crash_reports,
     directory,
     entry_metrics,
     event_stream,
@@ -34,9 +35,7 @@
 MAX_IDLE_UNREPEATABLE_S = 1.0
 """The limit for requests that cannot be sent again if the connection is dead."""
 BEGINNING_S = 0.5
-"""A response that began less than this long before a crash may have caused it."""
-SURVIVAL_S = 1.0
-"""A response that has gone on for this long will not crash its upstream."""
+"""A response that has gone on for longer will not crash its upstream."""
 FIRST_REDIRECT_STATUS = 300
 FIRST_FAILURE_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -65,16 +64,24 @@
         default_factory=event_stream.EventBoundary
     )
 
+    @property
+    def stage(self) -> crash_reports.Stage:
+        """How far the response has come."""
+        if self.in_flight.head_at is None:
+            return crash_reports.Stage.WAITING
+        if not self.in_flight.has_started:
+            return crash_reports.Stage.HEAD
+        return crash_reports.Stage.DATA
+
     def may_crash_upstream(self, now: float) -> bool:
         """Returns whether the response has not begun, or only just.
 
         Args:
             now: The time, in seconds.
         """
-        head_at = self.in_flight.head_at
-        if head_at is None or not self.in_flight.has_started:
+        if self.stage is not crash_reports.Stage.DATA:
             return True
-        return now - head_at <= BEGINNING_S
+        return now - self.in_flight.head_at <= BEGINNING_S
 
 
 class Sender:
@@ -112,11 +119,14 @@
         self._detector.close()
 
     def abort_quarantined(self, part: ids.PartKey) -> None:
-        """Aborts the attempts that may still crash an upstream because of a part."""
-        now = self._now()
+        """Aborts the attempts with a quarantined part, unless data has arrived.
+
+        Those show whether it was quarantined wrongly.
+        """
         for attempt in list(self._attempts):
+            has_data = attempt.stage is crash_reports.Stage.DATA
             shared = quarantine.list_shared(attempt.state.call.parts)
-            if part in shared and attempt.may_crash_upstream(now):
+            if part in shared and not has_data:
                 attempt.connection.abort("a part of the prompt is quarantined")
 
     async def attempt(
@@ -197,10 +207,10 @@
         now = self._now()
         if not attempt.may_crash_upstream(now):
             return False
-        has_begun = attempt.in_flight.head_at is not None
-        suspect = self._quarantine.make_suspect(call.id, call.parts, has_begun, now)
+        stage = attempt.stage
+        suspect = self._quarantine.make_suspect(call.id, call.parts, stage, now)
         has_crashed = await self._detector.check(attempt.target, suspect)
-        return has_crashed and has_begun
+        return has_crashed and stage is not crash_reports.Stage.WAITING
 
     def _note_survival(self, state, in_flight: upstream_load.InFlightRequest) -> None:
         """Records that a response has not crashed its upstream."""
@@ -313,7 +323,7 @@
                         if is_event_stream:
                             attempt.boundary.feed(data)
                         await self._relay_body(state, candidate, number, data)
-                        if self._now() - in_flight.head_at > SURVIVAL_S:
+                        if self._now() - in_flight.head_at > BEGINNING_S:
                             self._note_survival(state, in_flight)
                     case http_messages.End():
                         if attempt.boundary.is_inside:
