Part the attempts in progress from the sending of requests

What is known of an attempt under way, and what it tells about crashes, stands in open_attempts.py now.

--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -2,12 +2,9 @@
 
 import asyncio
 import dataclasses
-import logging
 
 from teaselsill import (
     calls,
-    crash_detector,
-    crash_reports,
     directory,
     entry_metrics,
     event_stream,
@@ -16,9 +13,9 @@
     http_messages,
     ids,
     loop_lag,
+    open_attempts,
     outcomes,
     placement,
-    quarantine,
     routing_table,
     tcp_stream,
     upstream_connection,
@@ -34,55 +31,11 @@
 """Connections that have been idle for longer are not used for a request."""
 MAX_IDLE_UNREPEATABLE_S = 1.0
 """The limit for requests that cannot be sent again if the connection is dead."""
-BEGINNING_S = 0.5
-"""A response that has gone on for longer will not crash its upstream."""
 FIRST_REDIRECT_STATUS = 300
 FIRST_FAILURE_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell the caller that its request has not run."""
 
-logger = logging.getLogger(__name__)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class Attempt:
-    """An attempt in progress.
-
-    Attributes:
-        state: The request.
-        target: The upstream.
-        in_flight: The request at that upstream.
-        connection: The connection to it.
-        boundary: Tells whether its stream of events is inside an event.
-    """
-
-    state: outcomes.RequestState
-    target: upstream_list.Upstream
-    in_flight: upstream_load.InFlightRequest
-    connection: upstream_connection.UpstreamConnection
-    boundary: event_stream.EventBoundary = dataclasses.field(
-        default_factory=event_stream.EventBoundary
-    )
-
-    @property
-    def stage(self) -> crash_reports.Stage:
-        """How far the response has come."""
-        if self.in_flight.head_at is None:
-            return crash_reports.Stage.WAITING
-        if not self.in_flight.has_started:
-            return crash_reports.Stage.HEAD
-        return crash_reports.Stage.DATA
-
-    def may_crash_upstream(self, now: float) -> bool:
-        """Returns whether the response has not begun, or only just.
-
-        Args:
-            now: The time, in seconds.
-        """
-        if self.stage is not crash_reports.Stage.DATA:
-            return True
-        return now - self.in_flight.head_at <= BEGINNING_S
-
 
 class Sender:
     """Sends requests to upstreams and their responses to callers.
@@ -108,26 +61,15 @@
         self._view = view
         self._metrics = metrics
         self._lag = lag
-        self._quarantine = view.quarantine
-        self._detector = crash_detector.CrashDetector(
-            upstreams, view.quarantine, metrics
-        )
-        self._attempts: set[Attempt] = set()
+        self._open = open_attempts.OpenAttempts(upstreams, view.quarantine, metrics)
 
     def close(self) -> None:
         """Cancels the background tasks."""
-        self._detector.close()
+        self._open.close()
 
     def abort_quarantined(self, part: ids.PartKey) -> None:
-        """Aborts the attempts with a quarantined part, unless data has arrived.
-
-        Those show whether it was quarantined wrongly.
-        """
-        for attempt in list(self._attempts):
-            has_data = attempt.stage is crash_reports.Stage.DATA
-            shared = quarantine.list_shared(attempt.state.call.parts)
-            if part in shared and not has_data:
-                attempt.connection.abort("a part of the prompt is quarantined")
+        """Aborts attempts; see `OpenAttempts.abort_quarantined`."""
+        self._open.abort_quarantined(part)
 
     async def attempt(
         self, state: outcomes.RequestState, choice: placement.Choice
@@ -141,29 +83,16 @@
         except tcp_stream.ConnectionFailedError as error:
             candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
             return outcomes.Unsent(str(error))
-        state.line.upstreams.append(target.id)
-        state.sends += 1
-        state.possible_runs += 1
         now = self._now()
-        in_flight = upstream_load.InFlightRequest(
-            prefill_tokens=choice.prefill_tokens,
-            sent_at=now,
-        )
-        number = candidate.load.add(in_flight)
-        if state.call.parts:
-            self._view.note_sent(
-                state.account, state.call, candidate, choice.prefill_tokens
-            )
-        attempt = Attempt(state, target, in_flight, connection)
-        self._attempts.add(attempt)
+        attempt = self._begin(state, choice, connection, now)
         outcome = None
         is_lost = False
         watchdog = asyncio.create_task(
-            self._watch_progress(state, candidate, in_flight, connection)
+            self._watch_progress(state, candidate, attempt.in_flight, connection)
         )
         try:
             self._send(state, choice, connection, now)
-            outcome = await self._relay_response(attempt, candidate, number)
+            outcome = await self._relay_response(attempt)
         except upstream_connection.ResponseFailedError as error:
             outcome = outcomes.Failed(str(error))
             is_lost = isinstance(error, upstream_connection.ConnectionLostError)
@@ -172,19 +101,37 @@
             outcome = outcomes.Failed(str(error))
         finally:
             watchdog.cancel()
-            self._attempts.discard(attempt)
-            self._note_ended(candidate, candidate.load.remove(number))
+            self._open.discard(attempt)
+            self._note_ended(candidate, candidate.load.remove(attempt.number))
             if outcome is None:
                 connection.abort()
-                self._note_cancelled(state, candidate, in_flight)
+                self._note_cancelled(state, candidate, attempt.in_flight)
         if isinstance(outcome, outcomes.Failed):
-            self._log_failure(attempt, outcome)
+            attempt.log_failure(outcome.reason, self._now())
         self._note_outcome(state, candidate, outcome)
         self._directory.pool(target).put(connection)
-        if is_lost and await self._has_crashed(attempt):
+        if is_lost and await self._open.has_crashed_upstream(attempt, self._now()):
             state.crashes += 1
         return outcome
 
+    def _begin(
+        self, state, choice: placement.Choice, connection, now: float
+    ) -> open_attempts.Attempt:
+        """Records a request that is about to be sent."""
+        candidate = choice.candidate
+        state.line.upstreams.append(candidate.upstream.id)
+        state.sends += 1
+        state.possible_runs += 1
+        in_flight = upstream_load.InFlightRequest(choice.prefill_tokens, sent_at=now)
+        number = candidate.load.add(in_flight)
+        if state.call.parts:
+            self._view.note_sent(
+                state.account, state.call, candidate, choice.prefill_tokens
+            )
+        attempt = open_attempts.Attempt(state, candidate, number, in_flight, connection)
+        self._open.add(attempt)
+        return attempt
+
     def _note_outcome(self, state, candidate, outcome: outcomes.Outcome) -> None:
         match outcome:
             case outcomes.NotRun():
@@ -199,45 +146,6 @@
                 result = upstream_health.Result.ANSWERED
         candidate.health.note(result, self._now())
 
-    async def _has_crashed(self, attempt: Attempt) -> bool:
-        """Returns whether an upstream may have crashed because of a lost attempt."""
-        call = attempt.state.call
-        if not quarantine.list_shared(call.parts):
-            return False
-        now = self._now()
-        if not attempt.may_crash_upstream(now):
-            return False
-        stage = attempt.stage
-        suspect = self._quarantine.make_suspect(call.id, call.parts, stage, now)
-        has_crashed = await self._detector.check(attempt.target, suspect)
-        return has_crashed and stage is not crash_reports.Stage.WAITING
-
-    def _note_survival(self, state, in_flight: upstream_load.InFlightRequest) -> None:
-        """Records that a response has not crashed its upstream."""
-        if in_flight.has_survived or in_flight.head_at is None:
-            return
-        in_flight.has_survived = True
-        self._quarantine.note_survival(state.call.parts, in_flight.head_at)
-
-    def _log_failure(self, attempt: Attempt, outcome: outcomes.Failed) -> None:
-        """Logs a failed attempt, so that attempts that failed together can be found."""
-        now = self._now()
-        in_flight = attempt.in_flight
-        started_at = in_flight.started_at
-        logger.info(
-            "attempt failed",
-            extra={
-                "request": attempt.state.call.id,
-                "upstream": attempt.target.id,
-                "born_ms": attempt.target.born_ms,
-                "reason": outcome.reason,
-                "has_head": in_flight.head_at is not None,
-                "sent_ms": round(1000 * (now - in_flight.sent_at), 1),
-                "started_ms": started_at and round(1000 * (now - started_at), 1),
-                "parts": [part.id for part in attempt.state.call.parts],
-            },
-        )
-
     def _note_ended(self, candidate, in_flight: upstream_load.InFlightRequest) -> None:
         if in_flight.started_at is not None:
             candidate.hold_time.note(self._now() - in_flight.started_at)
@@ -293,16 +201,14 @@
 
         connection.send(message.method, request, is_expected)
 
-    async def _relay_response(
-        self, attempt: Attempt, candidate, number
-    ) -> outcomes.Outcome:
+    async def _relay_response(self, attempt: open_attempts.Attempt) -> outcomes.Outcome:
         """Relays a response to the caller, part by part.
 
         Raises:
             ResponseFailedError: The response is incomplete or malformed.
             EventTooLargeError: An event of the response is larger than allowed.
         """
-        state, in_flight = attempt.state, attempt.in_flight
+        state, candidate = attempt.state, attempt.candidate
         connection = attempt.connection
         is_event_stream = False
         while True:
@@ -317,21 +223,20 @@
                         if failure is not None:
                             _abort_if_incomplete(parts, connection)
                             return failure
-                        in_flight.head_at = self._now()
+                        attempt.in_flight.head_at = self._now()
                         is_event_stream = part.is_event_stream
                     case http_messages.Data(data=data):
                         if is_event_stream:
                             attempt.boundary.feed(data)
-                        await self._relay_body(state, candidate, number, data)
-                        if self._now() - in_flight.head_at > BEGINNING_S:
-                            self._note_survival(state, in_flight)
+                        await self._relay_body(attempt, data)
+                        self._open.note_progress(attempt, self._now())
                     case http_messages.End():
                         if attempt.boundary.is_inside:
                             return outcomes.Failed("the stream ended inside an event")
                         await state.response.write(state.events.take_partial_event())
                         await state.response.end()
                         if state.response.status < FIRST_REDIRECT_STATUS:
-                            self._note_survival(state, in_flight)
+                            self._open.note_survival(attempt)
                         return outcomes.Delivered(state.response.status)
 
     async def _watch_progress(self, state, candidate, in_flight, connection) -> None:
@@ -402,14 +307,15 @@
         self._metrics.first_byte_s.labels(state.route.name).observe(took_s)
         return None
 
-    async def _relay_body(self, state, candidate, number, data: bytes) -> None:
-        in_flight = candidate.load.start(number, self._now())
+    async def _relay_body(self, attempt: open_attempts.Attempt, data: bytes) -> None:
+        state, candidate = attempt.state, attempt.candidate
+        in_flight = candidate.load.start(attempt.number, self._now())
         if in_flight is not None:
             self._view.note_response_started(candidate, in_flight.prefill_tokens)
         if state.route.repeat is routing_table.Repeat.RESUME:
             data = state.events.feed(data)
         if data:
-            candidate.load.note_progress(number, self._now())
+            candidate.load.note_progress(attempt.number, self._now())
         await state.response.write(data)
 
     def _now(self) -> float:
