Answer relayed requests whose router has ended

Cause: a busy router had handed the connections over to one that was killed. It ended them as the other's connection ended, by a close.

Change: a request of whose response nothing has come gets 502, which says nothing of whether it ran; the connection closes. Before: the new test got no answer. After: it passes.

--- a/teaselsill/message_counter.py
+++ b/teaselsill/message_counter.py
@@ -78,6 +78,14 @@
             return True
         return self._requests.completed > self._responses.completed
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a complete request has no response, not even a part of one."""
+        counters = self._requests, self._responses
+        if self._responses.is_in_message or any(c.is_unparsable for c in counters):
+            return False
+        return self._requests.completed > self._responses.completed
+
     def feed_request(self, data: bytes) -> None:
         """Parses bytes sent by the caller."""
         self._requests.feed(data)
--- a/teaselsill/relay.py
+++ b/teaselsill/relay.py
@@ -6,12 +6,23 @@
 import logging
 import math
 
-from teaselsill import ids, message_counter, peer_reports, tcp_stream
+from teaselsill import (
+    http_messages,
+    ids,
+    message_counter,
+    peer_reports,
+    tcp_stream,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 """Generous, since the other router has reported recently: a slow connect is due to the
 load of this router."""
 
+BAD_GATEWAY = http_messages.encode_head(
+    502, "Bad Gateway", [("content-length", "0"), ("connection", "close")]
+)
+"""The response to a request whose router has ended: it may have run."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -82,7 +93,10 @@
 
     def _abort_response(self) -> None:
         """Ends the connection so that a pending response does not look complete."""
-        if self._exchanges.is_response_pending:
+        if self._exchanges.is_unanswered:
+            self._caller.write(BAD_GATEWAY)
+            self._caller.close()
+        elif self._exchanges.is_response_pending:
             self._caller.reset()
         else:
             self._caller.abort()
@@ -120,6 +134,8 @@
         except tcp_stream.ConnectionResetError:
             is_reset = True
             self._abort_response()
+        if self._exchanges.is_unanswered:
+            self._abort_response()
         if self._exchanges.is_response_pending:
             logger.warning(
                 "incomplete response from the other router",
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -101,6 +101,19 @@
         _, _, is_complete = await caller.receive()
         self.assertFalse(is_complete)
 
+    async def test_request_is_answered_if_the_other_router_ends(self):
+        """Its caller's connection was closed without an answer."""
+
+        async def script(request, stream):
+            await asyncio.sleep(0.05)
+            self.other.router.close()
+            await asyncio.sleep(5.0)
+
+        await self.start(script)
+        caller = await self.busy.connect()
+        self.assertEqual((502, b"", True), await caller.ask())
+        await caller.wait_closed()
+
     async def test_connection_is_served_here_if_the_other_router_is_unreachable(self):
         await self.start()
         self.other.router.close()
