--- a/teaselsill/relay.py
+++ b/teaselsill/relay.py
@@ -71,6 +71,7 @@
 
     def close(self) -> None:
         """Closes an idle connection."""
+        logger.info("closing idle relay", extra=self._describe())
         self._caller.close()
 
     async def run(self) -> None:
@@ -87,10 +88,19 @@
     def abort(self) -> None:
         """Aborts the connection, so that a pending response does not look complete."""
         logger.warning(
-            "router stopped reporting, aborting relay", extra={"peer": self.router}
+            "router stopped reporting, aborting relay", extra=self._describe()
         )
         self._abort_response()
 
+    def _describe(self) -> dict[str, object]:
+        """Returns what tells a wrong decision from a right one, for the log."""
+        now = asyncio.get_running_loop().time()
+        return {
+            "peer": self.router,
+            "quiet_ms": round(1000 * (now - self._idle_since), 1),
+            "pending": self._exchanges.is_response_pending,
+        }
+
     def _abort_response(self) -> None:
         """Ends the connection so that a pending response does not look complete."""
         if self._exchanges.is_unanswered:
