Pass requests on to other routers instead of connections

Callers of a busy router saw their responses cut in the middle 1.5 s after the last report of the router that served them, though their events still arrived, or it had only been paused; and 502 or 503 for requests that no upstream had seen.

Cause: a busy router relayed whole connections byte by byte. It knew neither the requests nor how far they had got, and inferred the death of the other router from missing reports (FleetView.is_live), which may be late for many other reasons. Class: the lack of a periodic message is taken for the failure of its sender, where bytes of the work itself tell better.

Change: the busy router keeps its callers' connections and offers their requests one by one. The other router asks before it sends one to an upstream. What has not been allowed can be withdrawn without a reply and is served here; what has been waits for its own deadline or the end of the connection, and is repeated only where its route allows it. An offer names the configuration that it needs.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -1,5 +1,6 @@
 """A caller's connection to an entry router: reads requests and writes responses."""
 
+import abc
 import asyncio
 import collections.abc
 import enum
@@ -8,6 +9,7 @@
 from teaselsill import (
     errors,
     http_messages,
+    ids,
     request_parser,
     routing_table,
     tcp_stream,
@@ -48,7 +50,50 @@
     ABORTED = "broken"
 
 
-class CallerResponse:
+class Response(abc.ABC):
+    """The response to one request, part by part.
+
+    Attributes:
+        progress: How much of the response has been written.
+        status: The status that was written, or 0.
+        via: The router that has the caller's connection; None if it is this one.
+    """
+
+    def __init__(self):
+        self.progress = Progress.NOT_STARTED
+        self.status = 0
+        self.via: ids.InstanceId | None = None
+
+    @property
+    def is_wanted(self) -> bool:
+        """Whether the caller still waits for the response, as far as is known."""
+        return True
+
+    async def confirm_send(self) -> None:
+        """Waits until the request may be sent to upstreams."""
+
+    @abc.abstractmethod
+    async def start(self, head: http_messages.Head) -> None:
+        """Writes the head of an upstream's response."""
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Writes a part of the body."""
+
+    @abc.abstractmethod
+    async def end(self) -> None:
+        """Writes the end of a complete response."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Ends the response so that it does not look complete."""
+
+    @abc.abstractmethod
+    async def send_error(self, status: int, headers: http_messages.Headers) -> None:
+        """Writes an error response of the router, or aborts one that has started."""
+
+
+class CallerResponse(Response):
     """Writes the response to one request to the caller.
 
     Args:
@@ -57,9 +102,7 @@
         should_close: Returns whether the connection should close after the response.
 
     Attributes:
-        progress: How much of the response has been written.
         keep_alive: Whether another request may follow on the connection.
-        status: The status that was written, or 0.
     """
 
     def __init__(
@@ -68,15 +111,19 @@
         request: http_messages.Request,
         should_close: collections.abc.Callable[[], bool],
     ):
-        self.progress = Progress.NOT_STARTED
+        super().__init__()
         self.keep_alive = request.keep_alive
-        self.status = 0
         self._stream = stream
         self._request = request
         self._should_close = should_close
         self._is_chunked = False
         self._ends_with_connection = False
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether the caller has not closed the connection."""
+        return not self._stream.is_closed_by_peer
+
     async def start(self, head: http_messages.Head) -> None:
         """Writes the head of an upstream's response."""
         headers = http_messages.remove_hop_by_hop_headers(head.headers)
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -19,6 +19,7 @@
         requests: Requests by their ending and the cause of a rejection.
         rejections: Rejected requests by client account.
         retries: Requests that were sent again, by service and previous outcome.
+        offers: Requests offered to other routers, by what became of them.
         request_s: Time from a request's last byte to the end of its response.
         first_byte_s: Time from a request's last byte to the head of its response.
         predicted_wait_s: The predicted wait at an engine that admission was based on.
@@ -32,6 +33,7 @@
         self.requests = self._counter("requests", "Requests.", "ending", "cause")
         self.rejections = self._counter("rejections", "Rejections.", "account", "cause")
         self.retries = self._counter("retries", "Repeated sends.", "service", "outcome")
+        self.offers = self._counter("offers", "Requests passed on.", "outcome")
         self.request_s = self._histogram("request_seconds", LATENCY_BOUNDS_S, "route")
         self.first_byte_s = self._histogram(
             "first_byte_seconds", LATENCY_BOUNDS_S, "route"
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -4,7 +4,6 @@
 import collections.abc
 import dataclasses
 import logging
-import math
 import time
 
 from teaselsill import (
@@ -17,6 +16,7 @@
     listener,
     loop_lag,
     offload,
+    offload_server,
     peer_reports,
     routing_table,
     tcp_stream,
@@ -30,8 +30,6 @@
 KILL_MARGIN_S = 0.8
 """How long before the process is killed a stop gives up on unfinished requests."""
 STOP_CHECK_INTERVAL_S = 0.05
-HANDED_OVER_IDLE_S = 10.0
-"""Added to the idle timeout of connections that the relaying router should close."""
 
 logger = logging.getLogger(__name__)
 
@@ -58,7 +56,7 @@
     Attributes:
         data_centre: The data centre.
         host: The IP address.
-        port: The port for connections handed over by other routers; 0 for any.
+        port: The port for requests that other routers offer; 0 for any.
         cores: The CPU capacity, in cores.
     """
 
@@ -78,7 +76,8 @@
     """Serves callers and the balancer's readiness checks.
 
     Args:
-        location: The location of the router.
+        router: The id of the router.
+        location: Its location.
         forwarder: Serves the requests.
         upstreams: The directory of upstreams.
         view: The status of the other routers, as reported by them.
@@ -93,6 +92,7 @@
 
     def __init__(
         self,
+        router: ids.InstanceId,
         location: Location,
         forwarder: forwarding.Forwarder,
         upstreams: directory.Directory,
@@ -112,12 +112,12 @@
         self._is_stopping = False
         self._connections: set[caller_connection.CallerConnection] = set()
         self._offloader = offload.Offloader(
-            view,
-            lag,
-            self.describe_status,
-            lambda: self._find_limits().idle_timeout_s,
+            router, view, lag, forwarder, self.describe_status
         )
-        self._handover_port = 0
+        self._offload_server = offload_server.OffloadServer(
+            forwarder.serve, self._takes_requests, lambda: forwarder.version
+        )
+        self._request_port = 0
         self._tasks: set[asyncio.Task] = set()
         self._listeners: list[listener.Listener] = []
         self._started_at = time.monotonic()
@@ -139,12 +139,14 @@
         return peer_reports.RouterStatus(
             self._location.data_centre,
             self._location.host,
-            self._handover_port,
-            load / self.cores,
-            takes_connections=self.is_ready and not self._lag.is_busy,
-            recalls_connections=self._is_stopping or self._offloader.has_many_relays,
+            connection_port=0,
+            load=load / self.cores,
+            takes_connections=False,
+            recalls_connections=False,
             version=self._forwarder.version,
             uptime_s=int(time.monotonic() - self._started_at),
+            request_port=self._request_port,
+            takes_requests=self.is_ready and not self._lag.is_busy,
         )
 
     @property
@@ -161,15 +163,17 @@
         self._listen(host, port, self._serve_caller)
 
     def listen_for_routers(self) -> None:
-        """Accepts connections that other routers hand over.
+        """Accepts connections of routers that offer requests of their callers.
 
         Raises:
             ListenError: The address cannot be used.
         """
-        handover_listener = self._listen(
-            self._location.host, self._location.port, self._serve_handed_over
+        new_listener = self._listen(
+            self._location.host,
+            self._location.port,
+            self._offload_server.serve_connection,
         )
-        self._handover_port = handover_listener.address[1]
+        self._request_port = new_listener.address[1]
 
     def listen_for_page(self, host: str, port: int, path: str, render: Render) -> None:
         """Serves one page to operators or the balancer.
@@ -213,9 +217,7 @@
         """Removes unlisted upstreams and idle connections periodically."""
         while True:
             self._directory.prune(self._now())
-            self._offloader.prune_relays(
-                0.0 if self._forwarder.is_stopping else math.inf
-            )
+            self._offloader.drop_unused()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
     async def stop(self) -> None:
@@ -246,6 +248,7 @@
         self._close_listeners()
         for task in self._tasks:
             task.cancel()
+        self._offloader.close()
         self._forwarder.close()
         self._directory.close()
 
@@ -257,6 +260,7 @@
         for connection in list(self._connections):
             if connection.is_idle:
                 connection.close()
+        self._offload_server.close_idle()
 
     def _listen(self, host: str, port: int, serve: ServeStream) -> listener.Listener:
         new_listener = listener.Listener(
@@ -276,52 +280,26 @@
             logger.error("connection failed", exc_info=task.exception())
 
     async def _serve_caller(self, stream: tcp_stream.TcpStream) -> None:
-        """Serves a caller's connection here or hands it over to a less loaded router.
+        await self._serve(stream, self._offloader.serve)
 
-        A stopping router hands over nothing.
-        """
-        if self._is_stopping or not await self._offloader.try_hand_over(stream):
-            await self._serve(stream, self._forwarder.serve)
-
-    async def _serve_handed_over(self, stream: tcp_stream.TcpStream) -> None:
-        """Serves a connection that another router has handed over.
-
-        The other router closes it when it is idle. If this router closed it, a request
-        that the other router has already read would be lost.
-        """
-
-        def should_close() -> bool:
-            is_recalled = self._view.is_recalling(stream.peer_host)
-            return is_recalled or self._should_close()
-
-        def find_limits() -> routing_table.Limits:
-            limits = self._find_limits()
-            idle_timeout_s = limits.idle_timeout_s + HANDED_OVER_IDLE_S
-            return dataclasses.replace(limits, idle_timeout_s=idle_timeout_s)
-
-        await self._serve(stream, self._forwarder.serve, find_limits, should_close)
+    def _takes_requests(self) -> bool:
+        """Returns whether a request that another router offers now is served."""
+        return self.is_ready and not self._forwarder.is_stopping
 
     async def _serve(
-        self,
-        stream: tcp_stream.TcpStream,
-        serve: caller_connection.Serve,
-        find_limits: collections.abc.Callable[[], routing_table.Limits] | None = None,
-        should_close: collections.abc.Callable[[], bool] | None = None,
+        self, stream: tcp_stream.TcpStream, serve: caller_connection.Serve
     ) -> None:
         """Serves a connection until it ends.
 
         Args:
             stream: The connection.
             serve: Serves each of its requests.
-            find_limits: Returns the limits on requests; by default the configured ones.
-            should_close: Returns whether the connection closes after the next response;
-                by default, whether callers should connect to another router.
         """
         connection = caller_connection.CallerConnection(
             stream,
             serve,
-            find_limits or self._find_limits,
-            should_close=should_close or self._should_close,
+            self._find_limits,
+            should_close=self._should_close,
             must_close=lambda: self._is_stopping,
         )
         self._connections.add(connection)
@@ -332,7 +310,7 @@
 
     def _should_close(self) -> bool:
         """Returns whether callers should reconnect, preferably to another router."""
-        return self._is_stopping or self._lag.is_busy
+        return self._is_stopping or (self._lag.is_busy and not self._offloader.relieves)
 
     def _find_limits(self) -> routing_table.Limits:
         table = self._forwarder.table
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -81,7 +81,6 @@
         self._last_received_at_by_router: dict[ids.InstanceId, float] = {}
         self._has_new_router = False
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
-        self._router_by_host: dict[str, ids.InstanceId] = {}
         self._peer_tokens = decaying_sum.DecayingSum(PEER_RATE_DECAY_S)
         self._urgent = asyncio.Event()
         self._on_log_change = on_log_change
@@ -150,17 +149,6 @@
         """Returns the last reported status of a router that has sent a report."""
         return self._status_by_router[router]
 
-    def is_recalling(self, host: str) -> bool:
-        """Returns whether a live router recalls the connections that it handed over.
-
-        Args:
-            host: The IP address of the router.
-        """
-        router = self._router_by_host.get(host)
-        if router is None or not self.is_live(router):
-            return False
-        return self._status_by_router[router].recalls_connections
-
     def find_report_period_s(self) -> float:
         """Returns the time between two reports while there is something new."""
         return REPORT_S + REPORT_S_PER_PEER * self.count_live_peers()
@@ -267,7 +255,6 @@
         self.usage.start_tracking(now)
         self._note_received_report(report, now)
         self._status_by_router[report.router] = report.status
-        self._router_by_host[report.status.host] = report.router
         for topic, reading in report.log_reading_by_topic.items():
             self._on_log_reading(topic, reading)
         for topic, offset in report.offset_by_topic.items():
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -34,9 +34,13 @@
 """`Retry-After` while this router is busy: another one serves the next connection."""
 RETRY_AFTER_START_S = 0.5
 """`Retry-After` while the router has no configuration."""
+UNKNOWN_LIMIT_S = 30.0
+"""The longest time for a request whose route is not known."""
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left before its deadline is not sent."""
 
+NOT_RUN_STATUSES = upstream_attempt.NOT_RUN_STATUSES
+
 logger = logging.getLogger(__name__)
 
 
@@ -57,6 +61,7 @@
     Attributes:
         table: The configuration in force, or `None`.
         active_requests: The number of requests in progress.
+        metrics: The metrics of the router.
         is_stopping: Whether new requests are rejected.
     """
 
@@ -81,7 +86,7 @@
         self._budget_policy = budget_policy
         self._view = view
         self._admission = admission_control
-        self._metrics = metrics
+        self.metrics = metrics
         self._lag = lag
         self._count_routers = count_routers
         self._quarantine = view.quarantine
@@ -110,22 +115,43 @@
         for budget in self._budget_by_service.values():
             budget.policy = policy
 
+    def find_limit_s(self, message: http_messages.Request) -> float:
+        """Returns the longest time that a request may take, in seconds."""
+        if self.table is None:
+            return UNKNOWN_LIMIT_S
+        try:
+            call = self._dialect.read_call(message, 0.0)
+            route = self._find_route(self.table, call)
+        except (calls.BadCallError, rejections.RejectedError):
+            return UNKNOWN_LIMIT_S
+        return calls.find_limit_s(call, route)
+
     async def serve(
         self,
         message: http_messages.Request,
-        response: caller_connection.CallerResponse,
+        response: caller_connection.Response,
+        received_at: float,
+        prior: outcomes.Failed | None = None,
     ) -> None:
-        """Serves one request of a caller."""
-        received_at = self._now()
+        """Serves one request of a caller.
+
+        Args:
+            message: The request.
+            response: The response to it.
+            received_at: When its last byte arrived, on the event loop's clock, in
+                seconds.
+            prior: What became of the request at another router, which may have sent it
+                to an upstream.
+        """
         self.active_requests += 1
-        line = request_log_line.RequestLogLine()
+        line = request_log_line.RequestLogLine(via=response.via)
         call = None
         try:
             if self._lag.is_overloaded:
                 await tcp_stream.process_pending_events()
             call = self._dialect.read_call(message, received_at)
             line.request = call.id
-            await self._forward(call, response, line)
+            await self._forward(call, response, line, prior)
             line.ending = request_log_line.Ending.DELIVERED
         except calls.BadCallError as error:
             rejection = rejections.RejectedError(
@@ -133,6 +159,10 @@
             )
             await self._reject(rejection, call, response, line)
         except rejections.RejectedError as error:
+            if prior is not None and error.cause.status in NOT_RUN_STATUSES:
+                error = rejections.RejectedError(
+                    rejections.Cause.ANSWER_FAILED, prior.reason
+                )
             await self._reject(error, call, response, line)
         except Exception as error:
             logger.exception("request failed", extra={"request": line.request})
@@ -147,10 +177,10 @@
             self._count(line)
 
     def _count(self, line: request_log_line.RequestLogLine) -> None:
-        self._metrics.requests.labels(line.ending.value, line.cause).inc()
-        self._metrics.request_s.labels(line.route).observe(line.took_ms / 1000)
+        self.metrics.requests.labels(line.ending.value, line.cause).inc()
+        self.metrics.request_s.labels(line.route).observe(line.took_ms / 1000)
         if line.ending is request_log_line.Ending.REJECTED:
-            self._metrics.rejections.labels(line.account or "", line.cause).inc()
+            self.metrics.rejections.labels(line.account or "", line.cause).inc()
 
     async def _reject(self, error, call, response, line) -> None:
         """Sends an error response, or aborts a response that has started."""
@@ -162,7 +192,7 @@
         headers = self._dialect.make_rejection_headers(call, error.retry_after_s)
         await response.send_error(error.cause.status, headers)
 
-    async def _forward(self, call, response, line) -> None:
+    async def _forward(self, call, response, line, prior) -> None:
         """Resolves route, account and service of a request and forwards it.
 
         Raises:
@@ -188,26 +218,30 @@
         route = self._find_route(table, call)
         account = self._find_account(table, route, call)
         service = table.service_by_name[route.choose_service(call.id)]
-        self._budget_of(service.name).note_request(call.received_at)
+        if prior is None:
+            self._budget_of(service.name).note_request(call.received_at)
         line.route = route.name
         line.account = account
         line.version = table.version
         self._check_quarantine(call)
-        self._view.note_received(account, call)
-        limit_s = calls.find_limit_s(call, route)
+        if prior is None:
+            self._view.note_received(account, call)
+        deadline = call.received_at + calls.find_limit_s(call, route)
         state = outcomes.RequestState(
             call=call,
             route=route,
             service=service,
             account=account,
             response=response,
-            deadline=call.received_at + limit_s,
-            boot_deadline=boot_clock.now() + limit_s,
+            deadline=deadline,
+            boot_deadline=boot_clock.now() + deadline - self._now(),
             events=event_stream.EventSplitter(call.last_event),
             line=line,
         )
         try:
             async with asyncio.timeout_at(state.deadline):
+                if prior is not None:
+                    self._check_rerun(state, prior)
                 await self._try_upstreams(state)
         except TimeoutError as error:
             is_unsent = not state.possible_runs
@@ -219,6 +253,21 @@
             wait_s = RETRY_AFTER_S if is_unsent else None
             raise rejections.RejectedError(cause, "time is up", wait_s) from error
 
+    def _check_rerun(self, state: outcomes.RequestState, prior) -> None:
+        """Checks that a request may run again after it was sent by another router.
+
+        Raises:
+            RejectedError: It may not.
+            TimeoutError: Too little time is left.
+        """
+        state.sends = state.possible_runs = 1
+        if state.find_time_left_s(self._now()) < MIN_TIME_LEFT_S:
+            raise TimeoutError
+        if state.has_response_started or not self._allow_rerun(state):
+            self._reject_after_attempts(
+                state, rejections.Cause.ANSWER_FAILED, prior.reason
+            )
+
     def _find_route(self, table, call) -> routing_table.Route:
         host = call.message.get("host") or ""
         route = table.find_route(host, call.message.path)
@@ -267,7 +316,7 @@
                         self._reject_after_attempts(
                             state, rejections.Cause.ANSWER_FAILED, reason
                         )
-            self._metrics.retries.labels(
+            self.metrics.retries.labels(
                 state.service.name, type(outcome).__name__
             ).inc()
             logger.info(
@@ -281,7 +330,7 @@
             )
 
     def _handle_quarantined(self, part: ids.PartKey) -> None:
-        self._metrics.quarantines.inc()
+        self.metrics.quarantines.inc()
         self._sender.abort_quarantined(part)
 
     def _check_quarantine(
@@ -354,7 +403,7 @@
         )
         if assessment is None:
             return
-        self._metrics.predicted_wait_s.observe(assessment.wait_s)
+        self.metrics.predicted_wait_s.observe(assessment.wait_s)
         line = state.line
         line.unread_tokens = choice.prefill_tokens
         line.copied_from = choice.fetch_from.id if choice.fetch_from else None
@@ -392,9 +441,7 @@
         """
         if state.possible_runs:
             raise rejections.RejectedError(rejections.Cause.ANSWER_FAILED, reason)
-        wait_s = (
-            RETRY_AFTER_S if cause.status in upstream_attempt.NOT_RUN_STATUSES else None
-        )
+        wait_s = RETRY_AFTER_S if cause.status in NOT_RUN_STATUSES else None
         raise rejections.RejectedError(cause, reason, wait_s)
 
     def _allow_resend(self, state: outcomes.RequestState) -> bool:
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -1,7 +1,9 @@
-"""Hands callers' connections over to less loaded routers.
+"""Has less loaded routers serve requests of callers while this router is busy.
 
 The balancer maps each caller to a router, so that one router may get far more load than
-its CPU can handle, and the requests that it rejects come back to it.
+its CPU can handle, and the requests that it rejects come back to it. This router keeps
+the callers' connections and passes their requests on one by one, so that it knows of
+each of them how far the other router may have got with it.
 """
 
 import asyncio
@@ -10,20 +12,38 @@
 import math
 import random
 
-from teaselsill import fleet_view, ids, loop_lag, peer_reports, relay, tcp_stream
+from teaselsill import (
+    caller_connection,
+    fleet_view,
+    forwarding,
+    http_messages,
+    ids,
+    loop_lag,
+    offload_link,
+    outcomes,
+    peer_reports,
+    tcp_stream,
+)
 
 MAX_LOAD_RATIO = 0.5
 """A router is eligible if its load is below this fraction of the local load."""
 SAMPLE_SIZE = 2
 """The number of eligible routers sampled for each choice."""
-RELAY_COST = 0.25
-"""The cost of a relayed connection, relative to a request served locally."""
+REMOTE_COST = 0.25
+"""The cost of a request that another router serves, relative to one served here."""
 CHOICE_TTL_S = 0.05
-"""How long new connections are handed over to the same router."""
-RELAY_SOFT_LIMIT = 400
-"""With more relays, relayed connections are closed after their next response."""
-MAX_RELAYS = 1200
-"""The maximum number of relays; each uses two file descriptors."""
+"""How long new requests are passed on to the same router."""
+MAX_REMOTE_REQUESTS = 1200
+MAX_BODY_BYTES = 1024 * 1024
+"""Requests with a larger body are served here."""
+CONNECT_TIMEOUT_S = 0.3
+AVOIDED_S = 1.0
+"""How long a router gets no offers after it has not served one."""
+MAX_IDLE_S = 10.0
+"""A connection that has not been used for so long is closed."""
+DEADLINE_MARGIN_S = 0.1
+"""How long after a request's deadline the other router's response is awaited: it ends
+the request itself, unless it is silent."""
 
 logger = logging.getLogger(__name__)
 
@@ -32,7 +52,7 @@
     own: peer_reports.RouterStatus,
     others: collections.abc.Mapping[ids.InstanceId, peer_reports.RouterStatus],
 ) -> ids.InstanceId | None:
-    """Returns the router that should serve a new connection instead, or `None`.
+    """Returns the router that should serve new requests instead, or `None`.
 
     The router's configuration must not be older than the local one, whose effects
     callers have already seen. Routers in the same data centre are preferred, since
@@ -48,7 +68,7 @@
     eligible = [
         router
         for router, status in others.items()
-        if status.takes_connections
+        if status.takes_requests
         and status.load < max_load
         and status.version >= own.version
     ]
@@ -59,119 +79,216 @@
 
 
 class Offloader:
-    """Hands connections over while this router is busy, and relays them.
+    """Passes requests on while this router is busy.
 
     Args:
+        router: The id of this router.
         view: The status of the other routers, as reported by them.
         lag: Measures the delay of the event loop.
+        forwarder: Serves the requests that are not passed on.
         describe_status: Returns the status of this router.
-        find_idle_timeout_s: Returns the idle timeout of a connection that becomes idle
-            now, in seconds.
     """
 
     def __init__(
         self,
+        router: ids.InstanceId,
         view: fleet_view.FleetView,
         lag: loop_lag.LoopLag,
+        forwarder: forwarding.Forwarder,
         describe_status: fleet_view.DescribeStatus,
-        find_idle_timeout_s: collections.abc.Callable[[], float],
     ):
+        self._router = router
         self._view = view
         self._lag = lag
+        self._forwarder = forwarder
         self._describe_status = describe_status
-        self._find_idle_timeout_s = find_idle_timeout_s
-        self._relays: set[relay.Relay] = set()
+        self._remote_requests = 0
+        self._links = OffloadLinks(router)
         self._chosen: ids.InstanceId | None = None
         self._chose_at = -math.inf
-        self._outdated: set[ids.InstanceId] = set()
+        self._avoided_until_by_router: dict[ids.InstanceId, float] = {}
 
     @property
     def cost(self) -> float:
-        """The cost of the relays, in requests served locally."""
-        return RELAY_COST * len(self._relays)
+        """The cost of the requests at other routers, in requests served here."""
+        return REMOTE_COST * self._remote_requests
 
     @property
-    def has_many_relays(self) -> bool:
-        """Whether there are so many relays that their connections should close."""
-        return len(self._relays) > RELAY_SOFT_LIMIT
+    def relieves(self) -> bool:
+        """Whether another router serves the requests that arrive now."""
+        return self._find_router() is not None
 
-    async def try_hand_over(self, caller: tcp_stream.TcpStream) -> bool:
-        """Hands a connection over to another router and relays it until it ends.
+    def close(self) -> None:
+        """Closes the connections to the other routers."""
+        self._links.close()
 
-        Returns:
-            Whether the connection was handed over; if not, it has to be served here.
-        """
-        new_relay = await self._connect(caller)
-        if new_relay is None:
-            return False
-        self._relays.add(new_relay)
+    def drop_unused(self) -> None:
+        """Closes connections that have not been used for a while."""
+        self._links.drop_unused(_now())
+
+    async def serve(
+        self,
+        message: http_messages.Request,
+        response: caller_connection.Response,
+    ) -> None:
+        """Serves a request of a caller, at another router while this one is busy."""
+        received_at = _now()
+        router = self._find_router()
+        if router is None or len(message.body) > MAX_BODY_BYTES:
+            await self._forwarder.serve(message, response, received_at)
+            return
+        # Its caller may have left while the event loop was late.
+        await tcp_stream.process_pending_events()
+        self._remote_requests += 1
         try:
-            await new_relay.run()
+            outcome = await self._try(router, message, response, received_at)
         finally:
-            self._relays.discard(new_relay)
-        return True
+            self._remote_requests -= 1
+        self._forwarder.metrics.offers.labels(type(outcome).__name__).inc()
+        match outcome:
+            case offload_link.Served():
+                return
+            case offload_link.NotSent(reason=reason):
+                self._avoid(router, reason)
+                await self._forwarder.serve(message, response, received_at)
+            case offload_link.BrokenOff(reason=reason):
+                failed = outcomes.Failed(f"{router}: {reason}")
+                await self._forwarder.serve(message, response, received_at, failed)
 
-    def prune_relays(self, max_idle_s: float = math.inf) -> None:
-        """Closes idle relays and aborts relays to routers that stopped reporting.
-
-        Relays to an outdated router are closed as soon as they are idle. A router is
-        outdated if its configuration was older than the local one in two calls in
-        succession.
+    async def _try(
+        self,
+        router: ids.InstanceId,
+        message: http_messages.Request,
+        response: caller_connection.Response,
+        received_at: float,
+    ) -> offload_link.Outcome:
+        """Has another router serve a request."""
+        limit_s = self._forwarder.find_limit_s(message) + DEADLINE_MARGIN_S
+        status = self._view.find_status(router)
+        try:
+            link = await self._links.find(router, status, _now())
+        except tcp_stream.ConnectionFailedError as error:
+            return offload_link.NotSent(str(error))
+        return await link.serve(
+            message,
+            response,
+            received_at,
+            deadline=received_at + limit_s,
+            version=self._forwarder.version,
+        )
 
-        Args:
-            max_idle_s: An additional limit on the idle time, in seconds.
-        """
-        now = _now()
-        outdated = self._find_outdated()
-        for open_relay in list(self._relays):
-            router = open_relay.router
-            is_outdated = router in outdated and router in self._outdated
-            if not self._view.is_live(router):
-                open_relay.abort()
-            elif open_relay.is_idle(now, 0.0 if is_outdated else max_idle_s):
-                open_relay.close()
-        self._outdated = outdated
-
-    def _find_outdated(self) -> set[ids.InstanceId]:
-        """Returns the routers whose configuration is older than the local one."""
-        version = self._describe_status().version
-        statuses = self._view.list_statuses()
-        return {router for router, s in statuses.items() if s.version < version}
-
-    async def _connect(self, caller: tcp_stream.TcpStream) -> relay.Relay | None:
-        """Connects a caller to the chosen router; returns `None` if there is none."""
-        if not self._lag.is_busy or len(self._relays) >= MAX_RELAYS:
+    def _find_router(self) -> ids.InstanceId | None:
+        """Returns the router that new requests are passed on to, or `None`."""
+        if not self._lag.is_busy or self._remote_requests >= MAX_REMOTE_REQUESTS:
             return None
         if _now() - self._chose_at > CHOICE_TTL_S:
             self._choose()
-        if self._chosen is None:
-            return None
-        status = self._view.find_status(self._chosen)
-        return await relay.connect(
-            caller, self._chosen, status, self._find_idle_timeout_s
-        )
+        return self._chosen
+
+    def _avoid(self, router: ids.InstanceId, reason: str) -> None:
+        logger.info("router avoided", extra={"peer": router, "reason": reason})
+        self._avoided_until_by_router[router] = _now() + AVOIDED_S
+        if self._chosen == router:
+            self._choose()
 
     def _choose(self) -> None:
-        """Chooses the router for the next connections."""
-        self._chose_at = _now()
+        """Chooses the router for the next requests."""
+        now = self._chose_at = _now()
         previous = self._chosen
         own = self._describe_status()
-        statuses = self._view.list_statuses()
+        avoided = self._avoided_until_by_router
+        statuses = {
+            router: status
+            for router, status in self._view.list_statuses().items()
+            if avoided.get(router, -math.inf) <= now
+        }
         self._chosen = choose_router(own, statuses)
         if self._chosen == previous:
             return
         chosen_load = statuses[self._chosen].load if self._chosen else None
         logger.info(
-            "handing connections over",
+            "passing requests on",
             extra={
                 "peer": self._chosen,
                 "load": round(own.load, 1),
-                "relays": len(self._relays),
+                "remote": self._remote_requests,
                 "peer_load": None if chosen_load is None else round(chosen_load, 1),
                 "delay_ms": round(1000 * self._lag.average_s, 1),
             },
         )
 
 
+class OffloadLinks:
+    """The connections to the routers that serve requests of this router's callers.
+
+    Args:
+        router: The id of this router.
+    """
+
+    def __init__(self, router: ids.InstanceId):
+        self._router = router
+        self._link_by_router: dict[ids.InstanceId, offload_link.OffloadLink] = {}
+        self._used_at_by_router: dict[ids.InstanceId, float] = {}
+        self._connecting_by_router: dict[ids.InstanceId, asyncio.Task] = {}
+        self._running: set[asyncio.Task] = set()
+
+    async def find(
+        self, router: ids.InstanceId, status: peer_reports.RouterStatus, now: float
+    ) -> offload_link.OffloadLink:
+        """Returns the connection to a router, after it has been opened.
+
+        Args:
+            router: The id of the other router.
+            status: Its status, which has its address.
+            now: The event loop's time, in seconds.
+
+        Raises:
+            ConnectionFailedError: The connection could not be opened in time.
+        """
+        self._used_at_by_router[router] = now
+        known = self._link_by_router.get(router)
+        if known is not None and not known.is_lost:
+            return known
+        connecting = self._connecting_by_router.get(router)
+        if connecting is None:
+            connecting = asyncio.create_task(self._connect(router, status))
+            self._connecting_by_router[router] = connecting
+            connecting.add_done_callback(lambda done: self._note_tried(router, done))
+        return await asyncio.shield(connecting)
+
+    def _note_tried(self, router: ids.InstanceId, connecting: asyncio.Task) -> None:
+        del self._connecting_by_router[router]
+        if not connecting.cancelled():
+            # Whoever waits for it handles the error; nobody may wait any more.
+            connecting.exception()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for task in [*self._connecting_by_router.values(), *self._running]:
+            task.cancel()
+
+    def drop_unused(self, now: float) -> None:
+        """Closes connections that have not been used for a while."""
+        for router, link in list(self._link_by_router.items()):
+            used_at = self._used_at_by_router[router]
+            if link.is_lost or (link.is_idle and now - used_at > MAX_IDLE_S):
+                link.close()
+                del self._link_by_router[router]
+                del self._used_at_by_router[router]
+
+    async def _connect(
+        self, router: ids.InstanceId, status: peer_reports.RouterStatus
+    ) -> offload_link.OffloadLink:
+        stream = await tcp_stream.connect(
+            status.host, status.request_port, CONNECT_TIMEOUT_S
+        )
+        link = offload_link.OffloadLink(self._router, router, stream)
+        self._link_by_router[router] = link
+        task = asyncio.create_task(link.run())
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return link
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -80,7 +80,7 @@
     route: routing_table.Route
     service: routing_table.Service
     account: ids.AccountId | None
-    response: caller_connection.CallerResponse
+    response: caller_connection.Response
     deadline: float
     boot_deadline: float
     events: event_stream.EventSplitter
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -44,28 +44,32 @@
 
 
 class RouterStatus(msgspec.Struct, array_like=True, frozen=True):
-    """The load of a router, and where it accepts connections handed over by others.
+    """The load of a router, and where it serves requests of other routers' callers.
 
     Attributes:
         data_centre: Where it runs.
         host: Its IP address.
-        port: The port for connections that other routers hand over.
+        connection_port: Always 0. Routers of version 0.1 handed whole connections over
+            to this port of a router that `takes_connections`.
         load: Its requests in flight per processor core.
-        takes_connections: Whether it accepts more connections.
-        recalls_connections: Whether the connections that it has handed over are to be
-            closed after their next responses.
+        takes_connections: Always false.
+        recalls_connections: Always false.
         version: The version of the configuration that is in force there.
         uptime_s: How long it has run, in seconds.
+        request_port: The port for requests that other routers offer.
+        takes_requests: Whether it serves such requests.
     """
 
     data_centre: ids.DataCentre
     host: str
-    port: int
+    connection_port: int
     load: float
     takes_connections: bool
     recalls_connections: bool
     version: ids.Version = ids.NO_VERSION
     uptime_s: int = 0
+    request_port: int = 0
+    takes_requests: bool = False
 
     @property
     def is_settled(self) -> bool:
--- a/teaselsill/request_log_line.py
+++ b/teaselsill/request_log_line.py
@@ -41,6 +41,7 @@
         severity: How severe the overload was, from 0 to 1.
         copied_from: The engine that a cached part of the prompt was to be copied from.
         peers: How many other routers were live.
+        via: The router that has the caller's connection; None if it is this one.
         quiet_ms: How long no response data had arrived when the request was aborted,
             in milliseconds.
     """
@@ -64,6 +65,7 @@
     severity: float = 0.0
     copied_from: ids.UpstreamId | None = None
     peers: int = 0
+    via: ids.InstanceId | None = None
     quiet_ms: float = 0.0
 
     def set_assessment(self, assessment: admission.Assessment) -> None:
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -12,7 +12,8 @@
 """With more unread bytes, receiving is paused until half of them have been read."""
 KEEPALIVE_INTERVAL_S = 1
 """The idle time before a TCP keepalive probe, and between probes."""
-USER_TIMEOUT_MS = 1500
+KEEPALIVE_PROBES = 1
+USER_TIMEOUT_S = 1.5
 """A connection with keepalive ends if sent bytes stay unacknowledged this long."""
 PENDING_EVENT_ROUNDS = 2
 """The event loop rounds after which bytes that had already arrived have been read."""
@@ -135,14 +136,22 @@
         """Waits until the peer has closed the connection."""
         await self._closed_by_peer.wait()
 
-    def enable_keepalive(self) -> None:
-        """Enables TCP keepalive, so that the connection ends if the peer is dead."""
+    def enable_keepalive(
+        self, probes: int = KEEPALIVE_PROBES, user_timeout_s: float = USER_TIMEOUT_S
+    ) -> None:
+        """Enables TCP keepalive, so that the connection ends if the peer is dead.
+
+        Args:
+            probes: How many probes, one a second, may remain without an answer.
+            user_timeout_s: How long sent bytes may stay unacknowledged, in seconds.
+        """
         sock = self._transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
             sock.setsockopt(socket.IPPROTO_TCP, option, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
+        user_timeout_ms = round(1000 * user_timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
     def write(self, data: bytes) -> None:
         """Sends bytes, or discards them if the connection is closing."""
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -83,6 +83,11 @@
         except tcp_stream.ConnectionFailedError as error:
             candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
             return outcomes.Unsent(str(error))
+        try:
+            await state.response.confirm_send()
+        except asyncio.CancelledError:
+            self._directory.pool(target).put(connection)
+            raise
         now = self._now()
         attempt = self._begin(state, choice, connection, now)
         outcome = None
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -260,6 +260,7 @@
             count_routers=lambda: 1,
         )
         self.router = entry_router.EntryRouter(
+            ids.InstanceId(name),
             entry_router.Location(ids.DataCentre("a"), HOST, 0, cores),
             self.forwarder,
             self.directory,
--- a/tests/handover_bench.py
+++ b/tests/handover_bench.py
@@ -74,6 +74,10 @@
             while len(self.list_requests()) < count:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    async def wait_disconnected(self):
+        """Waits until a router closes a connection while the first upstream runs."""
+        await self._upstreams[0].wait_disconnected()
+
     def count_served_by(self, bench):
         """Returns how many requests a router has sent and delivered."""
         page = bench.metrics.render(0.0, bench.view.usage).decode()
@@ -85,7 +89,7 @@
         """Exchanges one report in each direction."""
         self.other.view.apply(self.busy.view.take_report())
         report = self.other.view.take_report()
-        status = msgspec.structs.replace(report.status, port=self.link.port)
+        status = msgspec.structs.replace(report.status, request_port=self.link.port)
         self.busy.view.apply(msgspec.structs.replace(report, status=status))
 
     async def _start_router(self, name, cores):
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -41,15 +41,17 @@
     return view, upstreams
 
 
-def make_status(data_centre="a", load=0.0, takes_connections=True, version=1):
+def make_status(data_centre="a", load=0.0, takes_requests=True, version=1):
     return peer_reports.RouterStatus(
         ids.DataCentre(data_centre),
         "127.0.0.1",
-        1,
-        load,
-        takes_connections,
+        connection_port=0,
+        load=load,
+        takes_connections=False,
         recalls_connections=False,
         version=ids.Version(version),
+        request_port=1,
+        takes_requests=takes_requests,
     )
 
 
