Keep requests at an upstream that falls silent for a second

Callers saw streams resumed, or sent again, and new requests kept away for 1 s and longer from upstreams that had only paused and went on.

Cause: 0.8 s without a byte was taken for a failure. Repeatable requests were aborted and counted as failed, and whichever request came next marked the upstream as avoided, for a time that doubles, whether or not it had gone on since. Calls were aborted after 2.5 objectives, streams after 1.5 s.

Change: from 0.8 s of silence an upstream is passed over for new requests, until its next byte and without a trace in its health. Its requests stay up to 1.75 s (placement.MAX_SILENCE_S), the same bound for calls and stalled streams. Reasoning: a sound upstream is silent for a second or so, tests have 1.5 s, and the pause before the next event comes on top. Callers abandon a stream after 2 s at the earliest, so the other upstream needs the rest; routes with longer pauses or objectives are no reason to wait longer, since the silence is that of the upstream and tells the same on each route. So the check is due when the bound is reached, not up to 0.2 s later. Each request waits that long itself, not only the oldest one. Beyond it the upstream has gone dark: aborts count as failures, it is avoided as before.

A call whose time does not last for a sound silence (routes with a timeout of 0.8 s) is still sent elsewhere once 2.5 objectives are left, but that does not count as a failure if the upstream has been silent for 0.3 s. Since such calls no longer reveal a dark upstream, unanswered requests that follow each other within 0.5 s count as one silence: before, no order with a deadline of 0.8 s ever waited long enough to show one.

The load gets the time of an end.

Ruled out: TCP keepalive and user timeouts (set for the store only), the crash detector (it checks lost connections only, and counts a refused new connection), the idle timeouts of pooled connections, the list of upstreams.

Open: a silent upstream that does not accept a connection within 0.4 s counts as unreachable; no test shows that it occurs.

--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -32,7 +32,9 @@
 DISTANCE_TOKENS = 2000
 """The same for a prompt and its response, in prompt tokens."""
 SILENCE_S = 0.8
-"""An upstream that has requests but sends nothing for so long is avoided."""
+"""An upstream that has requests but sends nothing for so long gets no new ones."""
+MAX_SILENCE_S = 1.75
+"""A sound upstream is not silent for longer; callers abandon a stream after 2 s."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -98,8 +100,8 @@
 ) -> Choice | None:
     """Returns the best upstream for a request, or None if there is none.
 
-    Upstreams that fail or are silent are avoided unless there is no other. One that
-    has asked for a pause gets no request.
+    Upstreams that fail or are silent are passed over unless there is no other. One
+    that has asked for a pause gets no request.
 
     Args:
         call: The request.
@@ -114,7 +116,7 @@
     if not candidates:
         return None
     healthy = [
-        c for c in candidates if not should_avoid(c, now, uninterrupted_s)
+        c for c in candidates if not should_pass_over(c, now, uninterrupted_s)
     ] or candidates
     random.shuffle(healthy)
     if call.parts:
@@ -152,7 +154,7 @@
 def is_silent(
     load: upstream_load.UpstreamLoad, now: float, uninterrupted_s: float
 ) -> bool:
-    """Returns whether an upstream has requests but has sent nothing for too long.
+    """Returns whether an upstream has requests but has sent nothing for a while.
 
     Args:
         load: The requests there.
@@ -161,22 +163,38 @@
             Data that arrived during an interruption has not been read yet, so silence
             proves nothing shortly after one.
     """
-    return uninterrupted_s > SILENCE_S and load.is_silent(now, SILENCE_S)
+    return min(uninterrupted_s, load.find_silent_s(now)) > SILENCE_S
 
 
-def should_avoid(candidate: Candidate, now: float, uninterrupted_s: float) -> bool:
-    """Returns whether an upstream should be avoided.
+def has_gone_dark(
+    load: upstream_load.UpstreamLoad, now: float, uninterrupted_s: float
+) -> bool:
+    """Returns whether an upstream has been silent for longer than a sound one may be.
 
-    A silent upstream is avoided for some time from now on.
+    Args:
+        load: The requests there.
+        now: The time, in seconds.
+        uninterrupted_s: How long the router has run without interruption, in seconds.
+    """
+    return min(uninterrupted_s, load.find_silent_s(now)) > MAX_SILENCE_S
+
+
+def should_pass_over(candidate: Candidate, now: float, uninterrupted_s: float) -> bool:
+    """Returns whether an upstream should get no new requests.
+
+    One that is silent gets none until it sends something. One that has gone dark is
+    avoided for some time from now on.
 
     Args:
         candidate: The upstream.
         now: The time, in seconds.
         uninterrupted_s: How long the router has run without interruption, in seconds.
     """
-    if is_silent(candidate.load, now, uninterrupted_s):
+    if has_gone_dark(candidate.load, now, uninterrupted_s):
         candidate.health.avoid(now, "silent")
         return True
+    if is_silent(candidate.load, now, uninterrupted_s):
+        return True
     return candidate.health.is_avoided(now)
 
 
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -25,8 +25,6 @@
 )
 
 CONNECT_TIMEOUT_S = 0.4
-PROGRESS_CHECK_INTERVAL_S = 0.2
-"""How often the progress of a repeatable request is checked."""
 MAX_IDLE_S = 10.0
 """Connections that have been idle for longer are not used for a request."""
 MAX_IDLE_UNREPEATABLE_S = 1.0
@@ -102,13 +100,13 @@
         finally:
             watchdog.cancel()
             self._open.discard(attempt)
-            self._note_ended(candidate, candidate.load.remove(attempt.number))
             if outcome is None:
                 connection.abort()
                 self._note_cancelled(state, candidate, attempt.in_flight)
+            self._note_ended(attempt)
         if isinstance(outcome, outcomes.Failed):
             attempt.log_failure(outcome.reason, self._now())
-        self._note_outcome(state, candidate, outcome)
+        self._note_outcome(attempt, outcome)
         self._directory.pool(target).put(connection)
         if is_lost and await self._open.has_crashed_upstream(attempt, self._now()):
             state.crashes += 1
@@ -132,23 +130,30 @@
         self._open.add(attempt)
         return attempt
 
-    def _note_outcome(self, state, candidate, outcome: outcomes.Outcome) -> None:
+    def _note_outcome(
+        self, attempt: open_attempts.Attempt, outcome: outcomes.Outcome
+    ) -> None:
         match outcome:
             case outcomes.NotRun():
-                state.possible_runs -= 1
+                attempt.state.possible_runs -= 1
                 result = upstream_health.Result.FAILED
             case outcomes.Failed():
-                state.events.drop_partial_event()
+                attempt.state.events.drop_partial_event()
+                if attempt.in_flight.has_met_silence:
+                    return
                 result = upstream_health.Result.FAILED
             case outcomes.Delivered(status=status) if status >= FIRST_FAILURE_STATUS:
                 result = upstream_health.Result.FAILED
             case _:
                 result = upstream_health.Result.ANSWERED
-        candidate.health.note(result, self._now())
+        attempt.candidate.health.note(result, self._now())
 
-    def _note_ended(self, candidate, in_flight: upstream_load.InFlightRequest) -> None:
+    def _note_ended(self, attempt: open_attempts.Attempt) -> None:
+        now = self._now()
+        candidate = attempt.candidate
+        in_flight = candidate.load.remove(attempt.number, now)
         if in_flight.started_at is not None:
-            candidate.hold_time.note(self._now() - in_flight.started_at)
+            candidate.hold_time.note(now - in_flight.started_at)
         self._view.note_ended(candidate)
 
     def _note_cancelled(self, state, candidate, in_flight) -> None:
@@ -161,7 +166,7 @@
         state.line.quiet_ms = round(1000 * (now - last_at), 1)
         is_past_deadline = now >= state.deadline
         if is_past_deadline and failover.is_upstream_at_fault(
-            state.route, in_flight, now
+            state.route, candidate.load, in_flight, now
         ):
             candidate.health.note(upstream_health.Result.FAILED, now)
 
@@ -242,8 +247,13 @@
     async def _watch_progress(self, state, candidate, in_flight, connection) -> None:
         """Aborts an attempt once the request should go to another upstream."""
         while state.is_repeatable:
-            await asyncio.sleep(PROGRESS_CHECK_INTERVAL_S)
+            await asyncio.sleep(
+                failover.find_check_delay_s(candidate.load, self._now())
+            )
             if self._should_fail_over(state, candidate, in_flight):
+                in_flight.has_met_silence = failover.is_merely_silent(
+                    candidate.load, self._now()
+                )
                 connection.abort("the upstream is silent or slow")
                 return
 
@@ -258,7 +268,7 @@
             state.route,
             candidate.load,
             in_flight,
-            now - state.call.received_at,
+            state.find_time_left_s(now),
             now,
             self._lag.find_uninterrupted_s(now),
         )
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -8,6 +8,8 @@
 
 REPORT_TTL_S = 1.5
 """How long a report about other routers' requests is used."""
+SILENCE_TTL_S = 0.5
+"""How long a silence goes on after its last request has ended."""
 
 
 class LoadSummary(typing.NamedTuple):
@@ -34,6 +36,8 @@
         started_at: When the response started, in seconds; None if it has not.
         progressed_at: When response data was last passed to the caller, in seconds.
         has_survived: Whether its response has gone on without a crash of the upstream.
+        has_met_silence: Whether it was given up while the upstream was silent for no
+            longer than a sound one may be.
     """
 
     prefill_tokens: int
@@ -42,6 +46,7 @@
     started_at: float | None = None
     progressed_at: float | None = None
     has_survived: bool = False
+    has_met_silence: bool = False
 
     @property
     def has_started(self) -> bool:
@@ -75,6 +80,9 @@
         self.own_outstanding_tokens = 0
         self._numbers = itertools.count()
         self._request_by_number: dict[int, InFlightRequest] = {}
+        self._waiting_since = float("-inf")
+        self._last_sent_at = float("-inf")
+        self._last_ended_at = float("-inf")
         self._others = 0
         self._reported_at = float("-inf")
         self._summary_by_peer: dict[ids.InstanceId, tuple[LoadSummary, float]] = {}
@@ -84,6 +92,9 @@
     def add(self, request: InFlightRequest) -> int:
         """Records a request that is sent; returns a number that identifies it."""
         number = next(self._numbers)
+        if not self._request_by_number and not self._is_still_silent(request.sent_at):
+            self._waiting_since = request.sent_at
+        self._last_sent_at = request.sent_at
         self._request_by_number[number] = request
         self.own += 1
         self.own_outstanding_tokens += request.prefill_tokens
@@ -107,9 +118,15 @@
         """Records that response data was passed to the caller."""
         self._request_by_number[number].progressed_at = now
 
-    def remove(self, number: int) -> InFlightRequest:
-        """Removes and returns a request that has ended."""
+    def remove(self, number: int, now: float) -> InFlightRequest:
+        """Removes and returns a request that has ended.
+
+        Args:
+            number: The number of the request.
+            now: The time, in seconds.
+        """
         request = self._request_by_number.pop(number)
+        self._last_ended_at = now
         self.own -= 1
         if not request.has_started:
             self.own_outstanding_tokens -= request.prefill_tokens
@@ -157,17 +174,24 @@
         """
         return self.own_outstanding_tokens + self._peers_outstanding_tokens
 
-    def is_silent(self, now: float, silence_s: float) -> bool:
-        """Returns whether a request has waited and nothing at all has been received.
+    def find_silent_s(self, now: float) -> float:
+        """Returns how long requests have waited and nothing at all has been received.
+
+        It is 0 if no request is there. Requests that follow each other count as one
+        wait, so that an upstream is seen to be silent although each one ends early.
 
         Args:
             now: The time, in seconds.
-            silence_s: How long this must have lasted, in seconds.
         """
-        if not self._request_by_number or now - self.last_received_at <= silence_s:
+        if not self._request_by_number:
+            return 0.0
+        return now - max(self.last_received_at, self._waiting_since)
+
+    def _is_still_silent(self, now: float) -> bool:
+        """Returns whether the last request has just ended and nothing came for it."""
+        if self.last_received_at >= self._last_sent_at:
             return False
-        oldest = next(iter(self._request_by_number.values()))
-        return now - oldest.sent_at > silence_s
+        return now - self._last_ended_at <= SILENCE_TTL_S
 
     def _forget_peer(self, router: ids.InstanceId) -> None:
         known = self._summary_by_peer.pop(router, None)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -159,6 +159,18 @@
         chosen = choose(make_call(), [silent, other], now=1.0)
         self.assertIs(other, chosen.candidate)
         self.assertIsNotNone(choose(make_call(), [silent], now=1.0))
+        silent.load.last_received_at = 1.0
+        self.assertIs(silent, choose(make_call(), [silent, other], now=1.0).candidate)
+
+    def test_upstream_that_has_gone_dark_is_avoided_for_some_time(self):
+        dark, other = make_candidate("dark"), make_candidate("other", "b")
+        number = dark.load.add(upstream_load.InFlightRequest(10, 0.0))
+        late = placement.MAX_SILENCE_S + 0.1
+        self.assertIs(other, choose(make_call(), [dark, other], late).candidate)
+        dark.load.remove(number, late)
+        soon = late + upstream_health.AVOIDED_S - 0.1
+        self.assertIs(other, choose(make_call(), [dark, other], soon).candidate)
+        self.assertIs(dark, choose(make_call(), [dark, other], soon + 0.2).candidate)
 
     def test_failing_upstream_is_avoided_and_tried_again_later(self):
         failing, other = make_candidate("failing"), make_candidate("other", "b")
