--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 import tempfile
+import time
 import unittest
 
 import msgspec
@@ -15,6 +16,7 @@
     keyed_log,
     listener,
     peer_reports,
+    report_routes,
     retry_budget,
     tcp_stream,
 )
@@ -33,6 +35,10 @@
     return port
 
 
+def stop_process(pause_s):
+    time.sleep(pause_s)
+
+
 def make_manifest(version):
     return json.dumps(test_manifest.MANIFEST | {"Version": version}).encode()
 
@@ -185,6 +191,64 @@
         self.assertEqual(0.0, role._find_servers_wait_s())
         self.assertLess(reader_pause_s, 0.5)
 
+    async def test_few_routers_take_over_from_a_silent_reader(self):
+        """At a reader's death 300 routers would call the store at once."""
+        role = self.make_role()
+        for number in range(300):
+            role._view.apply(test_peer_links.make_report(f"z{number}"))
+        ages_s = []
+        for number in range(4):
+            ages_s.append(role._find_servers_pause_s())
+            role._view.apply(test_peer_links.make_report(f"a{number}"))
+        self.assertEqual(sorted(set(ages_s)), ages_s)
+        self.assertLess(ages_s[-1], role._servers_max_age_s)
+
+    async def run_for(self, role, pause_s):
+        """Lets a router run for a moment and then stops its process for a time."""
+        measuring = asyncio.create_task(role._lag.run())
+        self.addCleanup(measuring.cancel)
+        await asyncio.sleep(0.2)
+        stop_process(pause_s)
+
+    async def test_router_that_was_paused_keeps_its_peers(self):
+        """It has not read yet what they sent meanwhile."""
+        for pause_s in (1.5, 3.0):
+            with self.subTest(pause_s=pause_s):
+                role = self.make_role()
+                names = [f"a{number}" for number in range(9)]
+                for name in names:
+                    role._view.apply(test_peer_links.make_report(name))
+                keys = [f"part{number}" for number in range(100)]
+                before = [key for key in keys if role._view.is_responsible(key)]
+                await self.run_for(role, pause_s)
+                for _ in range(5):
+                    self.assertEqual(9, role._view.count_live_peers())
+                    self.assertEqual(9, role._view.find_rank())
+                    self.assertEqual(set(names), set(role._view.list_statuses()))
+                    after = [key for key in keys if role._view.is_responsible(key)]
+                    self.assertEqual(before, after)
+                    await asyncio.sleep(0.05)
+                role._view.take_report()
+                role._view.apply(test_peer_links.make_report("a1", uptime_s=9))
+                self.assertFalse(role._view.has_unreported_changes)
+
+    async def test_contact_is_not_suspected_for_a_pause_of_this_router(self):
+        role = self.make_role()
+        self.addCleanup(role._links.close)
+        contact = listener.Listener(HOST, 0, lambda stream: None)
+        self.addCleanup(contact.close)
+        peer = ids.InstanceId("edge-2")
+        role._links.put_peer(
+            report_routes.Peer(peer, ids.DataCentre("b"), *contact.address)
+        )
+        async with asyncio.timeout(5.0):
+            while peer not in role._links._stream_by_peer:
+                role._links.send(test_peer_links.make_report("edge-1"))
+                await asyncio.sleep(0.01)
+        await self.run_for(role, 2.0)
+        role._links.send(test_peer_links.make_report("edge-1"))
+        self.assertEqual(0, role._links._find_penalty(peer))
+
     async def test_only_the_designated_reader_waits_for_router_entries(self):
         role = self.make_role()
         self.assertGreater(role._find_peers_wait_s(), 0.0)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -185,6 +185,15 @@
         self.assertEqual(joined, reading.update)
         self.assertGreaterEqual(reading.age_s, 3.0)
 
+    async def test_what_was_read_of_the_log_is_reported_at_once(self):
+        """At 300 routers the period is longer than the entries may be old."""
+        self.first.find_report_period_s = lambda: 60.0
+        waiting = asyncio.create_task(self.first.wait_for_report())
+        update = keyed_log.Update(ids.Offset(3), ids.Offset(3), [], 0.0)
+        self.first.note_log_read("topic", update, boot_clock.now())
+        async with asyncio.timeout(5.0):
+            await waiting
+
     async def test_routers_agree_on_their_order(self):
         self.assertEqual((0, 0), (self.first.find_rank(), self.second.find_rank()))
         self.pass_report()
