Judge other routers' liveness by their interval and own running time

By the same verdict a router that had itself been paused counted no other routers, took over the reading of the store, was responsible for every quarantined part and told everything anew to everyone; at 300 routers all that could come at any time.

Cause: silence for a constant 1.5 s was death, whatever the interval of reports (0.56 s at 4 routers, 1.25 s at 300) and whether or not this router had read what had arrived. FleetView and PeerLinks both had it.

Change: peer_liveness.py, used by both. Reports state their sender's longest interval (a last field with a default; older routers ignore it, and theirs is taken from the number of routers). Silence counts in this router's running time (LoopLag.read_running_time), and for 1 s after an interruption not at all, so that what waits can be read; who was dead stays dead. Two verdicts: responsive (2 intervals and 0.5 s) where an error is cheap (new work, rank, who tells, contacts), live (3 s more, or what replacing a paused contact takes) for everything else.

Ruled out: a longer constant (no better at 300, and slow at 4); only skipping the check after a pause (a router that died long ago would be live again after each pause, and one with many pauses would notice no death).

--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import hashlib
-import math
 
 from teaselsill import (
     account_usage,
@@ -13,6 +12,8 @@
     engine_queue,
     ids,
     keyed_log,
+    loop_lag,
+    peer_liveness,
     peer_reports,
     placement,
     quarantine,
@@ -20,10 +21,6 @@
     upstream_load,
 )
 
-REPORT_S = 0.05
-"""Time between two reports while there is something new."""
-REPORT_S_PER_PEER = 0.004
-"""Added to that time for each other router, since each of them has to read reports."""
 URGENT_TOKENS = 8_000
 """A prompt with this many tokens to prefill is reported at once: it delays others."""
 MIN_REPORT_S = 0.02
@@ -32,8 +29,6 @@
 """Time constant of the estimated rate at which other routers send prompt tokens."""
 FULL_REPORT_S = 0.5
 """How often the load at all engines is reported, even if it has not changed."""
-LIVENESS_S = 1.5
-"""A router counts as live for this long after a report."""
 TELLERS = 3
 """How many routers tell new ones what all others know: some may just have ended."""
 OUTPUT_WEIGHT = 2
@@ -55,6 +50,7 @@
         on_log_change: Called with a topic of the platform's log and the offset of a
             change that another router has seen there.
         on_log_reading: Called with a topic and what another router has read of it.
+        lag: Measures the delay of the event loop; by default, it is never interrupted.
 
     Attributes:
         usage: The usage of the client accounts.
@@ -68,6 +64,7 @@
         describe_status: DescribeStatus,
         on_log_change: OnLogChange = lambda topic, offset: None,
         on_log_reading: OnLogReading = lambda topic, reading: None,
+        lag: loop_lag.LoopLag | None = None,
     ):
         self._router = router
         self._offset_by_topic: dict[str, ids.Offset] = {}
@@ -78,7 +75,7 @@
         self._reported_load: dict[ids.UpstreamId, upstream_load.LoadSummary] = {}
         self._reported_all_at = float("-inf")
         self._describe_status = describe_status
-        self._last_received_at_by_router: dict[ids.InstanceId, float] = {}
+        self._liveness = peer_liveness.PeerLiveness(lag or loop_lag.LoopLag())
         self._has_new_router = False
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._router_by_host: dict[str, ids.InstanceId] = {}
@@ -117,34 +114,37 @@
         self._report_builder.add_update(topic, update, read_at)
 
     def find_rank(self) -> int:
-        """Returns how many live routers precede this one in the order of their ids.
+        """Returns how many responsive routers precede this one in the order of ids.
 
         All routers agree on the order, so that the first one can do work for all.
         """
-        live = filter(self.is_live, self._last_received_at_by_router)
-        return sum(other < self._router for other in live)
+        responsive = self._liveness.list_responsive(self._now())
+        return sum(other < self._router for other in responsive)
 
     def is_responsible(self, key: str) -> bool:
         """Returns whether this router does the work for a key that one router does.
 
         Routers that know the same live routers agree on it, by rendezvous hashing.
         """
-        live = filter(self.is_live, self._last_received_at_by_router)
+        live = self._liveness.list_live(self._now())
         chosen = max([self._router, *live], key=lambda r: _rank_router(key, r))
         return chosen == self._router
 
     def count_live_peers(self) -> int:
         """Returns how many other routers are live."""
-        return sum(map(self.is_live, self._last_received_at_by_router))
+        return len(self._liveness.list_live(self._now()))
 
     def is_live(self, router: ids.InstanceId) -> bool:
-        """Returns whether another router has sent a report recently."""
-        last_received_at = self._last_received_at_by_router.get(router, -math.inf)
-        return self._now() - last_received_at <= LIVENESS_S
+        """Returns whether another router may still be running.
+
+        It may be paused; `list_statuses` says which routers can take new work.
+        """
+        return self._liveness.is_live(router, self._now())
 
     def list_statuses(self) -> dict[ids.InstanceId, peer_reports.RouterStatus]:
-        """Returns the last reported status of each live router."""
-        return {r: s for r, s in self._status_by_router.items() if self.is_live(r)}
+        """Returns the last reported status of each responsive router."""
+        responsive = self._liveness.list_responsive(self._now())
+        return {router: self._status_by_router[router] for router in responsive}
 
     def find_status(self, router: ids.InstanceId) -> peer_reports.RouterStatus:
         """Returns the last reported status of a router that has sent a report."""
@@ -163,7 +163,7 @@
 
     def find_report_period_s(self) -> float:
         """Returns the time between two reports while there is something new."""
-        return REPORT_S + REPORT_S_PER_PEER * self.count_live_peers()
+        return peer_reports.find_period_s(self.count_live_peers())
 
     async def wait_for_report(self) -> None:
         """Waits until the next report is due or there is something urgent to report."""
@@ -259,13 +259,18 @@
             now, self._is_teller(status), self._has_new_router
         )
         self._has_new_router = False
-        return self._report_builder.take(status, changed, self._offset_by_topic, news)
+        interval_s = peer_reports.find_interval_s(self.count_live_peers())
+        return self._report_builder.take(
+            status, changed, self._offset_by_topic, news, interval_s
+        )
 
     def apply(self, report: peer_reports.Report) -> None:
         """Applies the report of another router."""
         now = self._now()
         self.usage.start_tracking(now)
-        self._note_received_report(report, now)
+        if self._liveness.note_report(report, now):
+            self._has_new_router = True
+            self._urgent.set()
         self._status_by_router[report.router] = report.status
         self._router_by_host[report.status.host] = report.router
         for topic, reading in report.log_reading_by_topic.items():
@@ -294,14 +299,6 @@
                 candidate.load.note_peer(report.router, load, now)
                 self._update_outstanding(candidate, now)
 
-    def _note_received_report(self, report: peer_reports.Report, now: float) -> None:
-        known = self._status_by_router.get(report.router)
-        has_restarted = report.status.has_restarted_since(known)
-        if has_restarted or not self.is_live(report.router):
-            self._has_new_router = True
-            self._urgent.set()
-        self._last_received_at_by_router[report.router] = now
-
     def _is_teller(self, status: peer_reports.RouterStatus) -> bool:
         """Returns whether this router tells new ones what all others know.
 
--- a/teaselsill/loop_lag.py
+++ b/teaselsill/loop_lag.py
@@ -22,6 +22,8 @@
 MAX_HOLD_S = 12.0
 INTERRUPTION_S = 0.5
 """A longer delay means that the process did not run."""
+MAX_STEP_S = 2 * PERIOD_S
+"""The running time that passes between two measurements, however long they take."""
 REPEAT_WINDOW_S = 6.0
 """An overload that starts this soon after the previous one ended is a repetition."""
 
@@ -45,6 +47,7 @@
         self._hold_s = MIN_HOLD_S
         self._changed_at = -math.inf
         self._measured_at = math.inf
+        self._ran_s = 0.0
         self._uninterrupted_since = -math.inf
 
     def find_uninterrupted_s(self, now: float) -> float:
@@ -60,6 +63,16 @@
             return 0.0
         return now - self._uninterrupted_since
 
+    def read_running_time(self, now: float) -> float:
+        """Returns a time that hardly passes while the process does not run, in seconds.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        if self._measured_at == math.inf:
+            return now
+        return self._ran_s + min(MAX_STEP_S, max(0.0, now - self._measured_at))
+
     def add(self, delay_s: float, now: float) -> None:
         """Adds one sample.
 
@@ -67,6 +80,7 @@
             delay_s: The measured delay, in seconds.
             now: The event loop's time, in seconds.
         """
+        self._ran_s = self.read_running_time(now)
         self._measured_at = now
         if delay_s > INTERRUPTION_S:
             self._uninterrupted_since = now
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -13,13 +13,14 @@
     fleet_view,
     ids,
     listener,
+    loop_lag,
+    peer_liveness,
     peer_reports,
     report_routes,
     tcp_stream,
     wire,
 )
 
-IDLE_REPORT_S = 0.5
 MAX_REPORT_BYTES = 1024 * 1024
 MAX_UNSENT_BYTES = 256 * 1024
 """If a peer leaves more bytes unread, its connection is closed."""
@@ -45,6 +46,7 @@
         router: This router.
         data_centre: Where it runs.
         on_report: Called with each report that is received.
+        lag: Measures the delay of the event loop; by default, it is never interrupted.
     """
 
     def __init__(
@@ -52,18 +54,17 @@
         router: ids.InstanceId,
         data_centre: ids.DataCentre,
         on_report: OnReport,
+        lag: loop_lag.LoopLag | None = None,
     ):
         self._router = router
         self._on_report = on_report
         self._routes = report_routes.ReportRoutes(router, data_centre)
         self._most_peers = 0
         self._stream_by_peer: dict[ids.InstanceId, tcp_stream.TcpStream] = {}
-        self._connected_at_by_peer: dict[ids.InstanceId, float] = {}
-        self._last_received_at_by_peer: dict[ids.InstanceId, float] = {}
+        self._liveness = peer_liveness.PeerLiveness(lag or loop_lag.LoopLag())
         self._suspected_until_by_peer: dict[ids.InstanceId, float] = {}
         self._connection_task_by_peer: dict[ids.InstanceId, asyncio.Task] = {}
         self._heard_again_by_peer: dict[ids.InstanceId, asyncio.Event] = {}
-        self._status_by_peer: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._receiving: set[asyncio.Task] = set()
         self._listener: listener.Listener | None = None
 
@@ -156,12 +157,11 @@
 
     def _suspect_silent_contacts(self) -> None:
         """Suspects contacts that are connected but have sent no report for too long."""
-        silent_since = _now() - fleet_view.LIVENESS_S
+        now = _now()
         for ranked in self._list_contacts():
             for peer in ranked:
-                connected_at = self._connected_at_by_peer.get(peer, math.inf)
-                last_received_at = self._last_received_at_by_peer.get(peer, -math.inf)
-                if max(connected_at, last_received_at) < silent_since:
+                is_connected = peer in self._stream_by_peer
+                if is_connected and not self._liveness.is_responsive(peer, now):
                     self._suspect(peer, "silent")
 
     def _suspect(self, peer: ids.InstanceId, reason: str) -> None:
@@ -189,7 +189,6 @@
 
     def _disconnect(self, peer: ids.InstanceId) -> None:
         self._heard_again_by_peer.pop(peer, None)
-        self._status_by_peer.pop(peer, None)
         task = self._connection_task_by_peer.pop(peer, None)
         if task is not None:
             task.cancel()
@@ -198,9 +197,10 @@
         """Sends the reports of a view until it is cancelled."""
         sent_at = -math.inf
         loop = asyncio.get_running_loop()
+        idle_s = peer_reports.IDLE_REPORT_S
         while True:
             await view.wait_for_report()
-            if view.has_unreported_changes or loop.time() - sent_at > IDLE_REPORT_S:
+            if view.has_unreported_changes or loop.time() - sent_at > idle_s:
                 sent_at = loop.time()
                 self.send(view.take_report())
 
@@ -231,13 +231,12 @@
         stream.enable_keepalive()
         logger.info("peer connected", extra={"peer": peer})
         self._stream_by_peer[peer] = stream
-        self._connected_at_by_peer[peer] = _now()
+        self._liveness.note_connected(peer, _now())
         try:
             await stream.wait_closed_by_peer()
         finally:
             if self._stream_by_peer.get(peer) is stream:
                 del self._stream_by_peer[peer]
-                del self._connected_at_by_peer[peer]
             stream.abort()
 
     def _accept(self, stream: tcp_stream.TcpStream) -> None:
@@ -264,16 +263,9 @@
 
         It knows nothing until it is told.
         """
-        peer = report.router
-        now = _now()
-        last_received_at = self._last_received_at_by_peer.get(peer, -math.inf)
-        self._last_received_at_by_peer[peer] = now
-        was_silent = now - last_received_at > fleet_view.LIVENESS_S
-        known = self._status_by_peer.get(peer)
-        has_restarted = report.status.has_restarted_since(known)
-        self._status_by_peer[peer] = report.status
-        heard_again = self._heard_again_by_peer.get(peer)
-        if heard_again is not None and (was_silent or has_restarted):
+        is_new = self._liveness.note_report(report, _now())
+        heard_again = self._heard_again_by_peer.get(report.router)
+        if heard_again is not None and is_new:
             heard_again.set()
 
     def _handle_report(self, report: peer_reports.Report) -> None:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -1,5 +1,7 @@
 """The reports by which entry routers tell each other their load and usage."""
 
+import math
+
 import msgspec
 
 from teaselsill import (
@@ -11,6 +13,12 @@
     upstream_load,
 )
 
+REPORT_S = 0.05
+"""Time between two reports while there is something new."""
+REPORT_S_PER_PEER = 0.004
+"""Added to that time for each other router, since each of them has to read reports."""
+IDLE_REPORT_S = 0.5
+"""A report is sent after this time even if there is nothing new."""
 SETTLED_S = 5
 """A router that has run for so long has heard what the other routers know."""
 
@@ -118,6 +126,8 @@
         leaving: The upstreams that have announced to it that they leave.
         should_forward: Whether the receiver forwards it within its data centre.
         crash_news: What it has learnt about crashes of upstreams.
+        interval_s: The longest time until its next report, in seconds; 0 if it has not
+            been stated.
     """
 
     router: ids.InstanceId
@@ -131,6 +141,7 @@
     leaving: list[Leaving] = []
     should_forward: bool = False
     crash_news: crash_reports.News = crash_reports.NO_NEWS
+    interval_s: float = 0.0
 
 
 class ReportBuilder:
@@ -210,6 +221,7 @@
         load_by_upstream: dict[ids.UpstreamId, upstream_load.LoadSummary],
         offset_by_topic: dict[str, ids.Offset],
         crash_news: crash_reports.News,
+        interval_s: float,
     ) -> Report:
         """Returns the report and starts to collect the next one."""
         requested, admitted = self._requested_by_account, self._admitted_by_account
@@ -228,6 +240,7 @@
             self._take_log_readings(),
             self._leaving,
             crash_news=crash_news,
+            interval_s=interval_s,
         )
         self._assigned_prompts = []
         self._leaving = []
@@ -244,3 +257,24 @@
         }
         self._update_by_topic = {}
         return readings
+
+
+def find_period_s(peers: int) -> float:
+    """Returns the time between two reports while there is something new, in seconds.
+
+    Args:
+        peers: How many other routers there are.
+    """
+    return REPORT_S + REPORT_S_PER_PEER * peers
+
+
+def find_interval_s(peers: int) -> float:
+    """Returns the longest time between two reports, in seconds.
+
+    A router that has nothing new looks after each period whether a report is due.
+
+    Args:
+        peers: How many other routers there are.
+    """
+    period_s = find_period_s(peers)
+    return period_s * (math.floor(IDLE_REPORT_S / period_s) + 1)
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -43,6 +43,7 @@
         self._sender, self._sender_upstreams = self._make_view("sender")
         for peer in self.peers:
             self._sender.apply(self._make_report(peer))
+        for peer in self.peers:
             self.view.apply(self._make_report(peer))
         self.period_s = self._sender.find_report_period_s()
 
@@ -58,8 +59,9 @@
         return msgspec.structs.replace(report, router=peer)
 
     def report(self, peer, load=None):
-        """Applies a report of a router."""
+        """Applies a report of a router, which hears the others, too."""
         report = self._make_report(peer)
+        self._sender.apply(report)
         if load is not None:
             report = msgspec.structs.replace(report, load_by_upstream=load)
         self.view.apply(report)
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -64,3 +64,27 @@
         self.assertEqual(0.0, self.lag.find_uninterrupted_s(11.0))
         self.lag.add(0.01, 11.05)
         self.assertAlmostEqual(0.05, self.lag.find_uninterrupted_s(11.05))
+
+    def test_running_time_stands_still_during_an_interruption(self):
+        self.assertEqual(5.0, self.lag.read_running_time(5.0))
+        self.now = 10.0
+        self.pass_time(1.0)
+        ran_s = self.lag.read_running_time(self.now)
+        self.assertAlmostEqual(11.0, ran_s)
+        self.now += 30.0
+        self.assertLess(self.lag.read_running_time(self.now), ran_s + 0.2)
+        self.add(30.0)
+        self.assertLess(self.lag.read_running_time(self.now), ran_s + 0.2)
+        ran_s = self.lag.read_running_time(self.now)
+        self.pass_time(1.0)
+        self.assertAlmostEqual(ran_s + 1.0, self.lag.read_running_time(self.now))
+
+    def test_running_time_passes_slowly_while_the_event_loop_is_late(self):
+        """Each report waits for several rounds of the event loop."""
+        self.now = 10.0
+        self.add(0.0)
+        ran_s = self.lag.read_running_time(self.now)
+        for _ in range(10):
+            self.now += 0.4
+            self.add(0.4)
+        self.assertLess(self.lag.read_running_time(self.now) - ran_s, 1.5)
