Keep reported load until its router must have repeated it

What callers could see: at 300 routers, and after a pause of their own router, engines seemed idle between two reports of the others, and got more requests than they can run; the rest waits there.

Cause: the load that another router reports was dropped 1.5 s after its report. At 300 routers reports come every 1.25 s, and a late one comes after more than that; after a pause the reports that wait had not been read.

Change: load is valid until its router stops being responsive and for the time between two full reports (FULL_REPORT_S), in running time, and is expired when this router makes its own report (Directory.prune no longer does it, which knows no running time).

test_load_of_a_silent_router_expires asks at the same time as before and for the same result, by the new way.

Ruled out: expiry with the router's liveness alone. A router that restarts or loses an engine from its list no longer reports on it, and its load would stay for good.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -140,6 +140,13 @@
         self._address_reused &= incarnations
         for pool in self._pool_by_incarnation.values():
             pool.drop_stale(now)
+
+    def expire_peer_reports(self, now: float) -> None:
+        """Drops the load that other routers have not reported again in time.
+
+        Args:
+            now: The running time of this router, in seconds.
+        """
         for candidate in self._candidate_by_incarnation.values():
             candidate.load.expire_peer_reports(now)
 
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -238,9 +238,10 @@
         """Returns a report of everything that has not been reported yet.
 
         The load that has not changed is repeated from time to time, since other routers
-        expire it.
+        drop what is not repeated.
         """
         now = self._now()
+        self._directory.expire_peer_reports(self._liveness.count_until(now))
         self._update_engine_capacity()
         load_by_upstream = self._directory.summarize()
         if now - self._reported_all_at > FULL_REPORT_S:
@@ -293,10 +294,11 @@
             candidate = self._directory.find(upstream)
             if candidate is not None:
                 candidate.queue.note_prefilled(tokens, now)
+        until = self._liveness.find_responsive_until(report.router) + FULL_REPORT_S
         for upstream, load in report.load_by_upstream.items():
             candidate = self._directory.find(upstream)
             if candidate is not None:
-                candidate.load.note_peer(report.router, load, now)
+                candidate.load.note_peer(report.router, load, until)
                 self._update_outstanding(candidate, now)
 
     def _is_teller(self, status: peer_reports.RouterStatus) -> bool:
--- a/teaselsill/peer_liveness.py
+++ b/teaselsill/peer_liveness.py
@@ -128,6 +128,10 @@
         known = self._peer_by_id.items()
         return [router for router, peer in known if until <= peer.live_until]
 
+    def find_responsive_until(self, router: ids.InstanceId) -> float:
+        """Returns until when a router is responsive, in running time, in seconds."""
+        return self._peer_by_id[router].responsive_until
+
     def count_until(self, now: float) -> float:
         """Returns the running time up to which silence counts, in seconds.
 
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -7,7 +7,7 @@
 from teaselsill import ids
 
 REPORT_TTL_S = 1.5
-"""How long a report about other routers' requests is used."""
+"""How long an upstream's own report about other routers' requests is used."""
 
 
 class LoadSummary(typing.NamedTuple):
@@ -121,18 +121,28 @@
         self._reported_at = now
 
     def note_peer(
-        self, router: ids.InstanceId, summary: LoadSummary, now: float
+        self, router: ids.InstanceId, summary: LoadSummary, valid_until: float
     ) -> None:
-        """Records the load that another router reports to put on the upstream."""
+        """Records the load that another router reports to put on the upstream.
+
+        Args:
+            router: The other router.
+            summary: The load.
+            valid_until: Until when it is used, in this router's running time.
+        """
         self._forget_peer(router)
-        self._summary_by_peer[router] = summary, now
+        self._summary_by_peer[router] = summary, valid_until
         self._peers_running += summary.running
         self._peers_outstanding_tokens += summary.outstanding_tokens
 
     def expire_peer_reports(self, now: float) -> None:
-        """Drops the load of routers whose last report is too old."""
-        for router, (_, reported_at) in list(self._summary_by_peer.items()):
-            if now - reported_at > REPORT_TTL_S:
+        """Drops the load that other routers have not reported again in time.
+
+        Args:
+            now: The running time of this router, in seconds.
+        """
+        for router, (_, valid_until) in list(self._summary_by_peer.items()):
+            if now > valid_until:
                 self._forget_peer(router)
 
     def summarize(self) -> LoadSummary:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -10,6 +10,7 @@
     fleet_view,
     ids,
     keyed_log,
+    loop_lag,
     peer_reports,
     routing_table,
     upstream_load,
@@ -25,6 +26,7 @@
     name,
     on_log_change=lambda topic, offset: None,
     on_log_reading=lambda topic, reading: None,
+    lag=None,
 ):
     upstreams = directory.Directory()
     engine = routing_table.Engine(slots=8, kv_cache_tokens=100_000)
@@ -37,6 +39,7 @@
         lambda: make_status(),
         on_log_change,
         on_log_reading,
+        lag,
     )
     return view, upstreams
 
@@ -160,9 +163,24 @@
         self.pass_report()
         reported = find_candidate(self.second_upstreams)
         later = self.second._now() + upstream_load.REPORT_TTL_S + 1
-        self.second_upstreams.prune(later)
+        self.second._now = lambda: later
+        self.second.take_report()
         self.assertEqual(0, reported.load.count(later))
 
+    async def test_load_of_others_stays_known_after_a_pause_of_this_router(self):
+        """It has not read yet what they have reported meanwhile."""
+        lag = loop_lag.LoopLag()
+        self.second, self.second_upstreams = make_view("second", lag=lag)
+        lag.add(0.0, self.second._now())
+        self.send()
+        self.pass_report()
+        reported = find_candidate(self.second_upstreams)
+        later = self.second._now() + 3.0
+        self.second._now = lambda: later
+        self.second_upstreams.prune(later)
+        self.second.take_report()
+        self.assertEqual(1, reported.load.count(later))
+
     async def test_change_in_the_log_is_reported(self):
         self.first.note_log_change("topic", ids.Offset(7))
         self.assertTrue(self.first.has_unreported_changes)
