--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -112,6 +112,7 @@
             read_at: When it was read, on the boot clock, in seconds.
         """
         self._report_builder.add_update(topic, update, read_at)
+        self._urgent.set()
 
     def find_rank(self) -> int:
         """Returns how many responsive routers precede this one in the order of ids.
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -194,6 +194,9 @@
     async def test_few_routers_take_over_from_a_silent_reader(self):
         """At a reader's death 300 routers would call the store at once."""
         role = self.make_role()
+        bounds = msgspec.structs.replace(role._settings.bounds, drain_ms=4000.0)
+        role._apply(msgspec.structs.replace(role._settings, bounds=bounds))
+        reads_every_s = role._find_servers_wait_s() + role._find_servers_pause_s()
         for number in range(300):
             role._view.apply(test_peer_links.make_report(f"z{number}"))
         ages_s = []
@@ -201,6 +204,7 @@
             ages_s.append(role._find_servers_pause_s())
             role._view.apply(test_peer_links.make_report(f"a{number}"))
         self.assertEqual(sorted(set(ages_s)), ages_s)
+        self.assertGreater(ages_s[1], reads_every_s + 0.1)
         self.assertLess(ages_s[-1], role._servers_max_age_s)
 
     async def run_for(self, role, pause_s):
