--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -12,7 +12,7 @@
 
 ROUTERS = 3
 FIRST_NUMBER = 10
-"""Routers of other tests have lower numbers, and with them other addresses."""
+"""Routers of each test have numbers, and with them addresses, of their own."""
 ENGINES = 6
 RESTART_S = 0.4
 BEGIN_S = 0.05
@@ -78,8 +78,9 @@
             crashes there had been.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, first_number=FIRST_NUMBER):
         super().__init__()
+        self._numbers = range(first_number, first_number + ROUTERS)
         self.store = store_bench.KeyedStore()
         self.crashes = 0
         self.deadly_arrivals = []
@@ -97,7 +98,7 @@
             await self.enter_async_context(engine.server)
             self.store.register(engine.server)
         store = self.store.describe()
-        for number in range(FIRST_NUMBER, FIRST_NUMBER + ROUTERS):
+        for number in self._numbers:
             router = soak.Router(number, f"{store.host}:{store.port}", self._folder)
             self.push_async_callback(router.close)
             self.routers.append(router)
