--- a/tests/handover_bench.py
+++ b/tests/handover_bench.py
@@ -22,6 +22,7 @@
         fields: Fields of the only route.
 
     Attributes:
+        upstreams: The upstreams.
         busy: The bench of the busy router.
         other: The bench of the other router.
         link: Relays the bytes between them.
@@ -30,7 +31,7 @@
 
     def __init__(self, script=entry_bench.respond_ok, upstreams=1, **fields):
         super().__init__()
-        self._upstreams = [
+        self.upstreams = [
             entry_bench.ScriptedUpstream(f"u{number}", script)
             for number in range(upstreams)
         ]
@@ -66,7 +67,7 @@
 
     def list_requests(self):
         """Returns the requests that the upstreams have received."""
-        return [r for upstream in self._upstreams for r in upstream.requests]
+        return [r for upstream in self.upstreams for r in upstream.requests]
 
     async def wait_for_requests(self, count=1):
         """Waits until the upstreams have received some requests."""
@@ -76,7 +77,7 @@
 
     async def wait_disconnected(self):
         """Waits until a router closes a connection while the first upstream runs."""
-        await self._upstreams[0].wait_disconnected()
+        await self.upstreams[0].wait_disconnected()
 
     def count_served_by(self, bench):
         """Returns how many requests a router has sent and delivered."""
@@ -93,7 +94,7 @@
         self.busy.view.apply(msgspec.structs.replace(report, status=status))
 
     async def _start_router(self, name, cores):
-        bench = entry_bench.EntryBench(self._upstreams, name, cores, **self._fields)
+        bench = entry_bench.EntryBench(self.upstreams, name, cores, **self._fields)
         return await self.enter_async_context(bench)
 
     async def _exchange_reports(self):
--- a/tests/test_failures_silence.py
+++ b/tests/test_failures_silence.py
@@ -6,7 +6,7 @@
 import unittest
 
 from teaselsill import http_messages, ids, routing_table
-from tests import entry_bench, test_relay
+from tests import entry_bench, handover_bench
 
 SILENT_S = 1.4
 """How long the upstream is silent."""
@@ -162,7 +162,7 @@
     def assert_not_avoided(self, benches):
         now = asyncio.get_running_loop().time()
         for bench in benches:
-            candidate = bench.directory.find(ids.UpstreamId("u"))
+            candidate = bench.directory.find(ids.UpstreamId(self.upstream.name))
             self.assertFalse(candidate.health.is_avoided(now))
 
 
@@ -198,14 +198,14 @@
 
 
 class RelayedCase(SilenceCase):
-    """The same through a busy router that hands its connections over."""
-
-    exchange_reports = test_relay.RelayTest.exchange_reports
+    """The same through a busy router that passes its requests on."""
 
     async def start(self, script):
         """See `SilenceCase.start`."""
-        await test_relay.RelayTest.start(self, script)
-        return self.busy, [self.busy, self.other]
+        bench = handover_bench.HandoverBench(script, **self.fields)
+        await self.enterAsyncContext(bench)
+        self.upstream = bench.upstreams[0]
+        return bench.busy, [bench.busy, bench.other]
 
 
 class OneRequestTest(SilenceTests, SilenceCase):
