Wait for a reply that has arrived before an offer is withdrawn

After the timeout, what has arrived is processed in more rounds, and a router that is late itself avoids none.

--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -36,7 +36,9 @@
 MAX_REMOTE_REQUESTS = 1200
 MAX_BODY_BYTES = 1024 * 1024
 """Requests with a larger body are served here."""
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 1.0
+"""Generous, since the other router has reported recently: a slow connect is due to the
+load of this router."""
 AVOIDED_S = 1.0
 """How long a router gets no offers after it has not served one."""
 MAX_IDLE_S = 10.0
@@ -149,7 +151,8 @@
             case offload_link.Served():
                 return
             case offload_link.NotSent(reason=reason):
-                self._avoid(router, reason)
+                if not self._lag.is_late:
+                    self._avoid(router, reason)
                 await self._forwarder.serve(message, response, received_at)
             case offload_link.BrokenOff(reason=reason):
                 failed = outcomes.Failed(f"{router}: {reason}")
--- a/teaselsill/offload_link.py
+++ b/teaselsill/offload_link.py
@@ -18,6 +18,9 @@
 
 OFFER_TIMEOUT_S = 0.25
 """How long an offer may remain without a reply before it is withdrawn."""
+REPLY_ROUNDS = 3
+"""How many times pending events are processed until a reply that has arrived is known:
+it is read, then parsed by another task, then allowed."""
 CONSUMED_BYTES = 16 * 1024
 """How many bytes a caller takes before the other router is told."""
 MAX_MESSAGE_BYTES = 1024 * 1024
@@ -101,7 +104,8 @@
                 await self._wake.wait()
         except TimeoutError:
             # After a delay of the event loop, a reply may be waiting to be read.
-            await tcp_stream.process_pending_events()
+            for _ in range(REPLY_ROUNDS):
+                await tcp_stream.process_pending_events()
         return self._wake.is_set()
 
     async def take_all(self) -> list[offload_messages.FromOther | LinkLostError]:
--- a/tests/test_offload_link.py
+++ b/tests/test_offload_link.py
@@ -1,4 +1,7 @@
 import asyncio
+import socket
+import threading
+import time
 import unittest
 
 from teaselsill import (
@@ -192,3 +195,42 @@
         self.other.send(offload_messages.SendWanted(offer.number))
         self.other.send(offload_messages.End(offer.number, is_complete=False))
         self.assertIsInstance(await serving, offload_link.BrokenOff)
+
+
+def reply_at_once(server):
+    """Plays another router in a thread of its own: asks to send each request."""
+    connection, _ = server.accept()
+    unpacker = wire.Unpacker(message_type=offload_messages.FromBusy)
+    while data := connection.recv(65_536):
+        for message in unpacker.feed(data):
+            if isinstance(message, offload_messages.Offer):
+                connection.sendall(
+                    wire.pack(offload_messages.SendWanted(message.number))
+                )
+    connection.close()
+
+
+class LateLoopTest(unittest.IsolatedAsyncioTestCase):
+    """A router that is late itself does not take the other one for silent."""
+
+    async def test_reply_that_waits_to_be_read_counts(self):
+        server = socket.create_server((entry_bench.HOST, 0))
+        self.addCleanup(server.close)
+        playing = threading.Thread(target=reply_at_once, args=(server,))
+        playing.start()
+        stream = await tcp_stream.connect(*server.getsockname(), 1.0)
+        link = offload_link.OffloadLink(
+            ids.InstanceId("busy"), ids.InstanceId("other"), stream
+        )
+        running = asyncio.create_task(link.run())
+        now = asyncio.get_running_loop().time()
+        serving = asyncio.create_task(
+            link.serve(REQUEST, RecordedResponse(), now, now + 2.0, ids.Version(7))
+        )
+        while not serving.done():
+            time.sleep(1.2 * offload_link.OFFER_TIMEOUT_S)  # noqa: ASYNC251
+            await asyncio.sleep(0)
+        self.assertIsInstance(await serving, offload_link.BrokenOff)
+        link.close()
+        await running
+        playing.join()
