Tell a router all quarantined parts when a connection to it opens

A router that had been killed, and was ready again for 0.5 s, sent a request with a part that the others had under quarantine; it crashed an upstream.

Cause: the routers that repeat what is quarantined do so when they hear a router that has started, but their connection to it may open a moment later, so the repeat goes past it, and the next one comes 1 s later. The started router's first report can go to nobody in the same way, and its next one is due 0.5 s later. Change: the first thing that a router sends on each connection to another one is a report with its status and all quarantined parts. Before: both new tests of test_peer_links failed. Weighed: awaiting the others before readiness; it would hold up a router that is alone, for the 2 ms that are left.

--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -261,6 +261,23 @@
         self._has_new_router = False
         return self._report_builder.take(status, changed, self._offset_by_topic, news)
 
+    def make_greeting(self) -> peer_reports.Report:
+        """Returns a report for a router to which a connection has just opened.
+
+        It has missed all earlier reports if it has just started.
+        """
+        return peer_reports.Report(
+            self._router,
+            self._describe_status(),
+            assigned_prompts=[],
+            usages=[],
+            prefilled_tokens_by_upstream={},
+            load_by_upstream={},
+            offset_by_topic={},
+            log_reading_by_topic={},
+            crash_news=self.quarantine.describe(self._now()),
+        )
+
     def apply(self, report: peer_reports.Report) -> None:
         """Applies the report of another router."""
         now = self._now()
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -36,6 +36,7 @@
 
 
 OnReport = collections.abc.Callable[[peer_reports.Report], None]
+MakeReport = collections.abc.Callable[[], peer_reports.Report]
 
 
 class PeerLinks:
@@ -45,6 +46,8 @@
         router: This router.
         data_centre: Where it runs.
         on_report: Called with each report that is received.
+        make_greeting: Returns the report that a router gets when a connection to it
+            opens.
     """
 
     def __init__(
@@ -52,9 +55,11 @@
         router: ids.InstanceId,
         data_centre: ids.DataCentre,
         on_report: OnReport,
+        make_greeting: MakeReport | None = None,
     ):
         self._router = router
         self._on_report = on_report
+        self._make_greeting = make_greeting
         self._routes = report_routes.ReportRoutes(router, data_centre)
         self._most_peers = 0
         self._stream_by_peer: dict[ids.InstanceId, tcp_stream.TcpStream] = {}
@@ -232,6 +237,7 @@
         logger.info("peer connected", extra={"peer": peer})
         self._stream_by_peer[peer] = stream
         self._connected_at_by_peer[peer] = _now()
+        self._greet(stream)
         try:
             await stream.wait_closed_by_peer()
         finally:
@@ -240,6 +246,15 @@
                 del self._connected_at_by_peer[peer]
             stream.abort()
 
+    def _greet(self, stream: tcp_stream.TcpStream) -> None:
+        """Sends the first report on a connection.
+
+        Earlier reports went to the other connections only, and the next one may be due
+        much later.
+        """
+        if self._make_greeting is not None:
+            stream.write(wire.pack(self._make_greeting()))
+
     def _accept(self, stream: tcp_stream.TcpStream) -> None:
         task = asyncio.create_task(self._receive(stream))
         self._receiving.add(task)
--- a/teaselsill/quarantine.py
+++ b/teaselsill/quarantine.py
@@ -210,6 +210,19 @@
             self.outbox.add_entries(self._entry_by_part.values())
         return self.outbox.take(now)
 
+    def describe(self, now: float) -> crash_reports.News:
+        """Returns all quarantined parts, for a router that may know none of them.
+
+        Args:
+            now: The time, in seconds.
+        """
+        entries = self._entry_by_part.values()
+        return crash_reports.News(
+            quarantined=[
+                entry.describe(now) for entry in entries if not entry.has_ended(now)
+            ]
+        )
+
     def _add(
         self, crash: crash_reports.Crash, now: float
     ) -> quarantine_entry.Entry | None:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -4,14 +4,16 @@
 import msgspec
 
 from teaselsill import (
+    crash_reports,
     ids,
     listener,
     peer_links,
     peer_reports,
+    quarantine,
     report_routes,
     tcp_stream,
 )
-from tests import entry_bench
+from tests import entry_bench, test_fleet_view
 
 STATUS = peer_reports.RouterStatus(
     ids.DataCentre("a"), entry_bench.HOST, 1, 0.0, True, False
@@ -33,10 +35,13 @@
 
 
 class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
-    async def make(self, name, data_centre="a"):
+    async def make(self, name, data_centre="a", **fields):
         received = asyncio.Queue()
         links = peer_links.PeerLinks(
-            ids.InstanceId(name), ids.DataCentre(data_centre), received.put_nowait
+            ids.InstanceId(name),
+            ids.DataCentre(data_centre),
+            received.put_nowait,
+            **fields,
         )
         self.addCleanup(links.close)
         links.listen(entry_bench.HOST, 0)
@@ -95,6 +100,58 @@
         took_s = asyncio.get_running_loop().time() - started_at
         self.assertLess(took_s, peer_links.INITIAL_BACKOFF_S)
 
+    async def test_router_gets_a_report_when_a_connection_to_it_opens(self):
+        """Those before it went nowhere, and the next one may be due much later."""
+        first, _ = await self.make("first", make_greeting=lambda: make_report("first"))
+        second, received = await self.make("second")
+        first.send(make_report("first", uptime_s=1))
+        first.put_peer(make_peer("second", second))
+        async with asyncio.timeout(5.0):
+            report = await received.get()
+        self.assertEqual(make_report("first"), report)
+
+    async def make_with_view(self, name, quarantined=()):
+        """Starts a router whose links pass reports to and from its view."""
+        view, _ = test_fleet_view.make_view(name)
+        parts = [
+            crash_reports.QuarantinedPart(ids.PartKey(part), 0.0, 0)
+            for part in quarantined
+        ]
+        news = crash_reports.News(quarantined=parts)
+        view.quarantine.apply(news, asyncio.get_running_loop().time())
+        links = peer_links.PeerLinks(
+            ids.InstanceId(name), ids.DataCentre("a"), view.apply, view.make_greeting
+        )
+        self.addCleanup(links.close)
+        links.listen(entry_bench.HOST, 0)
+        return links, view
+
+    async def test_restarted_router_is_told_what_is_quarantined_without_a_repeat(self):
+        """It was told only by the next repeat, and sent a deadly request until then.
+
+        The others had repeated what is quarantined before they were connected to it.
+        """
+        first, first_view = await self.make_with_view("first", quarantined=("bad",))
+        second, _ = await self.make_with_view("second")
+        port = second.port
+        first.put_peer(make_peer("second", second))
+        second.put_peer(make_peer("first", first))
+        async with asyncio.timeout(5.0):
+            while not any(s.uptime_s for s in first_view.list_statuses().values()):
+                second.send(make_report("second", uptime_s=1))
+                await asyncio.sleep(0.01)
+        second.close()
+        await asyncio.sleep(3 * peer_links.INITIAL_BACKOFF_S)
+        again, again_view = await self.make_with_view("second")
+        again.close()
+        again.listen(entry_bench.HOST, port)
+        told = asyncio.Queue()
+        again_view.quarantine.on_quarantined = told.put_nowait
+        first.send(first_view.take_report())
+        again.put_peer(make_peer("first", first))
+        async with asyncio.timeout(quarantine.REPEAT_S / 2):
+            self.assertEqual("bad", await told.get())
+
     async def test_router_does_not_connect_to_itself(self):
         first, received = await self.make("first")
         first.put_peer(make_peer("first", first))
