Blame a part only if chance does not explain its crashes

Cause: two crashes whose beginning requests share a part, of which the router knows no survival, were enough. The more crashes and requests there are, the more rare parts are in two crashes by chance; crashes without the part, and other upstreams that crashed at the same moment without it, did not count for it. Change: a part is blamed only if no more than 0.03 harmless parts are expected to be in as many crashes, given how many requests could have caused each of them (only those without data where one with the part is among them), how often the part is requested, and how many moments of crashes there were. Upstreams that crash at one moment are evidence only against a part that all of them ran; a moment now ends after 0.15 s. The share of a part is what the router has seen survive in the last minute. Ruled out: requiring a request without data in each crash; an upstream may crash after its first data.

--- a/teaselsill/crash_analysis.py
+++ b/teaselsill/crash_analysis.py
@@ -3,7 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
-import itertools
+import math
 
 from teaselsill import crash_reports, ids, part_survivals
 
@@ -15,6 +15,11 @@
 COMMON_CAUSE_S = 0.05
 """Upstreams that crash within this time of each other count as one crash, since an
 outage of their hosts is the likelier cause."""
+MAX_COMMON_CAUSE_S = 0.15
+"""The most time between the first and the last of a series of such crashes."""
+MAX_CHANCE_MATCHES = 0.03
+"""A part is not blamed if more harmless parts than this are expected to be in as many
+crashes by chance."""
 MIN_CRASHES = 2
 """How many crashes quarantine a part of which no survival is known."""
 MIN_CRASHES_AFTER_SURVIVAL = 4
@@ -71,6 +76,18 @@
         suspects = list(self.suspect_by_request.values())
         return [suspect for suspect in suspects if suspect.has_begun] or suspects
 
+    def count_stages(self) -> collections.Counter[crash_reports.Stage]:
+        """Returns how many of the suspects of `list_suspects` had come how far."""
+        return collections.Counter(suspect.stage for suspect in self.list_suspects())
+
+    def group_suspects(self) -> dict[ids.PartKey, list[crash_reports.Suspect]]:
+        """Returns the suspects of `list_suspects` by the parts of their prompts."""
+        suspects_by_part: dict[ids.PartKey, list[crash_reports.Suspect]] = {}
+        for suspect in self.list_suspects():
+            for part in dict.fromkeys(part.key for part in suspect.parts):
+                suspects_by_part.setdefault(part, []).append(suspect)
+        return suspects_by_part
+
     def may_be_due_to(self, part: ids.PartKey) -> bool:
         """Returns whether a suspect's prompt has a part, begun or not."""
         return any(
@@ -89,35 +106,52 @@
         crashes: The crashes, oldest first.
         requests: The suspects of these crashes whose prompts have the part.
         occurrences: The same, where a request counts once for each crash.
-        crashes_with_head: In how many of the crashes the response to one of these
-            requests had a head and no data.
         depth: The position of the part in a prompt, from 0.
         has_survived: Whether a router knew a survival before one of the crashes.
+        moments: The positions of the crashes in the series of moments.
+        rivals: How many requests may have caused each of the crashes: all, or those
+            whose response had a head and no data if one with the part is among them.
+        crashes_with_head: In how many of the crashes the response to one of these
+            requests had a head and no data.
     """
 
     part: ids.PartKey
     crashes: list[CrashRecord] = dataclasses.field(default_factory=list)
     requests: set[ids.RequestId] = dataclasses.field(default_factory=set)
     occurrences: int = 0
-    crashes_with_head: int = 0
     depth: int = 0
     has_survived: bool = False
-    _has_head: bool = False
+    moments: set[int] = dataclasses.field(default_factory=set)
+    rivals: list[int] = dataclasses.field(default_factory=list)
+    crashes_with_head: int = 0
 
     def add(
-        self, crash: CrashRecord, suspect: crash_reports.Suspect, depth: int
+        self,
+        crash: CrashRecord,
+        moment: int,
+        stages: collections.Counter[crash_reports.Stage],
+        suspects: list[crash_reports.Suspect],
     ) -> None:
-        """Adds a suspect of a crash whose prompt has the part at a position."""
-        if not self.crashes or self.crashes[-1] is not crash:
-            self.crashes.append(crash)
-            self._has_head = False
-        if suspect.stage is crash_reports.Stage.HEAD and not self._has_head:
-            self._has_head = True
-            self.crashes_with_head += 1
-        self.requests.add(suspect.request)
-        self.occurrences += 1
-        self.depth = depth
-        self.has_survived |= suspect.parts[depth].has_survived
+        """Adds the suspects of a crash whose prompts have the part.
+
+        Args:
+            crash: The crash.
+            moment: The position of its moment in the series of moments.
+            stages: How many suspects of the crash had come how far.
+            suspects: Those that have the part.
+        """
+        self.crashes.append(crash)
+        has_head = any(s.stage is crash_reports.Stage.HEAD for s in suspects)
+        self.crashes_with_head += has_head
+        self.moments.add(moment)
+        head = crash_reports.Stage.HEAD
+        self.rivals.append(stages[head] if has_head else stages.total())
+        self.occurrences += len(suspects)
+        for suspect in suspects:
+            self.requests.add(suspect.request)
+            keys = [part.key for part in suspect.parts]
+            self.depth = keys.index(self.part)
+            self.has_survived |= suspect.parts[self.depth].has_survived
 
     @property
     def rank(self) -> tuple[int, int, int, int]:
@@ -132,9 +166,26 @@
 
     def count_independent_crashes(self) -> int:
         """Returns the number of crashes that did not happen at the same moment."""
-        times = sorted(crash.at for crash in self.crashes)
-        gaps = itertools.pairwise(times)
-        return 1 + sum(later - earlier > COMMON_CAUSE_S for earlier, later in gaps)
+        return len(self.moments)
+
+    def find_chance_matches(self, moments: int, share: float) -> float:
+        """Returns how many harmless parts are expected to fit as well by chance.
+
+        At each moment, the upstreams that crash run a random choice of the requests
+        that are beginning everywhere. All series of moments count that are at most as
+        long as the one in which the part was found as many times.
+
+        Args:
+            moments: The number of moments at which upstreams have crashed.
+            share: The share of all requests that have the part.
+        """
+        matches = len(self.moments)
+        if matches < MIN_CRASHES:
+            return math.inf
+        length = max(self.moments) - min(self.moments) + 1
+        series = math.comb(length - 1, matches - 1) * (moments - matches + 1)
+        harmless = 1.0 / share
+        return series * harmless * math.prod(share * count for count in self.rivals)
 
     def find_span_s(self) -> float:
         """Returns the time between the first and the last crash, in seconds."""
@@ -205,11 +256,11 @@
             crash suffices for them.
         now: The time, in seconds.
     """
-    settled = [crash for crash in crashes if now >= crash.settled_at]
+    moments = group_by_moment([c for c in crashes if now >= c.settled_at])
     sufficient = [
         evidence
-        for evidence in _collect(settled, survivals)
-        if _is_sufficient(evidence, survivals, former, now)
+        for evidence in _collect(moments, survivals)
+        if _is_sufficient(evidence, len(moments), survivals, former, now)
     ]
     if not sufficient:
         return None
@@ -223,23 +274,52 @@
     return best
 
 
+def group_by_moment(crashes: list[CrashRecord]) -> list[list[CrashRecord]]:
+    """Returns the crashes in groups of those that may have a common cause.
+
+    Args:
+        crashes: The crashes.
+    """
+    moments: list[list[CrashRecord]] = []
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        moment = moments[-1] if moments else None
+        if (
+            moment is not None
+            and crash.at - moment[-1].at <= COMMON_CAUSE_S
+            and crash.at - moment[0].at <= MAX_COMMON_CAUSE_S
+        ):
+            moment.append(crash)
+        else:
+            moments.append([crash])
+    return moments
+
+
 def _collect(
-    crashes: list[CrashRecord], survivals: part_survivals.PartSurvivals
+    moments: list[list[CrashRecord]], survivals: part_survivals.PartSurvivals
 ) -> collections.abc.Iterable[Evidence]:
-    """Returns the evidence against each part, without crashes before a survival."""
+    """Returns the evidence against each part, without crashes before a survival.
+
+    If several upstreams crash at one moment, that is no evidence against a part which
+    cannot have crashed all of them.
+    """
     evidence_by_part: dict[ids.PartKey, Evidence] = {}
-    for crash in crashes:
-        for suspect in crash.list_suspects():
-            for depth, part in enumerate(suspect.parts):
-                if survivals.has_survived_since(part.key, crash.at):
+    for number, moment in enumerate(moments):
+        for crash in moment:
+            stages = crash.count_stages()
+            for part, suspects in crash.group_suspects().items():
+                if survivals.has_survived_since(part, crash.at):
+                    continue
+                others = (other for other in moment if other is not crash)
+                if not all(other.may_be_due_to(part) for other in others):
                     continue
-                evidence = evidence_by_part.setdefault(part.key, Evidence(part.key))
-                evidence.add(crash, suspect, depth)
+                evidence = evidence_by_part.setdefault(part, Evidence(part))
+                evidence.add(crash, number, stages, suspects)
     return evidence_by_part.values()
 
 
 def _is_sufficient(
     evidence: Evidence,
+    moments: int,
     survivals: part_survivals.PartSurvivals,
     former: collections.abc.Container[ids.PartKey],
     now: float,
@@ -248,6 +328,9 @@
         return True
     if evidence.occurrences > MAX_SUSPECTS_PER_CRASH * len(evidence.crashes):
         return False
+    share = survivals.find_share(evidence.part, now)
+    if evidence.find_chance_matches(moments, share) > MAX_CHANCE_MATCHES:
+        return False
     independent = evidence.count_independent_crashes()
     if evidence.has_survived or survivals.has_survived(evidence.part, now):
         return (
--- a/teaselsill/quarantine.py
+++ b/teaselsill/quarantine.py
@@ -133,8 +133,9 @@
             parts: The parts of the prompt.
             began_at: When the response began, in seconds.
         """
-        for part in list_shared(parts):
-            self._survivals.note(part, began_at)
+        shared = list_shared(parts)
+        self._survivals.note_response(shared, began_at)
+        for part in shared:
             if part in self._watched and self._clear(part, began_at):
                 self.outbox.add_survival(part, began_at)
 
--- a/tests/quarantine_cost.py
+++ b/tests/quarantine_cost.py
@@ -26,7 +26,7 @@
     """Returns as many survivals as are remembered."""
     survivals = part_survivals.PartSurvivals()
     for number in range(part_survivals.MAX_PARTS):
-        survivals.note(ids.PartKey(f"{number:012x}"), NOW)
+        survivals.note_response([ids.PartKey(f"{number:012x}")], NOW)
     return survivals
 
 
--- a/tests/test_crash_analysis.py
+++ b/tests/test_crash_analysis.py
@@ -109,6 +109,52 @@
             self.add(number, make_suspect(f"{number}", "sound"), at=90 + number / 40)
         self.assertIsNone(self.find())
 
+    def test_part_at_one_of_several_upstreams_that_crash_together(self):
+        """It cannot have crashed the others: an outage of both is likelier."""
+        for moment in (90, 91):
+            self.add(f"{moment}a", make_suspect(f"{moment}", "sound"), at=moment)
+            self.add(f"{moment}b", make_suspect(f"x{moment}", "x"), at=moment + 0.01)
+            self.survivals.note(ids.PartKey("x"), moment + 0.5)
+        self.assertIsNone(self.find())
+        for moment in (92, 93):
+            self.add(f"{moment}a", make_suspect(f"{moment}", "bad"), at=moment)
+        self.assertEqual("bad", self.find())
+
+    def add_with_bystanders(self, number, *parts, count, at):
+        bystanders = [
+            make_suspect(f"{number}-{n}", f"t{number}-{n}") for n in range(count)
+        ]
+        self.add(number, make_suspect(f"{number}", *parts), *bystanders, at=at)
+
+    def test_overlap_that_chance_explains_needs_one_more_crash(self):
+        for number in (1, 2):
+            self.add_with_bystanders(number, "bad", count=10, at=80 + number)
+        self.assertIsNone(self.find())
+        self.add_with_bystanders(3, "bad", count=10, at=83)
+        self.assertEqual("bad", self.find())
+
+    def test_crashes_without_the_part_between_speak_for_chance(self):
+        for number in range(21):
+            parts = ["sound"] if number in (0, 20) else []
+            self.add_with_bystanders(number, *parts, count=1, at=70 + number)
+        self.assertIsNone(self.find())
+
+    def test_frequent_part_is_expected_at_many_crashes(self):
+        for part in ["frequent"] * 150 + ["rare"] * 5:
+            self.survivals.note_response([ids.PartKey(part)], 50.0)
+        for number in range(5):
+            self.add(number, make_suspect(f"{number}", "frequent"), at=80 + number)
+        self.assertIsNone(self.find())
+        for number in range(5, 10):
+            self.add(number, make_suspect(f"{number}", "rare"), at=80 + number)
+        self.assertEqual("rare", self.find())
+
+    def test_series_of_crashes_in_short_intervals_counts_more_than_once(self):
+        """Deadly requests that come many a second crash upstreams without a pause."""
+        for number in range(12):
+            self.add(number, make_suspect(f"{number}", "bad"), at=90 + number * 0.03)
+        self.assertEqual("bad", self.find())
+
     def test_common_part_is_not_blamed_for_an_outage(self):
         self.survivals.note(ids.PartKey("first"), 80.0)
         for number in range(8):
