Let the router that has a due request try the quarantined part

A rare sound part that had been quarantined by mistake stayed out until its entry expired after 90 s: its trial waited for a request at one router.

Cause: the router that tries a part was chosen by hashing, so a request with the part had to arrive at just that router; with 300 routers next to none. Change: the router that gets a due request claims the trial, tells the others at once, and holds the request for 0.31 s. Of claims made before their routers had heard of each other the lowest random rank holds; other requests are rejected as before. A claim lapses after 1 s. A trial that was sent is told, so no other router repeats it. A router without others tries at once. Tests: test_one_router_sends_one_trial demanded that the router that is not responsible is blocked. It now lets both routers claim, and demands that one of them tries, that the other is blocked, and that both are blocked for the whole time after it. test_failed_trials_become_rarer waits for the claim. Weighed: a growing set of routers that may try, which sends two trials where requests are frequent; waiting for requests at the hashed router's word, which takes two reports as well, and fails with that router.

--- a/teaselsill/crash_outbox.py
+++ b/teaselsill/crash_outbox.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from teaselsill import crash_reports, ids, quarantine_entry
+from teaselsill import crash_reports, ids, quarantine_entry, trial_claims
 
 
 class CrashOutbox:
@@ -21,11 +21,17 @@
         self._survived_at_by_part: dict[ids.PartKey, float] = {}
         self._entry_by_part: dict[ids.PartKey, quarantine_entry.Entry] = {}
         self._told_survival_by_part: dict[ids.PartKey, float] = {}
+        self._claim_by_part: dict[ids.PartKey, trial_claims.Claim] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to tell."""
-        return not (self._crashes or self._survived_at_by_part or self._entry_by_part)
+        return not (
+            self._crashes
+            or self._survived_at_by_part
+            or self._entry_by_part
+            or self._claim_by_part
+        )
 
     def add_crash(self, crash: crash_reports.Crash, now: float) -> None:
         """Adds a crash that this router has seen.
@@ -54,6 +60,11 @@
         """Adds quarantined parts."""
         self._entry_by_part.update((entry.part, entry) for entry in entries)
 
+    def add_claim(self, part: ids.PartKey, claim: trial_claims.Claim) -> None:
+        """Adds a claim that this router has made."""
+        self._claim_by_part[part] = claim
+        self.on_news()
+
     def note_told(self, part: ids.PartKey, began_at: float) -> None:
         """Records a survival that another router has told all others."""
         told_at = self._told_survival_by_part.get(part, -math.inf)
@@ -92,7 +103,12 @@
                 for part, began_at in self._survived_at_by_part.items()
             ],
             [entry.describe(now) for entry in self._entry_by_part.values()],
+            [
+                crash_reports.TrialClaim(part, now - claim.made_at, claim.rank)
+                for part, claim in self._claim_by_part.items()
+            ],
         )
+        self._claim_by_part = {}
         self._crashes = []
         self._survived_at_by_part = {}
         self._entry_by_part = {}
--- a/teaselsill/crash_reports.py
+++ b/teaselsill/crash_reports.py
@@ -90,11 +90,28 @@
         part: The part.
         age_s: How long ago it was last seen to crash an upstream, in seconds.
         failed_trials: How many trials in a row have crashed an upstream again.
+        tried_age_s: How long ago a request with it was last sent as a trial, in
+            seconds; None if none was.
     """
 
     part: ids.PartKey
     age_s: float
     failed_trials: int
+    tried_age_s: float | None = None
+
+
+class TrialClaim(msgspec.Struct, array_like=True, frozen=True):
+    """A router's claim to send the trial of a quarantined part.
+
+    Attributes:
+        part: The part.
+        age_s: How long ago it was made, in seconds.
+        rank: A random number; of several claims, the lowest one holds.
+    """
+
+    part: ids.PartKey
+    age_s: float
+    rank: int
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -104,11 +121,13 @@
         crashes: The crashes that it has seen.
         survivals: The suspected parts that have turned out to be harmless.
         quarantined: The parts that it has put under quarantine, or all of them.
+        claims: The claims that it has made.
     """
 
     crashes: list[Crash] = []
     survivals: list[Survival] = []
     quarantined: list[QuarantinedPart] = []
+    claims: list[TrialClaim] = []
 
 
 NO_NEWS = News()
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import hashlib
 import math
 
 from teaselsill import (
@@ -16,6 +15,7 @@
     peer_reports,
     placement,
     quarantine,
+    trial_claims,
     upstream_list,
     upstream_load,
 )
@@ -124,14 +124,9 @@
         live = filter(self.is_live, self._last_received_at_by_router)
         return sum(other < self._router for other in live)
 
-    def is_responsible(self, key: str) -> bool:
-        """Returns whether this router does the work for a key that one router does.
-
-        Routers that know the same live routers agree on it, by rendezvous hashing.
-        """
-        live = filter(self.is_live, self._last_received_at_by_router)
-        chosen = max([self._router, *live], key=lambda r: _rank_router(key, r))
-        return chosen == self._router
+    def find_claim_s(self) -> float:
+        """Returns how long other routers' claims to a trial are awaited, in seconds."""
+        return trial_claims.CLAIM_S if self.count_live_peers() else 0.0
 
     def count_live_peers(self) -> int:
         """Returns how many other routers are live."""
@@ -353,7 +348,3 @@
 def find_cost(call: calls.Call) -> int:
     """Returns the cost of a request, in prompt tokens."""
     return call.prompt_tokens + OUTPUT_WEIGHT * call.expected_output_tokens
-
-
-def _rank_router(key: str, router: ids.InstanceId) -> bytes:
-    return hashlib.blake2b(f"{key}/{router}".encode(), digest_size=8).digest()
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -192,7 +192,7 @@
         line.route = route.name
         line.account = account
         line.version = table.version
-        self._check_quarantine(call)
+        await self._await_permission(call)
         self._view.note_received(account, call)
         limit_s = calls.find_limit_s(call, route)
         state = outcomes.RequestState(
@@ -284,6 +284,18 @@
         self._metrics.quarantines.inc()
         self._sender.abort_quarantined(part)
 
+    async def _await_permission(self, call: calls.Call) -> None:
+        """Waits until it is settled which router tries a quarantined part.
+
+        Raises:
+            RejectedError: A part of its prompt is quarantined.
+        """
+        permission = self._find_permission(call)
+        if isinstance(permission, quarantine.Claimed):
+            await asyncio.sleep(permission.wait_s)
+            permission = self._find_permission(call)
+        _reject_if_quarantined(permission)
+
     def _check_quarantine(
         self, call: calls.Call, possible_runs: int = 0
     ) -> quarantine.Permission:
@@ -296,21 +308,13 @@
         Raises:
             RejectedError: A part of its prompt is quarantined.
         """
-        permission = self._quarantine.check(
-            call.parts, self._now(), self._view.is_responsible
-        )
-        match permission:
-            case quarantine.Blocked(part=part, retry_after_s=retry_after_s):
-                reason = f"prompt part {part} is quarantined, it crashes upstreams"
-                if possible_runs:
-                    raise rejections.RejectedError(
-                        rejections.Cause.ANSWER_FAILED, reason
-                    )
-                raise rejections.RejectedError(
-                    rejections.Cause.QUARANTINED, reason, retry_after_s
-                )
+        permission = self._find_permission(call)
+        _reject_if_quarantined(permission, possible_runs)
         return permission
 
+    def _find_permission(self, call: calls.Call) -> quarantine.Permission:
+        return self._quarantine.check(call.parts, self._now(), self._view.find_claim_s)
+
     def _choose(self, state: outcomes.RequestState) -> placement.Choice:
         """Chooses the upstream for the next attempt.
 
@@ -436,3 +440,28 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def _reject_if_quarantined(
+    permission: quarantine.Permission, possible_runs: int = 0
+) -> None:
+    """Rejects a request that must not be sent now.
+
+    Args:
+        permission: The permission to send it.
+        possible_runs: How many upstreams may have run it.
+
+    Raises:
+        RejectedError: A part of its prompt is quarantined.
+    """
+    match permission:
+        case (
+            quarantine.Blocked(part=part, retry_after_s=retry_after_s)
+            | quarantine.Claimed(part=part, wait_s=retry_after_s)
+        ):
+            reason = f"prompt part {part} is quarantined, it crashes upstreams"
+            if possible_runs:
+                raise rejections.RejectedError(rejections.Cause.ANSWER_FAILED, reason)
+            raise rejections.RejectedError(
+                rejections.Cause.QUARANTINED, reason, retry_after_s
+            )
--- a/teaselsill/quarantine.py
+++ b/teaselsill/quarantine.py
@@ -14,6 +14,7 @@
     ids,
     part_survivals,
     quarantine_entry,
+    trial_claims,
 )
 
 MIN_RETRY_AFTER_S = 1.0
@@ -21,6 +22,8 @@
 MAX_FORMER = 256
 MAX_PARTS_PER_SUSPECT = 32
 """Of a longer prompt, parts without a known survival go first, then the last ones."""
+CLAIM_MARGIN_S = 0.01
+"""Added to the wait for a claim, since timers may be early."""
 REPEAT_S = 1.0
 """How often one router tells all others about all quarantined parts."""
 
@@ -39,6 +42,19 @@
     part: ids.PartKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimed:
+    """The request may be sent as a trial later if no other router has a better claim.
+
+    Attributes:
+        part: The quarantined part of its prompt.
+        wait_s: How long to wait before it is checked again, in seconds.
+    """
+
+    part: ids.PartKey
+    wait_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Blocked:
     """The request must not be sent.
@@ -52,16 +68,18 @@
     retry_after_s: float
 
 
-Permission = Allowed | Trial | Blocked
+Permission = Allowed | Trial | Claimed | Blocked
 ALLOWED = Allowed()
+FindClaimTime = collections.abc.Callable[[], float]
 
 
 class Quarantine:
     """The prompt parts whose requests are rejected, and the evidence that led to it.
 
     A part is quarantined once it explains several crashes of upstreams. All routers
-    share what they see, and decide alike. After some time, one router sends a single
-    request with the part; if that does not crash the upstream, the quarantine ends.
+    share what they see, and decide alike. After some time, a router that has a request
+    with the part sends it as a trial; if that does not crash the upstream, the
+    quarantine ends.
 
     Attributes:
         outbox: What the other routers have not been told yet.
@@ -80,6 +98,7 @@
             collections.OrderedDict()
         )
         self._watched: set[ids.PartKey] = set()
+        self._claims = trial_claims.TrialClaims()
         self._decide_at = math.inf
         self._repeated_at = -math.inf
 
@@ -91,14 +110,15 @@
         self,
         parts: tuple[calls.PromptPart, ...],
         now: float,
-        is_responsible: collections.abc.Callable[[ids.PartKey], bool],
+        find_claim_s: FindClaimTime,
     ) -> Permission:
         """Returns whether a request may be sent.
 
         Args:
             parts: The parts of its prompt.
             now: The time, in seconds.
-            is_responsible: Returns whether this router is the one that tries a part.
+            find_claim_s: Returns how long the claims of other routers are awaited
+                before a trial, in seconds; 0 if there are no other routers.
         """
         self._decide_if_due(now)
         if not self._entry_by_part:
@@ -111,17 +131,42 @@
             if entry.has_ended(now):
                 self._expire(entry)
                 continue
-            wait_s = entry.find_wait_s(now)
-            if wait_s or not is_responsible(part):
-                return Blocked(part, max(MIN_RETRY_AFTER_S, wait_s))
-            permission = Trial(part)
+            found = self._check_entry(entry, now, find_claim_s)
+            if isinstance(found, Blocked):
+                return found
+            if not isinstance(permission, Claimed):
+                permission = found
         return permission
 
+    def _check_entry(
+        self, entry: quarantine_entry.Entry, now: float, find_claim_s: FindClaimTime
+    ) -> Trial | Claimed | Blocked:
+        """Returns whether a request with a quarantined part may be sent; see `check`.
+
+        The request that leads to a claim waits until the claim is settled. Until then,
+        others are blocked.
+        """
+        part = entry.part
+        wait_s = entry.find_wait_s(now)
+        if wait_s:
+            return Blocked(part, max(MIN_RETRY_AFTER_S, wait_s))
+        claim = self._claims.find(part, now)
+        claim_s = find_claim_s()
+        if claim is None and claim_s:
+            self.outbox.add_claim(part, self._claims.make(part, now))
+            return Claimed(part, claim_s + CLAIM_MARGIN_S)
+        if claim is None or (claim.is_own and claim.is_settled(now, claim_s)):
+            return Trial(part)
+        return Blocked(part, MIN_RETRY_AFTER_S)
+
     def note_trial(self, part: ids.PartKey, now: float) -> None:
         """Records that a request is sent to test a part."""
         entry = self._entry_by_part.get(part)
         if entry is not None:
             entry.tried_at = now
+            self._claims.forget(part)
+            self.outbox.add_entries([entry])
+            self.outbox.on_news()
             logger.info("trying quarantined prompt part", extra={"part": part})
 
     def note_survival(
@@ -188,6 +233,8 @@
             self._add(crash, now)
         for quarantined in news.quarantined:
             self._adopt(quarantined, now)
+        for claim in news.claims:
+            self._claims.add(claim.part, claim.rank, now - claim.age_s, now)
         self._decide_if_due(now)
 
     def take_news(
@@ -304,15 +351,14 @@
     def _adopt(self, quarantined: crash_reports.QuarantinedPart, now: float) -> None:
         """Applies a quarantine that another router has told."""
         part = quarantined.part
-        crashed_at = now - quarantined.age_s
-        if self._survivals.has_survived_since(part, crashed_at):
+        entry = quarantine_entry.make_entry(quarantined, now)
+        if self._survivals.has_survived_since(part, entry.crashed_at):
             self.outbox.add_survival(part, self._survivals.find_began_at(part))
             return
         known = self._entry_by_part.get(part)
         if known is not None:
-            known.merge(crashed_at, quarantined.failed_trials)
+            known.merge(entry.crashed_at, entry.failed_trials, entry.tried_at)
             return
-        entry = quarantine_entry.Entry(part, crashed_at, quarantined.failed_trials)
         if entry.has_ended(now):
             return
         self._quarantine(entry)
@@ -367,6 +413,7 @@
 
     def _end(self, entry: quarantine_entry.Entry, reason: str) -> None:
         del self._entry_by_part[entry.part]
+        self._claims.forget(entry.part)
         logger.warning(
             "quarantine ended",
             extra={
--- a/teaselsill/quarantine_entry.py
+++ b/teaselsill/quarantine_entry.py
@@ -20,8 +20,7 @@
         part: The part.
         crashed_at: When it was last seen to crash an upstream, in seconds.
         failed_trials: How many trials in a row have crashed an upstream.
-        tried_at: When this router has last sent a request with it as a trial, in
-            seconds.
+        tried_at: When a router has last sent a request with it as a trial, in seconds.
     """
 
     part: ids.PartKey
@@ -60,10 +59,13 @@
         self.failed_trials += is_failed_trial
         self.crashed_at = max(self.crashed_at, at)
 
-    def merge(self, crashed_at: float, failed_trials: int) -> None:
+    def merge(
+        self, crashed_at: float, failed_trials: int, tried_at: float = -math.inf
+    ) -> None:
         """Applies what another router knows of the part."""
         self.crashed_at = max(self.crashed_at, crashed_at)
         self.failed_trials = max(self.failed_trials, failed_trials)
+        self.tried_at = max(self.tried_at, tried_at)
 
     def describe(self, now: float) -> crash_reports.QuarantinedPart:
         """Returns the description for the other routers.
@@ -71,6 +73,26 @@
         Args:
             now: The time, in seconds.
         """
+        was_tried = self.tried_at > -math.inf
         return crash_reports.QuarantinedPart(
-            self.part, now - self.crashed_at, self.failed_trials
+            self.part,
+            now - self.crashed_at,
+            self.failed_trials,
+            now - self.tried_at if was_tried else None,
         )
+
+
+def make_entry(described: crash_reports.QuarantinedPart, now: float) -> Entry:
+    """Returns the entry that another router has described.
+
+    Args:
+        described: The description.
+        now: The time, in seconds.
+    """
+    tried_age_s = described.tried_age_s
+    return Entry(
+        described.part,
+        now - described.age_s,
+        described.failed_trials,
+        -math.inf if tried_age_s is None else now - tried_age_s,
+    )
--- a/tests/quarantine_cost.py
+++ b/tests/quarantine_cost.py
@@ -13,6 +13,7 @@
     ids,
     part_survivals,
     quarantine,
+    trial_claims,
     wire,
 )
 from tests import test_crash_analysis, test_quarantine
@@ -90,7 +91,7 @@
     parts_quarantine.apply(crash_reports.News(quarantined=[entry]), NOW)
     parts = test_quarantine.make_parts("x", "y", "z")
     check_s = measure_s(
-        lambda: parts_quarantine.check(parts, NOW, lambda part: True), CALLS
+        lambda: parts_quarantine.check(parts, NOW, lambda: trial_claims.CLAIM_S), CALLS
     )
     survive_s = measure_s(lambda: parts_quarantine.note_survival(parts, NOW), CALLS)
     print(f"check of a request: {1e6 * check_s:.1f} us")
--- a/tests/quarantine_replay.py
+++ b/tests/quarantine_replay.py
@@ -16,6 +16,7 @@
     ids,
     open_attempts,
     quarantine,
+    trial_claims,
 )
 
 Stage = crash_reports.Stage
@@ -172,9 +173,14 @@
             now + self._source.expovariate(self._load.requests_per_s), self._arrive
         )
         router = self._source.choice(self._routers)
-        parts = self._choose_parts(now)
-        is_first = router is self._routers[0]
-        permission = router.check(parts, now, lambda part: is_first)
+        self._check(router, self._choose_parts(now), now)
+
+    def _check(self, router, parts, now):
+        permission = router.check(parts, now, lambda: trial_claims.CLAIM_S)
+        if isinstance(permission, quarantine.Claimed):
+            again = functools.partial(self._check, router, parts)
+            self._at(now + permission.wait_s, again)
+            return
         is_deadly = any(part.id == DEADLY for part in parts)
         if isinstance(permission, quarantine.Blocked):
             self.rejected += not is_deadly
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -720,6 +720,34 @@
         self.assertEqual(503, (await bench.ask("2", parts="bad,own"))[0])
         go_on.set()
 
+    async def test_one_of_two_due_requests_waits_for_the_claim_and_is_tried(self):
+        bench = await self.start(entry_bench.respond_ok)
+        bench.view.find_claim_s = lambda: 0.1
+        self.put_under_quarantine(age_s=quarantine_entry.TRIAL_AFTER_S)
+        async with asyncio.TaskGroup() as group:
+            asked = [
+                group.create_task(bench.ask(f"{number}", parts="bad,own"))
+                for number in range(2)
+            ]
+        statuses = sorted(task.result()[0] for task in asked)
+        self.assertEqual([200, 503], statuses)
+        self.assertEqual(1, self.count_requests())
+
+    async def test_due_request_is_rejected_if_another_router_has_a_better_claim(self):
+        bench = await self.start(entry_bench.respond_ok)
+        bench.view.find_claim_s = lambda: 0.1
+        self.put_under_quarantine(age_s=quarantine_entry.TRIAL_AFTER_S)
+        claimed = asyncio.Event()
+        self.quarantine.outbox.on_news = claimed.set
+        caller = await bench.connect()
+        caller.send(parts="bad,own")
+        await claimed.wait()
+        claim = crash_reports.TrialClaim(ids.PartKey("bad"), 0.0, -1)
+        news = crash_reports.News(claims=[claim])
+        self.quarantine.apply(news, asyncio.get_running_loop().time())
+        self.assertEqual(503, (await caller.receive())[0])
+        self.assertEqual(0, self.count_requests())
+
     async def test_request_that_was_beginning_at_two_crashes_is_not_sent_again(self):
         async def crash(request, stream):
             stream.write(entry_bench.stream_head(request))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
     ids,
     quarantine,
     quarantine_entry,
+    trial_claims,
     wire,
 )
 from tests import test_crash_analysis
@@ -32,19 +33,20 @@
     Attributes:
         quarantine: The quarantine.
         quarantined: The parts that it has been told to be put under quarantine.
+
+    Args:
+        claim_s: How long it awaits the claims of other routers, in seconds.
     """
 
-    def __init__(self, is_responsible=True):
+    def __init__(self, claim_s=trial_claims.CLAIM_S):
         self.quarantine = quarantine.Quarantine()
         self.quarantined = []
         self.quarantine.on_quarantined = self.quarantined.append
-        self._is_responsible = is_responsible
+        self._claim_s = claim_s
 
     def check(self, *names, now):
         """Returns whether a request with these parts may be sent."""
-        return self.quarantine.check(
-            make_parts(*names), now, lambda part: self._is_responsible
-        )
+        return self.quarantine.check(make_parts(*names), now, lambda: self._claim_s)
 
     def see_crash(self, number, request, *names, now, is_settled=True):
         """Records a crash in which a request was beginning.
@@ -81,7 +83,7 @@
 class QuarantineTest(unittest.TestCase):
     def setUp(self):
         self.router = Router()
-        self.other = Router(is_responsible=False)
+        self.other = Router()
 
     def put_under_quarantine(self):
         self.router.see_crash(1, "a", "first", "bad", now=10.0)
@@ -143,7 +145,7 @@
     def test_router_that_has_just_started_is_told(self):
         self.put_under_quarantine()
         self.router.tell(now=11.0)
-        started = Router(is_responsible=False)
+        started = Router()
         self.router.tell(started, now=11.0 + quarantine.REPEAT_S, should_repeat=True)
         self.assert_blocked(started.check("bad", now=13.0))
 
@@ -167,15 +169,60 @@
         self.assertEqual([BAD], self.router.quarantined)
 
     def test_one_router_sends_one_trial(self):
+        """Both have a request that is due, and have not heard of each other's claim."""
         self.put_under_quarantine()
         self.router.tell(self.other, now=11.0)
-        due_at = 11.0 + TRIAL_AFTER_S
-        self.assert_blocked(self.other.check("bad", now=due_at))
+        now = 11.0 + TRIAL_AFTER_S
+        routers = self.router, self.other
+        for router in routers:
+            claimed = router.check("first", "bad", now=now)
+            self.assertEqual(BAD, claimed.part)
+            self.assert_blocked(router.check("bad", now=now))
+        self.router.tell(self.other, now=now + 0.1)
+        self.other.tell(self.router, now=now + 0.1)
+        now += claimed.wait_s
+        permissions = [router.check("first", "bad", now=now) for router in routers]
+        self.assertEqual(1, permissions.count(quarantine.Trial(BAD)))
+        winner = routers[permissions.index(quarantine.Trial(BAD))]
+        loser = routers[1 - routers.index(winner)]
+        self.assert_blocked(loser.check("bad", now=now))
+        winner.quarantine.note_trial(BAD, now)
+        self.assert_blocked(winner.check("bad", now=now + 0.1))
+        winner.tell(loser, now=now + 0.1)
+        after_s = trial_claims.CLAIM_TTL_S + 0.1
+        for router in routers:
+            self.assert_blocked(
+                router.check("bad", now=now + after_s), TRIAL_AFTER_S - after_s
+            )
+
+    def test_router_that_has_heard_of_a_claim_makes_none(self):
+        self.put_under_quarantine()
+        self.router.tell(self.other, now=11.0)
+        now = 11.0 + TRIAL_AFTER_S
+        self.router.check("bad", now=now)
+        self.router.tell(self.other, now=now + 0.1)
+        self.assert_blocked(self.other.check("bad", now=now + 0.1))
+        self.assertTrue(self.other.quarantine.outbox.is_empty)
+
+    def test_claim_of_a_router_that_has_ended_lapses(self):
+        self.put_under_quarantine()
+        self.router.tell(self.other, now=11.0)
+        now = 11.0 + TRIAL_AFTER_S
+        self.router.check("bad", now=now)
+        self.router.tell(self.other, now=now)
+        now += trial_claims.CLAIM_TTL_S + 0.1
+        claimed = self.other.check("bad", now=now)
+        self.assertIsInstance(claimed, quarantine.Claimed)
         self.assertEqual(
-            quarantine.Trial(BAD), self.router.check("first", "bad", now=due_at)
+            quarantine.Trial(BAD), self.other.check("bad", now=now + claimed.wait_s)
         )
-        self.router.quarantine.note_trial(BAD, due_at)
-        self.assert_blocked(self.router.check("bad", now=due_at + 0.1))
+
+    def test_router_without_others_tries_at_once(self):
+        alone = Router(claim_s=0.0)
+        self.put_under_quarantine()
+        self.router.tell(alone, now=11.0)
+        now = 11.0 + TRIAL_AFTER_S
+        self.assertEqual(quarantine.Trial(BAD), alone.check("bad", now=now))
 
     def test_part_that_was_mended_is_released_everywhere(self):
         self.put_under_quarantine()
@@ -203,6 +250,7 @@
             wait_s = min(TRIAL_AFTER_S * 2**failed, quarantine_entry.MAX_TRIAL_AFTER_S)
             self.assert_blocked(self.router.check("bad", now=now), wait_s)
             now += wait_s
+            now += self.router.check("bad", now=now).wait_s
             self.assertEqual(quarantine.Trial(BAD), self.router.check("bad", now=now))
             self.router.quarantine.note_trial(BAD, now)
             now += 0.2
