--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import hashlib
 
 from teaselsill import (
     account_usage,
@@ -17,6 +16,7 @@
     peer_reports,
     placement,
     quarantine,
+    trial_claims,
     upstream_list,
     upstream_load,
 )
@@ -121,14 +121,9 @@
         responsive = self._liveness.list_responsive(self._now())
         return sum(other < self._router for other in responsive)
 
-    def is_responsible(self, key: str) -> bool:
-        """Returns whether this router does the work for a key that one router does.
-
-        Routers that know the same live routers agree on it, by rendezvous hashing.
-        """
-        live = self._liveness.list_live(self._now())
-        chosen = max([self._router, *live], key=lambda r: _rank_router(key, r))
-        return chosen == self._router
+    def find_claim_s(self) -> float:
+        """Returns how long other routers' claims to a trial are awaited, in seconds."""
+        return trial_claims.CLAIM_S if self.count_live_peers() else 0.0
 
     def count_live_peers(self) -> int:
         """Returns how many other routers are live."""
@@ -254,6 +249,23 @@
             status, changed, self._offset_by_topic, news, interval_s
         )
 
+    def make_greeting(self) -> peer_reports.Report:
+        """Returns a report for a router to which a connection has just opened.
+
+        It has missed all earlier reports if it has just started.
+        """
+        return peer_reports.Report(
+            self._router,
+            self._describe_status(),
+            assigned_prompts=[],
+            usages=[],
+            prefilled_tokens_by_upstream={},
+            load_by_upstream={},
+            offset_by_topic={},
+            log_reading_by_topic={},
+            crash_news=self.quarantine.describe(self._now()),
+        )
+
     def apply(self, report: peer_reports.Report) -> None:
         """Applies the report of another router."""
         now = self._now()
@@ -323,7 +335,3 @@
 def find_cost(call: calls.Call) -> int:
     """Returns the cost of a request, in prompt tokens."""
     return call.prompt_tokens + OUTPUT_WEIGHT * call.expected_output_tokens
-
-
-def _rank_router(key: str, router: ids.InstanceId) -> bytes:
-    return hashlib.blake2b(f"{key}/{router}".encode(), digest_size=8).digest()
