Mend what a review of the offers between routers has found

- A lost connection that was dropped while its successor was being opened ended the maintenance, and with it the router (KeyError).
- A stopping router closed connections that still carried the ends of responses; it announces its closing now, and the other router closes.
- The serving router did not notice a dead connection; it does, within 4 s, sooner than the busy one gives it up (6 s) and sends the request again.
- A router that was late itself went on offering to a paused one, or on a connection that is silent for good.
What counts is whether anything has arrived since the offer; new offers get a new connection.
- A withdrawn request was counted twice as demand; what has run at the other router was not counted against the limit on upstreams; a rejection for the other router's own reasons was final.
- A response to a caller of HTTP/1.0 that the router cut when it ended looked complete (older than the offers).

Two waits of test_forwarding had no bound and could hang the run.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -57,20 +57,31 @@
         progress: How much of the response has been written.
         status: The status that was written, or 0.
         via: The router that has the caller's connection; None if it is this one.
+        is_counted: Whether the request has been counted as demand, here or at the
+            router that has the caller's connection.
     """
 
     def __init__(self):
         self.progress = Progress.NOT_STARTED
         self.status = 0
         self.via: ids.InstanceId | None = None
+        self.is_counted = False
 
     @property
     def is_wanted(self) -> bool:
         """Whether the caller still waits for the response, as far as is known."""
         return True
 
-    async def confirm_send(self) -> None:
-        """Waits until the request may be sent to upstreams."""
+    async def confirm_send(self, upstream: ids.UpstreamId) -> None:
+        """Waits until the request may be sent to an upstream."""
+
+    def decline(self) -> bool:
+        """Leaves a request that has not been sent to the router that offered it.
+
+        Returns:
+            Whether there is one.
+        """
+        return False
 
     @abc.abstractmethod
     async def start(self, head: http_messages.Head) -> None:
@@ -221,6 +232,7 @@
         self._should_close = should_close
         self._must_close = must_close
         self._parser: request_parser.RequestParser | None = None
+        self._response: CallerResponse | None = None
         self._is_serving = False
         self._has_served = False
         self._opened_at = _now()
@@ -252,7 +264,13 @@
         except http_messages.MalformedMessageError as error:
             await self._reject_malformed(error)
         finally:
-            self._stream.close()
+            self._end()
+
+    def _end(self) -> None:
+        """Closes the connection; a response in progress does not look complete."""
+        if self._response is not None and self._response.progress is Progress.HEAD:
+            self._response.abort()
+        self._stream.close()
 
     async def _serve_next(self) -> bool:
         """Serves one request and returns whether another one may follow."""
@@ -265,6 +283,7 @@
         if request is None:
             return False
         response = CallerResponse(self._stream, request, self._should_close)
+        self._response = response
         self._is_serving = True
         try:
             await self._serve_request(request, response)
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -260,7 +260,7 @@
         for connection in list(self._connections):
             if connection.is_idle:
                 connection.close()
-        self._offload_server.close_idle()
+        self._offload_server.announce_closing()
 
     def _listen(self, host: str, port: int, serve: ServeStream) -> listener.Listener:
         new_listener = listener.Listener(
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -34,11 +34,17 @@
 """`Retry-After` while this router is busy: another one serves the next connection."""
 RETRY_AFTER_START_S = 0.5
 """`Retry-After` while the router has no configuration."""
-UNKNOWN_LIMIT_S = 30.0
-"""The longest time for a request whose route is not known."""
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left before its deadline is not sent."""
 
+OWN_CAUSES = frozenset(
+    {
+        rejections.Cause.STOPPING,
+        rejections.Cause.ROUTER_BUSY,
+        rejections.Cause.NOT_CONFIGURED,
+    }
+)
+"""Why this router rejects requests that another one may serve."""
 NOT_RUN_STATUSES = upstream_attempt.NOT_RUN_STATUSES
 
 logger = logging.getLogger(__name__)
@@ -115,15 +121,32 @@
         for budget in self._budget_by_service.values():
             budget.policy = policy
 
-    def find_limit_s(self, message: http_messages.Request) -> float:
-        """Returns the longest time that a request may take, in seconds."""
+    def count_offered(
+        self,
+        message: http_messages.Request,
+        response: caller_connection.Response,
+        received_at: float,
+    ) -> float | None:
+        """Counts a request that is offered to another router as demand.
+
+        Returns:
+            The longest time that it may take, in seconds; None if it should be served
+            here, since it will be rejected or may be the trial of a quarantined part.
+        """
         if self.table is None:
-            return UNKNOWN_LIMIT_S
+            return None
         try:
-            call = self._dialect.read_call(message, 0.0)
+            call = self._dialect.read_call(message, received_at)
             route = self._find_route(self.table, call)
+            account = self._find_account(self.table, route, call)
         except (calls.BadCallError, rejections.RejectedError):
-            return UNKNOWN_LIMIT_S
+            return None
+        if self._quarantine.concerns(call.parts):
+            return None
+        service = self.table.service_by_name[route.choose_service(call.id)]
+        self._budget_of(service.name).note_request(received_at)
+        self._view.note_received(account, call)
+        response.is_counted = True
         return calls.find_limit_s(call, route)
 
     async def serve(
@@ -131,7 +154,7 @@
         message: http_messages.Request,
         response: caller_connection.Response,
         received_at: float,
-        prior: outcomes.Failed | None = None,
+        prior: outcomes.FailedElsewhere | None = None,
     ) -> None:
         """Serves one request of a caller.
 
@@ -140,8 +163,7 @@
             response: The response to it.
             received_at: When its last byte arrived, on the event loop's clock, in
                 seconds.
-            prior: What became of the request at another router, which may have sent it
-                to an upstream.
+            prior: What became of the request at another router that may have sent it.
         """
         self.active_requests += 1
         line = request_log_line.RequestLogLine(via=response.via)
@@ -189,6 +211,8 @@
         line.ending = endings.BROKEN if has_started else endings.REJECTED
         line.cause = error.cause.label
         line.reason = str(error)
+        if error.cause in OWN_CAUSES and response.decline():
+            return
         headers = self._dialect.make_rejection_headers(call, error.retry_after_s)
         await response.send_error(error.cause.status, headers)
 
@@ -218,13 +242,13 @@
         route = self._find_route(table, call)
         account = self._find_account(table, route, call)
         service = table.service_by_name[route.choose_service(call.id)]
-        if prior is None:
+        if not response.is_counted:
             self._budget_of(service.name).note_request(call.received_at)
         line.route = route.name
         line.account = account
         line.version = table.version
         await self._await_permission(call)
-        if prior is None:
+        if not response.is_counted:
             self._view.note_received(account, call)
         deadline = call.received_at + calls.find_limit_s(call, route)
         state = outcomes.RequestState(
@@ -260,7 +284,8 @@
             RejectedError: It may not.
             TimeoutError: Too little time is left.
         """
-        state.sends = state.possible_runs = 1
+        state.sends = state.possible_runs = len(prior.upstreams)
+        state.excluded.update(prior.upstreams)
         if state.find_time_left_s(self._now()) < MIN_TIME_LEFT_S:
             raise TimeoutError
         if state.has_response_started or not self._allow_rerun(state):
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -34,6 +34,7 @@
 CHOICE_TTL_S = 0.05
 """How long new requests are passed on to the same router."""
 MAX_REMOTE_REQUESTS = 1200
+"""With more requests at other routers, new ones are served here."""
 MAX_BODY_BYTES = 1024 * 1024
 """Requests with a larger body are served here."""
 CONNECT_TIMEOUT_S = 1.0
@@ -136,26 +137,29 @@
         """Serves a request of a caller, at another router while this one is busy."""
         received_at = _now()
         router = self._find_router()
-        if router is None or len(message.body) > MAX_BODY_BYTES:
+        limit_s = None
+        if router is not None and len(message.body) <= MAX_BODY_BYTES:
+            limit_s = self._forwarder.count_offered(message, response, received_at)
+        if limit_s is None:
             await self._forwarder.serve(message, response, received_at)
             return
         # Its caller may have left while the event loop was late.
         await tcp_stream.process_pending_events()
         self._remote_requests += 1
         try:
-            outcome = await self._try(router, message, response, received_at)
+            outcome = await self._try(router, message, response, received_at, limit_s)
         finally:
             self._remote_requests -= 1
         self._forwarder.metrics.offers.labels(type(outcome).__name__).inc()
         match outcome:
             case offload_link.Served():
                 return
-            case offload_link.NotSent(reason=reason):
-                if not self._lag.is_late:
+            case offload_link.NotSent(reason=reason, is_late_here=is_late_here):
+                if not is_late_here:
                     self._avoid(router, reason)
                 await self._forwarder.serve(message, response, received_at)
-            case offload_link.BrokenOff(reason=reason):
-                failed = outcomes.Failed(f"{router}: {reason}")
+            case offload_link.BrokenOff(reason=reason, upstreams=upstreams):
+                failed = outcomes.FailedElsewhere(f"{router}: {reason}", upstreams)
                 await self._forwarder.serve(message, response, received_at, failed)
 
     async def _try(
@@ -164,19 +168,19 @@
         message: http_messages.Request,
         response: caller_connection.Response,
         received_at: float,
+        limit_s: float,
     ) -> offload_link.Outcome:
         """Has another router serve a request."""
-        limit_s = self._forwarder.find_limit_s(message) + DEADLINE_MARGIN_S
         status = self._view.find_status(router)
         try:
-            link = await self._links.find(router, status, _now())
+            link = await self._links.find(router, status)
         except tcp_stream.ConnectionFailedError as error:
             return offload_link.NotSent(str(error))
         return await link.serve(
             message,
             response,
             received_at,
-            deadline=received_at + limit_s,
+            deadline=received_at + limit_s + DEADLINE_MARGIN_S,
             version=self._forwarder.version,
         )
 
@@ -189,8 +193,10 @@
         return self._chosen
 
     def _avoid(self, router: ids.InstanceId, reason: str) -> None:
-        logger.info("router avoided", extra={"peer": router, "reason": reason})
-        self._avoided_until_by_router[router] = _now() + AVOIDED_S
+        now = _now()
+        if self._avoided_until_by_router.get(router, -math.inf) <= now:
+            logger.info("router avoided", extra={"peer": router, "reason": reason})
+        self._avoided_until_by_router[router] = now + AVOIDED_S
         if self._chosen == router:
             self._choose()
 
@@ -231,27 +237,26 @@
     def __init__(self, router: ids.InstanceId):
         self._router = router
         self._link_by_router: dict[ids.InstanceId, offload_link.OffloadLink] = {}
-        self._used_at_by_router: dict[ids.InstanceId, float] = {}
         self._connecting_by_router: dict[ids.InstanceId, asyncio.Task] = {}
         self._running: set[asyncio.Task] = set()
 
     async def find(
-        self, router: ids.InstanceId, status: peer_reports.RouterStatus, now: float
+        self, router: ids.InstanceId, status: peer_reports.RouterStatus
     ) -> offload_link.OffloadLink:
         """Returns the connection to a router, after it has been opened.
 
         Args:
             router: The id of the other router.
             status: Its status, which has its address.
-            now: The event loop's time, in seconds.
 
         Raises:
             ConnectionFailedError: The connection could not be opened in time.
         """
-        self._used_at_by_router[router] = now
         known = self._link_by_router.get(router)
-        if known is not None and not known.is_lost:
-            return known
+        if known is not None:
+            if known.takes_offers:
+                return known
+            known.close_when_idle()
         connecting = self._connecting_by_router.get(router)
         if connecting is None:
             connecting = asyncio.create_task(self._connect(router, status))
@@ -273,11 +278,9 @@
     def drop_unused(self, now: float) -> None:
         """Closes connections that have not been used for a while."""
         for router, link in list(self._link_by_router.items()):
-            used_at = self._used_at_by_router[router]
-            if link.is_lost or (link.is_idle and now - used_at > MAX_IDLE_S):
+            if link.is_lost or (link.is_idle and now - link.used_at > MAX_IDLE_S):
                 link.close()
                 del self._link_by_router[router]
-                del self._used_at_by_router[router]
 
     async def _connect(
         self, router: ids.InstanceId, status: peer_reports.RouterStatus
--- a/teaselsill/offload_link.py
+++ b/teaselsill/offload_link.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 import enum
-import logging
+import math
 
 from teaselsill import (
     caller_connection,
@@ -24,12 +24,13 @@
 CONSUMED_BYTES = 16 * 1024
 """How many bytes a caller takes before the other router is told."""
 MAX_MESSAGE_BYTES = 1024 * 1024
-DEAD_AFTER_S = 6
+MAX_UNSENT_BYTES = 1024 * 1024
+"""With more bytes that the other router has not read, nothing is offered."""
+KEEPALIVE_PROBES = 5
+DEAD_AFTER_S = 6.0
 """A connection ends if the other router's machine does not acknowledge for so long. A
 machine may be suspended for some seconds and go on."""
 
-logger = logging.getLogger(__name__)
-
 
 class LinkLostError(errors.LinkError):
     """The connection to the other router ended."""
@@ -50,16 +51,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """The request has reached no upstream and will reach none from there."""
+    """The request has reached no upstream and will reach none from there.
+
+    Attributes:
+        reason: Why.
+        is_late_here: Whether this router may just not have read the reply.
+    """
 
     reason: str
+    is_late_here: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenOff:
-    """There is no complete response, and the request may have run."""
+    """There is no complete response, and upstreams may have run the request.
+
+    Attributes:
+        reason: Why.
+        upstreams: The upstreams that it may have been sent to, in order.
+    """
 
     reason: str
+    upstreams: list[ids.UpstreamId]
 
 
 Outcome = Served | NotSent | BrokenOff
@@ -76,6 +89,8 @@
         number: Identifies it on the connection.
         response: The response to the caller.
         state: How far the other router may have got.
+        upstreams: The upstreams that it may have been sent to, in order.
+        offered_at: When it was offered, on the event loop's clock, in seconds.
         is_ended: Whether the other router is done with it.
     """
 
@@ -83,6 +98,8 @@
         self.number = number
         self.response = response
         self.state = State.OFFERED
+        self.upstreams: list[ids.UpstreamId] = []
+        self.offered_at = asyncio.get_running_loop().time()
         self.is_ended = False
         self._arrived: collections.deque = collections.deque()
         self._wake = asyncio.Event()
@@ -92,9 +109,11 @@
         self._arrived.append(message)
         self._wake.set()
 
-    def note_allowed(self) -> None:
-        """Records that the other router may send the request to upstreams."""
-        self.state = State.ALLOWED
+    def note_allowed(self, upstream: ids.UpstreamId) -> None:
+        """Records that the other router may send the request to an upstream."""
+        if self.state is State.OFFERED:
+            self.state = State.ALLOWED
+        self.upstreams.append(upstream)
         self._wake.set()
 
     async def wait_for_reply(self) -> bool:
@@ -129,6 +148,8 @@
     Attributes:
         router: The id of the other router.
         is_lost: Whether the connection has ended.
+        used_at: When the last request was offered, on the event loop's clock, in
+            seconds.
     """
 
     def __init__(
@@ -139,10 +160,13 @@
     ):
         self.router = router
         self.is_lost = False
+        self.used_at = asyncio.get_running_loop().time()
+        self._is_closing = False
+        self._unanswered_at = -math.inf
         self._stream = stream
         self._next_number = 0
         self._request_by_number: dict[int, RemoteRequest] = {}
-        stream.enable_keepalive(DEAD_AFTER_S, DEAD_AFTER_S)
+        stream.enable_keepalive(KEEPALIVE_PROBES, DEAD_AFTER_S)
         self._send(offload_messages.Hello(own))
 
     @property
@@ -150,9 +174,18 @@
         """Whether no request is in progress."""
         return not self._request_by_number
 
-    def count_quiet_s(self, now: float) -> float:
-        """Returns how long nothing has arrived from the other router, in seconds."""
-        return now - self._stream.last_received_at
+    @property
+    def takes_offers(self) -> bool:
+        """Whether requests may be offered: nothing speaks for a silent connection."""
+        is_silent = self._unanswered_at > self._stream.last_received_at
+        is_stuck = self._stream.unsent_bytes > MAX_UNSENT_BYTES
+        return not (self.is_lost or self._is_closing or is_silent or is_stuck)
+
+    def close_when_idle(self) -> None:
+        """Closes the connection once no request is in progress."""
+        self._is_closing = True
+        if self.is_idle:
+            self._stream.close()
 
     def close(self) -> None:
         """Closes the connection at once."""
@@ -195,6 +228,7 @@
             version: The version of the configuration that is in force here.
         """
         request = self._open(response)
+        self.used_at = request.offered_at
         self._send(
             offload_messages.Offer(
                 request.number,
@@ -208,11 +242,12 @@
         )
         try:
             if not await request.wait_for_reply():
-                return NotSent("no reply")
+                return self._give_up(request)
             async with asyncio.timeout_at(deadline):
                 return await self._pass_on(request)
         except TimeoutError:
-            return BrokenOff("no complete response until the deadline")
+            reason = "no complete response until the deadline"
+            return BrokenOff(reason, request.upstreams)
         finally:
             self._discard(request)
 
@@ -228,23 +263,35 @@
         del self._request_by_number[request.number]
         if not request.is_ended and not self.is_lost:
             self._send(offload_messages.Withdrawn(request.number))
+        if self._is_closing:
+            self.close_when_idle()
+
+    def _give_up(self, request: RemoteRequest) -> NotSent:
+        """Returns the outcome of an offer without a reply."""
+        has_received = self._stream.last_received_at > request.offered_at
+        if not has_received:
+            self._unanswered_at = request.offered_at
+        return NotSent("no reply", is_late_here=has_received)
 
     def _handle(self, message: offload_messages.FromOther) -> None:
+        if isinstance(message, offload_messages.Closing):
+            self.close_when_idle()
+            return
         request = self._request_by_number.get(message.number)
         if request is None:
             return
         match message:
-            case offload_messages.SendWanted():
+            case offload_messages.SendWanted(upstream=upstream):
                 # After a delay, the end of the caller's connection is read next.
-                asyncio.get_running_loop().call_soon(self._allow, request)
+                asyncio.get_running_loop().call_soon(self._allow, request, upstream)
             case _:
                 request.put(message)
 
-    def _allow(self, request: RemoteRequest) -> None:
+    def _allow(self, request: RemoteRequest, upstream: ids.UpstreamId) -> None:
         """Allows the other router to send a request that is still wanted."""
         is_open = request.number in self._request_by_number
         if is_open and request.response.is_wanted:
-            request.note_allowed()
+            request.note_allowed(upstream)
             self._send(offload_messages.SendAllowed(request.number))
 
     async def _pass_on(self, request: RemoteRequest) -> Outcome:
@@ -298,6 +345,6 @@
         case LinkLostError() if request.state is State.OFFERED:
             return NotSent(str(message))
         case LinkLostError():
-            return BrokenOff(str(message))
+            return BrokenOff(str(message), request.upstreams)
         case _:
-            return BrokenOff("the response was broken off there")
+            return BrokenOff("the response was broken off there", request.upstreams)
--- a/teaselsill/offload_messages.py
+++ b/teaselsill/offload_messages.py
@@ -51,13 +51,19 @@
 
 
 class SendWanted(msgspec.Struct, array_like=True, frozen=True, tag="send"):
-    """The other router wants to send the request to an upstream."""
+    """The other router wants to send the request to an upstream.
+
+    Attributes:
+        number: The request.
+        upstream: The upstream.
+    """
 
     number: int
+    upstream: ids.UpstreamId
 
 
 class SendAllowed(msgspec.Struct, array_like=True, frozen=True, tag="allowed"):
-    """The other router may send the request to upstreams."""
+    """The other router may send the request to the upstream that it asked for."""
 
     number: int
 
@@ -118,7 +124,11 @@
     number: int
 
 
+class Closing(msgspec.Struct, array_like=True, frozen=True, tag="closing"):
+    """The other router stops: no more offers, and close after the last response."""
+
+
 FromBusy = Hello | Offer | SendAllowed | Consumed | Withdrawn
 """What the busy router sends."""
-FromOther = Declined | SendWanted | Rejected | Head | Data | End
+FromOther = Declined | SendWanted | Rejected | Head | Data | End | Closing
 """What the router that serves the requests sends."""
--- a/teaselsill/offload_server.py
+++ b/teaselsill/offload_server.py
@@ -14,6 +14,10 @@
 )
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+KEEPALIVE_PROBES = 3
+DEAD_AFTER_S = 4.0
+"""A connection and its requests end if the busy router's machine does not acknowledge
+for so long: sooner than the busy router gives this one up and sends them again."""
 WINDOW_BYTES = 64 * 1024
 """How many bytes of a body may be on their way to a caller who does not read."""
 VERSION_WAIT_S = 0.1
@@ -35,6 +39,7 @@
     def __init__(self, number: int, router: ids.InstanceId, stream):
         super().__init__()
         self.via = router
+        self.is_counted = True
         self._number = number
         self._stream = stream
         self._allowed = asyncio.Event()
@@ -51,15 +56,18 @@
         self._unconsumed_bytes -= size
         self._has_room.set()
 
-    def decline(self) -> None:
-        """Leaves the request to the router that offered it."""
+    def decline(self) -> bool:
+        """Leaves the request to the router that offered it, unless it may have run."""
+        if self._is_asked:
+            return False
         self._send(offload_messages.Declined(self._number))
+        return True
 
-    async def confirm_send(self) -> None:
+    async def confirm_send(self, upstream: ids.UpstreamId) -> None:
         """Waits until the router that offered the request agrees that it is sent."""
-        if not self._is_asked:
-            self._is_asked = True
-            self._send(offload_messages.SendWanted(self._number))
+        self._is_asked = True
+        self._allowed.clear()
+        self._send(offload_messages.SendWanted(self._number, upstream))
         await self._allowed.wait()
 
     async def start(self, head: http_messages.Head) -> None:
@@ -112,7 +120,6 @@
 Serve = collections.abc.Callable[
     [http_messages.Request, RemoteResponse, float], collections.abc.Awaitable[None]
 ]
-CanServe = collections.abc.Callable[[ids.Version], bool]
 
 
 class OffloadServer:
@@ -145,11 +152,14 @@
         finally:
             self._connections.discard(connection)
 
-    def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
+    def announce_closing(self) -> None:
+        """Asks the other routers to close their connections after the last response.
+
+        If this router closed them, bytes on their way would reset the connections, and
+        responses that had not arrived yet would be lost.
+        """
         for connection in self._connections:
-            if connection.is_idle:
-                connection.close()
+            connection.announce_closing()
 
     async def _serve_offer(
         self, offer: offload_messages.Offer, response: RemoteResponse
@@ -187,6 +197,8 @@
 class Connection:
     """The connection of one busy router.
 
+    The tasks of its requests all write to the connection, one whole message at a time.
+
     Args:
         stream: The connection.
         serve_offer: Serves one offered request.
@@ -195,22 +207,21 @@
     def __init__(self, stream: tcp_stream.TcpStream, serve_offer: ServeOffer):
         self._stream = stream
         self._serve_offer = serve_offer
+        self._is_closing = False
         self._router = ids.InstanceId("")
         self._response_by_number: dict[int, RemoteResponse] = {}
         self._task_by_number: dict[int, asyncio.Task] = {}
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is in progress, and nothing is waiting to be read."""
-        return not self._task_by_number and not self._stream.has_unread
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self._stream.close()
+    def announce_closing(self) -> None:
+        """Asks the busy router, once, to close the connection when it is idle."""
+        if not self._is_closing:
+            self._is_closing = True
+            self._stream.write(wire.pack(offload_messages.Closing()))
 
     async def run(self) -> None:
         """Serves requests until the connection ends; then withdraws the rest."""
         unpacker = wire.Unpacker(MAX_MESSAGE_BYTES, offload_messages.FromBusy)
+        self._stream.enable_keepalive(KEEPALIVE_PROBES, DEAD_AFTER_S)
         try:
             while data := await self._stream.read():
                 for message in unpacker.feed(data):
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -48,6 +48,19 @@
 Outcome = Delivered | Unsent | NotRun | Failed
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailedElsewhere:
+    """Another router could not serve the request; upstreams may have run it.
+
+    Attributes:
+        reason: Why.
+        upstreams: The upstreams that it may have been sent to, in order.
+    """
+
+    reason: str
+    upstreams: list[ids.UpstreamId]
+
+
 MAX_CRASHES = 2
 """A request is not sent again once it was beginning at so many crashes."""
 NO_METADATA = calls.ResponseMetadata()
--- a/teaselsill/quarantine.py
+++ b/teaselsill/quarantine.py
@@ -106,6 +106,10 @@
         """Returns the quarantined parts."""
         return list(self._entry_by_part)
 
+    def concerns(self, parts: tuple[calls.PromptPart, ...]) -> bool:
+        """Returns whether a prompt has a quarantined part."""
+        return any(part in self._entry_by_part for part in list_shared(parts))
+
     def check(
         self,
         parts: tuple[calls.PromptPart, ...],
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -76,16 +76,12 @@
         candidate = choice.candidate
         target = candidate.upstream
         state.excluded.add(target.id)
+        await state.response.confirm_send(target.id)
         try:
             connection = await self._connect(state, target)
         except tcp_stream.ConnectionFailedError as error:
             candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
             return outcomes.Unsent(str(error))
-        try:
-            await state.response.confirm_send()
-        except asyncio.CancelledError:
-            self._directory.pool(target).put(connection)
-            raise
         now = self._now()
         attempt = self._begin(state, choice, connection, now)
         outcome = None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -623,7 +623,8 @@
                 bench = await self.start(script, repeat=repeat, timeout_s=30.0)
                 caller = await bench.connect()
                 caller.send()
-                await began.wait()
+                async with asyncio.timeout(5.0):
+                    await began.wait()
                 caller.abort()
                 await self.upstreams[0].wait_disconnected()
                 self.assertEqual(0, bench.forwarder.active_requests)
@@ -676,7 +677,8 @@
         bench = await self.start(wait)
         caller = await bench.connect()
         caller.send(parts="bad,own", budget_ms="5000")
-        await received.wait()
+        async with asyncio.timeout(5.0):
+            await received.wait()
         self.put_under_quarantine()
         self.assertEqual((502, b"", True), await caller.receive())
         await self.upstreams[0].wait_disconnected()
--- a/tests/test_offload_link.py
+++ b/tests/test_offload_link.py
@@ -76,6 +76,8 @@
                         self.received.remove(message)
                         return message
                 data = await self.stream.read()
+                if not data:
+                    raise EOFError
                 self.received += self._unpacker.feed(data)
 
     def send(self, message):
@@ -115,7 +117,7 @@
     async def test_response_is_passed_on(self):
         serving = self.serve()
         offer = await self.other.receive(offload_messages.Offer)
-        self.other.send(offload_messages.SendWanted(offer.number))
+        self.other.send(offload_messages.SendWanted(offer.number, "u"))
         await self.other.receive(offload_messages.SendAllowed)
         length = http_messages.Framing.LENGTH
         head = offload_messages.Head(offer.number, 200, "OK", [], length)
@@ -133,7 +135,7 @@
         offer = await self.other.receive(offload_messages.Offer)
         self.assertEqual(offload_link.NotSent("no reply"), await serving)
         await self.other.receive(offload_messages.Withdrawn)
-        self.other.send(offload_messages.SendWanted(offer.number))
+        self.other.send(offload_messages.SendWanted(offer.number, "u"))
         again = self.serve()
         await self.other.receive(offload_messages.Offer)
         allowed = offload_messages.SendAllowed
@@ -151,7 +153,7 @@
     async def test_loss_of_the_connection_after_the_request_was_allowed(self):
         serving = self.serve()
         offer = await self.other.receive(offload_messages.Offer)
-        self.other.send(offload_messages.SendWanted(offer.number))
+        self.other.send(offload_messages.SendWanted(offer.number, "u"))
         await self.other.receive(offload_messages.SendAllowed)
         self.other.stream.abort()
         self.assertIsInstance(await serving, offload_link.BrokenOff)
@@ -159,7 +161,7 @@
     async def test_silence_after_the_request_was_allowed_ends_at_the_deadline(self):
         serving = self.serve(timeout_s=0.6)
         offer = await self.other.receive(offload_messages.Offer)
-        self.other.send(offload_messages.SendWanted(offer.number))
+        self.other.send(offload_messages.SendWanted(offer.number, "u"))
         async with asyncio.timeout(1.0):
             self.assertIsInstance(await serving, offload_link.BrokenOff)
         await self.other.receive(offload_messages.Withdrawn)
@@ -176,7 +178,7 @@
         serving = self.serve()
         offer = await self.other.receive(offload_messages.Offer)
         self.response.is_wanted = False
-        self.other.send(offload_messages.SendWanted(offer.number))
+        self.other.send(offload_messages.SendWanted(offer.number, "u"))
         self.assertIsInstance(await serving, offload_link.NotSent)
         await self.other.receive(offload_messages.Withdrawn)
         allowed = offload_messages.SendAllowed
@@ -192,7 +194,7 @@
     async def test_response_that_is_broken_off_there(self):
         serving = self.serve()
         offer = await self.other.receive(offload_messages.Offer)
-        self.other.send(offload_messages.SendWanted(offer.number))
+        self.other.send(offload_messages.SendWanted(offer.number, "u"))
         self.other.send(offload_messages.End(offer.number, is_complete=False))
         self.assertIsInstance(await serving, offload_link.BrokenOff)
 
@@ -205,7 +207,7 @@
         for message in unpacker.feed(data):
             if isinstance(message, offload_messages.Offer):
                 connection.sendall(
-                    wire.pack(offload_messages.SendWanted(message.number))
+                    wire.pack(offload_messages.SendWanted(message.number, "u"))
                 )
     connection.close()
 
--- a/tests/test_offload_server.py
+++ b/tests/test_offload_server.py
@@ -41,7 +41,7 @@
         self.received_at = received_at
         self.assertEqual("busy", response.via)
         try:
-            await response.confirm_send()
+            await response.confirm_send(ids.UpstreamId("u"))
             self.sent.append(message.target)
             await response.start(HEAD)
             await response.write(self.body)
@@ -68,7 +68,10 @@
                     if isinstance(message, message_type):
                         self.received.remove(message)
                         return message
-                self.received += self.unpacker.feed(await self.stream.read())
+                data = await self.stream.read()
+                if not data:
+                    raise EOFError
+                self.received += self.unpacker.feed(data)
 
     async def wait_for(self, condition):
         async with asyncio.timeout(2.0):
@@ -134,17 +137,21 @@
         self.stream.abort()
         await self.wait_for(lambda: len(self.cancelled) == 3)
 
-    async def test_idle_connection_is_closed_in_a_stop(self):
+    async def test_stopping_router_lets_the_other_one_close(self):
+        """If it closed the connection itself, bytes on their way would reset it."""
         self.offer()
         await self.receive(offload_messages.SendWanted)
-        self.server.close_idle()
+        self.server.announce_closing()
+        self.server.announce_closing()
+        await self.receive(offload_messages.Closing)
         self.send(offload_messages.SendAllowed(0))
         await self.receive(offload_messages.End)
-        await self.wait_for(lambda: self.sent == ["/0"])
-        await asyncio.sleep(0.05)
-        self.server.close_idle()
-        async with asyncio.timeout(2.0):
-            await self.stream.wait_closed_by_peer()
+        self.server.announce_closing()
+        self.send(offload_messages.Consumed(0, 4))
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.stream.is_closed_by_peer)
+        closing = offload_messages.Closing
+        self.assertFalse([m for m in self.received if isinstance(m, closing)])
 
     async def test_malformed_bytes_end_the_connection(self):
         self.stream.write(b"POST /x/1 HTTP/1.1\r\n\r\n")
