--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -186,7 +186,9 @@
 
     def _find_router(self) -> ids.InstanceId | None:
         """Returns the router that new requests are passed on to, or `None`."""
-        if not self._lag.is_busy or self._remote_requests >= MAX_REMOTE_REQUESTS:
+        if not self._lag.is_busy or self._lag.is_late:
+            return None
+        if self._remote_requests >= MAX_REMOTE_REQUESTS:
             return None
         if _now() - self._chose_at > CHOICE_TTL_S:
             self._choose()
