Answer requests that have arrived before an idle connection closes

What has arrived is read first now.

Before: test_request_that_has_arrived_ends_the_idle_time failed; after: it passes. The test of the stop beside it passed before as well.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -292,7 +292,10 @@
             self._has_served = True
         if response.progress is not Progress.COMPLETE or not response.keep_alive:
             return False
-        return self._stream.has_unread or not self._must_close()
+        if not self._must_close():
+            return True
+        await tcp_stream.process_pending_events()
+        return self._stream.has_unread
 
     async def _serve_request(self, request, response: CallerResponse) -> None:
         """Serves a request, or stops at once when the caller disconnects.
@@ -323,16 +326,33 @@
         if request is not None:
             return request
         limits = self._find_limits()
-        if not self._parser.is_in_message and not self._stream.has_unread:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                if not await self._receive():
-                    return None
-        async with asyncio.timeout(limits.head_timeout_s):
-            while (request := self._parser.take()) is None:
-                if not await self._receive():
-                    return None
+        is_idle = not self._parser.is_in_message and not self._stream.has_unread
+        if is_idle and not await self._receive_within(limits.idle_timeout_s):
+            return None
+        deadline = _now() + limits.head_timeout_s
+        while (request := self._parser.take()) is None:
+            if not await self._receive_within(deadline - _now()):
+                return None
         return request
 
+    async def _receive_within(self, timeout_s: float) -> bool:
+        """Parses the next bytes; returns `False` at the end of the stream.
+
+        Bytes that have arrived in time count, though a delay of the event loop may have
+        kept this router from reading them.
+
+        Raises:
+            TimeoutError: None have arrived in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._receive()
+        except TimeoutError:
+            await tcp_stream.process_pending_events()
+            if not self._stream.has_unread and not self._stream.is_closed_by_peer:
+                raise
+        return await self._receive()
+
     async def _receive(self) -> bool:
         """Parses the next received bytes; returns `False` at the end of the stream."""
         data = await self._stream.read()
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -230,6 +230,8 @@
         self._close_listeners()
         self._forwarder.is_stopping = True
         while self._now() < deadline:
+            # After a delay, requests that have arrived may not have been read.
+            await tcp_stream.process_pending_events()
             self._close_idle()
             is_accepting = any(each.is_accepting for each in self._listeners)
             if not self._tasks and not is_accepting:
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -1,9 +1,11 @@
 import asyncio
+import dataclasses
 import socket
+import time
 import unittest
 import unittest.mock
 
-from teaselsill import caller_connection, http_messages, tcp_stream
+from teaselsill import caller_connection, entry_router, http_messages, tcp_stream
 from tests import entry_bench
 
 
@@ -179,3 +181,34 @@
             caller = entry_bench.Caller(stream)
             self.assertEqual(status, (await caller.ask(path=path, method="GET"))[0])
             caller.abort()
+
+
+class LateLoopTest(EntryCase):
+    """LOST: what had arrived was not read before a timeout or a stop closed it."""
+
+    async def connect(self):
+        self.bench = await self.start(timeout_s=5.0)
+        self.caller = await self.bench.connect()
+        self.assertEqual((200, b"ok", True), await self.caller.ask("1"))
+        await asyncio.sleep(0.05)
+
+    async def test_request_that_has_arrived_ends_the_idle_time(self):
+        await self.connect()
+        table = self.bench.forwarder.table
+        table.limits = dataclasses.replace(table.limits, idle_timeout_s=0.3)
+        self.assertEqual((200, b"ok", True), await self.caller.ask("2"))
+        await asyncio.sleep(0.1)
+        self.caller.send("3")
+        time.sleep(0.5)  # noqa: ASYNC251
+        self.assertEqual((200, b"ok", True), await self.caller.receive())
+
+    async def test_request_that_has_arrived_is_answered_in_a_stop(self):
+        await self.connect()
+        with unittest.mock.patch.object(entry_router, "LISTEN_AFTER_STOP_S", 0.2):
+            stopping = asyncio.create_task(self.bench.router.stop())
+            await asyncio.sleep(0.1)
+            self.caller.send("2")
+            time.sleep(0.5)  # noqa: ASYNC251
+            status, _, is_complete = await self.caller.receive()
+            self.assertEqual((True, True), (status in (200, 503), is_complete))
+            await stopping
