Name the bench and the tests of requests that are passed on after them

test_failures_handed_over is test_failures_passed_on now, HandoverBench is OffloadBench. The state of a remote request loses a value that nothing read.

--- a/teaselsill/offload_link.py
+++ b/teaselsill/offload_link.py
@@ -41,7 +41,6 @@
 
     OFFERED = "offered"
     ALLOWED = "allowed"
-    STARTED = "started"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,8 +110,7 @@
 
     def note_allowed(self, upstream: ids.UpstreamId) -> None:
         """Records that the other router may send the request to an upstream."""
-        if self.state is State.OFFERED:
-            self.state = State.ALLOWED
+        self.state = State.ALLOWED
         self.upstreams.append(upstream)
         self._wake.set()
 
@@ -302,7 +300,6 @@
             for message in await request.take_all():
                 match message:
                     case offload_messages.Head():
-                        request.state = State.STARTED
                         await response.start(_make_head(message))
                     case offload_messages.Data(data=data):
                         await response.write(data)
--- a/tests/handover_bench.py
+++ b/tests/offload_bench.py
@@ -11,8 +11,8 @@
 REPORT_INTERVAL_S = 0.1
 
 
-class HandoverBench(contextlib.AsyncExitStack):
-    """A busy router that hands its callers over to another one.
+class OffloadBench(contextlib.AsyncExitStack):
+    """A busy router that passes requests on to another one.
 
     All bytes between the two pass a link that can be paused.
 
--- a/tests/test_failures_offers.py
+++ b/tests/test_failures_offers.py
@@ -1,4 +1,4 @@
-"""Faults of offers between routers that a review of their code has found."""
+"""Faults of the offers between routers, and of what surrounds them."""
 
 import asyncio
 import unittest
@@ -13,7 +13,7 @@
     routing_table,
     tcp_stream,
 )
-from tests import entry_bench, handover_bench, pausable_link
+from tests import entry_bench, offload_bench, pausable_link
 
 SLOW_S = 0.2
 """An answer that takes longer has waited for an offer without a reply."""
@@ -21,7 +21,7 @@
 
 class OfferCase(unittest.IsolatedAsyncioTestCase):
     async def start(self, script=entry_bench.respond_ok, **fields):
-        self.bench = handover_bench.HandoverBench(script, **fields)
+        self.bench = offload_bench.OffloadBench(script, **fields)
         await self.enterAsyncContext(self.bench)
 
     async def count_slow(self, count):
@@ -65,7 +65,7 @@
         self.bench.link = await self.enterAsyncContext(
             pausable_link.PausableLink(target)
         )
-        await asyncio.sleep(2 * handover_bench.REPORT_INTERVAL_S)
+        await asyncio.sleep(2 * offload_bench.REPORT_INTERVAL_S)
         with unittest.mock.patch.object(offload, "AVOIDED_S", 0.1):
             slow = 0
             for _ in range(4):
--- a/tests/test_failures_handed_over.py
+++ b/tests/test_failures_passed_on.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from teaselsill import http_messages, ids, routing_table
-from tests import entry_bench, handover_bench
+from tests import entry_bench, offload_bench
 
 EVENT_INTERVAL_S = 0.1
 
@@ -23,11 +23,11 @@
     return script
 
 
-class HandedOverTest(unittest.IsolatedAsyncioTestCase):
+class PassedOnTest(unittest.IsolatedAsyncioTestCase):
     """A response that a busy router gets from another one is not given up."""
 
     async def start(self, script=entry_bench.respond_ok, **fields):
-        self.bench = handover_bench.HandoverBench(script, **fields)
+        self.bench = offload_bench.OffloadBench(script, **fields)
         await self.enterAsyncContext(self.bench)
 
     async def begin(self):
@@ -55,7 +55,7 @@
         await self.bench.pause_other(2.5)
         await self.check_completes(caller)
 
-    async def test_response_goes_on_after_a_pause_of_the_relaying_router(self):
+    async def test_response_goes_on_after_a_pause_of_the_busy_router(self):
         """What had arrived meanwhile was not read before the other was given up."""
         await self.start(stream_for(0.5))
         caller = await self.begin()
@@ -98,7 +98,7 @@
         await self.check_completes(caller)
         await stopping
 
-    async def test_response_goes_on_during_a_stop_of_the_relaying_router(self):
+    async def test_response_goes_on_during_a_stop_of_the_busy_router(self):
         await self.start(stream_for(1.5))
         caller = await self.begin()
         stopping = asyncio.create_task(self.bench.busy.router.stop())
@@ -110,7 +110,7 @@
     """A request that the other router has not sent to an upstream is served here."""
 
     async def start(self, **fields):
-        self.bench = handover_bench.HandoverBench(**fields)
+        self.bench = offload_bench.OffloadBench(**fields)
         await self.enterAsyncContext(self.bench)
         self.assertEqual((200, b"ok", True), await self.bench.busy.ask("0"))
         self.assertEqual(1, self.bench.count_served_by(self.bench.other))
@@ -168,7 +168,7 @@
                 await asyncio.sleep(5.0)
             stream.write(entry_bench.make_response(request))
 
-        self.bench = handover_bench.HandoverBench(script, upstreams=2, **fields)
+        self.bench = offload_bench.OffloadBench(script, upstreams=2, **fields)
         await self.enterAsyncContext(self.bench)
         caller = await self.bench.busy.connect()
         caller.send()
--- a/tests/test_failures_silence.py
+++ b/tests/test_failures_silence.py
@@ -6,7 +6,7 @@
 import unittest
 
 from teaselsill import http_messages, ids, routing_table
-from tests import entry_bench, handover_bench
+from tests import entry_bench, offload_bench
 
 SILENT_S = 1.4
 """How long the upstream is silent."""
@@ -197,12 +197,12 @@
         await self.check(Point.IN_EVENT, routing_table.Repeat.RESUME)
 
 
-class RelayedCase(SilenceCase):
+class PassedOnCase(SilenceCase):
     """The same through a busy router that passes its requests on."""
 
     async def start(self, script):
         """See `SilenceCase.start`."""
-        bench = handover_bench.HandoverBench(script, **self.fields)
+        bench = offload_bench.OffloadBench(script, **self.fields)
         await self.enterAsyncContext(bench)
         self.upstream = bench.upstreams[0]
         return bench.busy, [bench.busy, bench.other]
@@ -218,12 +218,12 @@
     requests = SEVERAL
 
 
-class RelayedRequestTest(SilenceTests, RelayedCase):
-    """One relayed request is in progress at the upstream."""
+class PassedOnRequestTest(SilenceTests, PassedOnCase):
+    """One request that was passed on is in progress at the upstream."""
 
 
-class SeveralRelayedRequestsTest(SilenceTests, RelayedCase):
-    """Several relayed requests are in progress at the upstream."""
+class SeveralPassedOnRequestsTest(SilenceTests, PassedOnCase):
+    """Several requests that were passed on are in progress at the upstream."""
 
     requests = SEVERAL
 
--- a/tests/test_offload.py
+++ b/tests/test_offload.py
@@ -12,7 +12,7 @@
     loop_lag,
     offload,
 )
-from tests import entry_bench, handover_bench, test_fleet_view
+from tests import entry_bench, offload_bench, test_fleet_view
 
 make_status = test_fleet_view.make_status
 
@@ -88,7 +88,7 @@
     """A busy router passes requests on to a less loaded one."""
 
     async def start(self, script=entry_bench.respond_ok, **fields):
-        self.bench = handover_bench.HandoverBench(script, **fields)
+        self.bench = offload_bench.OffloadBench(script, **fields)
         await self.enterAsyncContext(self.bench)
         self.busy, self.other = self.bench.busy, self.bench.other
 
