Decode the limits that upstreams name, and log and report their changes

Limit, pause and leaving are now one typed announcement, recorded on one path and logged alike, one line for each change; routers report changes to each other and tell them to new ones. A response ends a limit only if its request was sent after the last response that named one had arrived. Nothing acts on a limit yet.

--- a/teaselsill/calls.py
+++ b/teaselsill/calls.py
@@ -4,7 +4,14 @@
 import dataclasses
 import typing
 
-from teaselsill import errors, http_messages, ids, routing_table, upstream_list
+from teaselsill import (
+    announcements,
+    errors,
+    http_messages,
+    ids,
+    routing_table,
+    upstream_list,
+)
 
 
 class BadCallError(errors.RequestError):
@@ -64,9 +71,8 @@
         idle_timeout_s: How long the upstream keeps an idle connection, if it is given.
         running: How many requests the upstream runs; None if it is not given.
         waiting: How many requests wait there; None if it is not given.
-        is_leaving: Whether the upstream states that it is leaving.
-        pause_s: How long the upstream wants no request of this router, in seconds, if
-            it has refused the request and states this.
+        announcement: What the upstream states about itself; None if another one has
+            sent the response.
     """
 
     request: str | None = None
@@ -76,8 +82,7 @@
     idle_timeout_s: float | None = None
     running: int | None = None
     waiting: int | None = None
-    is_leaving: bool = False
-    pause_s: float | None = None
+    announcement: announcements.Announcement | None = None
 
 
 class Dialect(abc.ABC):
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -3,6 +3,7 @@
 import logging
 
 from teaselsill import (
+    announcements,
     engine_queue,
     ids,
     placement,
@@ -78,7 +79,10 @@
             is listed.
         """
         return min(
-            (c.health.find_pause_left_s(now) for c in self.candidates(service, set())),
+            (
+                c.announced.find_pause_left_s(now)
+                for c in self.candidates(service, set())
+            ),
             default=0.0,
         )
 
@@ -92,6 +96,14 @@
             return None
         return self._candidate(upstream)
 
+    def list_limited(self) -> list[placement.Candidate]:
+        """Returns the upstreams that limit the requests that they take."""
+        return [
+            candidate
+            for candidate in self._candidate_by_incarnation.values()
+            if candidate.announced.limit_per_s is not None
+        ]
+
     def sum_rates(self) -> float:
         """Returns the prefill rate of all engines in use, in tokens a second."""
         return sum(
@@ -170,6 +182,7 @@
                 queue=engine_queue.EngineQueue(),
                 prefix_cache=prefix_cache_index.PrefixCacheIndex(capacity),
                 health=upstream_health.UpstreamHealth(upstream.id),
+                announced=announcements.AnnouncedState(upstream.id),
                 hold_time=self._find_hold_time(upstream.service),
             )
             self._candidate_by_incarnation[incarnation] = known
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -3,8 +3,11 @@
 import asyncio
 import collections.abc
 
+import msgspec
+
 from teaselsill import (
     account_usage,
+    announcements,
     calls,
     decaying_sum,
     directory,
@@ -17,7 +20,6 @@
     placement,
     quarantine,
     trial_claims,
-    upstream_list,
     upstream_load,
 )
 
@@ -27,6 +29,8 @@
 """The minimum time between two reports, even urgent ones."""
 PEER_RATE_DECAY_S = 1.0
 """Time constant of the estimated rate at which other routers send prompt tokens."""
+TRANSIT_S = 0.5
+"""How long a report may take, for the age of what it says."""
 FULL_REPORT_S = 0.5
 """How often the load at all engines is reported, even if it has not changed."""
 TELLERS = 3
@@ -80,6 +84,7 @@
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._peer_tokens = decaying_sum.DecayingSum(PEER_RATE_DECAY_S)
         self._urgent = asyncio.Event()
+        self._changed_limits: set[ids.UpstreamId] = set()
         self._on_log_change = on_log_change
         self._on_log_reading = on_log_reading
         self.quarantine = quarantine.Quarantine()
@@ -91,6 +96,7 @@
         return (
             self._has_log_change
             or self._has_new_router
+            or bool(self._changed_limits)
             or not self.quarantine.outbox.is_empty
             or not self._report_builder.is_empty
         )
@@ -209,10 +215,26 @@
         self._update_outstanding(candidate, now)
         self._report_builder.add_prefilled(candidate.upstream.id, prefill_tokens)
 
-    def note_leaving(self, upstream: upstream_list.Upstream) -> None:
-        """Records that an upstream has announced in a response that it leaves."""
-        if self._directory.listed.note_leaving(upstream):
+    def note_announcement(
+        self,
+        candidate: placement.Candidate,
+        announcement: announcements.Announcement,
+        sent_at: float,
+    ) -> None:
+        """Records what an upstream has announced about itself in a response.
+
+        Args:
+            candidate: The upstream.
+            announcement: The announcement.
+            sent_at: When the request of the response was sent, in seconds.
+        """
+        upstream = candidate.upstream
+        listed = self._directory.listed
+        if announcement.is_leaving and listed.note_leaving(upstream):
             self._report_builder.add_leaving(upstream.id, upstream.born_ms)
+        if candidate.announced.note(announcement, sent_at, self._now()):
+            self._changed_limits.add(upstream.id)
+            self._urgent.set()
 
     def note_ended(self, candidate: placement.Candidate) -> None:
         """Records that a request of this router has ended at an engine."""
@@ -245,9 +267,11 @@
         )
         self._has_new_router = False
         interval_s = peer_reports.find_interval_s(self.count_live_peers())
-        return self._report_builder.take(
+        report = self._report_builder.take(
             status, changed, self._offset_by_topic, news, interval_s
         )
+        limit_news = self._take_limit_news(now)
+        return msgspec.structs.replace(report, limit_news=limit_news)
 
     def make_greeting(self) -> peer_reports.Report:
         """Returns a report for a router to which a connection has just opened.
@@ -264,6 +288,7 @@
             offset_by_topic={},
             log_reading_by_topic={},
             crash_news=self.quarantine.describe(self._now()),
+            limit_news=self._list_limits(self._now()),
         )
 
     def apply(self, report: peer_reports.Report) -> None:
@@ -280,6 +305,8 @@
             self._on_log_change(topic, offset)
         for leaving in report.leaving:
             self._apply_leaving(leaving)
+        for news in report.limit_news:
+            self._apply_limit_news(report.router, news, now)
         self.quarantine.apply(report.crash_news, now)
         for prompt in report.assigned_prompts:
             candidate = self._directory.find(prompt.upstream)
@@ -316,6 +343,38 @@
         if known is not None and known.born_ms == leaving.born_ms:
             self._directory.listed.note_leaving(known)
 
+    def _take_limit_news(self, now: float) -> list[peer_reports.LimitNews]:
+        """Returns what has changed about limits since the last report."""
+        candidates = [
+            self._directory.find(upstream) for upstream in self._changed_limits
+        ]
+        self._changed_limits = set()
+        return [
+            _make_limit_news(each, now)
+            for each in candidates
+            if each is not None and each.announced.last_sighting is not None
+        ]
+
+    def _list_limits(self, now: float) -> list[peer_reports.LimitNews]:
+        """Returns all limits in force."""
+        return [
+            _make_limit_news(candidate, now)
+            for candidate in self._directory.list_limited()
+        ]
+
+    def _apply_limit_news(
+        self, router: ids.InstanceId, news: peer_reports.LimitNews, now: float
+    ) -> None:
+        candidate = self._directory.find(news.upstream)
+        if candidate is None or candidate.upstream.born_ms != news.born_ms:
+            return
+        sighting = announcements.Sighting(
+            news.per_s,
+            sent_at=now - news.sent_ago_s - TRANSIT_S,
+            heard_at=now - news.heard_ago_s,
+        )
+        candidate.announced.note_sighting(sighting, told_by=router)
+
     def set_capacity(self, tokens_per_s: float) -> None:
         """Sets the capacity of all engines, in tokens a second; 0 if it is unknown."""
         self.usage.capacity = tokens_per_s * account_usage.DECAY_S
@@ -332,6 +391,19 @@
         return asyncio.get_running_loop().time()
 
 
+def _make_limit_news(
+    candidate: placement.Candidate, now: float
+) -> peer_reports.LimitNews:
+    sighting = candidate.announced.last_sighting
+    return peer_reports.LimitNews(
+        candidate.upstream.id,
+        candidate.upstream.born_ms,
+        sighting.per_s,
+        sent_ago_s=now - sighting.sent_at,
+        heard_ago_s=now - sighting.heard_at,
+    )
+
+
 def find_cost(call: calls.Call) -> int:
     """Returns the cost of a request, in prompt tokens."""
     return call.prompt_tokens + OUTPUT_WEIGHT * call.expected_output_tokens
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -113,6 +113,24 @@
     born_ms: int
 
 
+class LimitNews(msgspec.Struct, array_like=True, frozen=True):
+    """What a response to the sender said about the limit of an upstream.
+
+    Attributes:
+        upstream: The upstream.
+        born_ms: When this incarnation started, in Unix milliseconds.
+        per_s: The limit, in requests a second; None if none was named.
+        sent_ago_s: How long ago the request of that response was sent, in seconds.
+        heard_ago_s: How long ago the head of the response arrived, in seconds.
+    """
+
+    upstream: ids.UpstreamId
+    born_ms: int
+    per_s: float | None
+    sent_ago_s: float
+    heard_ago_s: float
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What has happened at a router since its last report.
 
@@ -132,6 +150,7 @@
         crash_news: What it has learnt about crashes of upstreams.
         interval_s: The longest time until its next report, in seconds; 0 if it has not
             been stated.
+        limit_news: The limits of upstreams that it has seen begin, change or end.
     """
 
     router: ids.InstanceId
@@ -146,6 +165,7 @@
     should_forward: bool = False
     crash_news: crash_reports.News = crash_reports.NO_NEWS
     interval_s: float = 0.0
+    limit_news: list[LimitNews] = []
 
 
 class ReportBuilder:
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -6,6 +6,7 @@
 import random
 
 from teaselsill import (
+    announcements,
     calls,
     engine_queue,
     ids,
@@ -47,6 +48,7 @@
         prefix_cache: The prompt prefixes that it is believed to have cached.
         queue: The prompts that it has still to prefill.
         health: The results of recent requests.
+        announced: What it has announced about its own state.
         hold_time: How long requests hold a slot at the upstreams of its service.
     """
 
@@ -55,6 +57,7 @@
     prefix_cache: prefix_cache_index.PrefixCacheIndex
     queue: engine_queue.EngineQueue
     health: upstream_health.UpstreamHealth
+    announced: announcements.AnnouncedState
     hold_time: slot_wait.HoldTime = dataclasses.field(
         default_factory=slot_wait.HoldTime
     )
@@ -112,7 +115,7 @@
             engines but not reported yet.
         uninterrupted_s: How long the router has run without interruption, in seconds.
     """
-    candidates = [c for c in candidates if not c.health.find_pause_left_s(now)]
+    candidates = [c for c in candidates if not c.announced.find_pause_left_s(now)]
     if not candidates:
         return None
     healthy = [
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -223,9 +223,7 @@
             for part in parts:
                 match part:
                     case http_messages.Head():
-                        failure = await self._handle_head(
-                            state, candidate, connection, part
-                        )
+                        failure = await self._handle_head(attempt, part)
                         if failure is not None:
                             _abort_if_incomplete(parts, connection)
                             return failure
@@ -275,23 +273,24 @@
         )
 
     async def _handle_head(
-        self, state, candidate, connection, head
+        self, attempt: open_attempts.Attempt, head: http_messages.Head
     ) -> outcomes.Outcome | None:
         """Starts the response to the caller.
 
         Returns:
             The outcome of the attempt if its response is not relayed, or None.
         """
+        state, candidate = attempt.state, attempt.candidate
         metadata = state.metadata
         if metadata.idle_timeout_s is not None:
-            connection.idle_timeout_s = metadata.idle_timeout_s
+            attempt.connection.idle_timeout_s = metadata.idle_timeout_s
         if metadata.running is not None:
             total = metadata.running + (metadata.waiting or 0)
             candidate.load.note_report(total, self._now())
-        if metadata.is_leaving:
-            self._view.note_leaving(candidate.upstream)
-        if metadata.pause_s is not None:
-            candidate.health.pause(self._now(), metadata.pause_s)
+        if metadata.announcement is not None:
+            self._view.note_announcement(
+                candidate, metadata.announcement, attempt.in_flight.sent_at
+            )
         if metadata.is_wrong_instance:
             self._directory.note_address_reused(candidate.upstream)
             return outcomes.NotRun("another instance has the address")
--- a/teaselsill/upstream_health.py
+++ b/teaselsill/upstream_health.py
@@ -38,26 +38,6 @@
         self._recent: collections.deque[tuple[float, Result]] = collections.deque()
         self._avoided_until = float("-inf")
         self._avoided_s = AVOIDED_S
-        self._paused_until = float("-inf")
-
-    def pause(self, now: float, for_s: float) -> None:
-        """Records that the upstream has asked for a pause without requests.
-
-        Args:
-            now: The time, in seconds.
-            for_s: The length of the pause, in seconds.
-        """
-        if now + for_s <= self._paused_until:
-            return
-        self._paused_until = now + for_s
-        logger.info(
-            "upstream wants a pause",
-            extra={"upstream": self._upstream, "for_s": for_s},
-        )
-
-    def find_pause_left_s(self, now: float) -> float:
-        """Returns the remaining time of the pause, in seconds; 0 if there is none."""
-        return max(0.0, self._paused_until - now)
 
     def note(self, result: Result, now: float) -> None:
         """Records how a request ended, and avoids the upstream if too many fail.
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -4,7 +4,7 @@
 from adapter import dialect
 from hypothesis import strategies
 
-from teaselsill import calls, http_messages, ids
+from teaselsill import announcements, calls, http_messages, ids
 from tests import test_upstream_list
 
 HEADERS = [
@@ -136,21 +136,48 @@
         self.assertIsNone(self.read(200, (dialect.SERVER_LOAD, "3,x,8")).running)
 
     def test_leaving_and_pause(self):
-        metadata = self.read(200, (dialect.SERVER_LEAVING, "1"))
-        self.assertEqual((True, None), (metadata.is_leaving, metadata.pause_s))
-        metadata = self.read(503, (dialect.RETRY_AFTER, "2.5"))
-        self.assertEqual((False, 2.5), (metadata.is_leaving, metadata.pause_s))
+        said = self.read(200, (dialect.SERVER_LEAVING, "1")).announcement
+        self.assertEqual((True, None), (said.is_leaving, said.pause_s))
+        said = self.read(503, (dialect.RETRY_AFTER, "2.5")).announcement
+        self.assertEqual((False, 2.5), (said.is_leaving, said.pause_s))
         for status, value in ((200, "2"), (503, "-1"), (503, "nan"), (503, "soon")):
             with self.subTest(status=status, value=value):
-                self.assertIsNone(
-                    self.read(status, (dialect.RETRY_AFTER, value)).pause_s
-                )
-
-    def test_hints_of_another_instance_are_ignored(self):
+                said = self.read(status, (dialect.RETRY_AFTER, value)).announcement
+                self.assertIsNone(said.pause_s)
+
+    def read_limit(self, *values, status=200):
+        fields = [(dialect.SERVER_LIMIT, value) for value in values]
+        headers = [(dialect.REQUEST_ID, "9c41"), *fields]
+        return self.read(status, *headers).announcement.rate_limit
+
+    def test_limit(self):
+        for value, per_s in (("5", 5.0), ("0", 0.0), ("0.25", 0.25), (" 7.9 ", 7.9)):
+            with self.subTest(value=value):
+                limited = announcements.Limited(per_s)
+                self.assertEqual(limited, self.read_limit(value))
+                self.assertEqual(limited, self.read_limit(value, status=503))
+                self.assertEqual(limited, self.read_limit(value, value))
+
+    def test_absurd_limit_is_unreadable(self):
+        absurd = ("", "-1", "nan", "inf", "1e3", "5,4", "1" + 400 * "0", "5" * 5000)
+        for values in (*((value,) for value in absurd), ("5", "4")):
+            with self.subTest(values=[value[:8] for value in values]):
+                said = self.read_limit(*values)
+                self.assertIsInstance(said, announcements.Unreadable)
+                self.assertLessEqual(len(said.text), dialect.MAX_LOGGED_CHARACTERS)
+
+    def test_only_an_own_response_without_a_limit_says_that_there_is_none(self):
+        self.assertEqual(announcements.Unlimited(), self.read_limit())
+        self.assertIsNone(self.read(200).announcement.rate_limit)
+
+    def test_announcements_of_another_instance_are_ignored(self):
         metadata = self.read(
-            421, (dialect.SERVER_LEAVING, "1"), (dialect.RETRY_AFTER, "2")
+            421,
+            (dialect.SERVER_LEAVING, "1"),
+            (dialect.RETRY_AFTER, "2"),
+            (dialect.SERVER_LIMIT, "5"),
         )
-        self.assertEqual((False, None), (metadata.is_leaving, metadata.pause_s))
+        self.assertIsNone(metadata.announcement)
 
     def test_refusal_has_request_id_and_retry_after(self):
         call = read(HEADERS)
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -5,6 +5,7 @@
 
 from teaselsill import (
     admission,
+    announcements,
     calls,
     directory,
     entry_metrics,
@@ -65,8 +66,13 @@
             has_not_run=head.get("not-run") is not None,
             is_wrong_instance=head.status == 421,
             is_sealed=head.get("seal") is not None,
-            is_leaving=head.get("leaving") is not None,
-            pause_s=float(head.get("pause")) if head.get("pause") else None,
+            announcement=announcements.Announcement(
+                is_leaving=head.get("leaving") is not None,
+                pause_s=float(head.get("pause")) if head.get("pause") else None,
+                rate_limit=announcements.Limited(float(head.get("limit")))
+                if head.get("limit")
+                else announcements.Unlimited(),
+            ),
         )
 
     def make_rejection_headers(self, call, retry_after_s):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import unittest.mock
 
 from teaselsill import (
+    announcements,
     boot_clock,
     crash_reports,
     http_messages,
@@ -214,7 +215,9 @@
         other = entry_bench.fleet_view.FleetView(
             ids.InstanceId("o"), bench.directory, bench.router.describe_status
         )
-        other.note_leaving(upstream)
+        leaving = announcements.Announcement(is_leaving=True)
+        candidate = bench.directory.find(upstream.id)
+        other.note_announcement(candidate, leaving, sent_at=0.0)
         bench.view.apply(other.take_report())
         self.assertEqual(503, (await bench.ask())[0])
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 import unittest
 
 from teaselsill import (
+    announcements,
     calls,
     engine_queue,
     http_messages,
@@ -26,6 +27,7 @@
         prefix_cache=prefix_cache_index.PrefixCacheIndex(kv_cache_tokens),
         queue=engine_queue.EngineQueue(),
         health=upstream_health.UpstreamHealth(upstream.id),
+        announced=announcements.AnnouncedState(upstream.id),
     )
 
 
--- a/tests/test_upstream_health.py
+++ b/tests/test_upstream_health.py
@@ -30,10 +30,3 @@
         again = 3 * upstream_health.AVOIDED_S
         self.assertTrue(self.health.is_avoided(again - 0.1))
         self.assertFalse(self.health.is_avoided(again))
-
-    def test_pause_lasts_until_its_latest_end(self):
-        self.health.pause(1.0, 2.0)
-        self.assertEqual(2.0, self.health.find_pause_left_s(1.0))
-        self.health.pause(1.5, 0.1)
-        self.assertEqual(0.5, self.health.find_pause_left_s(2.5))
-        self.assertEqual(0.0, self.health.find_pause_left_s(3.0))
