Grant the permits of a limited upstream at one router

Callers saw nothing; upstreams that had named how many requests a second they take from all routers together got as many as before, up to three times the limit.

The class of fault: a bound on the whole fleet that each router could only have kept for itself. Requests that get none in time go to another upstream or are rejected at once, and told when there is room.

--- a/teaselsill/admission.py
+++ b/teaselsill/admission.py
@@ -154,7 +154,7 @@
         """
         if assessment.is_admissible:
             return
-        self._retries.note_rejected(account, call, now)
+        self.note_rejected(call, account, now)
         is_over = assessment.share_ratio > FAIR_RATIO
         cause = rejections.Cause.OVER_SHARE if is_over else rejections.Cause.OVERLOADED
         detail = (
@@ -165,6 +165,18 @@
             detail += f", asked for {assessment.age_s:.2f} s ago"
         raise rejections.RejectedError(cause, detail, choose_retry_after_s(assessment))
 
+    def note_rejected(
+        self, call: calls.Call, account: ids.AccountId | None, now: float
+    ) -> None:
+        """Records a rejection, so that the age of the caller's retry is known.
+
+        Args:
+            call: The request.
+            account: Its client account.
+            now: The time, in seconds.
+        """
+        self._retries.note_rejected(account, call, now)
+
     def _find_ratios(
         self, account: ids.AccountId | None, now: float
     ) -> tuple[float, float]:
@@ -196,6 +208,27 @@
     return min(MAX_WAIT_RATIO, limit)
 
 
+def find_max_wait_s(route: routing_table.Route, assessment: Assessment | None) -> float:
+    """Returns how long a request that has not been sent may wait, in seconds.
+
+    Args:
+        route: Its route.
+        assessment: The result of `assess`; None for a call without a prompt.
+    """
+    if assessment is not None:
+        return assessment.limit_s
+    return MAX_WAIT_RATIO * (route.objective_s or DEFAULT_OBJECTIVE_S)
+
+
+def spread_retry_after_s(wait_s: float) -> float:
+    """Returns a random retry delay in seconds, not before there is room.
+
+    Args:
+        wait_s: How long until there is room for one more request, in seconds.
+    """
+    return random.uniform(1.0, 2.0) * max(MIN_RETRY_AFTER_S, wait_s)
+
+
 def choose_retry_after_s(assessment: Assessment) -> float:
     """Returns a random retry delay in seconds, so that retries are spread over time."""
     longest_s = MAX_RETRY_AFTER_S if assessment.share_ratio > FAIR_RATIO else 1.0
--- a/teaselsill/announcements.py
+++ b/teaselsill/announcements.py
@@ -50,6 +50,19 @@
     rate_limit: RateLimit | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """A limit in force.
+
+    Attributes:
+        per_s: How many requests a second the upstream takes.
+        since: Since when the limit is known, in seconds.
+    """
+
+    per_s: float
+    since: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sighting:
     """What a response said about a limit.
@@ -76,9 +89,18 @@
         self._upstream = upstream
         self._paused_until = float("-inf")
         self._sighting: Sighting | None = None
+        self._limited_since = 0.0
         self._reported_per_s: float | None = None
         self._unreadable: Unreadable | None = None
 
+    @property
+    def limit(self) -> Limit | None:
+        """The limit in force, or None."""
+        sighting = self._sighting
+        if sighting is None or sighting.per_s is None:
+            return None
+        return Limit(sighting.per_s, self._limited_since)
+
     @property
     def limit_per_s(self) -> float | None:
         """The limit in force, in requests a second; None if there is none."""
@@ -139,6 +161,8 @@
                 return False
         elif known is not None and sighting.heard_at < known.heard_at:
             return False
+        if known is None or known.per_s is None:
+            self._limited_since = sighting.heard_at
         self._sighting = sighting
         has_changed = _differ(self._reported_per_s, sighting.per_s)
         if has_changed:
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -18,9 +18,6 @@
 
 logger = logging.getLogger(__name__)
 
-UpstreamIncarnation = tuple[ids.UpstreamId, int]
-"""An upstream's id and its start time in Unix milliseconds."""
-
 
 class Directory:
     """The listed upstreams, and the router's state for each of their incarnations.
@@ -33,14 +30,14 @@
     def __init__(self):
         self.listed = upstream_list.UpstreamList()
         self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
-        self._candidate_by_incarnation: dict[
-            UpstreamIncarnation, placement.Candidate
+        self._candidate_by_key: dict[
+            upstream_list.UpstreamKey, placement.Candidate
         ] = {}
-        self._pool_by_incarnation: dict[
-            UpstreamIncarnation, upstream_connection.ConnectionPool
+        self._pool_by_key: dict[
+            upstream_list.UpstreamKey, upstream_connection.ConnectionPool
         ] = {}
         self._hold_time_by_service: dict[ids.ServiceName, slot_wait.HoldTime] = {}
-        self._address_reused: set[UpstreamIncarnation] = set()
+        self._address_reused: set[upstream_list.UpstreamKey] = set()
 
     def candidates(
         self, service: routing_table.Service, excluded: set[ids.UpstreamId]
@@ -54,8 +51,7 @@
         return [
             self._candidate(upstream)
             for upstream in self.listed.usable(service.name)
-            if upstream.id not in excluded
-            and (upstream.id, upstream.born_ms) not in self._address_reused
+            if upstream.id not in excluded and upstream.key not in self._address_reused
         ]
 
     def is_usable(self, upstream: upstream_list.Upstream) -> bool:
@@ -100,23 +96,35 @@
         """Returns the upstreams that limit the requests that they take."""
         return [
             candidate
-            for candidate in self._candidate_by_incarnation.values()
+            for candidate in self._candidate_by_key.values()
             if candidate.announced.limit_per_s is not None
         ]
 
     def sum_rates(self) -> float:
-        """Returns the prefill rate of all engines in use, in tokens a second."""
+        """Returns the prefill rate of all engines in use, in tokens a second.
+
+        It is the rate at which prompts can be sent to them.
+        """
         return sum(
+            candidate.find_rate()
+            for candidate in self._candidate_by_key.values()
+            if candidate.queue.is_used
+        )
+
+    def find_usable_part(self) -> float:
+        """Returns which part of the engines' prefill rate their limits leave."""
+        full_rate = sum(
             candidate.queue.rate
-            for candidate in self._candidate_by_incarnation.values()
+            for candidate in self._candidate_by_key.values()
             if candidate.queue.is_used
         )
+        return self.sum_rates() / full_rate if full_rate else 1.0
 
     def summarize(self) -> dict[ids.UpstreamId, upstream_load.LoadSummary]:
         """Returns the load that this router puts on each engine in use."""
         return {
-            incarnation[0]: candidate.load.summarize()
-            for incarnation, candidate in self._candidate_by_incarnation.items()
+            key.upstream: candidate.load.summarize()
+            for key, candidate in self._candidate_by_key.items()
             if candidate.queue.is_used
         }
 
@@ -124,9 +132,8 @@
         self, upstream: upstream_list.Upstream
     ) -> upstream_connection.ConnectionPool:
         """Returns the idle connections to an upstream."""
-        incarnation = upstream.id, upstream.born_ms
-        return self._pool_by_incarnation.setdefault(
-            incarnation, upstream_connection.ConnectionPool()
+        return self._pool_by_key.setdefault(
+            upstream.key, upstream_connection.ConnectionPool()
         )
 
     def note_address_reused(self, upstream: upstream_list.Upstream) -> None:
@@ -135,7 +142,7 @@
             "another instance has the address",
             extra={"upstream": upstream.id, "host": upstream.host},
         )
-        self._address_reused.add((upstream.id, upstream.born_ms))
+        self._address_reused.add(upstream.key)
 
     def prune(self, now: float) -> None:
         """Drops the state of upstreams that are gone and closes unused connections.
@@ -144,13 +151,13 @@
             now: The event loop's time, in seconds.
         """
         self.listed.expire(now)
-        incarnations = {(u.id, u.born_ms) for u in self.listed.by_id.values()}
-        for incarnation in self._pool_by_incarnation.keys() - incarnations:
-            self._pool_by_incarnation.pop(incarnation).close()
-        for incarnation in self._candidate_by_incarnation.keys() - incarnations:
-            del self._candidate_by_incarnation[incarnation]
-        self._address_reused &= incarnations
-        for pool in self._pool_by_incarnation.values():
+        keys = {upstream.key for upstream in self.listed.by_id.values()}
+        for key in self._pool_by_key.keys() - keys:
+            self._pool_by_key.pop(key).close()
+        for key in self._candidate_by_key.keys() - keys:
+            del self._candidate_by_key[key]
+        self._address_reused &= keys
+        for pool in self._pool_by_key.values():
             pool.drop_stale(now)
 
     def expire_peer_reports(self, now: float) -> None:
@@ -159,20 +166,19 @@
         Args:
             now: The running time of this router, in seconds.
         """
-        for candidate in self._candidate_by_incarnation.values():
+        for candidate in self._candidate_by_key.values():
             candidate.load.expire_peer_reports(now)
 
     def close(self) -> None:
         """Closes all idle connections."""
-        for pool in self._pool_by_incarnation.values():
+        for pool in self._pool_by_key.values():
             pool.close()
 
     def _find_hold_time(self, service: ids.ServiceName) -> slot_wait.HoldTime:
         return self._hold_time_by_service.setdefault(service, slot_wait.HoldTime())
 
     def _candidate(self, upstream: upstream_list.Upstream) -> placement.Candidate:
-        incarnation = upstream.id, upstream.born_ms
-        known = self._candidate_by_incarnation.get(incarnation)
+        known = self._candidate_by_key.get(upstream.key)
         if known is None:
             engine = self.service_by_name[upstream.service].engine
             capacity = engine.kv_cache_tokens if engine else 0
@@ -185,6 +191,6 @@
                 announced=announcements.AnnouncedState(upstream.id),
                 hold_time=self._find_hold_time(upstream.service),
             )
-            self._candidate_by_incarnation[incarnation] = known
+            self._candidate_by_key[upstream.key] = known
         known.upstream = upstream
         return known
--- a/teaselsill/engine_queue.py
+++ b/teaselsill/engine_queue.py
@@ -5,6 +5,10 @@
 INITIAL_RATE = 100_000.0
 """Prefill rate assumed for a new engine, in prompt tokens a second."""
 MIN_RATE = 5_000.0
+INITIAL_MEAN_TOKENS = 2_000.0
+"""The average prompt assumed before there has been any."""
+MEAN_WEIGHT = 0.05
+"""The weight of one prompt in the moving average."""
 PRIOR_S = 0.1
 """Weight of the initial rate: it counts as if measured over this busy time."""
 DECAY_S = 3.0
@@ -26,6 +30,8 @@
         outstanding_tokens: The prompt tokens of requests whose responses have not
             started.
         rate: Estimated prefill rate, in prompt tokens a second.
+        mean_tokens: How many tokens the engine has to prefill for a prompt, as a moving
+            average.
     """
 
     def __init__(self):
@@ -36,6 +42,7 @@
         self._busy_s = 0.0
         self._prefilled_tokens = 0.0
         self.rate = INITIAL_RATE
+        self.mean_tokens = INITIAL_MEAN_TOKENS
 
     @property
     def is_used(self) -> bool:
@@ -51,6 +58,7 @@
         """
         self._planned_tokens = self.count_planned(now) + tokens
         self._planned_at = now
+        self.mean_tokens += MEAN_WEIGHT * (tokens - self.mean_tokens)
 
     def note_prefilled(self, tokens: int, now: float) -> None:
         """Records prompt tokens of requests whose responses have started."""
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -18,6 +18,7 @@
     offload,
     offload_server,
     peer_reports,
+    permit_server,
     routing_table,
     tcp_stream,
 )
@@ -30,6 +31,8 @@
 KILL_MARGIN_S = 0.8
 """How long before the process is killed a stop gives up on unfinished requests."""
 STOP_CHECK_INTERVAL_S = 0.05
+PERMIT_PORT_OFFSET = 1
+"""The port for permits follows the one for requests of other routers."""
 
 logger = logging.getLogger(__name__)
 
@@ -56,7 +59,8 @@
     Attributes:
         data_centre: The data centre.
         host: The IP address.
-        port: The port for requests that other routers offer; 0 for any.
+        port: The port for requests that other routers offer; the next one is for
+            permits. 0 for any ports.
         cores: The CPU capacity, in cores.
     """
 
@@ -117,6 +121,9 @@
         self._offload_server = offload_server.OffloadServer(
             forwarder.serve, self._takes_requests, lambda: forwarder.version
         )
+        self._permit_server = permit_server.PermitServer(
+            forwarder.permits.issuer, view, upstreams
+        )
         self._request_port = 0
         self._tasks: set[asyncio.Task] = set()
         self._listeners: list[listener.Listener] = []
@@ -147,6 +154,7 @@
             uptime_s=int(time.monotonic() - self._started_at),
             request_port=self._request_port,
             takes_requests=self.is_ready and not self._lag.is_busy,
+            permit_port=0 if self._is_stopping else self._permit_server.port,
         )
 
     @property
@@ -163,7 +171,7 @@
         self._listen(host, port, self._serve_caller)
 
     def listen_for_routers(self) -> None:
-        """Accepts connections of routers that offer requests of their callers.
+        """Accepts connections of routers that offer requests or ask for permits.
 
         Raises:
             ListenError: The address cannot be used.
@@ -174,6 +182,8 @@
             self._offload_server.serve_connection,
         )
         self._request_port = new_listener.address[1]
+        port = self._location.port and self._location.port + PERMIT_PORT_OFFSET
+        self._permit_server.listen(self._location.host, port)
 
     def listen_for_page(self, host: str, port: int, path: str, render: Render) -> None:
         """Serves one page to operators or the balancer.
@@ -218,6 +228,7 @@
         while True:
             self._directory.prune(self._now())
             self._offloader.drop_unused()
+            self._forwarder.permits.drop_unused()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
     async def stop(self) -> None:
@@ -251,6 +262,7 @@
         for task in self._tasks:
             task.cancel()
         self._offloader.close()
+        self._permit_server.close()
         self._forwarder.close()
         self._directory.close()
 
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -12,6 +12,8 @@
     decaying_sum,
     directory,
     engine_queue,
+    grantor,
+    grantor_members,
     ids,
     keyed_log,
     loop_lag,
@@ -59,6 +61,9 @@
     Attributes:
         usage: The usage of the client accounts.
         quarantine: The prompt parts that crash upstreams.
+        router: This router.
+        grantor: Grants the permits of the limited upstreams that this router is
+            responsible for.
     """
 
     def __init__(
@@ -70,7 +75,7 @@
         on_log_reading: OnLogReading = lambda topic, reading: None,
         lag: loop_lag.LoopLag | None = None,
     ):
-        self._router = router
+        self.router = router
         self._offset_by_topic: dict[str, ids.Offset] = {}
         self._has_log_change = False
         self.usage = account_usage.AccountUsage()
@@ -79,9 +84,12 @@
         self._reported_load: dict[ids.UpstreamId, upstream_load.LoadSummary] = {}
         self._reported_all_at = float("-inf")
         self._describe_status = describe_status
-        self._liveness = peer_liveness.PeerLiveness(lag or loop_lag.LoopLag())
+        self._lag = lag or loop_lag.LoopLag()
+        self._liveness = peer_liveness.PeerLiveness(self._lag)
+        self.grantor = grantor.Grantor(router, self.describe_members)
         self._has_new_router = False
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
+        self._capacity = 0.0
         self._peer_tokens = decaying_sum.DecayingSum(PEER_RATE_DECAY_S)
         self._urgent = asyncio.Event()
         self._changed_limits: set[ids.UpstreamId] = set()
@@ -125,7 +133,7 @@
         All routers agree on the order, so that the first one can do work for all.
         """
         responsive = self._liveness.list_responsive(self._now())
-        return sum(other < self._router for other in responsive)
+        return sum(other < self.router for other in responsive)
 
     def find_claim_s(self) -> float:
         """Returns how long other routers' claims to a trial are awaited, in seconds."""
@@ -142,6 +150,16 @@
         """
         return self._liveness.is_live(router, self._now())
 
+    def describe_members(self, now: float) -> grantor.Members:
+        """Returns the routers that can grant permits, as this one sees them.
+
+        Args:
+            now: The time, in seconds.
+        """
+        return grantor_members.describe(
+            self.router, self._describe_status(), self._liveness, self._lag, now
+        )
+
     def list_statuses(self) -> dict[ids.InstanceId, peer_reports.RouterStatus]:
         """Returns the last reported status of each responsive router."""
         responsive = self._liveness.list_responsive(self._now())
@@ -270,8 +288,11 @@
         report = self._report_builder.take(
             status, changed, self._offset_by_topic, news, interval_s
         )
-        limit_news = self._take_limit_news(now)
-        return msgspec.structs.replace(report, limit_news=limit_news)
+        return msgspec.structs.replace(
+            report,
+            limit_news=self._take_limit_news(now),
+            permit_wait_by_upstream=self.grantor.list_waits(now),
+        )
 
     def make_greeting(self) -> peer_reports.Report:
         """Returns a report for a router to which a connection has just opened.
@@ -279,7 +300,7 @@
         It has missed all earlier reports if it has just started.
         """
         return peer_reports.Report(
-            self._router,
+            self.router,
             self._describe_status(),
             assigned_prompts=[],
             usages=[],
@@ -306,7 +327,11 @@
         for leaving in report.leaving:
             self._apply_leaving(leaving)
         for news in report.limit_news:
-            self._apply_limit_news(report.router, news, now)
+            self.apply_limit_news(report.router, news)
+        for upstream, wait_s in report.permit_wait_by_upstream.items():
+            candidate = self._directory.find(upstream)
+            if candidate is not None:
+                candidate.permit_wait.note(wait_s, now)
         self.quarantine.apply(report.crash_news, now)
         for prompt in report.assigned_prompts:
             candidate = self._directory.find(prompt.upstream)
@@ -334,9 +359,9 @@
         Args:
             status: The status of this router.
         """
-        status_by_router = self.list_statuses() | {self._router: status}
+        status_by_router = self.list_statuses() | {self.router: status}
         settled = [r for r, each in status_by_router.items() if each.is_settled]
-        return self._router in sorted(settled or status_by_router)[:TELLERS]
+        return self.router in sorted(settled or status_by_router)[:TELLERS]
 
     def _apply_leaving(self, leaving: peer_reports.Leaving) -> None:
         known = self._directory.listed.by_id.get(leaving.upstream)
@@ -350,7 +375,7 @@
         ]
         self._changed_limits = set()
         return [
-            _make_limit_news(each, now)
+            make_limit_news(each, now)
             for each in candidates
             if each is not None and each.announced.last_sighting is not None
         ]
@@ -358,13 +383,15 @@
     def _list_limits(self, now: float) -> list[peer_reports.LimitNews]:
         """Returns all limits in force."""
         return [
-            _make_limit_news(candidate, now)
+            make_limit_news(candidate, now)
             for candidate in self._directory.list_limited()
         ]
 
-    def _apply_limit_news(
-        self, router: ids.InstanceId, news: peer_reports.LimitNews, now: float
+    def apply_limit_news(
+        self, router: ids.InstanceId, news: peer_reports.LimitNews
     ) -> None:
+        """Applies what another router knows of the limit of an upstream."""
+        now = self._now()
         candidate = self._directory.find(news.upstream)
         if candidate is None or candidate.upstream.born_ms != news.born_ms:
             return
@@ -377,11 +404,14 @@
 
     def set_capacity(self, tokens_per_s: float) -> None:
         """Sets the capacity of all engines, in tokens a second; 0 if it is unknown."""
-        self.usage.capacity = tokens_per_s * account_usage.DECAY_S
+        self._capacity = tokens_per_s * account_usage.DECAY_S
+        self._update_engine_capacity()
 
     def _update_engine_capacity(self) -> None:
+        """Updates what the client accounts share, which limits of engines reduce."""
         usable = engine_queue.PREFILL_RATIO * account_usage.DECAY_S
         self.usage.engine_capacity = self._directory.sum_rates() * usable
+        self.usage.capacity = self._capacity * self._directory.find_usable_part()
 
     def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
         tokens = candidate.load.count_outstanding_tokens()
@@ -391,9 +421,15 @@
         return asyncio.get_running_loop().time()
 
 
-def _make_limit_news(
+def make_limit_news(
     candidate: placement.Candidate, now: float
 ) -> peer_reports.LimitNews:
+    """Returns what is known of the limit of an upstream.
+
+    Args:
+        candidate: An upstream that has named a limit.
+        now: The time, in seconds.
+    """
     sighting = candidate.announced.last_sighting
     return peer_reports.LimitNews(
         candidate.upstream.id,
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -17,6 +17,7 @@
     ids,
     loop_lag,
     outcomes,
+    permits,
     placement,
     quarantine,
     rejections,
@@ -34,6 +35,11 @@
 """`Retry-After` while this router is busy: another one serves the next connection."""
 RETRY_AFTER_START_S = 0.5
 """`Retry-After` while the router has no configuration."""
+MAX_RETRY_PERMIT_WAIT_S = 1.0
+"""How long a request that was sent before waits for a permit: its caller may have a
+part of the response, and abandons a stream after a pause of 2 s."""
+MAX_DENIALS = 8
+"""After so many upstreams without a permit in time, no further ones are asked."""
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left before its deadline is not sent."""
 
@@ -68,6 +74,7 @@
         table: The configuration in force, or `None`.
         active_requests: The number of requests in progress.
         metrics: The metrics of the router.
+        permits: Gets and issues permits for upstreams that limit their requests.
         is_stopping: Whether new requests are rejected.
     """
 
@@ -97,6 +104,7 @@
         self._count_routers = count_routers
         self._quarantine = view.quarantine
         self._quarantine.on_quarantined = self._handle_quarantined
+        self.permits = permits.Permits(view)
         self._sender = upstream_attempt.Sender(dialect, upstreams, view, metrics, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
@@ -114,6 +122,7 @@
     def close(self) -> None:
         """Cancels the background tasks."""
         self._sender.close()
+        self.permits.close()
 
     def limit_retries(self, policy: retry_budget.BudgetPolicy) -> None:
         """Applies a new limit on retries; retries already spent still count."""
@@ -320,8 +329,8 @@
         """
         unreachable_count = 0
         while True:
-            choice = self._choose(state)
-            outcome = await self._sender.attempt(state, choice)
+            choice, permit = await self._choose(state)
+            outcome = await self._sender.attempt(state, choice, permit)
             match outcome:
                 case outcomes.Delivered():
                     return
@@ -389,65 +398,159 @@
     def _find_permission(self, call: calls.Call) -> quarantine.Permission:
         return self._quarantine.check(call.parts, self._now(), self._view.find_claim_s)
 
-    def _choose(self, state: outcomes.RequestState) -> placement.Choice:
+    async def _choose(
+        self, state: outcomes.RequestState
+    ) -> tuple[placement.Choice, permits.Permit]:
+        """Chooses the upstream for the next attempt, and gets a permit to send there.
+
+        An upstream that limits its requests may have no permit in time; then the next
+        best one is chosen.
+
+        Raises:
+            RejectedError: There is no upstream, or admission control has rejected it.
+            TimeoutError: Too little time is left.
+        """
+        denied: dict[ids.UpstreamId, permits.Denied] = {}
+        began_at = self._now()
+        while True:
+            choice = self._choose_upstream(state, denied)
+            request = self._make_permit_request(state, began_at)
+            reply = await self.permits.acquire(choice.candidate, request)
+            state.line.permit_ms = round(1000 * (self._now() - began_at), 1)
+            if isinstance(reply, permits.Permit):
+                self._begin_trial(state, reply)
+                return choice, reply
+            denied[choice.candidate.upstream.id] = reply
+
+    def _make_permit_request(
+        self, state: outcomes.RequestState, began_at: float
+    ) -> permits.Request:
+        """Returns what a request asks for when it needs a permit.
+
+        Args:
+            state: The request.
+            began_at: Since when it needs one, in seconds.
+        """
+        if state.sends:
+            max_wait_s = MAX_RETRY_PERMIT_WAIT_S
+        else:
+            max_wait_s = admission.find_max_wait_s(state.route, state.assessment)
+        now = self._now()
+        left_s = min(
+            max_wait_s - (now - began_at), state.find_time_left_s(now) - MIN_TIME_LEFT_S
+        )
+        return permits.Request(
+            state.account, max(0.0, left_s), is_retry=state.sends > 0
+        )
+
+    def _choose_upstream(
+        self,
+        state: outcomes.RequestState,
+        denied: dict[ids.UpstreamId, permits.Denied],
+    ) -> placement.Choice:
         """Chooses the upstream for the next attempt.
 
+        Args:
+            state: The request.
+            denied: The upstreams that have no permit in time.
+
         Raises:
             RejectedError: There is no upstream, or admission control has rejected it.
             TimeoutError: Too little time is left.
         """
         now = self._now()
         permission = self._check_quarantine(state.call, state.possible_runs)
-        candidates = self._directory.candidates(state.service, state.excluded)
+        candidates = self._directory.candidates(
+            state.service, state.excluded | denied.keys()
+        )
+        if len(denied) >= MAX_DENIALS:
+            candidates = [c for c in candidates if c.announced.limit is None]
         if isinstance(permission, quarantine.Trial):
             candidates = placement.find_least_loaded(candidates, now)
-        choice = placement.choose(
+        choice = self._place(state, candidates, now)
+        if choice is None:
+            self._reject_without_upstream(state, denied, now)
+        if state.find_time_left_s(now) < MIN_TIME_LEFT_S:
+            raise TimeoutError
+        if self._is_admissible(state, choice, now):
+            return choice
+        # Rather a permit for a small prompt than none while there are permits.
+        choice = self._place(state, candidates, now, saves_permits=False)
+        if not self._is_admissible(state, choice, now):
+            self._admission.check(state.call, state.account, state.assessment, now)
+        return choice
+
+    def _place(
+        self,
+        state: outcomes.RequestState,
+        candidates: list[placement.Candidate],
+        now: float,
+        saves_permits: bool = True,
+    ) -> placement.Choice | None:
+        return placement.choose(
             state.call,
             candidates,
             self._data_centre,
             now,
             self._view.estimate_unreported_tokens(),
             self._lag.find_uninterrupted_s(now),
+            saves_permits,
         )
-        if choice is None:
-            self._reject_without_upstream(state, now)
-        if state.find_time_left_s(now) < MIN_TIME_LEFT_S:
-            raise TimeoutError
-        self._admit(state, choice, now)
-        if isinstance(permission, quarantine.Trial):
-            self._quarantine.note_trial(permission.part, now)
-        return choice
 
-    def _admit(self, state, choice: placement.Choice, now: float) -> None:
-        """Records the predicted wait of a request and rejects it if that is too long.
-
-        Only requests that have not been sent yet are rejected.
+    def _begin_trial(
+        self, state: outcomes.RequestState, permit: permits.Permit
+    ) -> None:
+        """Records a request that is about to be sent with a quarantined part.
 
         Raises:
-            RejectedError: The request is rejected; it has not run.
+            RejectedError: Another request has begun a trial of the part meanwhile.
+        """
+        try:
+            permission = self._check_quarantine(state.call, state.possible_runs)
+        except rejections.RejectedError:
+            permit.give_back()
+            raise
+        if isinstance(permission, quarantine.Trial):
+            self._quarantine.note_trial(permission.part, self._now())
+
+    def _is_admissible(self, state, choice: placement.Choice, now: float) -> bool:
+        """Records the predicted wait of a request; returns whether it is short enough.
+
+        A request that was sent before is always sent again.
         """
-        call = state.call
         assessment = self._admission.assess(
-            call, state.route, state.account, choice, now
+            state.call, state.route, state.account, choice, now
         )
+        state.assessment = assessment
         if assessment is None:
-            return
+            return True
         self.metrics.predicted_wait_s.observe(assessment.wait_s)
         line = state.line
         line.unread_tokens = choice.prefill_tokens
         line.copied_from = choice.fetch_from.id if choice.fetch_from else None
         line.set_assessment(assessment)
-        if not state.sends:
-            self._admission.check(call, state.account, assessment, now)
+        return bool(state.sends) or assessment.is_admissible
 
     def _reject_without_upstream(
-        self, state: outcomes.RequestState, now: float
+        self,
+        state: outcomes.RequestState,
+        denied: dict[ids.UpstreamId, permits.Denied],
+        now: float,
     ) -> None:
         """Rejects a request for which no upstream is left.
 
         Raises:
             RejectedError: Always.
         """
+        if denied and not state.possible_runs:
+            self._admission.note_rejected(state.call, state.account, now)
+            waits = ", ".join(f"{u} {d.wait_s:.3f} s" for u, d in denied.items())
+            wait_s = min(each.wait_s for each in denied.values())
+            raise rejections.RejectedError(
+                rejections.Cause.UPSTREAMS_LIMITED,
+                f"no permit in time: {waits}",
+                admission.spread_retry_after_s(wait_s),
+            )
         pause_s = self._directory.find_pause_left_s(state.service, now)
         if pause_s and not state.possible_runs:
             raise rejections.RejectedError(
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import logging
 import math
 import random
@@ -22,6 +23,7 @@
     offload_link,
     outcomes,
     peer_reports,
+    router_links,
     tcp_stream,
 )
 
@@ -42,8 +44,6 @@
 load of this router."""
 AVOIDED_S = 1.0
 """How long a router gets no offers after it has not served one."""
-MAX_IDLE_S = 10.0
-"""A connection that has not been used for so long is closed."""
 DEADLINE_MARGIN_S = 0.1
 """How long after a request's deadline the other router's response is awaited: it ends
 the request itself, unless it is silent."""
@@ -106,7 +106,9 @@
         self._forwarder = forwarder
         self._describe_status = describe_status
         self._remote_requests = 0
-        self._links = OffloadLinks(router)
+        self._links = router_links.RouterLinks(
+            functools.partial(offload_link.OffloadLink, router), CONNECT_TIMEOUT_S
+        )
         self._chosen: ids.InstanceId | None = None
         self._chose_at = -math.inf
         self._avoided_until_by_router: dict[ids.InstanceId, float] = {}
@@ -173,7 +175,7 @@
         """Has another router serve a request."""
         status = self._view.find_status(router)
         try:
-            link = await self._links.find(router, status)
+            link = await self._links.find(router, status.host, status.request_port)
         except tcp_stream.ConnectionFailedError as error:
             return offload_link.NotSent(str(error))
         return await link.serve(
@@ -229,74 +231,5 @@
         )
 
 
-class OffloadLinks:
-    """The connections to the routers that serve requests of this router's callers.
-
-    Args:
-        router: The id of this router.
-    """
-
-    def __init__(self, router: ids.InstanceId):
-        self._router = router
-        self._link_by_router: dict[ids.InstanceId, offload_link.OffloadLink] = {}
-        self._connecting_by_router: dict[ids.InstanceId, asyncio.Task] = {}
-        self._running: set[asyncio.Task] = set()
-
-    async def find(
-        self, router: ids.InstanceId, status: peer_reports.RouterStatus
-    ) -> offload_link.OffloadLink:
-        """Returns the connection to a router, after it has been opened.
-
-        Args:
-            router: The id of the other router.
-            status: Its status, which has its address.
-
-        Raises:
-            ConnectionFailedError: The connection could not be opened in time.
-        """
-        known = self._link_by_router.get(router)
-        if known is not None:
-            if known.takes_offers:
-                return known
-            known.close_when_idle()
-        connecting = self._connecting_by_router.get(router)
-        if connecting is None:
-            connecting = asyncio.create_task(self._connect(router, status))
-            self._connecting_by_router[router] = connecting
-            connecting.add_done_callback(lambda done: self._note_tried(router, done))
-        return await asyncio.shield(connecting)
-
-    def _note_tried(self, router: ids.InstanceId, connecting: asyncio.Task) -> None:
-        del self._connecting_by_router[router]
-        if not connecting.cancelled():
-            # Whoever waits for it handles the error; nobody may wait any more.
-            connecting.exception()
-
-    def close(self) -> None:
-        """Closes all connections."""
-        for task in [*self._connecting_by_router.values(), *self._running]:
-            task.cancel()
-
-    def drop_unused(self, now: float) -> None:
-        """Closes connections that have not been used for a while."""
-        for router, link in list(self._link_by_router.items()):
-            if link.is_lost or (link.is_idle and now - link.used_at > MAX_IDLE_S):
-                link.close()
-                del self._link_by_router[router]
-
-    async def _connect(
-        self, router: ids.InstanceId, status: peer_reports.RouterStatus
-    ) -> offload_link.OffloadLink:
-        stream = await tcp_stream.connect(
-            status.host, status.request_port, CONNECT_TIMEOUT_S
-        )
-        link = offload_link.OffloadLink(self._router, router, stream)
-        self._link_by_router[router] = link
-        task = asyncio.create_task(link.run())
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-        return link
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/teaselsill/offload_link.py
+++ b/teaselsill/offload_link.py
@@ -173,7 +173,7 @@
         return not self._request_by_number
 
     @property
-    def takes_offers(self) -> bool:
+    def is_usable(self) -> bool:
         """Whether requests may be offered: nothing speaks for a silent connection."""
         is_silent = self._unanswered_at > self._stream.last_received_at
         is_stuck = self._stream.unsent_bytes > MAX_UNSENT_BYTES
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from teaselsill import (
+    admission,
     boot_clock,
     caller_connection,
     calls,
@@ -87,6 +88,7 @@
         crashes: How many upstreams have crashed when they began to respond to it.
         line: Its log line.
         metadata: The metadata of the last response.
+        assessment: What admission was last based on; None for a call without a prompt.
     """
 
     call: calls.Call
@@ -99,6 +101,7 @@
     events: event_stream.EventSplitter
     line: request_log_line.RequestLogLine
     metadata: calls.ResponseMetadata = NO_METADATA
+    assessment: admission.Assessment | None = None
     excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
     sends: int = 0
     possible_runs: int = 0
--- a/teaselsill/peer_liveness.py
+++ b/teaselsill/peer_liveness.py
@@ -11,6 +11,9 @@
 without an interruption."""
 MAX_PAUSE_S = 3.0
 """A live router may have been paused for so long."""
+LOST_S = 30.0
+"""How long a router that is not responsive any more may be running out of reach. One
+that has crashed has been replaced by then."""
 CATCH_UP_S = 1.0
 """How long after an interruption of this router reports may still wait to be read."""
 
@@ -122,6 +125,23 @@
         known = self._peer_by_id.items()
         return [router for router, peer in known if until <= peer.responsive_until]
 
+    def find_status(self, router: ids.InstanceId) -> peer_reports.RouterStatus | None:
+        """Returns the last status of a router; None if it has not sent any."""
+        peer = self._peer_by_id.get(router)
+        return peer.status if peer is not None else None
+
+    def list_lost(self, now: float) -> list[ids.InstanceId]:
+        """Returns the routers that have lately become unresponsive.
+
+        They may be running out of reach of this router.
+        """
+        until = self.count_until(now)
+        return [
+            router
+            for router, peer in self._peer_by_id.items()
+            if peer.responsive_until < until <= peer.responsive_until + LOST_S
+        ]
+
     def list_live(self, now: float) -> list[ids.InstanceId]:
         """Returns the live routers."""
         until = self.count_until(now)
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -66,6 +66,8 @@
         uptime_s: How long it has run, in seconds.
         request_port: The port for requests that other routers offer.
         takes_requests: Whether it serves such requests.
+        permit_port: The port on which other routers ask for permits; 0 if it grants
+            none, since it stops or its version grants none.
     """
 
     data_centre: ids.DataCentre
@@ -78,6 +80,12 @@
     uptime_s: int = 0
     request_port: int = 0
     takes_requests: bool = False
+    permit_port: int = 0
+
+    @property
+    def grants_permits(self) -> bool:
+        """Whether other routers can ask it for permits."""
+        return self.permit_port != 0
 
     @property
     def is_settled(self) -> bool:
@@ -151,6 +159,8 @@
         interval_s: The longest time until its next report, in seconds; 0 if it has not
             been stated.
         limit_news: The limits of upstreams that it has seen begin, change or end.
+        permit_wait_by_upstream: How long one more request waits for a permit of an
+            upstream whose permits it grants, in seconds.
     """
 
     router: ids.InstanceId
@@ -166,6 +176,7 @@
     crash_news: crash_reports.News = crash_reports.NO_NEWS
     interval_s: float = 0.0
     limit_news: list[LimitNews] = []
+    permit_wait_by_upstream: dict[ids.UpstreamId, float] = {}
 
 
 class ReportBuilder:
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -1,7 +1,6 @@
 """Chooses the upstream for a request, by its load and its cached prompt prefixes."""
 
 import dataclasses
-import hashlib
 import math
 import random
 
@@ -9,8 +8,10 @@
     announcements,
     calls,
     engine_queue,
+    expected_wait,
     ids,
     prefix_cache_index,
+    rendezvous,
     slot_wait,
     upstream_health,
     upstream_list,
@@ -28,6 +29,10 @@
 FETCH_RATIO = 0.1
 """The cost of copying a cached token to another engine, relative to prefilling it."""
 MIN_FETCHED_TOKENS = 64
+MIN_PER_S = 0.01
+"""The smallest limit that is divided by, in requests a second."""
+MAX_PERMIT_COST_S = 0.1
+"""The cost of a permit that a small prompt uses, at most, in prefill time."""
 DISTANCE_REQUESTS = 0.5
 """The cost of sending a plain call to another data centre, in running requests."""
 DISTANCE_TOKENS = 2000
@@ -50,6 +55,7 @@
         health: The results of recent requests.
         announced: What it has announced about its own state.
         hold_time: How long requests hold a slot at the upstreams of its service.
+        permit_wait: How long requests wait for a permit if it limits them.
     """
 
     upstream: upstream_list.Upstream
@@ -61,6 +67,30 @@
     hold_time: slot_wait.HoldTime = dataclasses.field(
         default_factory=slot_wait.HoldTime
     )
+    permit_wait: expected_wait.ExpectedWait = dataclasses.field(
+        default_factory=expected_wait.ExpectedWait
+    )
+
+    @property
+    def key(self) -> upstream_list.UpstreamKey:
+        """Identifies the incarnation of the upstream."""
+        return self.upstream.key
+
+    def predict_permit_wait_s(self, now: float) -> float:
+        """Returns how long one more request waits for a permit, in seconds."""
+        if self.announced.limit_per_s is None:
+            return 0.0
+        return self.permit_wait.predict_s(now)
+
+    def find_rate(self) -> float:
+        """Returns the rate at which prompts can be prefilled, in tokens a second.
+
+        An upstream that limits its requests cannot be sent more than these.
+        """
+        per_s = self.announced.limit_per_s
+        if per_s is None:
+            return self.queue.rate
+        return min(self.queue.rate, per_s * self.queue.mean_tokens)
 
     def predict_slot_wait_s(self, now: float) -> float:
         """Returns how long one more request waits for a free slot, in seconds."""
@@ -100,6 +130,7 @@
     now: float,
     unreported_tokens: float = 0.0,
     uninterrupted_s: float = math.inf,
+    saves_permits: bool = True,
 ) -> Choice | None:
     """Returns the best upstream for a request, or None if there is none.
 
@@ -114,6 +145,8 @@
         unreported_tokens: Estimate of the prompt tokens that other routers have sent to
             engines but not reported yet.
         uninterrupted_s: How long the router has run without interruption, in seconds.
+        saves_permits: Whether permits of limited engines are rather kept for prompts
+            that make use of them.
     """
     candidates = [c for c in candidates if not c.announced.find_pause_left_s(now)]
     if not candidates:
@@ -124,7 +157,7 @@
     random.shuffle(healthy)
     if call.parts:
         spread = unreported_tokens / len(healthy)
-        return _choose_engine(call, healthy, data_centre, now, spread)
+        return _choose_engine(call, healthy, data_centre, now, spread, saves_permits)
     scores = [_score_plain(c, data_centre, now) for c in healthy]
     least = min(scores)
     return Choice(healthy[scores.index(least)], 0, least)
@@ -205,7 +238,11 @@
     candidate: Candidate, data_centre: ids.DataCentre, now: float
 ) -> float:
     distance = candidate.upstream.data_centre != data_centre
-    return candidate.load.count(now) + DISTANCE_REQUESTS * distance
+    score = candidate.load.count(now) + DISTANCE_REQUESTS * distance
+    per_s = candidate.announced.limit_per_s
+    if per_s is not None:
+        score += candidate.predict_permit_wait_s(now) * per_s
+    return score
 
 
 def _choose_engine(
@@ -214,6 +251,7 @@
     data_centre: ids.DataCentre,
     now: float,
     spread: float,
+    saves_permits: bool,
 ) -> Choice:
     """Returns the engine with the least prefill work before the response starts.
 
@@ -236,6 +274,7 @@
         prefill_tokens = max(0, call.prompt_tokens - cached - fetched)
         score = prefill_tokens + FETCH_RATIO * fetched + spread * random.random()
         score += _score_engine(candidate, prefill_tokens, now)
+        score += _score_permit(candidate, prefill_tokens, now, saves_permits)
         if candidate.upstream.data_centre != data_centre:
             score += DISTANCE_TOKENS
         if best is None or score < best.score:
@@ -262,10 +301,35 @@
     return planned + tokens_per_request * requests + slot_wait_tokens
 
 
+def _score_permit(
+    candidate: Candidate, prefill_tokens: int, now: float, saves_permits: bool
+) -> float:
+    """Returns the cost of a permit of a limited engine, in prompt tokens.
+
+    A permit allows one request of any size. A small prompt leaves a part of what the
+    engine could do unused, so it rather goes to an engine without a limit.
+
+    Args:
+        candidate: The engine.
+        prefill_tokens: How many tokens of the prompt it would have to prefill.
+        now: The time, in seconds.
+        saves_permits: Whether a small prompt costs more.
+    """
+    per_s = candidate.announced.limit_per_s
+    if per_s is None:
+        return 0.0
+    rate = candidate.queue.rate
+    wait_tokens = candidate.predict_permit_wait_s(now) * rate
+    if not saves_permits:
+        return wait_tokens
+    possible_tokens = engine_queue.PREFILL_RATIO * rate / max(per_s, MIN_PER_S)
+    unused_tokens = max(0.0, possible_tokens - prefill_tokens)
+    return wait_tokens + min(unused_tokens, MAX_PERMIT_COST_S * rate)
+
+
 def home_rank(part: calls.PromptPart, upstream: upstream_list.Upstream) -> int:
     """Returns the rendezvous hash of an upstream for a prompt part.
 
     All routers compute the same rank.
     """
-    text = f"{part.id}/{upstream.id}/{upstream.born_ms}".encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+    return rendezvous.find_rank(part.id, f"{upstream.id}/{upstream.born_ms}")
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -18,6 +18,7 @@
     NOT_CONFIGURED = ("not-configured", 503)
     NO_UPSTREAM = ("no-upstream", 503)
     UPSTREAMS_PAUSED = ("upstreams-paused", 503)
+    UPSTREAMS_LIMITED = ("upstreams-limited", 503)
     NOT_TAKEN = ("not-taken", 503)
     QUARANTINED = ("quarantined", 503)
     OVERLOADED = ("overloaded", 503)
--- a/teaselsill/report_routes.py
+++ b/teaselsill/report_routes.py
@@ -7,9 +7,8 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 
-from teaselsill import ids
+from teaselsill import ids, rendezvous
 
 CONTACTS = 2
 """How many routers of another data centre a router is connected to: one that gets the
@@ -51,14 +50,14 @@
         self.peer_by_id: dict[ids.InstanceId, Peer] = {}
         self._router = router
         self._data_centre = data_centre
-        self._rank_by_id: dict[ids.InstanceId, bytes] = {}
+        self._rank_by_id: dict[ids.InstanceId, int] = {}
         self._ranked_by_data_centre: dict[ids.DataCentre, list[ids.InstanceId]] = {}
 
     def put(self, peer: Peer) -> None:
         """Adds another router, or updates its address."""
         self.peer_by_id[peer.id] = peer
         if peer.id not in self._rank_by_id:
-            self._rank_by_id[peer.id] = self._find_rank(peer.id)
+            self._rank_by_id[peer.id] = rendezvous.find_rank(self._router, peer.id)
         self._sort()
 
     def remove(self, peer: ids.InstanceId) -> None:
@@ -92,7 +91,3 @@
         for peer in sorted(self.peer_by_id, key=self._rank_by_id.__getitem__):
             data_centre = self.peer_by_id[peer].data_centre
             self._ranked_by_data_centre.setdefault(data_centre, []).append(peer)
-
-    def _find_rank(self, peer: ids.InstanceId) -> bytes:
-        text = f"{self._router}/{peer}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
--- a/teaselsill/request_log_line.py
+++ b/teaselsill/request_log_line.py
@@ -34,6 +34,8 @@
         first_ms: The time to the head of its response, in milliseconds.
         unread_tokens: The prompt tokens that the last upstream had to prefill.
         wait_ms: The predicted wait of the prompt there, in milliseconds.
+        permit_ms: How long it waited for permits before its last send or its rejection,
+            in milliseconds.
         limit_ms: The longest wait that was allowed, in milliseconds.
         share_ratio: The tokens admitted for its client account, relative to its fair
             share.
@@ -59,6 +61,7 @@
     first_ms: float = 0.0
     unread_tokens: int = 0
     wait_ms: float = 0.0
+    permit_ms: float = 0.0
     limit_ms: float = 0.0
     share_ratio: float = 0.0
     given_ratio: float = 0.0
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -15,6 +15,7 @@
     loop_lag,
     open_attempts,
     outcomes,
+    permits,
     placement,
     routing_table,
     tcp_stream,
@@ -70,18 +71,42 @@
         self._open.abort_quarantined(part)
 
     async def attempt(
-        self, state: outcomes.RequestState, choice: placement.Choice
+        self,
+        state: outcomes.RequestState,
+        choice: placement.Choice,
+        permit: permits.Permit,
     ) -> outcomes.Outcome:
-        """Sends a request to one upstream and relays the response to the caller."""
+        """Sends a request to one upstream and relays the response to the caller.
+
+        Args:
+            state: The request.
+            choice: The upstream.
+            permit: The permit to send it there.
+        """
         candidate = choice.candidate
         target = candidate.upstream
         state.excluded.add(target.id)
-        await state.response.confirm_send(target.id)
-        try:
-            connection = await self._connect(state, target)
-        except tcp_stream.ConnectionFailedError as error:
-            candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
-            return outcomes.Unsent(str(error))
+        with permit:
+            await state.response.confirm_send(target.id)
+            try:
+                connection = await self._connect(state, target)
+            except tcp_stream.ConnectionFailedError as error:
+                candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
+                return outcomes.Unsent(str(error))
+            if not permit.use():
+                self._directory.pool(target).put(connection)
+                state.excluded.discard(target.id)
+                return outcomes.Unsent("the permit to send has run out")
+        return await self._exchange(state, choice, connection)
+
+    async def _exchange(
+        self,
+        state: outcomes.RequestState,
+        choice: placement.Choice,
+        connection: upstream_connection.UpstreamConnection,
+    ) -> outcomes.Outcome:
+        """Sends a request on a connection and relays the response to the caller."""
+        candidate = choice.candidate
         now = self._now()
         attempt = self._begin(state, choice, connection, now)
         outcome = None
@@ -108,7 +133,7 @@
         if isinstance(outcome, outcomes.Failed):
             attempt.log_failure(outcome.reason, self._now())
         self._note_outcome(attempt, outcome)
-        self._directory.pool(target).put(connection)
+        self._directory.pool(candidate.upstream).put(connection)
         if is_lost and await self._open.has_crashed_upstream(attempt, self._now()):
             state.crashes += 1
         return outcome
--- a/teaselsill/upstream_list.py
+++ b/teaselsill/upstream_list.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import logging
+import typing
 
 from teaselsill import ids
 
@@ -19,6 +20,18 @@
     LEAVING = "leaving"
 
 
+class UpstreamKey(typing.NamedTuple):
+    """Identifies one incarnation of an upstream.
+
+    Attributes:
+        upstream: Its id.
+        born_ms: When it started, in Unix milliseconds.
+    """
+
+    upstream: ids.UpstreamId
+    born_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
     """One incarnation of a listed upstream.
@@ -43,6 +56,11 @@
     slots: int
     state: State
 
+    @property
+    def key(self) -> UpstreamKey:
+        """Identifies this incarnation."""
+        return UpstreamKey(self.id, self.born_ms)
+
 
 class UpstreamList:
     """The upstreams on the platform's list.
@@ -57,7 +75,7 @@
     def __init__(self):
         self.by_id: dict[ids.UpstreamId, Upstream] = {}
         self._entry_by_id: dict[ids.UpstreamId, Upstream] = {}
-        self._leaving: set[tuple[ids.UpstreamId, int]] = set()
+        self._leaving: set[UpstreamKey] = set()
         self._grace_until_by_id: dict[ids.UpstreamId, float] = {}
         self._outage_ended_at = float("-inf")
 
@@ -84,10 +102,9 @@
         has_changed = self._entry_by_id.get(upstream.id) != upstream
         self._entry_by_id[upstream.id] = upstream
         self._grace_until_by_id.pop(upstream.id, None)
-        incarnation = upstream.id, upstream.born_ms
         if upstream.state is State.LEAVING:
-            self._leaving.add(incarnation)
-        elif incarnation in self._leaving:
+            self._leaving.add(upstream.key)
+        elif upstream.key in self._leaving:
             upstream = dataclasses.replace(upstream, state=State.LEAVING)
         self.by_id[upstream.id] = upstream
         if known == upstream:
@@ -109,10 +126,9 @@
         It stays in that state for the rest of its incarnation, whatever its entry says
         later.
         """
-        incarnation = upstream.id, upstream.born_ms
-        if incarnation in self._leaving:
+        if upstream.key in self._leaving:
             return False
-        self._leaving.add(incarnation)
+        self._leaving.add(upstream.key)
         listed = self.by_id.get(upstream.id)
         if listed is not None and listed.born_ms == upstream.born_ms:
             self.by_id[upstream.id] = dataclasses.replace(listed, state=State.LEAVING)
--- a/tests/test_failures_offers.py
+++ b/tests/test_failures_offers.py
@@ -10,6 +10,7 @@
     loop_lag,
     offload,
     offload_link,
+    router_links,
     routing_table,
     tcp_stream,
 )
@@ -45,16 +46,18 @@
         router = ids.InstanceId("other")
         links = self.bench.busy.router._offloader._links
         status = self.bench.busy.view.find_status(router)
-        first = await links.find(router, status)
+        first = await links.find(router, status.host, status.request_port)
         first.close()
         await asyncio.sleep(0.05)
-        finding = asyncio.create_task(links.find(router, status))
+        finding = asyncio.create_task(
+            links.find(router, status.host, status.request_port)
+        )
         await asyncio.sleep(0)
         now = asyncio.get_running_loop().time()
         links.drop_unused(now)
         self.assertIsNot(first, await finding)
         links.drop_unused(now + 0.25)
-        links.drop_unused(now + 2 * offload.MAX_IDLE_S)
+        links.drop_unused(now + 2 * router_links.MAX_IDLE_S)
 
     async def test_silent_connection_gets_no_more_offers(self):
         """The old connection stays silent for good, while new ones work."""
