Believe nothing of a response that does not name its request

Reported by other operators; it happened here. A faulty server wrote an earlier refusal once more on a kept connection, without the id of its request: it was taken for the refusal of the next one, which the server ran. An order was sent to a second server (it ran twice) or its caller was told that it had not run; a stray 500 was passed on with its body.

Servers name the request in all their responses, so a head that names none is not the answer to this one: the request may have run, and the connection is closed. A copy that names another request was skipped before, and the connection was not used again after it.

--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -316,6 +316,10 @@
             self._view.note_announcement(
                 candidate, metadata.announcement, attempt.in_flight.sent_at
             )
+        if metadata.request is None:
+            # It may be a copy of the response to an earlier request.
+            attempt.connection.abort()
+            return outcomes.Failed("the response does not name its request")
         if metadata.is_wrong_instance:
             self._directory.note_address_reused(candidate.upstream)
             return outcomes.NotRun("another instance has the address")
@@ -324,8 +328,7 @@
         is_success = head.status < FIRST_FAILURE_STATUS
         if head.status in NOT_RUN_STATUSES:
             return outcomes.Failed(f"status {head.status}, though it may have run")
-        is_authenticated = metadata.is_sealed and metadata.request is not None
-        if head.status < FIRST_REDIRECT_STATUS and not is_authenticated:
+        if head.status < FIRST_REDIRECT_STATUS and not metadata.is_sealed:
             return outcomes.Failed("the response has no proof of its origin")
         if state.has_response_started:
             is_same = head.status == state.response.status
