Go on with a broken stream only from a stream of events

A stream had begun and broke off, and the next server answered 200 with something that is no stream (an error page): its text stood in the middle of the caller's stream, which ended as if it were complete. A response that was no stream at all was continued from another server, too, so that the caller got its beginning twice. Seen failing first: 7 checks of ErrorAfterBrokenStreamTest, direct and through another router.

Only a stream of events can be resumed, and only a stream of events goes on with it. Ruled out by the same tests, which passed before: another status, no proof of origin, a refusal with or without a body, in one piece or in pieces of 7 bytes.

--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -87,6 +87,7 @@
         possible_runs: How many upstreams may have run it.
         crashes: How many upstreams have crashed when they began to respond to it.
         line: Its log line.
+        is_event_stream: Whether the response that has started is a stream of events.
         metadata: The metadata of the last response.
         assessment: What admission was last based on; None for a call without a prompt.
     """
@@ -100,6 +101,7 @@
     boot_deadline: float
     events: event_stream.EventSplitter
     line: request_log_line.RequestLogLine
+    is_event_stream: bool = False
     metadata: calls.ResponseMetadata = NO_METADATA
     assessment: admission.Assessment | None = None
     excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
@@ -127,9 +129,15 @@
             case routing_table.Repeat.FREELY:
                 return not self.has_response_started
             case routing_table.Repeat.RESUME:
-                return True
+                return not self.has_response_started or self.can_be_resumed
         return False
 
+    @property
+    def can_be_resumed(self) -> bool:
+        """Whether another upstream can go on with the response that has started."""
+        is_resumable = self.route.repeat is routing_table.Repeat.RESUME
+        return is_resumable and self.is_event_stream
+
     @property
     def may_run_elsewhere(self) -> bool:
         """Whether it is repeatable and its route allows one more upstream.
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -331,14 +331,14 @@
         if head.status < FIRST_REDIRECT_STATUS and not metadata.is_sealed:
             return outcomes.Failed("the response has no proof of its origin")
         if state.has_response_started:
-            is_same = head.status == state.response.status
-            return None if is_same else outcomes.Failed(f"status {head.status}")
+            return _check_continuation(state, head)
         if not is_success and state.may_run_elsewhere:
             return outcomes.Failed(f"status {head.status}")
         has_body = head.framing is not http_messages.Framing.NONE
         is_resumable = state.route.repeat is routing_table.Repeat.RESUME
         if has_body and (head.is_event_stream or is_resumable):
             head = dataclasses.replace(head, framing=http_messages.Framing.CHUNKED)
+        state.is_event_stream = head.is_event_stream
         await state.response.start(head)
         took_s = self._now() - state.call.received_at
         state.line.first_ms = round(1000 * took_s, 1)
@@ -350,7 +350,7 @@
         in_flight = candidate.load.start(attempt.number, self._now())
         if in_flight is not None:
             self._view.note_response_started(candidate, in_flight.prefill_tokens)
-        if state.route.repeat is routing_table.Repeat.RESUME:
+        if state.can_be_resumed:
             data = state.events.feed(data)
         if data:
             candidate.load.note_progress(attempt.number, self._now())
@@ -360,6 +360,17 @@
         return asyncio.get_running_loop().time()
 
 
+def _check_continuation(
+    state: outcomes.RequestState, head: http_messages.Head
+) -> outcomes.Failed | None:
+    """Returns why a response cannot go on with a stream; None if it can."""
+    if head.status != state.response.status:
+        return outcomes.Failed(f"status {head.status}")
+    if not head.is_event_stream:
+        return outcomes.Failed("the response is no stream of events")
+    return None
+
+
 def _abort_if_incomplete(parts, connection) -> None:
     """Aborts a connection unless the rejected response was received completely."""
     if not any(isinstance(part, http_messages.End) for part in parts):
