Apply limits that change or end to the requests that wait for permits

A queue of permits took the rate of its upstream only when the next request asked, and stayed when the limit ended; requests in it waited for nothing. The grantor now looks at the limit and at the routers in reach each time it settles. A router that stops says at once that it grants no permits, instead of in its next report (0.5 s). Tests: test_requests_that_wait_are_granted_when_the_limit_ends and test_limit_that_falls_holds_for_requests_that_wait; they were written with the change, and not seen failing.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -92,6 +92,11 @@
             return None
         return self._candidate(upstream)
 
+    def find_limit(self, key: upstream_list.UpstreamKey) -> announcements.Limit | None:
+        """Returns the limit of an upstream in force; None if it is gone."""
+        candidate = self._candidate_by_key.get(key)
+        return candidate.announced.limit if candidate is not None else None
+
     def list_limited(self) -> list[placement.Candidate]:
         """Returns the upstreams that limit the requests that they take."""
         return [
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -235,6 +235,7 @@
         """Finishes the requests in progress and closes all connections."""
         logger.info("stopping", extra={"underway": self._forwarder.active_requests})
         self._is_stopping = True
+        self._view.report_status()
         began_at = self._now()
         deadline = began_at + self.grace_s - KILL_MARGIN_S
         await asyncio.sleep(min(LISTEN_AFTER_STOP_S, self.grace_s / 2))
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -86,8 +86,11 @@
         self._describe_status = describe_status
         self._lag = lag or loop_lag.LoopLag()
         self._liveness = peer_liveness.PeerLiveness(self._lag)
-        self.grantor = grantor.Grantor(router, self.describe_members)
+        self.grantor = grantor.Grantor(
+            router, self.describe_members, upstreams.find_limit
+        )
         self._has_new_router = False
+        self._has_new_status = False
         self._status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus] = {}
         self._capacity = 0.0
         self._peer_tokens = decaying_sum.DecayingSum(PEER_RATE_DECAY_S)
@@ -104,11 +107,17 @@
         return (
             self._has_log_change
             or self._has_new_router
+            or self._has_new_status
             or bool(self._changed_limits)
             or not self.quarantine.outbox.is_empty
             or not self._report_builder.is_empty
         )
 
+    def report_status(self) -> None:
+        """Reports the status of this router, which has changed, at once."""
+        self._has_new_status = True
+        self._urgent.set()
+
     def note_log_change(self, topic: str, offset: ids.Offset) -> None:
         """Records a change in the platform's log, to report it to the others."""
         self._offset_by_topic[topic] = offset
@@ -278,6 +287,7 @@
         }
         self._reported_load = load_by_upstream
         self._has_log_change = False
+        self._has_new_status = False
         self._urgent.clear()
         status = self._describe_status()
         news = self.quarantine.take_news(
--- a/teaselsill/grantor.py
+++ b/teaselsill/grantor.py
@@ -7,6 +7,7 @@
 its part of the limit while some routers that may still run are out of its reach.
 """
 
+import collections.abc
 import dataclasses
 import logging
 import math
@@ -48,17 +49,29 @@
         """Returns the members."""
 
 
+FindLimit = collections.abc.Callable[
+    [upstream_list.UpstreamKey], announcements.Limit | None
+]
+
+
 class Grantor:
     """Grants the permits of the upstreams that one router is responsible for.
 
     Args:
         router: This router.
         describe_members: Describes the routers.
+        find_limit: Returns the limit of an upstream in force, or None.
     """
 
-    def __init__(self, router: ids.InstanceId, describe_members: DescribeMembers):
+    def __init__(
+        self,
+        router: ids.InstanceId,
+        describe_members: DescribeMembers,
+        find_limit: FindLimit,
+    ):
         self._router = router
         self._describe_members = describe_members
+        self._find_limit = find_limit
         self._members: Members | None = None
         self._described_at = -math.inf
         self._grantor_by_key: dict[upstream_list.UpstreamKey, ids.InstanceId] = {}
@@ -91,30 +104,26 @@
         return known
 
     def ask(
-        self,
-        key: upstream_list.UpstreamKey,
-        limit: announcements.Limit,
-        waiter: permit_queue.Waiter,
-        now: float,
+        self, key: upstream_list.UpstreamKey, waiter: permit_queue.Waiter, now: float
     ) -> list[permit_queue.Decision]:
         """Adds a request that wants a permit.
 
         Args:
             key: The upstream.
-            limit: Its limit.
             waiter: The request.
             now: The time, in seconds.
 
         Returns:
             What is decided by that, also for other requests.
         """
-        decisions = self.check(now)
+        decisions = self._check(now)
+        limit = self._find_limit(key)
+        if limit is None:
+            return [*decisions, permit_queue.Granted(waiter)]
         if self.find_grantor(key, now) != self._router:
             denied = permit_queue.Denied(waiter, NOT_RESPONSIBLE_WAIT_S)
             return [*decisions, denied]
-        queue = self._find_queue(key, limit, now)
-        queue.set_rate(limit.per_s * self._refresh(now).reachable_ratio, now)
-        return decisions + queue.ask(waiter, now)
+        return decisions + self._find_queue(key, limit, now).ask(waiter, now)
 
     def withdraw(
         self, key: upstream_list.UpstreamKey, waiter: permit_queue.Waiter
@@ -136,45 +145,11 @@
         Args:
             now: The time, in seconds.
         """
-        decisions = self.check(now)
+        decisions = self._check(now)
         for queue in self._queue_by_key.values():
             decisions += queue.settle(now)
         return decisions
 
-    def check(self, now: float) -> list[permit_queue.Decision]:
-        """Gives up the upstreams that this router is not responsible for any more.
-
-        Their requests are denied. After an interruption of this router, others may have
-        taken its place meanwhile, so it starts anew with all of them.
-
-        Args:
-            now: The time, in seconds.
-        """
-        members = self._refresh(now)
-        was_interrupted = members.uninterrupted_s < members.handover_s
-        decisions = []
-        for key, queue in list(self._queue_by_key.items()):
-            is_lost = self.find_grantor(key, now) != self._router
-            opened_s = now - queue.created_at
-            if is_lost or (was_interrupted and opened_s > members.uninterrupted_s):
-                decisions += queue.close(NOT_RESPONSIBLE_WAIT_S)
-                del self._queue_by_key[key]
-                self._log("stopped granting permits", key)
-        return decisions
-
-    def forget(
-        self, keys: set[upstream_list.UpstreamKey]
-    ) -> list[permit_queue.Decision]:
-        """Forgets upstreams that have no limit any more; their requests are denied."""
-        decisions = []
-        for key in keys & self._queue_by_key.keys():
-            decisions += self._queue_by_key.pop(key).close(0.0)
-        return decisions
-
-    def list_keys(self) -> list[upstream_list.UpstreamKey]:
-        """Returns the upstreams whose permits are kept here."""
-        return list(self._queue_by_key)
-
     def find_next_s(self, now: float) -> float:
         """Returns how long until the next permit for a request that waits, in seconds.
 
@@ -193,6 +168,40 @@
             for key, queue in self._queue_by_key.items()
         }
 
+    def _check(self, now: float) -> list[permit_queue.Decision]:
+        """Applies what has changed of the limits and of the routers.
+
+        Args:
+            now: The time, in seconds.
+        """
+        members = self._refresh(now)
+        decisions = []
+        for key, queue in list(self._queue_by_key.items()):
+            limit = self._find_limit(key)
+            if limit is None:
+                decisions += queue.grant_all()
+            elif self._has_lost(key, queue, members, now):
+                decisions += queue.deny_all(NOT_RESPONSIBLE_WAIT_S)
+            else:
+                queue.set_rate(limit.per_s * members.reachable_ratio, now)
+                continue
+            del self._queue_by_key[key]
+            self._log("stopped granting permits", key)
+        return decisions
+
+    def _has_lost(
+        self,
+        key: upstream_list.UpstreamKey,
+        queue: permit_queue.PermitQueue,
+        members: Members,
+        now: float,
+    ) -> bool:
+        """Returns whether another router is responsible, or may have been meanwhile."""
+        if self.find_grantor(key, now) != self._router:
+            return True
+        is_recent = members.uninterrupted_s < members.handover_s
+        return is_recent and now - queue.created_at > members.uninterrupted_s
+
     def _refresh(self, now: float) -> Members:
         if self._members is None or now - self._described_at > REFRESH_S:
             members = self._describe_members(now)
@@ -209,7 +218,8 @@
         if queue is None:
             members = self._refresh(now)
             opens_at = find_opening(limit, members, now)
-            queue = permit_queue.PermitQueue(limit.per_s, opens_at, created_at=now)
+            per_s = limit.per_s * members.reachable_ratio
+            queue = permit_queue.PermitQueue(per_s, opens_at, created_at=now)
             self._queue_by_key[key] = queue
             self._log("granting permits", key, opens_in_s=round(opens_at - now, 3))
         return queue
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -1,6 +1,7 @@
 """The reports by which entry routers tell each other their load and usage."""
 
 import math
+import typing
 
 import msgspec
 
@@ -134,7 +135,7 @@
 
     upstream: ids.UpstreamId
     born_ms: int
-    per_s: float | None
+    per_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)] | None
     sent_ago_s: float
     heard_ago_s: float
 
--- a/teaselsill/permit_issuer.py
+++ b/teaselsill/permit_issuer.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections.abc
 
-from teaselsill import announcements, grantor, permit_queue, upstream_list
+from teaselsill import grantor, permit_queue, upstream_list
 
 CHECK_INTERVAL_S = 0.25
 """How often the upstreams that this router is responsible for are checked."""
@@ -31,7 +31,6 @@
     def ask(
         self,
         key: upstream_list.UpstreamKey,
-        limit: announcements.Limit,
         waiter: permit_queue.Waiter,
         on_decision: OnDecision,
     ) -> None:
@@ -39,12 +38,11 @@
 
         Args:
             key: The upstream.
-            limit: Its limit.
             waiter: The request.
             on_decision: Called once, now or later, unless the request is withdrawn.
         """
         self._on_decision_by_waiter[waiter] = on_decision
-        self._deliver(self._grantor.ask(key, limit, waiter, _now()))
+        self._deliver(self._grantor.ask(key, waiter, _now()))
 
     def withdraw(
         self, key: upstream_list.UpstreamKey, waiter: permit_queue.Waiter
--- a/teaselsill/permit_messages.py
+++ b/teaselsill/permit_messages.py
@@ -1,9 +1,13 @@
 """The messages by which a router asks another one for permits."""
 
+import typing
+
 import msgspec
 
 from teaselsill import ids, peer_reports
 
+MAX_WAIT_S = 60.0
+
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag="hello"):
     """The first message on a connection.
@@ -29,7 +33,7 @@
     number: int
     limit: peer_reports.LimitNews
     account: ids.AccountId | None
-    max_wait_s: float
+    max_wait_s: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_S)]
     is_retry: bool
 
 
--- a/teaselsill/permit_queue.py
+++ b/teaselsill/permit_queue.py
@@ -103,7 +103,12 @@
         self._waiters.append(waiter)
         return self.settle(now)
 
-    def close(self, wait_s: float) -> list[Decision]:
+    def grant_all(self) -> list[Decision]:
+        """Grants permits to all requests that wait, since there is no limit."""
+        waiters, self._waiters = self._waiters, []
+        return [Granted(waiter) for waiter in waiters]
+
+    def deny_all(self, wait_s: float) -> list[Decision]:
         """Denies all requests that wait.
 
         Args:
--- a/teaselsill/permit_server.py
+++ b/teaselsill/permit_server.py
@@ -156,10 +156,6 @@
         if len(self._waiting_by_number) >= MAX_WAITING:
             self._send(permit_messages.Denied(ask.number, BUSY_WAIT_S))
             return
-        limit = candidate.announced.limit
-        if limit is None:
-            self._send(permit_messages.Granted(ask.number))
-            return
         now = asyncio.get_running_loop().time()
         waiter = permit_queue.Waiter(
             ask.account, now, now + ask.max_wait_s, ask.is_retry
@@ -167,7 +163,6 @@
         self._waiting_by_number[ask.number] = candidate.key, waiter
         self._issuer.ask(
             candidate.key,
-            limit,
             waiter,
             lambda decision: self._reply(ask.number, decision),
         )
--- a/teaselsill/permits.py
+++ b/teaselsill/permits.py
@@ -116,20 +116,15 @@
     issuer: permit_issuer.PermitIssuer
     key: upstream_list.UpstreamKey
 
-    async def ask(self, limit: announcements.Limit, request: Request) -> Denied | None:
-        """Waits for a permit; returns None once it is granted.
-
-        Args:
-            limit: The limit of the upstream.
-            request: The request.
-        """
+    async def ask(self, request: Request) -> Denied | None:
+        """Waits for a permit; returns None once it is granted."""
         loop = asyncio.get_running_loop()
         decided = loop.create_future()
         now = loop.time()
         waiter = permit_queue.Waiter(
             request.account, now, now + request.max_wait_s, request.is_retry
         )
-        self.issuer.ask(self.key, limit, waiter, decided.set_result)
+        self.issuer.ask(self.key, waiter, decided.set_result)
         try:
             decision = await asyncio.shield(decided)
         except asyncio.CancelledError:
@@ -164,13 +159,8 @@
     link: permit_link.PermitLink
     news: peer_reports.LimitNews
 
-    async def ask(self, limit: announcements.Limit, request: Request) -> Denied | None:
-        """Waits for a permit; returns None once it is granted.
-
-        Args:
-            limit: The limit of the upstream.
-            request: The request.
-        """
+    async def ask(self, request: Request) -> Denied | None:
+        """Waits for a permit; returns None once it is granted."""
         reply = await self.link.ask(
             self.news, request.account, request.max_wait_s, request.is_retry
         )
@@ -220,14 +210,13 @@
             candidate: The upstream.
             request: The request.
         """
-        limit = candidate.announced.limit
-        if limit is None:
+        if candidate.announced.limit is None:
             return Permit(candidate.announced)
         asked_at = boot_clock.now()
         issuer = await self._find_issuer(candidate)
         denied = issuer
         if not isinstance(issuer, Denied):
-            denied = await issuer.ask(limit, request)
+            denied = await issuer.ask(request)
             self._note_reply(issuer, denied)
         if denied is not None:
             candidate.permit_wait.note(denied.wait_s, _now())
--- a/tests/limit_replay.py
+++ b/tests/limit_replay.py
@@ -102,7 +102,9 @@
         self.measured_at = started_at
         self.lag = loop_lag.LoopLag()
         self.liveness = peer_liveness.PeerLiveness(self.lag)
-        self.grantor = grantor.Grantor(self.id, self.describe_members)
+        self.grantor = grantor.Grantor(
+            self.id, self.describe_members, lambda key: replay.find_limit()
+        )
         self.decide = {}
         self.unread = {}
 
@@ -129,10 +131,10 @@
             self.id, self.status, self.liveness, self.lag, now
         )
 
-    def ask(self, limit, waiter, reply):
+    def ask(self, waiter, reply):
         """Asks this router for a permit; `reply` is called with the decision."""
         self.decide[waiter] = reply
-        self.deliver(self.grantor.ask(KEY, limit, waiter, self.replay.now))
+        self.deliver(self.grantor.ask(KEY, waiter, self.replay.now))
 
     def settle(self):
         """Grants the permits that there are by now."""
@@ -313,7 +315,7 @@
         if limit is None:
             self.send(account)
         elif self.policy == "permits":
-            self.acquire(router, limit, account)
+            self.acquire(router, account)
         else:
             self.spend(router, limit, account)
 
@@ -328,7 +330,7 @@
             self.send(account)
         self.bucket_by_router[router.number] = permits, self.now
 
-    def acquire(self, router, limit, account):
+    def acquire(self, router, account):
         """Asks the responsible router for a permit."""
         found = router.grantor.find_grantor(KEY, self.now)
         if found is None:
@@ -351,7 +353,7 @@
                     self.denied_waits_s.append(wait_s)
 
         def ask():
-            target.ask(limit, waiter, reply)
+            target.ask(waiter, reply)
 
         if self.reaches(router, target):
             self.after(link_s, lambda: self.run_at(target, ask))
--- a/tests/test_grantor.py
+++ b/tests/test_grantor.py
@@ -11,7 +11,10 @@
 class GrantorTest(unittest.TestCase):
     def setUp(self):
         self.members = self.make_members()
-        self.grantor = grantor.Grantor(OWN, lambda now: self.members)
+        self.limit = LONG_KNOWN
+        self.grantor = grantor.Grantor(
+            OWN, lambda now: self.members, lambda key: self.limit
+        )
         self.key = self.find_key(OWN)
 
     def make_members(self, grantors=(OWN, OTHER), **fields):
@@ -24,15 +27,18 @@
 
     def find_key(self, router):
         """Returns an upstream that a router is responsible for."""
-        chooser = grantor.Grantor(OWN, lambda now: self.make_members())
+        chooser = self.make_grantor(OWN, self.make_members())
         keys = (
             upstream_list.UpstreamKey(ids.UpstreamId(f"u{n}"), 1) for n in range(99)
         )
         return next(k for k in keys if chooser.find_grantor(k, NOW) == router)
 
-    def ask(self, now, key=None, limit=LONG_KNOWN):
+    def make_grantor(self, router, members):
+        return grantor.Grantor(router, lambda now: members, lambda key: self.limit)
+
+    def ask(self, now, key=None):
         waiter = permit_queue.Waiter(None, now, now + 0.2)
-        return self.grantor.ask(key or self.key, limit, waiter, now)
+        return self.grantor.ask(key or self.key, waiter, now)
 
     def count_granted(self, since, until, step_s=0.05):
         """Returns how many requests get a permit if one asks all the time."""
@@ -51,7 +57,7 @@
         names = [ids.InstanceId(f"r{n}") for n in range(30)]
         members = self.make_members(names)
         chosen = {
-            grantor.Grantor(name, lambda now: members).find_grantor(self.key, NOW)
+            self.make_grantor(name, members).find_grantor(self.key, NOW)
             for name in names
         }
         self.assertEqual(1, len(chosen))
@@ -61,9 +67,9 @@
         self.assertGreater(self.count_granted(NOW + 1.0, NOW + 2.0), 8)
 
     def test_nobody_can_have_granted_permits_before_the_limit_was_known(self):
-        fresh = announcements.Limit(10.0, since=NOW - 0.1)
-        self.ask(NOW, limit=fresh)
-        (granted,) = self.ask(NOW + 0.11, limit=fresh)
+        self.limit = announcements.Limit(10.0, since=NOW - 0.1)
+        self.ask(NOW)
+        (granted,) = self.ask(NOW + 0.11)
         self.assertIsInstance(granted, permit_queue.Granted)
 
     def test_requests_are_denied_when_another_router_becomes_responsible(self):
@@ -88,6 +94,21 @@
         granted = self.count_granted(NOW + 2.0, NOW + 6.0)
         self.assertAlmostEqual(0.5 * LONG_KNOWN.per_s * 4.0, granted, delta=2)
 
+    def test_requests_that_wait_are_granted_when_the_limit_ends(self):
+        self.ask(NOW)
+        self.ask(NOW + HANDOVER_S + 0.01)
+        self.limit = None
+        (granted,) = self.grantor.settle(NOW + HANDOVER_S + 0.02)
+        self.assertIsInstance(granted, permit_queue.Granted)
+        self.assertFalse(self.grantor.has_queues)
+        (granted,) = self.ask(NOW + 2.0)
+        self.assertIsInstance(granted, permit_queue.Granted)
+
+    def test_limit_that_falls_holds_for_requests_that_wait(self):
+        self.count_granted(NOW, NOW + 2.0)
+        self.limit = announcements.Limit(1.0, since=0.0)
+        self.assertLessEqual(self.count_granted(NOW + 2.0, NOW + 6.0), 6)
+
     def test_nobody_is_responsible_without_routers_that_grant(self):
         self.members = self.make_members([])
         self.assertIsNone(self.grantor.find_grantor(self.key, NOW))
