Draw limits of upstreams in the soak of the entry routers

Upstreams name a limit of 2 to 10 requests a second for 6 to 9 s, one at a time, while routers are killed, frozen and stopped. In any 4 s from 1 s after the first naming they may get one and a half times that, and 5.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -51,6 +51,12 @@
 LOST_RESPONSE_RATIO = 0.03
 """The fraction of executed requests whose response an upstream drops."""
 HEALTHY_RATIO = 0.95
+LIMIT_S = 6.0
+"""How long an upstream names a limit, in addition to the duration that is drawn."""
+LIMITS_PER_S = (2.0, 10.0)
+LIMIT_KNOWN_S = 1.0
+"""Time after which all routers know a limit that an upstream has named."""
+LIMIT_WINDOW_S = 4.0
 
 
 class FailureKind(enum.Enum):
@@ -65,6 +71,7 @@
     LINK_ONE_WAY = "link-one-way"
     LINK_SILENT = "link-silent"
     LINK_RESET = "link-reset"
+    LIMITED = "limited"
 
 
 FAULT_BY_KIND = {
@@ -102,18 +109,61 @@
 def draw_failures(seed: int, duration_s: float) -> list[Failure]:
     """Returns the failures of a run; they depend only on the seed and may overlap."""
     source = random.Random(seed)
-    failures = []
+    failures = _draw_limits(seed, duration_s)
+    kinds = [kind for kind in FailureKind if kind is not FailureKind.LIMITED]
     at_s = 1.0
     while at_s < duration_s:
-        kind = source.choice(list(FailureKind))
+        kind = source.choice(kinds)
         failure_s = round(source.uniform(0.3, 2.5), 2)
         is_link = kind is FailureKind.LINK_RESET or kind in FAULT_BY_KIND
         target = source.randrange(LINK_COUNT if is_link else ROUTER_COUNT)
         failures.append(Failure(kind, target, at_s, failure_s))
         at_s = round(at_s + source.uniform(0.5, 3.0), 2)
+    return sorted(failures, key=lambda failure: failure.at_s)
+
+
+def _draw_limits(seed: int, duration_s: float) -> list[Failure]:
+    """Returns when upstreams limit their requests, which changes no other draw."""
+    source = random.Random(f"limits of {seed}")
+    failures = []
+    at_s = source.uniform(0.5, 2.0)
+    while at_s < duration_s:
+        target = source.randrange(UPSTREAM_COUNT)
+        failure_s = round(source.uniform(0.3, 2.5), 2)
+        failures.append(Failure(FailureKind.LIMITED, target, round(at_s, 2), failure_s))
+        at_s += LIMIT_S + failure_s + source.uniform(0.5, 3.0)
     return failures
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitSpan:
+    """A time in which an upstream has named a limit.
+
+    Attributes:
+        per_s: The limit, in requests a second.
+        began_at: When it was first named, on the monotonic clock, in seconds.
+        ended_at: When it was last in force.
+    """
+
+    per_s: float
+    began_at: float
+    ended_at: float
+
+    @property
+    def bound(self) -> float:
+        """The most requests that may arrive in a window."""
+        return 1.5 * LIMIT_WINDOW_S * self.per_s + 5
+
+    def count_most(self, arrived_at: list[float]) -> int:
+        """Returns the most requests in a window after the limit was known."""
+        since = self.began_at + LIMIT_KNOWN_S
+        times = [at for at in arrived_at if since <= at < self.ended_at]
+        counts = [
+            sum(start <= at < start + LIMIT_WINDOW_S for at in times) for start in times
+        ]
+        return max(counts, default=0)
+
+
 def make_manifest() -> bytes:
     """Returns a manifest with one route for each member of `Repeat`."""
     type_by_repeat = {
@@ -136,9 +186,15 @@
         runs: How often each request was executed.
         dropped: The requests whose response was dropped.
         server: The HTTP server.
+        arrived_at: When requests arrived, on the monotonic clock, in seconds.
+        limit_per_s: The limit that it names; None for none.
+        limit_spans: The times in which it has named one.
     """
 
     def __init__(self, name: str, source: random.Random):
+        self.arrived_at: list[float] = []
+        self.limit_per_s: float | None = None
+        self.limit_spans: list[LimitSpan] = []
         self.runs = collections.Counter()
         self.dropped: set[str] = set()
         self._source = source
@@ -147,6 +203,7 @@
     async def _answer(self, request, stream):
         request_id = request.get("teaselsill-attempt-id")
         self.runs[request_id] += 1
+        self.arrived_at.append(time.monotonic())
         await asyncio.sleep(self._source.uniform(0.005, 0.05))
         if self._source.random() < LOST_RESPONSE_RATIO:
             self.dropped.add(request_id)
@@ -156,6 +213,8 @@
             ("teaselsill-attempt-id", request_id),
             ("teaselsill-server-seal", "s"),
         ]
+        if self.limit_per_s is not None:
+            fields.append(("server-limit", str(self.limit_per_s)))
         if not request.path.startswith(Repeat.RESUME.value):
             fields.append(("content-length", str(len(request_id))))
             stream.write(http_messages.encode_head(200, "OK", fields))
@@ -169,6 +228,22 @@
             await asyncio.sleep(0.01)
         stream.write(http_messages.LAST_CHUNK)
 
+    async def limit(self, per_s: float, duration_s: float):
+        """Names a limit for a while."""
+        began_at = time.monotonic()
+        self.limit_per_s = per_s
+        await asyncio.sleep(duration_s)
+        self.limit_per_s = None
+        self.limit_spans.append(LimitSpan(per_s, began_at, time.monotonic()))
+
+    def check_limits(self) -> list[str]:
+        """Returns a description of each limit that was not kept."""
+        return [
+            f"{most} requests in {LIMIT_WINDOW_S} s, {span.bound} allowed: {span}"
+            for span in self.limit_spans
+            if (most := span.count_most(self.arrived_at)) > span.bound
+        ]
+
 
 def make_event(number: int, request_id: str) -> bytes:
     """Returns one event of the stream that answers a request."""
@@ -328,6 +403,8 @@
             await self._start_routers(f"{faulty_link.HOST}:{link.port}")
             await self._run_failures()
         self._check_runs()
+        for upstream in self._upstreams:
+            self.violations += upstream.check_limits()
 
     async def _link(self, stack, server) -> faulty_link.FaultyLink:
         upstream = server.describe()
@@ -379,6 +456,11 @@
                 await asyncio.gather(
                     *[self._flood(target, failure.duration_s) for _ in callers]
                 )
+            case FailureKind.LIMITED:
+                per_s = round(random.Random(failure.at_s).uniform(*LIMITS_PER_S), 1)
+                await self._upstreams[failure.target].limit(
+                    per_s, LIMIT_S + failure.duration_s
+                )
             case FailureKind.LINK_RESET:
                 self._links[failure.target].cut()
                 self._note_link_fault(0.0)
