Serve callers only after the other routers have been heard

A router that had just started sent an upstream more than its limit, which all the others knew, until its first response named it; and it granted itself the permits, as it had heard of no other router.

A router that has just started is not ready, and rejects what comes anyway, until it has heard a router that has run for a while, or half of the others, at most for 1 s. Routers that are listed but were never heard count as out of reach for the first 30 s, which reduces what it grants.

test_router_is_not_ready_before_it_has_heard_the_others fails when the router does not wait (tried with `Introduction.is_over` always true); it was not run on the old code.

--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -57,6 +57,7 @@
             change that another router has seen there.
         on_log_reading: Called with a topic and what another router has read of it.
         lag: Measures the delay of the event loop; by default, it is never interrupted.
+        count_routers: Returns the number of routers; 0 if it is unknown.
 
     Attributes:
         usage: The usage of the client accounts.
@@ -74,6 +75,7 @@
         on_log_change: OnLogChange = lambda topic, offset: None,
         on_log_reading: OnLogReading = lambda topic, reading: None,
         lag: loop_lag.LoopLag | None = None,
+        count_routers: collections.abc.Callable[[], int] = lambda: 0,
     ):
         self.router = router
         self._offset_by_topic: dict[str, ids.Offset] = {}
@@ -84,6 +86,7 @@
         self._reported_load: dict[ids.UpstreamId, upstream_load.LoadSummary] = {}
         self._reported_all_at = float("-inf")
         self._describe_status = describe_status
+        self._count_routers = count_routers
         self._lag = lag or loop_lag.LoopLag()
         self._liveness = peer_liveness.PeerLiveness(self._lag)
         self.grantor = grantor.Grantor(
@@ -166,7 +169,12 @@
             now: The time, in seconds.
         """
         return grantor_members.describe(
-            self.router, self._describe_status(), self._liveness, self._lag, now
+            self.router,
+            self._describe_status(),
+            self._liveness,
+            self._lag,
+            self._count_routers(),
+            now,
         )
 
     def list_statuses(self) -> dict[ids.InstanceId, peer_reports.RouterStatus]:
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -48,6 +48,7 @@
         rejections.Cause.STOPPING,
         rejections.Cause.ROUTER_BUSY,
         rejections.Cause.NOT_CONFIGURED,
+        rejections.Cause.STARTING,
     }
 )
 """Why this router rejects requests that another one may serve."""
@@ -69,6 +70,7 @@
         metrics: Receives the metrics.
         lag: Measures the delay of the event loop.
         count_routers: Returns the number of routers; 0 if it is unknown.
+        is_introduced: Returns whether this router knows what the others know.
 
     Attributes:
         table: The configuration in force, or `None`.
@@ -89,6 +91,7 @@
         metrics: entry_metrics.EntryMetrics,
         lag: loop_lag.LoopLag,
         count_routers: collections.abc.Callable[[], int],
+        is_introduced: collections.abc.Callable[[], bool] = lambda: True,
     ):
         self.table: routing_table.RoutingTable | None = None
         self.active_requests = 0
@@ -102,6 +105,7 @@
         self.metrics = metrics
         self._lag = lag
         self._count_routers = count_routers
+        self._is_introduced = is_introduced
         self._quarantine = view.quarantine
         self._quarantine.on_quarantined = self._handle_quarantined
         self.permits = permits.Permits(view)
@@ -248,6 +252,12 @@
                 "no configuration yet",
                 RETRY_AFTER_START_S,
             )
+        if not self._is_introduced():
+            raise rejections.RejectedError(
+                rejections.Cause.STARTING,
+                "the other routers have not been heard yet",
+                RETRY_AFTER_START_S,
+            )
         route = self._find_route(table, call)
         account = self._find_account(table, route, call)
         service = table.service_by_name[route.choose_service(call.id)]
--- a/teaselsill/grantor_members.py
+++ b/teaselsill/grantor_members.py
@@ -11,6 +11,7 @@
     status: peer_reports.RouterStatus,
     liveness: peer_liveness.PeerLiveness,
     lag: loop_lag.LoopLag,
+    listed: int,
     now: float,
 ) -> grantor.Members:
     """Returns the routers as one of them sees them.
@@ -24,6 +25,7 @@
         status: Its own status.
         liveness: Which other routers are alive.
         lag: Measures the delay of its event loop.
+        listed: How many routers are listed; 0 if that is not known.
         now: The event loop's time, in seconds.
     """
     responsive = liveness.list_responsive(now)
@@ -37,6 +39,8 @@
     settled = [each for each, known in able.items() if known.is_settled]
     lost = sum(_may_be_sending(liveness, each) for each in liveness.list_lost(now))
     reachable = len(responsive) + 1
+    if status.uptime_s < peer_liveness.LOST_S:
+        lost = max(lost, listed - reachable)
     return grantor.Members(
         grantors=frozenset(settled or able),
         reachable_ratio=reachable / (reachable + lost),
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -106,6 +106,10 @@
         """Returns the largest number of routers seen at a time, including this one."""
         return self._most_peers + 1
 
+    def count_peers(self) -> int:
+        """Returns the number of other routers that are listed."""
+        return len(self._routes.peer_by_id)
+
     def remove_peer(self, peer: ids.InstanceId) -> None:
         """Removes a router that has left, and closes the connection to it."""
         self._disconnect(peer)
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -16,6 +16,7 @@
     UNKNOWN_KEY = ("unknown-key", 401)
     NO_ROUTE = ("no-route", 404)
     NOT_CONFIGURED = ("not-configured", 503)
+    STARTING = ("starting", 503)
     NO_UPSTREAM = ("no-upstream", 503)
     UPSTREAMS_PAUSED = ("upstreams-paused", 503)
     UPSTREAMS_LIMITED = ("upstreams-limited", 503)
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -35,8 +35,10 @@
 UPSTREAM_COUNT = 3
 LINK_COUNT = UPSTREAM_COUNT + 1
 """One link to each upstream; the last one leads to the store."""
+NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+"""Each run has addresses of its own, so that several can go on at once."""
 FIRST_HOST = 40
-"""Routers use the addresses from 127.0.0.40 on, so that all can use the same ports."""
+"""Routers use the addresses from this one on, so that all can use the same ports."""
 GRACE_S = 6.0
 START_S = 20.0
 SETTLE_S = 4.0
@@ -261,7 +263,7 @@
     """
 
     def __init__(self, number: int, store_address: str, folder: pathlib.Path):
-        self.host = f"127.0.0.{FIRST_HOST + number}"
+        self.host = f"{NETWORK}.{FIRST_HOST + number}"
         self.is_failing = True
         self.failure_count = 0
         self._path = folder / f"settings-{number}.toml"
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -13,6 +13,7 @@
 from teaselsill import (
     http_messages,
     ids,
+    introduction,
     keyed_log,
     listener,
     peer_reports,
@@ -287,6 +288,36 @@
         await asyncio.sleep(0.3)
         await self.wait_status(200, self.call)
 
+    async def start_beside_another_router(self):
+        """Starts the router beside one that accepts connections but says nothing."""
+        silent = listener.Listener(HOST, 0, lambda stream: None)
+        self.addCleanup(silent.close)
+        entry = views.RouterEntry(f"{HOST}:{silent.address[1]}", "a")
+        self.store.put("keyed.routers", "edge-2", msgspec.json.encode(entry))
+        self.store.put("keyed.op", "config", make_manifest(7))
+        self.register()
+        self.start()
+        return time.monotonic()
+
+    async def test_router_is_not_ready_before_it_has_heard_the_others(self):
+        """A restarted router sent an upstream more than its limit, which all knew."""
+        began_at = await self.start_beside_another_router()
+        await self.wait_ready(503)
+        while self.role._forwarder.table is None:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        self.assertEqual(503, (await self.call())[0])
+        self.assertEqual([], self.server.requests)
+        await self.wait_ready(200)
+        self.assertGreater(time.monotonic() - began_at, introduction.MAX_WAIT_S)
+        self.assertEqual(200, (await self.call())[0])
+
+    async def test_router_is_ready_as_soon_as_another_one_has_greeted_it(self):
+        began_at = await self.start_beside_another_router()
+        report = test_peer_links.make_report("edge-2", peer_reports.SETTLED_S)
+        self.role._view.apply(report)
+        await self.wait_ready(200)
+        self.assertLess(time.monotonic() - began_at, introduction.MAX_WAIT_S)
+
     async def test_odd_entries_cost_only_themselves(self):
         """Routers that read them ended, or stopped following the list."""
         self.store.put("keyed.op", "config", make_manifest(7))
--- a/tests/limit_replay.py
+++ b/tests/limit_replay.py
@@ -128,7 +128,12 @@
             self.liveness.note_report(heard, max(at, self.paused_until))
         self.unread = {}
         return grantor_members.describe(
-            self.id, self.status, self.liveness, self.lag, now
+            self.id,
+            self.status,
+            self.liveness,
+            self.lag,
+            len(self.replay.routers),
+            now,
         )
 
     def ask(self, waiter, reply):
