Place a rejected prompt once more only where permits may be had

Each prompt that admission rejected was placed twice, also where no upstream limits its requests: in a flood that is most of the work of a router, and a router that is late notices late that callers have left.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -484,10 +484,12 @@
             raise TimeoutError
         if self._is_admissible(state, choice, now):
             return choice
-        # Rather a permit for a small prompt than none while there are permits.
-        choice = self._place(state, candidates, now, saves_permits=False)
-        if not self._is_admissible(state, choice, now):
-            self._admission.check(state.call, state.account, state.assessment, now)
+        if any(c.announced.limit is not None for c in candidates):
+            # Rather a permit for a small prompt than none while there are permits.
+            choice = self._place(state, candidates, now, saves_permits=False)
+            if self._is_admissible(state, choice, now):
+                return choice
+        self._admission.check(state.call, state.account, state.assessment, now)
         return choice
 
     def _place(
