Greet a router on the connection that it has opened

A router now greets whoever connects. The new test timed out before.

Besides: a limit or pause may have more than nine decimals, and permit_ms is logged only where a permit was needed.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -426,7 +426,8 @@
             choice = self._choose_upstream(state, denied)
             request = self._make_permit_request(state, began_at)
             reply = await self.permits.acquire(choice.candidate, request)
-            state.line.permit_ms = round(1000 * (self._now() - began_at), 1)
+            if choice.candidate.announced.limit is not None:
+                state.line.permit_ms = round(1000 * (self._now() - began_at), 1)
             if isinstance(reply, permits.Permit):
                 self._begin_trial(state, reply)
                 return choice, reply
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -243,11 +243,10 @@
         self._liveness.note_connected(peer, _now())
         self._greet(stream)
         try:
-            await stream.wait_closed_by_peer()
+            await self._read_reports(stream)
         finally:
             if self._stream_by_peer.get(peer) is stream:
                 del self._stream_by_peer[peer]
-            stream.abort()
 
     def _greet(self, stream: tcp_stream.TcpStream) -> None:
         """Sends the first report on a connection.
@@ -264,6 +263,14 @@
         task.add_done_callback(self._receiving.discard)
 
     async def _receive(self, stream: tcp_stream.TcpStream) -> None:
+        """Greets a router that has connected, and handles its reports.
+
+        If it has just started, this router may not know its address yet.
+        """
+        self._greet(stream)
+        await self._read_reports(stream)
+
+    async def _read_reports(self, stream: tcp_stream.TcpStream) -> None:
         """Handles the reports that arrive on one connection until it ends."""
         unpacker = wire.Unpacker(MAX_REPORT_BYTES, peer_reports.Report)
         try:
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -204,7 +204,13 @@
         return self.read(status, *headers).announcement.rate_limit
 
     def test_limit(self):
-        for value, per_s in (("5", 5.0), ("0", 0.0), ("0.25", 0.25), (" 7.9 ", 7.9)):
+        for value, per_s in (
+            ("5", 5.0),
+            ("0", 0.0),
+            ("0.25", 0.25),
+            (" 7.9 ", 7.9),
+            ("0.1234567890123456", 0.1234567890123456),
+        ):
             with self.subTest(value=value):
                 limited = announcements.Limited(per_s)
                 self.assertEqual(limited, self.read_limit(value))
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -110,6 +110,16 @@
             report = await received.get()
         self.assertEqual(make_report("first"), report)
 
+    async def test_router_that_connects_is_greeted_before_its_address_is_known(self):
+        """A router that was added waited for a second until it was heard of."""
+        first, received = await self.make("first")
+        second, _ = await self.make(
+            "second", make_greeting=lambda: make_report("second")
+        )
+        first.put_peer(make_peer("second", second))
+        async with asyncio.timeout(5.0):
+            self.assertEqual(make_report("second"), await received.get())
+
     async def make_with_view(self, name, quarantined=()):
         """Starts a router whose links pass reports to and from its view."""
         view, _ = test_fleet_view.make_view(name)
