--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -23,6 +23,9 @@
         request_s: Time from a request's last byte to the end of its response.
         first_byte_s: Time from a request's last byte to the head of its response.
         predicted_wait_s: The predicted wait at an engine that admission was based on.
+        permits: Permits that requests needed for limited upstreams, by service and
+            outcome.
+        permit_wait_s: How long a request waited until a permit was granted or denied.
         crashes: Crashes of upstreams that this router has seen, by service.
         quarantines: Prompt parts that were put under quarantine.
     """
@@ -39,12 +42,15 @@
             "first_byte_seconds", LATENCY_BOUNDS_S, "route"
         )
         self.predicted_wait_s = self._histogram("predicted_wait_seconds", WAIT_BOUNDS_S)
+        self.permits = self._counter("permits", "Permits.", "service", "outcome")
+        self.permit_wait_s = self._histogram("permit_wait_seconds", WAIT_BOUNDS_S)
         self.crashes = self._counter("upstream_crashes", "Crashes seen.", "service")
         self.quarantines = self._counter("quarantines", "Prompt parts quarantined.")
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
         self._avoided = self._gauge("upstream_avoided", "Whether it is avoided.")
+        self._limit = self._gauge("upstream_limit_per_second", "Limit, if any.")
         self._requested = self._gauge(
             "account_asked_tokens_per_second", "What is asked for.", "account"
         )
@@ -73,7 +79,8 @@
             self._share_ratio.labels(account).set(share.ratio)
 
     def _set_upstreams(self, now: float) -> None:
-        for gauge in (self._running, self._planned, self._rate, self._avoided):
+        gauges = (self._running, self._planned, self._rate, self._avoided, self._limit)
+        for gauge in gauges:
             gauge.clear()
         for upstream in self._directory.listed.by_id.values():
             candidate = self._directory.find(upstream.id)
@@ -84,6 +91,8 @@
             self._planned.labels(*labels).set(candidate.queue.count_planned(now))
             self._rate.labels(*labels).set(candidate.queue.rate)
             self._avoided.labels(*labels).set(candidate.health.is_avoided(now))
+            if candidate.announced.limit is not None:
+                self._limit.labels(*labels).set(candidate.announced.limit.per_s)
 
     def _counter(self, name: str, text: str, *labels: str):
         return prometheus_client.Counter(
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -424,15 +424,37 @@
         began_at = self._now()
         while True:
             choice = self._choose_upstream(state, denied)
-            request = self._make_permit_request(state, began_at)
-            reply = await self.permits.acquire(choice.candidate, request)
-            if choice.candidate.announced.limit is not None:
-                state.line.permit_ms = round(1000 * (self._now() - began_at), 1)
+            reply = await self._acquire_permit(state, choice.candidate, began_at)
             if isinstance(reply, permits.Permit):
                 self._begin_trial(state, reply)
                 return choice, reply
             denied[choice.candidate.upstream.id] = reply
 
+    async def _acquire_permit(
+        self,
+        state: outcomes.RequestState,
+        candidate: placement.Candidate,
+        began_at: float,
+    ) -> permits.Permit | permits.Denied:
+        """Gets a permit, and records what it took if the upstream has a limit.
+
+        Args:
+            state: The request.
+            candidate: The upstream.
+            began_at: Since when the request needs a permit, in seconds.
+        """
+        is_limited = candidate.announced.limit is not None
+        asked_at = self._now()
+        request = self._make_permit_request(state, began_at)
+        reply = await self.permits.acquire(candidate, request)
+        if is_limited:
+            now = self._now()
+            state.line.permit_ms = round(1000 * (now - began_at), 1)
+            self.metrics.permit_wait_s.observe(now - asked_at)
+            outcome = "denied" if isinstance(reply, permits.Denied) else "granted"
+            self.metrics.permits.labels(state.service.name, outcome).inc()
+        return reply
+
     def _make_permit_request(
         self, state: outcomes.RequestState, began_at: float
     ) -> permits.Request:
