Report to routers that have connected before they were listed

While the store is away, a router that was added knows the others, and they do not know its address: it heard them, and they did not hear it. Each side then held another router responsible for the permits of an upstream, and both granted them. The new test times out without the sending; it was not run on the old code.

--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -71,6 +71,7 @@
         self._connection_task_by_peer: dict[ids.InstanceId, asyncio.Task] = {}
         self._heard_again_by_peer: dict[ids.InstanceId, asyncio.Event] = {}
         self._receiving: set[asyncio.Task] = set()
+        self._accepted_by_router: dict[ids.InstanceId, tcp_stream.TcpStream] = {}
         self._listener: listener.Listener | None = None
 
     def listen(self, host: str, port: int) -> None:
@@ -127,6 +128,7 @@
         self._suspect_silent_contacts()
         ranked_contacts = self._update_connections()
         self._send_to(self._routes.list_local(), report)
+        self._send_to_unlisted(report)
         contacts = [
             contact
             for ranked in ranked_contacts
@@ -149,6 +151,17 @@
             else:
                 stream.write(packed)
 
+    def _send_to_unlisted(self, report: peer_reports.Report) -> None:
+        """Sends a report to routers that have connected before they were listed.
+
+        While the store is away, they may not be listed for long. A router that hears
+        another one, but is not heard by it, would take over work that both do then.
+        """
+        packed = wire.pack(report)
+        for router, stream in self._accepted_by_router.items():
+            if router not in self._routes.peer_by_id:
+                stream.write(packed)
+
     def _list_contacts(self) -> list[list[ids.InstanceId]]:
         return self._routes.list_contacts(self._find_penalty)
 
@@ -243,7 +256,8 @@
         self._liveness.note_connected(peer, _now())
         self._greet(stream)
         try:
-            await self._read_reports(stream)
+            async for _ in self._read_reports(stream):
+                pass
         finally:
             if self._stream_by_peer.get(peer) is stream:
                 del self._stream_by_peer[peer]
@@ -268,15 +282,27 @@
         If it has just started, this router may not know its address yet.
         """
         self._greet(stream)
-        await self._read_reports(stream)
+        router = None
+        try:
+            async for report in self._read_reports(stream):
+                # The first report is the greeting of the router that has connected.
+                if router is None:
+                    router = report.router
+                    self._accepted_by_router[router] = stream
+        finally:
+            if self._accepted_by_router.get(router) is stream:
+                del self._accepted_by_router[router]
 
-    async def _read_reports(self, stream: tcp_stream.TcpStream) -> None:
-        """Handles the reports that arrive on one connection until it ends."""
+    async def _read_reports(
+        self, stream: tcp_stream.TcpStream
+    ) -> collections.abc.AsyncIterator[peer_reports.Report]:
+        """Handles and yields the reports of one connection until it ends."""
         unpacker = wire.Unpacker(MAX_REPORT_BYTES, peer_reports.Report)
         try:
             while data := await stream.read():
                 for report in unpacker.feed(data):
                     self._handle_report(report)
+                    yield report
         except tcp_stream.ConnectionResetError:
             pass
         except wire.MalformedMessageError as error:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -120,6 +120,18 @@
         async with asyncio.timeout(5.0):
             self.assertEqual(make_report("second"), await received.get())
 
+    async def test_router_that_is_not_listed_yet_gets_reports(self):
+        """Each held itself responsible, as only one of them heard the other."""
+        first, received = await self.make("first")
+        second, _ = await self.make("second")
+        first._make_greeting = lambda: make_report("first")
+        first.put_peer(make_peer("second", second))
+        async with asyncio.timeout(5.0):
+            while "first" not in second._accepted_by_router:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            second.send(make_report("second"))
+            self.assertEqual("second", (await received.get()).router)
+
     async def make_with_view(self, name, quarantined=()):
         """Starts a router whose links pass reports to and from its view."""
         view, _ = test_fleet_view.make_view(name)
