Let routers that have started together all grant permits

Routers that have just started are now left out only beside one that has run for 10 s. So that a router which takes over knows that others may have granted permits, routers tell how long they have known a limit.

--- a/teaselsill/announcements.py
+++ b/teaselsill/announcements.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 
 from teaselsill import ids
 
@@ -71,11 +72,14 @@
         per_s: The limit, in requests a second; None if none was named.
         sent_at: When the request of that response was sent, in seconds.
         heard_at: When the head of the response arrived, in seconds.
+        limited_since: Since when a limit has been named, in seconds, if that is known
+            to be earlier.
     """
 
     per_s: float | None
     sent_at: float
     heard_at: float
+    limited_since: float = math.inf
 
 
 class AnnouncedState:
@@ -83,13 +87,16 @@
 
     Args:
         upstream: The upstream, for the log.
+
+    Attributes:
+        limited_since: Since when it has named a limit, in seconds.
     """
 
     def __init__(self, upstream: ids.UpstreamId):
         self._upstream = upstream
         self._paused_until = float("-inf")
         self._sighting: Sighting | None = None
-        self._limited_since = 0.0
+        self.limited_since = math.inf
         self._reported_per_s: float | None = None
         self._unreadable: Unreadable | None = None
 
@@ -99,7 +106,7 @@
         sighting = self._sighting
         if sighting is None or sighting.per_s is None:
             return None
-        return Limit(sighting.per_s, self._limited_since)
+        return Limit(sighting.per_s, self.limited_since)
 
     @property
     def limit_per_s(self) -> float | None:
@@ -160,9 +167,11 @@
             if sighting.sent_at <= known.heard_at:
                 return False
         elif known is not None and sighting.heard_at < known.heard_at:
+            self.limited_since = min(self.limited_since, sighting.limited_since)
             return False
         if known is None or known.per_s is None:
-            self._limited_since = sighting.heard_at
+            self.limited_since = sighting.heard_at
+        self.limited_since = min(self.limited_since, sighting.limited_since)
         self._sighting = sighting
         has_changed = _differ(self._reported_per_s, sighting.per_s)
         if has_changed:
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -417,6 +417,7 @@
             news.per_s,
             sent_at=now - news.sent_ago_s - TRANSIT_S,
             heard_at=now - news.heard_ago_s,
+            limited_since=now - news.limited_s,
         )
         candidate.announced.note_sighting(sighting, told_by=router)
 
@@ -455,6 +456,7 @@
         sighting.per_s,
         sent_ago_s=now - sighting.sent_at,
         heard_ago_s=now - sighting.heard_at,
+        limited_s=now - candidate.announced.limited_since,
     )
 
 
--- a/teaselsill/grantor_members.py
+++ b/teaselsill/grantor_members.py
@@ -5,6 +5,10 @@
 PERMIT_TTL_S = 0.5
 """A permit has to be used within this time after the wait that was allowed for it."""
 
+ESTABLISHED_S = 2 * peer_reports.SETTLED_S
+"""A fleet has been established if its oldest router has run for so long. Routers that
+have started at the same time are then all settled."""
+
 
 def describe(
     router: ids.InstanceId,
@@ -16,9 +20,9 @@
 ) -> grantor.Members:
     """Returns the routers as one of them sees them.
 
-    Routers that have just started do not grant permits yet, unless all of them have:
-    they do not know what the others know. A router that is stopping says so and asks
-    for its permits like any other.
+    In a fleet that has run for a while, routers that have just started do not grant
+    permits yet: they do not know what the others know. A router that is stopping says
+    so and asks for its permits like any other.
 
     Args:
         router: The router whose view it is.
@@ -36,19 +40,28 @@
         for each, known in status_by_router.items()
         if known is not None and known.grants_permits
     }
-    settled = [each for each, known in able.items() if known.is_settled]
     lost = sum(_may_be_sending(liveness, each) for each in liveness.list_lost(now))
     reachable = len(responsive) + 1
     if status.uptime_s < peer_liveness.LOST_S:
         lost = max(lost, listed - reachable)
     return grantor.Members(
-        grantors=frozenset(settled or able),
+        grantors=frozenset(_exclude_newcomers(able)),
         reachable_ratio=reachable / (reachable + lost),
         handover_s=PERMIT_TTL_S + peer_reports.find_period_s(len(responsive)),
         uninterrupted_s=lag.find_uninterrupted_s(now),
     )
 
 
+def _exclude_newcomers(
+    status_by_router: dict[ids.InstanceId, peer_reports.RouterStatus],
+) -> list[ids.InstanceId]:
+    """Returns the routers that are settled, or all while the fleet has just started."""
+    oldest_s = max((s.uptime_s for s in status_by_router.values()), default=0)
+    if oldest_s < ESTABLISHED_S:
+        return list(status_by_router)
+    return [router for router, s in status_by_router.items() if s.is_settled]
+
+
 def _may_be_sending(
     liveness: peer_liveness.PeerLiveness, router: ids.InstanceId
 ) -> bool:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -131,6 +131,7 @@
         per_s: The limit, in requests a second; None if none was named.
         sent_ago_s: How long ago the request of that response was sent, in seconds.
         heard_ago_s: How long ago the head of the response arrived, in seconds.
+        limited_s: How long the upstream has had a limit, in seconds.
     """
 
     upstream: ids.UpstreamId
@@ -138,6 +139,7 @@
     per_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)] | None
     sent_ago_s: float
     heard_ago_s: float
+    limited_s: float = 0.0
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -58,3 +58,15 @@
         ended = announcements.Sighting(None, sent_at=2.5, heard_at=2.6)
         self.assertTrue(self.announced.note_sighting(ended, told_by=router))
         self.assertIsNone(self.announced.limit_per_s)
+
+    def test_limit_is_as_old_as_the_router_that_has_known_it_longest_says(self):
+        """A router that grants permits must know that others may have done so."""
+        router = ids.InstanceId("r")
+        self.announced.note(name_limit(5.0), sent_at=9.0, now=10.0)
+        self.assertEqual(10.0, self.announced.limit.since)
+        for heard_at in (9.5, 11.0):
+            told = announcements.Sighting(
+                5.0, 9.0, heard_at, limited_since=heard_at - 8
+            )
+            self.announced.note_sighting(told, told_by=router)
+        self.assertEqual(1.5, self.announced.limit.since)
