--- a/teaselsill/permits.py
+++ b/teaselsill/permits.py
@@ -214,18 +214,15 @@
             return Permit(candidate.announced)
         asked_at = boot_clock.now()
         issuer = await self._find_issuer(candidate)
-        denied = issuer
-        if not isinstance(issuer, Denied):
-            denied = await issuer.ask(request)
-            self._note_reply(issuer, denied)
+        denied = issuer if isinstance(issuer, Denied) else await issuer.ask(request)
+        if isinstance(issuer, Remote) and issuer.link.is_silent:
+            self._avoid(issuer.link.router, "no reply")
+        candidate.permit_wait.note(denied.wait_s if denied else 0.0, _now())
         if denied is not None:
-            candidate.permit_wait.note(denied.wait_s, _now())
             return denied
-        candidate.permit_wait.note(0.0, _now())
-        ttl_s = grantor_members.PERMIT_TTL_S
-        expires_at = min(
-            boot_clock.now() + ttl_s, asked_at + request.max_wait_s + ttl_s
-        )
+        # A pause of this router may lie between the grant and now.
+        granted_by = min(boot_clock.now(), asked_at + request.max_wait_s)
+        expires_at = granted_by + grantor_members.PERMIT_TTL_S
         return Permit(candidate.announced, expires_at, issuer)
 
     async def _find_issuer(
@@ -249,10 +246,6 @@
             return Denied(AVOIDED_S)
         return Remote(link, fleet_view.make_limit_news(candidate, _now()))
 
-    def _note_reply(self, issuer: Local | Remote, denied: Denied | None) -> None:
-        if isinstance(issuer, Remote) and issuer.link.is_silent:
-            self._avoid(issuer.link.router, "no reply")
-
     def _avoid(self, router: ids.InstanceId, reason: str) -> None:
         logger.info("grantor avoided", extra={"peer": router, "reason": reason})
         self._avoided_until_by_router[router] = _now() + AVOIDED_S
