Move the choice of upstreams out of the forwarder

What chooses an upstream, asks for its permit and rejects a request for which there is none is a module of its own; nothing else changes.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -18,30 +18,21 @@
     loop_lag,
     outcomes,
     permits,
-    placement,
-    quarantine,
     rejections,
     request_log_line,
     retry_budget,
     routing_table,
     tcp_stream,
     upstream_attempt,
+    upstream_choice,
 )
 
 MAX_CONNECT_TRIES = 4
 """Maximum number of unreachable upstreams tried for one request."""
-RETRY_AFTER_S = 1.0
 RETRY_AFTER_BUSY_S = 0.05
 """`Retry-After` while this router is busy: another one serves the next connection."""
 RETRY_AFTER_START_S = 0.5
-"""`Retry-After` while the router has no configuration."""
-MAX_RETRY_PERMIT_WAIT_S = 1.0
-"""How long a request that was sent before waits for a permit: its caller may have a
-part of the response, and abandons a stream after a pause of 2 s."""
-MAX_DENIALS = 8
-"""After so many upstreams without a permit in time, no further ones are asked."""
-MIN_TIME_LEFT_S = 0.02
-"""A request with less time left before its deadline is not sent."""
+"""`Retry-After` while the router has just started."""
 
 OWN_CAUSES = frozenset(
     {
@@ -76,7 +67,6 @@
         table: The configuration in force, or `None`.
         active_requests: The number of requests in progress.
         metrics: The metrics of the router.
-        permits: Gets and issues permits for upstreams that limit their requests.
         is_stopping: Whether new requests are rejected.
     """
 
@@ -98,20 +88,25 @@
         self.is_stopping = False
         self._dialect = dialect
         self._directory = upstreams
-        self._data_centre = data_centre
         self._budget_policy = budget_policy
         self._view = view
-        self._admission = admission_control
         self.metrics = metrics
         self._lag = lag
         self._count_routers = count_routers
         self._is_introduced = is_introduced
         self._quarantine = view.quarantine
         self._quarantine.on_quarantined = self._handle_quarantined
-        self.permits = permits.Permits(view)
+        self._chooser = upstream_choice.Chooser(
+            upstreams, data_centre, view, admission_control, metrics, lag
+        )
         self._sender = upstream_attempt.Sender(dialect, upstreams, view, metrics, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
+    @property
+    def permits(self) -> permits.Permits:
+        """Gets and issues permits for upstreams that limit their requests."""
+        return self._chooser.permits
+
     @property
     def version(self) -> ids.Version:
         """The version of the configuration in force."""
@@ -266,7 +261,7 @@
         line.route = route.name
         line.account = account
         line.version = table.version
-        await self._await_permission(call)
+        await self._chooser.await_permission(call)
         if not response.is_counted:
             self._view.note_received(account, call)
         deadline = call.received_at + calls.find_limit_s(call, route)
@@ -293,7 +288,7 @@
                 if is_unsent
                 else rejections.Cause.TIMEOUT
             )
-            wait_s = RETRY_AFTER_S if is_unsent else None
+            wait_s = upstream_choice.RETRY_AFTER_S if is_unsent else None
             raise rejections.RejectedError(cause, "time is up", wait_s) from error
 
     def _check_rerun(self, state: outcomes.RequestState, prior) -> None:
@@ -305,10 +300,10 @@
         """
         state.sends = state.possible_runs = len(prior.upstreams)
         state.excluded.update(prior.upstreams)
-        if state.find_time_left_s(self._now()) < MIN_TIME_LEFT_S:
+        if state.find_time_left_s(self._now()) < upstream_choice.MIN_TIME_LEFT_S:
             raise TimeoutError
         if state.has_response_started or not self._allow_rerun(state):
-            self._reject_after_attempts(
+            upstream_choice.reject_after_attempts(
                 state, rejections.Cause.ANSWER_FAILED, prior.reason
             )
 
@@ -339,7 +334,7 @@
         """
         unreachable_count = 0
         while True:
-            choice, permit = await self._choose(state)
+            choice, permit = await self._chooser.choose(state)
             outcome = await self._sender.attempt(state, choice, permit)
             match outcome:
                 case outcomes.Delivered():
@@ -347,17 +342,17 @@
                 case outcomes.Unsent(reason=reason):
                     unreachable_count += 1
                     if unreachable_count >= MAX_CONNECT_TRIES:
-                        self._reject_after_attempts(
+                        upstream_choice.reject_after_attempts(
                             state, rejections.Cause.NO_UPSTREAM, reason
                         )
                 case outcomes.NotRun(reason=reason):
                     if not self._allow_resend(state):
-                        self._reject_after_attempts(
+                        upstream_choice.reject_after_attempts(
                             state, rejections.Cause.NOT_TAKEN, reason
                         )
                 case outcomes.Failed(reason=reason):
                     if not self._allow_rerun(state):
-                        self._reject_after_attempts(
+                        upstream_choice.reject_after_attempts(
                             state, rejections.Cause.ANSWER_FAILED, reason
                         )
             self.metrics.retries.labels(
@@ -377,247 +372,13 @@
         self.metrics.quarantines.inc()
         self._sender.abort_quarantined(part)
 
-    async def _await_permission(self, call: calls.Call) -> None:
-        """Waits until it is settled which router tries a quarantined part.
-
-        Raises:
-            RejectedError: A part of its prompt is quarantined.
-        """
-        permission = self._find_permission(call)
-        if isinstance(permission, quarantine.Claimed):
-            await asyncio.sleep(permission.wait_s)
-            permission = self._find_permission(call)
-        _reject_if_quarantined(permission)
-
-    def _check_quarantine(
-        self, call: calls.Call, possible_runs: int = 0
-    ) -> quarantine.Permission:
-        """Returns the permission to send a request.
-
-        Args:
-            call: The request.
-            possible_runs: How many upstreams may have run it.
-
-        Raises:
-            RejectedError: A part of its prompt is quarantined.
-        """
-        permission = self._find_permission(call)
-        _reject_if_quarantined(permission, possible_runs)
-        return permission
-
-    def _find_permission(self, call: calls.Call) -> quarantine.Permission:
-        return self._quarantine.check(call.parts, self._now(), self._view.find_claim_s)
-
-    async def _choose(
-        self, state: outcomes.RequestState
-    ) -> tuple[placement.Choice, permits.Permit]:
-        """Chooses the upstream for the next attempt, and gets a permit to send there.
-
-        An upstream that limits its requests may have no permit in time; then the next
-        best one is chosen.
-
-        Raises:
-            RejectedError: There is no upstream, or admission control has rejected it.
-            TimeoutError: Too little time is left.
-        """
-        denied: dict[ids.UpstreamId, permits.Denied] = {}
-        began_at = self._now()
-        while True:
-            choice = self._choose_upstream(state, denied)
-            reply = await self._acquire_permit(state, choice.candidate, began_at)
-            if isinstance(reply, permits.Permit):
-                self._begin_trial(state, reply)
-                return choice, reply
-            denied[choice.candidate.upstream.id] = reply
-
-    async def _acquire_permit(
-        self,
-        state: outcomes.RequestState,
-        candidate: placement.Candidate,
-        began_at: float,
-    ) -> permits.Permit | permits.Denied:
-        """Gets a permit, and records what it took if the upstream has a limit.
-
-        Args:
-            state: The request.
-            candidate: The upstream.
-            began_at: Since when the request needs a permit, in seconds.
-        """
-        is_limited = candidate.announced.limit is not None
-        asked_at = self._now()
-        request = self._make_permit_request(state, began_at)
-        reply = await self.permits.acquire(candidate, request)
-        if is_limited:
-            now = self._now()
-            state.line.permit_ms = round(1000 * (now - began_at), 1)
-            self.metrics.permit_wait_s.observe(now - asked_at)
-            outcome = "denied" if isinstance(reply, permits.Denied) else "granted"
-            self.metrics.permits.labels(state.service.name, outcome).inc()
-        return reply
-
-    def _make_permit_request(
-        self, state: outcomes.RequestState, began_at: float
-    ) -> permits.Request:
-        """Returns what a request asks for when it needs a permit.
-
-        Args:
-            state: The request.
-            began_at: Since when it needs one, in seconds.
-        """
-        if state.sends:
-            max_wait_s = MAX_RETRY_PERMIT_WAIT_S
-        else:
-            max_wait_s = admission.find_max_wait_s(state.route, state.assessment)
-        now = self._now()
-        left_s = min(
-            max_wait_s - (now - began_at), state.find_time_left_s(now) - MIN_TIME_LEFT_S
-        )
-        return permits.Request(
-            state.account, max(0.0, left_s), is_retry=state.sends > 0
-        )
-
-    def _choose_upstream(
-        self,
-        state: outcomes.RequestState,
-        denied: dict[ids.UpstreamId, permits.Denied],
-    ) -> placement.Choice:
-        """Chooses the upstream for the next attempt.
-
-        Args:
-            state: The request.
-            denied: The upstreams that have no permit in time.
-
-        Raises:
-            RejectedError: There is no upstream, or admission control has rejected it.
-            TimeoutError: Too little time is left.
-        """
-        now = self._now()
-        permission = self._check_quarantine(state.call, state.possible_runs)
-        candidates = self._directory.candidates(
-            state.service, state.excluded | denied.keys()
-        )
-        if len(denied) >= MAX_DENIALS:
-            candidates = [c for c in candidates if c.announced.limit is None]
-        if isinstance(permission, quarantine.Trial):
-            candidates = placement.find_least_loaded(candidates, now)
-        choice = self._place(state, candidates, now)
-        if choice is None:
-            self._reject_without_upstream(state, denied, now)
-        if state.find_time_left_s(now) < MIN_TIME_LEFT_S:
-            raise TimeoutError
-        if self._is_admissible(state, choice, now):
-            return choice
-        if any(c.announced.limit is not None for c in candidates):
-            # Rather a permit for a small prompt than none while there are permits.
-            choice = self._place(state, candidates, now, saves_permits=False)
-            if self._is_admissible(state, choice, now):
-                return choice
-        self._admission.check(state.call, state.account, state.assessment, now)
-        return choice
-
-    def _place(
-        self,
-        state: outcomes.RequestState,
-        candidates: list[placement.Candidate],
-        now: float,
-        saves_permits: bool = True,
-    ) -> placement.Choice | None:
-        return placement.choose(
-            state.call,
-            candidates,
-            self._data_centre,
-            now,
-            self._view.estimate_unreported_tokens(),
-            self._lag.find_uninterrupted_s(now),
-            saves_permits,
-        )
-
-    def _begin_trial(
-        self, state: outcomes.RequestState, permit: permits.Permit
-    ) -> None:
-        """Records a request that is about to be sent with a quarantined part.
-
-        Raises:
-            RejectedError: Another request has begun a trial of the part meanwhile.
-        """
-        try:
-            permission = self._check_quarantine(state.call, state.possible_runs)
-        except rejections.RejectedError:
-            permit.give_back()
-            raise
-        if isinstance(permission, quarantine.Trial):
-            self._quarantine.note_trial(permission.part, self._now())
-
-    def _is_admissible(self, state, choice: placement.Choice, now: float) -> bool:
-        """Records the predicted wait of a request; returns whether it is short enough.
-
-        A request that was sent before is always sent again.
-        """
-        assessment = self._admission.assess(
-            state.call, state.route, state.account, choice, now
-        )
-        state.assessment = assessment
-        if assessment is None:
-            return True
-        self.metrics.predicted_wait_s.observe(assessment.wait_s)
-        line = state.line
-        line.unread_tokens = choice.prefill_tokens
-        line.copied_from = choice.fetch_from.id if choice.fetch_from else None
-        line.set_assessment(assessment)
-        return bool(state.sends) or assessment.is_admissible
-
-    def _reject_without_upstream(
-        self,
-        state: outcomes.RequestState,
-        denied: dict[ids.UpstreamId, permits.Denied],
-        now: float,
-    ) -> None:
-        """Rejects a request for which no upstream is left.
-
-        Raises:
-            RejectedError: Always.
-        """
-        if denied and not state.possible_runs:
-            self._admission.note_rejected(state.call, state.account, now)
-            waits = ", ".join(f"{u} {d.wait_s:.3f} s" for u, d in denied.items())
-            wait_s = min(each.wait_s for each in denied.values())
-            raise rejections.RejectedError(
-                rejections.Cause.UPSTREAMS_LIMITED,
-                f"no permit in time: {waits}",
-                admission.spread_retry_after_s(wait_s),
-            )
-        pause_s = self._directory.find_pause_left_s(state.service, now)
-        if pause_s and not state.possible_runs:
-            raise rejections.RejectedError(
-                rejections.Cause.UPSTREAMS_PAUSED, "all upstreams want a pause", pause_s
-            )
-        self._reject_after_attempts(
-            state, rejections.Cause.NO_UPSTREAM, "no upstream is left"
-        )
-
-    def _reject_after_attempts(
-        self, state: outcomes.RequestState, cause, reason: str
-    ) -> None:
-        """Rejects a request with a cause that holds for all of its attempts.
-
-        If an upstream may have run the request, the cause must not tell the caller that
-        it has not run.
-
-        Raises:
-            RejectedError: Always.
-        """
-        if state.possible_runs:
-            raise rejections.RejectedError(rejections.Cause.ANSWER_FAILED, reason)
-        wait_s = RETRY_AFTER_S if cause.status in NOT_RUN_STATUSES else None
-        raise rejections.RejectedError(cause, reason, wait_s)
-
     def _allow_resend(self, state: outcomes.RequestState) -> bool:
         """Spends a retry on a request that has not run, if the budget allows it.
 
         Raises:
             RejectedError: A part of its prompt is quarantined.
         """
-        self._check_quarantine(state.call, state.possible_runs)
+        self._chooser.check_quarantine(state.call, state.possible_runs)
         return self._spend_retry(state, "not run")
 
     def _allow_rerun(self, state: outcomes.RequestState) -> bool:
@@ -628,7 +389,7 @@
         """
         if not state.may_run_elsewhere:
             return False
-        self._check_quarantine(state.call, state.possible_runs)
+        self._chooser.check_quarantine(state.call, state.possible_runs)
         return self._spend_retry(state, "failed")
 
     def _spend_retry(self, state: outcomes.RequestState, why: str) -> bool:
@@ -650,28 +411,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _reject_if_quarantined(
-    permission: quarantine.Permission, possible_runs: int = 0
-) -> None:
-    """Rejects a request that must not be sent now.
-
-    Args:
-        permission: The permission to send it.
-        possible_runs: How many upstreams may have run it.
-
-    Raises:
-        RejectedError: A part of its prompt is quarantined.
-    """
-    match permission:
-        case (
-            quarantine.Blocked(part=part, retry_after_s=retry_after_s)
-            | quarantine.Claimed(part=part, wait_s=retry_after_s)
-        ):
-            reason = f"prompt part {part} is quarantined, it crashes upstreams"
-            if possible_runs:
-                raise rejections.RejectedError(rejections.Cause.ANSWER_FAILED, reason)
-            raise rejections.RejectedError(
-                rejections.Cause.QUARANTINED, reason, retry_after_s
-            )
