Wait for a permit no longer than half of the time that is left

A retry waited up to 20 ms before its deadline; what it was then sent for could not arrive any more (504 instead of a rejection).

--- a/teaselsill/upstream_choice.py
+++ b/teaselsill/upstream_choice.py
@@ -22,6 +22,9 @@
 MAX_RETRY_PERMIT_WAIT_S = 1.0
 """How long a request that was sent before waits for a permit: its caller may have a
 part of the response, and abandons a stream after a pause of 2 s."""
+MAX_PERMIT_WAIT_RATIO = 0.5
+"""The part of the time left that a request waits for a permit at most: the upstream
+needs time to respond."""
 MAX_DENIALS = 8
 """After so many upstreams without a permit in time, no further ones are asked."""
 MIN_TIME_LEFT_S = 0.02
@@ -154,7 +157,8 @@
             max_wait_s = admission.find_max_wait_s(state.route, state.assessment)
         now = self._now()
         left_s = min(
-            max_wait_s - (now - began_at), state.find_time_left_s(now) - MIN_TIME_LEFT_S
+            max_wait_s - (now - began_at),
+            MAX_PERMIT_WAIT_RATIO * state.find_time_left_s(now),
         )
         return permits.Request(
             state.account, max(0.0, left_s), is_retry=state.sends > 0
