--- a/teaselsill/permit_link.py
+++ b/teaselsill/permit_link.py
@@ -68,7 +68,7 @@
         self._stream.abort()
 
     def close_when_idle(self) -> None:
-        """Closes the connection, since it has ended for the other router, too."""
+        """Closes the connection at once; requests that wait are denied."""
         self.close()
 
     async def run(self) -> None:
