--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -157,10 +157,9 @@
         While the store is away, they may not be listed for long. A router that hears
         another one, but is not heard by it, would take over work that both do then.
         """
-        packed = wire.pack(report)
-        for router, stream in self._accepted_by_router.items():
-            if router not in self._routes.peer_by_id:
-                stream.write(packed)
+        unlisted = self._accepted_by_router.keys() - self._routes.peer_by_id.keys()
+        for router in unlisted:
+            self._accepted_by_router[router].write(wire.pack(report))
 
     def _list_contacts(self) -> list[list[ids.InstanceId]]:
         return self._routes.list_contacts(self._find_penalty)
