--- a/review/common.py
+++ b/review/common.py
@@ -192,14 +192,18 @@
     async def handle(self, reader, writer):
         """Serves one connection."""
         while (request := await read_message(reader)) is not None:
-            method, target, _ = request.first.split(" ")
-            path, _, query = target.partition("?")
-            fields = dict(urllib.parse.parse_qsl(query))
-            status, body = await self._answer(f"{method} {path}", fields, request.body)
-            headers = {"Store-Era": self.era, "Content-Type": "application/json"}
-            writer.write(encode(f"HTTP/1.1 {status} X", headers, body))
+            writer.write(await self.serve(request))
             await writer.drain()
 
+    async def serve(self, request):
+        """Returns the answer to a call."""
+        method, target, _ = request.first.split(" ")
+        path, _, query = target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        status, body = await self._answer(f"{method} {path}", fields, request.body)
+        headers = {"Store-Era": self.era, "Content-Type": "application/json"}
+        return encode(f"HTTP/1.1 {status} X", headers, body)
+
     async def _answer(self, call, fields, body):
         topic = fields.get("Topic", "")
         match call:
