--- a/review/common.py
+++ b/review/common.py
@@ -559,7 +559,7 @@
             raise CannotRunError("target/deps is missing: build first")
         held = asyncio.run(case(has_trouble, record, temporary))
         status = HELD if held else BROKEN
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:
         record.write(f"cannot run: {error!r}")
     finally:
         shutil.rmtree(temporary, ignore_errors=True)
