--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -16,6 +16,8 @@
     grantor_members,
     ids,
     keyed_log,
+    log_era,
+    log_position,
     loop_lag,
     peer_liveness,
     peer_reports,
@@ -42,7 +44,7 @@
 
 
 DescribeStatus = collections.abc.Callable[[], peer_reports.RouterStatus]
-OnLogChange = collections.abc.Callable[[str, ids.Offset], None]
+OnLogChange = collections.abc.Callable[[str, log_position.Position], None]
 OnLogReading = collections.abc.Callable[[str, peer_reports.LogReading], None]
 
 
@@ -53,11 +55,12 @@
         router: This router.
         upstreams: The upstreams.
         describe_status: Returns the status of this router.
-        on_log_change: Called with a topic of the platform's log and the offset of a
+        on_log_change: Called with a topic of the platform's log and the position of a
             change that another router has seen there.
         on_log_reading: Called with a topic and what another router has read of it.
         lag: Measures the delay of the event loop; by default, it is never interrupted.
         count_routers: Returns the number of routers; 0 if it is unknown.
+        era: The era of the platform's log; by default, it never changes.
 
     Attributes:
         usage: The usage of the client accounts.
@@ -72,13 +75,16 @@
         router: ids.InstanceId,
         upstreams: directory.Directory,
         describe_status: DescribeStatus,
-        on_log_change: OnLogChange = lambda topic, offset: None,
+        on_log_change: OnLogChange = lambda topic, position: None,
         on_log_reading: OnLogReading = lambda topic, reading: None,
         lag: loop_lag.LoopLag | None = None,
         count_routers: collections.abc.Callable[[], int] = lambda: 0,
+        era: log_era.LogEra | None = None,
     ):
         self.router = router
-        self._offset_by_topic: dict[str, ids.Offset] = {}
+        self._era = era or log_era.LogEra()
+        self._era.on_restore.append(self._report_restore)
+        self._position_by_topic: dict[str, log_position.Position] = {}
         self._has_log_change = False
         self.usage = account_usage.AccountUsage()
         self._directory = upstreams
@@ -121,11 +127,16 @@
         self._has_new_status = True
         self._urgent.set()
 
-    def note_log_change(self, topic: str, offset: ids.Offset) -> None:
+    def note_log_change(self, topic: str, position: log_position.Position) -> None:
         """Records a change in the platform's log, to report it to the others."""
-        self._offset_by_topic[topic] = offset
+        self._position_by_topic[topic] = position
         self._has_log_change = True
 
+    def _report_restore(self, era: ids.Era) -> None:
+        """Reports at once that the platform's log has come back from an older copy."""
+        self._has_log_change = True
+        self._urgent.set()
+
     def note_log_read(
         self, topic: str, update: keyed_log.Update, read_at: float
     ) -> None:
@@ -304,14 +315,23 @@
         self._has_new_router = False
         interval_s = peer_reports.find_interval_s(self.count_live_peers())
         report = self._report_builder.take(
-            status, changed, self._offset_by_topic, news, interval_s
+            status, changed, self._list_offsets(), news, interval_s
         )
         return msgspec.structs.replace(
             report,
             limit_news=self._take_limit_news(now),
             permit_wait_by_upstream=self.grantor.list_waits(now),
+            log_era=self._era.current,
         )
 
+    def _list_offsets(self) -> dict[str, ids.Offset]:
+        """Returns the offsets of the last changes in the current era of the log."""
+        return {
+            topic: position.offset
+            for topic, position in self._position_by_topic.items()
+            if position.era == self._era.current
+        }
+
     def make_greeting(self) -> peer_reports.Report:
         """Returns a report for a router to which a connection has just opened.
 
@@ -328,6 +348,7 @@
             log_reading_by_topic={},
             crash_news=self.quarantine.describe(self._now()),
             limit_news=self._list_limits(self._now()),
+            log_era=self._era.current,
         )
 
     def apply(self, report: peer_reports.Report) -> None:
@@ -338,10 +359,11 @@
             self._has_new_router = True
             self._urgent.set()
         self._status_by_router[report.router] = report.status
+        self._era.note_told(report.log_era, report.router)
         for topic, reading in report.log_reading_by_topic.items():
             self._on_log_reading(topic, reading)
-        for topic, offset in report.offset_by_topic.items():
-            self._on_log_change(topic, offset)
+        for topic, position in report.position_by_topic.items():
+            self._on_log_change(topic, position)
         for leaving in report.leaving:
             self._apply_leaving(leaving)
         for news in report.limit_news:
--- a/teaselsill/ids.py
+++ b/teaselsill/ids.py
@@ -23,6 +23,12 @@
 Offset = typing.NewType("Offset", int)
 """The position of a record in a stream of the log service, from 0."""
 
+Era = typing.NewType("Era", int)
+"""How often the log service has come back from an older copy; see `log_position`."""
+
+NO_ERA = Era(0)
+"""The era of a log service that states none; lower than any other."""
+
 Version = typing.NewType("Version", int)
 """Identifies a configuration: the offset of the record that published it."""
 
--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -6,14 +6,18 @@
 import math
 import random
 
-from teaselsill import boot_clock, ids, keyed_log, log
+from teaselsill import boot_clock, ids, keyed_log, log, log_position
 
 WAIT_AFTER_FAILURE_S = 0.5
-"""The longest wait of the first read after a failure; doubled with each read."""
+"""The longest wait of the second read after a failure; doubled with each read.
+
+The first one does not wait: its response shows whether the log has been restored.
+"""
 SLOW_READ_S = 0.3
 """A read that takes this much longer than its wait is dated at its start.
 
-Its reply was delayed on the way, so its content may be as old as the call.
+Its reply was delayed on the way, so its content may be as old as the call. If no reply
+has come by then, its connection may be dead.
 """
 WAKE_GRACE_S = 0.1
 """How long a waiting read may go on once another reader has seen a change.
@@ -23,7 +27,7 @@
 
 logger = logging.getLogger(__name__)
 
-OnChange = collections.abc.Callable[[str, ids.Offset], None]
+OnChange = collections.abc.Callable[[str, log_position.Position], None]
 OnRead = collections.abc.Callable[[str, keyed_log.Update, float], None]
 
 
@@ -34,6 +38,9 @@
     can share the reading: `on_read` passes on what was read, and `apply_update`
     applies what another process has read.
 
+    If the log comes back from an older copy, the follower lists the topic again. It
+    then drops everything that rests on offsets of the earlier era.
+
     Args:
         source: The log.
         topic: The topic.
@@ -41,10 +48,12 @@
         find_wait_s: Returns how long one read waits for a record, in seconds.
         find_pause_s: Returns how long to wait between two reads, in seconds. An
             update from another reader counts as a read.
-        on_change: Called with the topic and the offset of the newest change that was
+        on_change: Called with the topic and the position of the newest change that was
             read.
         on_read: Called after each read with the topic, the update and the time by
             the boot clock up to which the view is current.
+        find_spread_s: Returns over how much time the processes spread their listings
+            after the log has come back from an older copy, in seconds.
 
     Attributes:
         is_listed: Whether the topic has been listed at least once.
@@ -57,8 +66,9 @@
         view: keyed_log.View,
         find_wait_s: collections.abc.Callable[[], float],
         find_pause_s: collections.abc.Callable[[], float] = lambda: 0.0,
-        on_change: OnChange = lambda topic, offset: None,
+        on_change: OnChange = lambda topic, position: None,
         on_read: OnRead = lambda topic, update, read_at: None,
+        find_spread_s: collections.abc.Callable[[], float] = lambda: 0.0,
     ):
         self.is_listed = False
         self._source = source
@@ -68,9 +78,12 @@
         self._find_pause_s = find_pause_s
         self._on_change = on_change
         self._on_read = on_read
+        self._find_spread_s = find_spread_s
         self._current_at = -math.inf
         self._wake_event = asyncio.Event()
-        self._next_offset: ids.Offset | None = None
+        self._position: log_position.Position | None = None
+        self._listed_era: ids.Era | None = None
+        self._newest_era = ids.NO_ERA
         self._is_first_read_after_listing = False
         self._lost_at: float | None = None
         self._failures = 0
@@ -87,39 +100,63 @@
                     "records expired, listing the topic again",
                     extra={"topic": self._topic, "reason": str(error)},
                 )
-                self._next_offset = None
-                continue
+                self._position = None
+            except log.LogRestoredError as error:
+                logger.info(
+                    "log restored, listing the topic again",
+                    extra={"topic": self._topic, "reason": str(error)},
+                )
+                self._position = None
             except log.LogUnavailableError as error:
                 await self._wait_after_failure(error)
 
-    def wake_for(self, offset: ids.Offset) -> None:
-        """Starts a read at once if the record at an offset has not been read yet."""
-        if self._next_offset is None or offset >= self._next_offset:
+    def note_restore(self, era: ids.Era) -> None:
+        """Ends a wait of an earlier era and lists the topic again at once."""
+        self._newest_era = era
+        if self._position is not None and self._position.era != era:
+            self._position = None
+            self._wake_event.set()
+
+    def forget(self) -> None:
+        """Lists the topic again: from now on, calls go to another log service."""
+        self.note_restore(ids.NO_ERA)
+
+    def read_now(self) -> None:
+        """Starts a read at once, since the one that waits may get no response."""
+        self._wake_event.set()
+
+    def wake_for(self, position: log_position.Position) -> None:
+        """Starts a read at once if the record at a position has not been read yet."""
+        if self._position is None or (
+            position.era == self._position.era and position >= self._position
+        ):
             self._wake_event.set()
 
     def apply_update(self, update: keyed_log.Update, age_s: float) -> None:
         """Applies what another reader has read, as if it were read here.
 
         An update that leaves a gap is not applied; if it has changes, the topic is
-        read at once. An update that ends before the next offset is out of date.
+        read at once. An update that ends before the next record, or that belongs to
+        another era, is not applied either.
 
         Args:
             update: The update.
             age_s: The age of the read, in seconds.
         """
-        if self._next_offset is None or update.next_offset < self._next_offset:
+        if self._position is None or update.era != self._position.era:
             return
-        if update.first_offset > self._next_offset:
+        if update.end < self._position:
+            return
+        if update.start > self._position:
             if update.changes:
                 self._wake_event.set()
             return
         if update.outage_s:
             self._view.note_outage(update.outage_s)
         self._note_available(boot_clock.now() - age_s)
-        for change in update.changes:
-            if change.offset >= self._next_offset:
-                self._view.put(keyed_log.KeyedRecord(change.key, change.value))
-        self._next_offset = update.next_offset
+        for change in update.list_changes_from(self._position):
+            self._view.put(keyed_log.KeyedRecord(change.key, change.value))
+        self._position = update.end
 
     async def _pause(self) -> None:
         """Waits until the next read is due or requested."""
@@ -135,28 +172,47 @@
         self._wake_event.clear()
 
     async def _step(self) -> None:
-        if self._next_offset is None:
+        if self._position is None:
             await self._list()
             return
-        start = self._next_offset
+        start = self._position
         began_at = boot_clock.now()
         wait_s = min(self._find_wait_s(), self._max_wait_s)
         page = await self._read_on(start, wait_s)
+        self._check_era(page, start)
         read_at = boot_clock.now()
         if read_at - began_at > wait_s + SLOW_READ_S:
             read_at = began_at
         outage_s = self._note_available(read_at)
         # Updates from another reader may have been applied during the read.
-        already_applied = self._next_offset - start
-        first_offset = self._next_offset
-        changes = self._apply(page.records[already_applied:], page.next_offset)
-        update = keyed_log.Update(first_offset, self._next_offset, changes, outage_s)
+        first = self._position
+        changes = self._apply(page.records[first.count_since(start) :], page.end)
+        update = keyed_log.Update(
+            first.offset, self._position.offset, changes, outage_s, first.era
+        )
         self._on_read(self._topic, update, read_at)
         if changes:
-            self._on_change(self._topic, changes[-1].offset)
+            self._on_change(
+                self._topic, log_position.Position(first.era, changes[-1].offset)
+            )
+
+    def _check_era(
+        self, page: keyed_log.KeyedPage, start: log_position.Position
+    ) -> None:
+        """Checks that what was read continues what is known.
+
+        Raises:
+            LogRestoredError: The log has come back from an older copy since the topic
+                was listed.
+        """
+        self._newest_era = max(self._newest_era, page.end.era)
+        if self._position is None or page.end.era != start.era:
+            raise log.LogRestoredError(
+                f"read of era {start.era}, now era {self._newest_era}"
+            )
 
     def _apply(
-        self, records: list[keyed_log.KeyedRecord], next_offset: ids.Offset
+        self, records: list[keyed_log.KeyedRecord], end: log_position.Position
     ) -> list[keyed_log.Change]:
         """Applies records to the view; returns the changes to share with others.
 
@@ -165,42 +221,79 @@
         of them are returned.
 
         Args:
-            records: The records from the next offset on.
-            next_offset: The offset after the last record.
+            records: The records from the next position on.
+            end: The position after the last record.
         """
         changes = []
-        for position, record in enumerate(records, self._next_offset):
+        for offset, record in enumerate(records, self._position.offset):
             if self._view.put(record) or self._is_first_read_after_listing:
-                offset = ids.Offset(position)
-                changes.append(keyed_log.Change(offset, record.key, record.value))
+                changes.append(
+                    keyed_log.Change(ids.Offset(offset), record.key, record.value)
+                )
         self._is_first_read_after_listing = False
-        self._next_offset = max(self._next_offset, next_offset)
+        self._position = max(self._position, end)
         return changes
 
     async def _list(self) -> None:
+        if self._listed_era is not None and self._listed_era != self._newest_era:
+            await asyncio.sleep(random.uniform(0.0, self._find_spread_s()))
         began_at = boot_clock.now()
         page = await self._source.list_newest(self._topic)
+        if page.end.era < self._newest_era:
+            raise log.LogRestoredError(
+                f"listing of era {page.end.era}, now era {self._newest_era}"
+            )
+        self._newest_era = page.end.era
         self._note_available(began_at)
+        has_changed = self._apply_listing(page)
+        self._listed_era = page.end.era
+        self._position = page.end
+        self._is_first_read_after_listing = True
+        if has_changed and self.is_listed:
+            self._on_change(self._topic, page.end.advance(-1))
+        self.is_listed = True
+
+    def _apply_listing(self, page: keyed_log.KeyedPage) -> bool:
+        """Applies a complete listing; returns whether it changes the view."""
+        if self._listed_era not in (None, page.end.era):
+            logger.info(
+                "topic listed again",
+                extra={
+                    "topic": self._topic,
+                    "era": page.end.era,
+                    "earlier_era": self._listed_era,
+                    "records": len(page.records),
+                },
+            )
+            return self._view.restore(page.records)
         self._view.keep_only({record.key for record in page.records})
         has_changed = False
         for record in page.records:
             has_changed |= self._view.put(record)
-        self._next_offset = page.next_offset
-        self._is_first_read_after_listing = True
-        if has_changed and self.is_listed:
-            self._on_change(self._topic, ids.Offset(self._next_offset - 1))
-        self.is_listed = True
+        return has_changed
+
+    async def _read_on(
+        self, start: log_position.Position, wait_s: float
+    ) -> keyed_log.KeyedPage:
+        """Reads on; ends the wait early once another reader has seen a change.
 
-    async def _read_on(self, start: ids.Offset, wait_s: float) -> keyed_log.KeyedPage:
-        """Reads on; ends the wait early once another reader has seen a change."""
-        self._max_wait_s *= 2
+        A read whose response is overdue is replaced by one that does not wait.
+
+        Raises:
+            LogRestoredError: Meanwhile the log has come back from an older copy.
+        """
+        self._max_wait_s = max(WAIT_AFTER_FAILURE_S, 2 * self._max_wait_s)
         if not wait_s:
             return await self._source.read(self._topic, start, 0.0)
         reading = asyncio.create_task(self._source.read(self._topic, start, wait_s))
         waking = asyncio.create_task(self._wake_event.wait())
         try:
-            await asyncio.wait({reading, waking}, return_when=asyncio.FIRST_COMPLETED)
-            if not reading.done():
+            await asyncio.wait(
+                {reading, waking},
+                timeout=wait_s + SLOW_READ_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if waking.done() and self._position is not None:
                 await asyncio.wait({reading}, timeout=WAKE_GRACE_S)
             if reading.done():
                 return reading.result()
@@ -209,6 +302,10 @@
             waking.cancel()
             reading.cancel()
             await asyncio.gather(reading, waking, return_exceptions=True)
+        if self._position is None:
+            raise log.LogRestoredError(
+                f"wait of era {start.era}, now era {self._newest_era}"
+            )
         return await self._source.read(self._topic, start, 0.0)
 
     def _note_available(self, read_at: float) -> float:
@@ -240,7 +337,7 @@
                 "log lost, going on with what is known",
                 extra={"topic": self._topic, "reason": str(error)},
             )
-        self._max_wait_s = WAIT_AFTER_FAILURE_S
+        self._max_wait_s = 0.0
         backoff_s = min(
             keyed_log.MAX_BACKOFF_S, keyed_log.MIN_BACKOFF_S * 2**self._failures
         )
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -1,22 +1,17 @@
 """The interface of a keyed log, which keeps at least the newest record of each key."""
 
 import abc
-import asyncio
 import dataclasses
-import logging
-import random
 
 import msgspec
 
-from teaselsill import ids, log
+from teaselsill import ids, log_position
 
 MIN_BACKOFF_S = 0.2
 """How long to wait after a failed call; doubled with every further failure."""
 MAX_BACKOFF_S = 0.8
 """The limit of the doubling."""
 
-logger = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedRecord:
@@ -33,15 +28,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Records and the offset at which to continue reading.
+    """Records and the position at which to continue reading.
 
     Attributes:
         records: The records, in order.
-        next_offset: The offset after the last record.
+        end: The position after the last record.
     """
 
     records: list[KeyedRecord]
-    next_offset: ids.Offset
+    end: log_position.Position
 
 
 class Change(msgspec.Struct, array_like=True, frozen=True):
@@ -68,22 +63,47 @@
             applied all earlier records.
         outage_s: How long the log was unavailable before the read, in seconds; 0 if
             it was available.
+        era: The era of all offsets. Routers of earlier versions state none.
     """
 
     first_offset: ids.Offset
     next_offset: ids.Offset
     changes: list[Change]
     outage_s: float
+    era: ids.Era = ids.NO_ERA
+
+    @property
+    def start(self) -> log_position.Position:
+        """The position of the first record of the range."""
+        return log_position.Position(self.era, self.first_offset)
+
+    @property
+    def end(self) -> log_position.Position:
+        """The position after the range."""
+        return log_position.Position(self.era, self.next_offset)
+
+    def list_changes_from(self, position: log_position.Position) -> list[Change]:
+        """Returns the changes that are not before a position.
+
+        Raises:
+            EraMismatchError: The position is of another era.
+        """
+        return [
+            change
+            for change in self.changes
+            if log_position.Position(self.era, change.offset) >= position
+        ]
 
     def merge_earlier(self, earlier: "Update | None") -> "Update":
         """Returns both updates as one; ignores an earlier one that is not adjacent."""
-        if earlier is None or earlier.next_offset != self.first_offset:
+        if earlier is None or earlier.end != self.start:
             return self
         return Update(
             earlier.first_offset,
             self.next_offset,
             earlier.changes + self.changes,
             max(earlier.outage_s, self.outage_s),
+            self.era,
         )
 
 
@@ -99,16 +119,23 @@
         """
 
     @abc.abstractmethod
-    async def read(self, topic: str, start: ids.Offset, wait_s: float) -> KeyedPage:
-        """Reads records, starting at an offset.
+    async def read(
+        self, topic: str, start: log_position.Position, wait_s: float
+    ) -> KeyedPage:
+        """Reads records, starting at a position.
+
+        The log service knows offsets only. If it has come back from an older copy
+        since, the page is of a later era than the position, and its records may be
+        others than the ones that were asked for.
 
         Args:
             topic: The topic.
-            start: The first offset to read.
+            start: The position of the first record to read.
             wait_s: How long to wait for a record if there is none yet, in seconds.
 
         Raises:
-            OffsetExpiredError: The record at `start` may have been deleted.
+            OffsetExpiredError: The record at `start` may have been deleted, or the log
+                has no such offset.
             LogUnavailableError: No usable reply came.
         """
 
@@ -133,21 +160,20 @@
     def keep_only(self, keys: set[str]) -> None:
         """Removes all keys but these, which a complete listing contained."""
 
-    def note_outage(self, lasted_s: float) -> None:
-        """Called when the log is available again, with the seconds that it was not."""
+    @abc.abstractmethod
+    def restore(self, records: list[KeyedRecord]) -> bool:
+        """Applies the first listing after the log has come back from an older copy.
 
+        The listing may lack records that were acknowledged, until their writers write
+        them again, and may contain older ones than are known. What is in force must
+        not go back by it.
+
+        Args:
+            records: The newest record of each key.
 
-async def put_with_retries(target: KeyedLog, topic: str, record: KeyedRecord) -> None:
-    """Appends a record, retrying with backoff until the log has accepted it."""
-    backoff_s = MIN_BACKOFF_S
-    while True:
-        try:
-            await target.put(topic, record)
-            return
-        except log.LogUnavailableError as error:
-            logger.warning(
-                "record not appended, retrying",
-                extra={"topic": topic, "reason": str(error)},
-            )
-        await asyncio.sleep(backoff_s * random.uniform(0.7, 1.0))
-        backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+        Returns:
+            Whether it changes the view.
+        """
+
+    def note_outage(self, lasted_s: float) -> None:
+        """Called when the log is available again, with the seconds that it was not."""
--- a/teaselsill/log.py
+++ b/teaselsill/log.py
@@ -11,6 +11,14 @@
     """The log service did not answer; an append may have taken effect all the same."""
 
 
+class StaleResponseError(LogUnavailableError):
+    """The response was given before the log service came back from an older copy."""
+
+
+class LogRestoredError(errors.LogError):
+    """The log service has come back from an older copy; offsets are given out again."""
+
+
 class OffsetExpiredError(errors.LogError):
     """The record at the requested offset has expired.
 
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -103,6 +103,10 @@
         self._most_peers = max(self._most_peers, len(self._routes.peer_by_id))
         self._update_connections()
 
+    def has_peer(self, peer: ids.InstanceId) -> bool:
+        """Returns whether another router is listed."""
+        return peer in self._routes.peer_by_id
+
     def count_routers(self) -> int:
         """Returns the largest number of routers seen at a time, including this one."""
         return self._most_peers + 1
@@ -118,9 +122,12 @@
         self._update_connections()
 
     def keep_only(self, peers: set[ids.InstanceId]) -> None:
-        """Removes all routers that are not among the given ones."""
+        """Removes all routers that are not among the given ones.
+
+        One that is heard is kept: the log has lost its entry and gets it again.
+        """
         for peer in list(self._routes.peer_by_id):
-            if peer not in peers:
+            if peer not in peers and not self._liveness.is_live(peer, _now()):
                 self.remove_peer(peer)
 
     def send(self, report: peer_reports.Report) -> None:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -11,6 +11,7 @@
     crash_reports,
     ids,
     keyed_log,
+    log_position,
     upstream_load,
 )
 
@@ -154,7 +155,7 @@
             started.
         load_by_upstream: Its load at each engine where it has changed.
         offset_by_topic: The offset of the last change that it has seen in each topic of
-            the platform's log.
+            the platform's log, in the era `log_era`.
         log_reading_by_topic: What it has read of topics that one router reads for all.
         leaving: The upstreams that have announced to it that they leave.
         should_forward: Whether the receiver forwards it within its data centre.
@@ -164,6 +165,7 @@
         limit_news: The limits of upstreams that it has seen begin, change or end.
         permit_wait_by_upstream: How long one more request waits for a permit of an
             upstream whose permits it grants, in seconds.
+        log_era: The era of the platform's log that it knows.
     """
 
     router: ids.InstanceId
@@ -180,6 +182,15 @@
     interval_s: float = 0.0
     limit_news: list[LimitNews] = []
     permit_wait_by_upstream: dict[ids.UpstreamId, float] = {}
+    log_era: ids.Era = ids.NO_ERA
+
+    @property
+    def position_by_topic(self) -> dict[str, log_position.Position]:
+        """The position of the last change that it has seen in each topic."""
+        return {
+            topic: log_position.Position(self.log_era, offset)
+            for topic, offset in self.offset_by_topic.items()
+        }
 
 
 class ReportBuilder:
--- a/teaselsill/upstream_list.py
+++ b/teaselsill/upstream_list.py
@@ -9,6 +9,8 @@
 
 GRACE_AFTER_OUTAGE_S = 1.8
 """How long an upstream is kept if its entry was lost while the list was unavailable."""
+GONE_KEPT_S = 600.0
+"""How long an upstream that is gone is remembered, in case a copy still lists it."""
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +64,19 @@
         return UpstreamKey(self.id, self.born_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gone:
+    """The last incarnation of an upstream that is no longer listed.
+
+    Attributes:
+        born_ms: When it started, in Unix milliseconds.
+        since: Since when it is gone, in seconds.
+    """
+
+    born_ms: int
+    since: float
+
+
 class UpstreamList:
     """The upstreams on the platform's list.
 
@@ -77,6 +92,7 @@
         self._entry_by_id: dict[ids.UpstreamId, Upstream] = {}
         self._leaving: set[UpstreamKey] = set()
         self._grace_until_by_id: dict[ids.UpstreamId, float] = {}
+        self._gone_by_id: dict[ids.UpstreamId, Gone] = {}
         self._outage_ended_at = float("-inf")
 
     def note_outage(self, now: float) -> None:
@@ -120,6 +136,24 @@
         )
         return has_changed
 
+    def restore(self, upstreams: list[Upstream], now: float) -> bool:
+        """Applies the entries of an older copy of the list.
+
+        A missing entry may belong to a live upstream that has not written it again yet.
+        An incarnation that is known to be gone does not come back by its entry in the
+        copy; if it is alive, it writes another one.
+
+        Args:
+            upstreams: The entries.
+            now: The time, in seconds.
+
+        Returns:
+            Whether anything but heartbeats changed.
+        """
+        self.note_outage(now)
+        self.keep_only({upstream.id for upstream in upstreams}, now)
+        return any([self.put(each) for each in upstreams if not self._is_gone(each)])
+
     def note_leaving(self, upstream: Upstream) -> bool:
         """Records an upstream's announcement that it leaves; returns whether it is new.
 
@@ -135,10 +169,16 @@
         logger.info("upstream says that it leaves", extra={"upstream": upstream.id})
         return True
 
-    def discard(self, upstream_id: ids.UpstreamId, reason: str) -> None:
-        """Drops an upstream whose entry cannot be used."""
+    def discard(self, upstream_id: ids.UpstreamId, reason: str, now: float) -> None:
+        """Drops an upstream whose entry cannot be used.
+
+        Args:
+            upstream_id: The upstream.
+            reason: Why the entry cannot be used, for the log.
+            now: The time, in seconds.
+        """
         if upstream_id in self.by_id:
-            self._drop(upstream_id, reason)
+            self._drop(upstream_id, reason, now)
 
     def remove(self, upstream_id: ids.UpstreamId, now: float) -> None:
         """Removes an upstream whose entry is gone, at once or after a grace period.
@@ -153,7 +193,7 @@
         if now < until:
             self._grace_until_by_id.setdefault(upstream_id, until)
             return
-        self._drop(upstream_id, "its entry was removed")
+        self._drop(upstream_id, "its entry was removed", now)
 
     def keep_only(self, listed: set[ids.UpstreamId], now: float) -> None:
         """Removes all upstreams that are missing from a complete listing."""
@@ -165,7 +205,14 @@
         """Drops the upstreams whose entries did not come back in the grace period."""
         for upstream_id, until in list(self._grace_until_by_id.items()):
             if now >= until:
-                self._drop(upstream_id, "its entry did not come back")
+                self._drop(upstream_id, "its entry did not come back", now)
+        for upstream_id, gone in list(self._gone_by_id.items()):
+            if now >= gone.since + GONE_KEPT_S:
+                del self._gone_by_id[upstream_id]
+
+    def _is_gone(self, upstream: Upstream) -> bool:
+        gone = self._gone_by_id.get(upstream.id)
+        return gone is not None and upstream.born_ms <= gone.born_ms
 
     def usable(self, service: ids.ServiceName) -> list[Upstream]:
         """Returns the upstreams of a service that may get new requests."""
@@ -175,8 +222,9 @@
             if upstream.service == service and upstream.state is State.READY
         ]
 
-    def _drop(self, upstream_id: ids.UpstreamId, reason: str) -> None:
+    def _drop(self, upstream_id: ids.UpstreamId, reason: str, now: float) -> None:
         self._grace_until_by_id.pop(upstream_id, None)
-        del self.by_id[upstream_id]
+        upstream = self.by_id.pop(upstream_id)
+        self._gone_by_id[upstream_id] = Gone(upstream.born_ms, now)
         self._entry_by_id.pop(upstream_id, None)
         logger.info("upstream gone", extra={"upstream": upstream_id, "reason": reason})
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -1,137 +1,42 @@
 import asyncio
 import json
 import os
-import pathlib
 import signal
-import tempfile
 import time
-import unittest
 
 import msgspec
 from adapter import router_role, settings, views
 
 from teaselsill import (
-    http_messages,
     ids,
     introduction,
     keyed_log,
     listener,
+    log_position,
     peer_reports,
     report_routes,
     retry_budget,
-    tcp_stream,
 )
-from tests import entry_bench, test_peer_links
-from tests.adapter import store_bench, test_manifest, test_servers, test_settings
-
-HOST = "127.0.0.9"
-KEY = "k1"
-PATH = "/pufi791/1"
-
-
-def find_free_port():
-    listening = listener.Listener(HOST, 0, lambda stream: None)
-    port = listening.address[1]
-    listening.close()
-    return port
+from tests import test_peer_links
+from tests.adapter import (
+    role_bench,
+    store_bench,
+    test_manifest,
+    test_servers,
+    test_settings,
+)
 
 
 def stop_process(pause_s):
     time.sleep(pause_s)
 
 
-def make_manifest(version):
-    return json.dumps(test_manifest.MANIFEST | {"Version": version}).encode()
-
-
-async def respond_ok(request, stream):
-    body = b"id: 1\ndata: x\n\n"
-    fields = [
-        ("teaselsill-attempt-id", request.get("teaselsill-attempt-id")),
-        ("teaselsill-server-seal", "s"),
-        ("content-length", str(len(body))),
-    ]
-    stream.write(http_messages.encode_head(200, "OK", fields) + body)
-
-
-class RouterRoleTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.store = await self.enterAsyncContext(store_bench.KeyedStore())
-        folder = tempfile.TemporaryDirectory()
-        self.folder = self.enterContext(folder)
-        self.server = entry_bench.ScriptedUpstream("i-1", respond_ok)
-        await self.enterAsyncContext(self.server)
-
-    def make_role(self):
-        store = self.store.describe()
-        self.front = find_free_port()
-        self.ready = find_free_port()
-        current = settings.Settings(
-            node="edge-1",
-            role="router",
-            zone="a",
-            heartbeat_ms=1200,
-            ip=HOST,
-            port_range=(find_free_port(), 65535),
-            listen=settings.Listen(f"{HOST}:{self.front}", f"{HOST}:{self.ready}"),
-            limits=settings.Limits(1.0, 1.0),
-            bounds=settings.Bounds(2000.0, 2.0, 0.2, 10.0, 54.0),
-            platform=settings.Platform(f"{store.host}:{store.port}"),
-        )
-        self.path = pathlib.Path(self.folder) / "settings.toml"
-        return router_role.RouterRole(self.path, current)
-
-    def start(self):
-        self.role = self.make_role()
-        running = asyncio.create_task(self.role.run())
-        self.addAsyncCleanup(asyncio.gather, running, return_exceptions=True)
-        self.addCleanup(running.cancel)
-        return running
-
-    def register(self, **fields):
-        self.store.register(self.server, **fields)
-
-    async def ask(self, port, path, **fields):
-        stream = await tcp_stream.connect(HOST, port, 1.0)
-        caller = entry_bench.Caller(stream)
-        try:
-            caller.send(path=path, method="GET", **fields)
-            return await caller.receive()
-        finally:
-            caller.abort()
-
-    async def call(self):
-        stream = await tcp_stream.connect(HOST, self.front, 1.0)
-        caller = entry_bench.Caller(stream)
-        head = [
-            ("host", "ficu95.example"),
-            ("teaselsill-attempt-id", "9c41"),
-            ("authorization", f"Bearer {KEY}"),
-        ]
-        caller.send_bytes(http_messages.encode_request("POST", PATH, head, b"x"))
-        try:
-            return await caller.receive()
-        finally:
-            caller.abort()
-
-    async def wait_status(self, status, ask):
-        async with asyncio.timeout(10.0):
-            while True:
-                try:
-                    if (await ask())[0] == status:
-                        return
-                except tcp_stream.ConnectionFailedError:
-                    pass  # Not listening yet.
-                await asyncio.sleep(0.02)
-
-    async def wait_ready(self, status):
-        await self.wait_status(status, lambda: self.ask(self.ready, "/v1/ready"))
-
+class RouterRoleTest(role_bench.RoleTestCase):
     async def test_serves_once_it_knows_the_manifest_and_the_servers(self):
         self.start()
         await self.wait_ready(503)
         self.assertEqual(503, (await self.call())[0])
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         await self.wait_ready(200)
         await self.wait_status(200, self.call)
@@ -142,7 +47,7 @@
         self.assertIn(b'teaselsill_requests_total{cause="",ending="delivered"}', text)
 
     async def test_serves_while_the_store_is_down_and_resumes_reading_it(self):
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         self.start()
         await self.wait_ready(200)
@@ -154,7 +59,7 @@
         await self.wait_ready(200)
 
     async def test_changed_address_of_the_store_is_used(self):
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         self.start()
         await self.wait_ready(200)
@@ -164,7 +69,7 @@
                 "10.200.1.7:8781", f"{new.host}:{new.port}"
             )
             self.path.write_text(text)
-            moved.put("keyed.op", "config", make_manifest(7))
+            moved.put("keyed.op", "config", role_bench.make_manifest(7))
             moved.register(self.server)
             moved.register(self.server, State="draining")
             os.kill(os.getpid(), signal.SIGHUP)
@@ -238,7 +143,7 @@
     async def test_contact_is_not_suspected_for_a_pause_of_this_router(self):
         role = self.make_role()
         self.addCleanup(role._links.close)
-        contact = listener.Listener(HOST, 0, lambda stream: None)
+        contact = listener.Listener(role_bench.HOST, 0, lambda stream: None)
         self.addCleanup(contact.close)
         peer = ids.InstanceId("edge-2")
         role._links.put_peer(
@@ -260,8 +165,10 @@
         self.assertGreaterEqual(
             role._find_peers_pause_s(), router_role.PEERS_TAKEOVER_S
         )
-        role._peers_follower._next_offset = ids.Offset(4)
-        entry = msgspec.json.encode(views.RouterEntry(f"{HOST}:7", "b"))
+        role._peers_follower._position = log_position.Position(
+            ids.NO_ERA, ids.Offset(4)
+        )
+        entry = msgspec.json.encode(views.RouterEntry(f"{role_bench.HOST}:7", "b"))
         change = keyed_log.Change(ids.Offset(4), "edge-2", entry)
         update = keyed_log.Update(ids.Offset(4), ids.Offset(5), [change], 0.0)
         reading = peer_reports.LogReading(update, age_s=0.1)
@@ -278,7 +185,7 @@
         self.assertGreater(role._find_servers_pause_s(), 0.1)
 
     async def test_older_or_malformed_manifest_is_ignored(self):
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         self.start()
         await self.wait_ready(200)
@@ -290,11 +197,11 @@
 
     async def start_beside_another_router(self):
         """Starts the router beside one that accepts connections but says nothing."""
-        silent = listener.Listener(HOST, 0, lambda stream: None)
+        silent = listener.Listener(role_bench.HOST, 0, lambda stream: None)
         self.addCleanup(silent.close)
-        entry = views.RouterEntry(f"{HOST}:{silent.address[1]}", "a")
+        entry = views.RouterEntry(f"{role_bench.HOST}:{silent.address[1]}", "a")
         self.store.put("keyed.routers", "edge-2", msgspec.json.encode(entry))
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         self.start()
         return time.monotonic()
@@ -320,7 +227,7 @@
 
     async def test_odd_entries_cost_only_themselves(self):
         """Routers that read them ended, or stopped following the list."""
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         running = self.start()
         await self.wait_ready(200)
@@ -354,7 +261,7 @@
         await self.wait_status(200, self.call)
 
     async def test_serves_requests_between_sigterm_and_its_exit(self):
-        self.store.put("keyed.op", "config", make_manifest(7))
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         running = self.start()
         await self.wait_ready(200)
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from teaselsill import ids, upstream_load
-from tests import test_fleet_view
+from tests import test_fleet_view, test_keyed_log
 
 SIZES = (4, 30, 68, 300)
 MAX_DELAY_S = 0.5
@@ -54,7 +54,7 @@
 
     def _make_report(self, peer):
         """Returns the report of a router that knows the whole fleet."""
-        self._sender.note_log_change("topic", ids.Offset(1))
+        self._sender.note_log_change("topic", test_keyed_log.at(1))
         report = self._sender.take_report()
         return msgspec.structs.replace(report, router=peer)
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -16,7 +16,12 @@
     upstream_load,
     wire,
 )
-from tests import test_placement, test_routing_table, test_upstream_list
+from tests import (
+    test_keyed_log,
+    test_placement,
+    test_routing_table,
+    test_upstream_list,
+)
 
 ACCOUNT = ids.AccountId("acc")
 CALL = test_placement.make_call(("session", 4000), ("own", 1000))
@@ -184,12 +189,55 @@
         self.assertEqual(1, reported.load.count(later))
 
     async def test_change_in_the_log_is_reported(self):
-        self.first.note_log_change("topic", ids.Offset(7))
+        self.first.note_log_change("topic", test_keyed_log.at(7))
         self.assertTrue(self.first.has_unreported_changes)
         self.pass_report()
-        self.assertEqual([("topic", 7)], self.seen)
+        self.assertEqual([("topic", test_keyed_log.at(7))], self.seen)
         self.assertEqual(1, self.second.count_live_peers())
 
+    async def test_restore_of_the_log_is_reported_at_once(self):
+        """A router whose own connection hangs learns of it by this."""
+        self.first._era.note_response(ids.Era(1), "call")
+        self.second._era.note_response(ids.Era(1), "call")
+        hints = []
+        self.second._era.on_hint.append(lambda: hints.append(True))
+        self.pass_report()
+        self.assertEqual([], hints)
+        self.first.find_report_period_s = lambda: 60.0
+        waiting = asyncio.create_task(self.first.wait_for_report())
+        self.first._era.note_response(ids.Era(2), "call")
+        async with asyncio.timeout(5.0):
+            await waiting
+        self.assertTrue(self.first.has_unreported_changes)
+        self.pass_report()
+        self.assertEqual([True], hints)
+
+    async def test_greeting_states_the_era_of_the_log(self):
+        self.first._era.note_response(ids.Era(2), "call")
+        self.assertEqual(2, self.first.make_greeting().log_era)
+
+    async def test_changes_of_an_earlier_era_are_not_reported(self):
+        """Their offsets would be taken for ones of the new era."""
+        self.first._era.note_response(ids.Era(1), "call")
+        self.first.note_log_change("topic", test_keyed_log.at(7, 1))
+        self.first._era.note_response(ids.Era(2), "call")
+        self.pass_report()
+        self.assertEqual([], self.seen)
+        self.first.note_log_change("topic", test_keyed_log.at(3, 2))
+        self.pass_report()
+        self.assertEqual([("topic", test_keyed_log.at(3, 2))], self.seen)
+
+    async def test_readings_of_two_eras_are_not_joined(self):
+        """The second begins at the offset at which the first one ends, by chance."""
+        change = keyed_log.Change(ids.Offset(3), "k", None)
+        first = keyed_log.Update(ids.Offset(3), ids.Offset(9), [change], 0.0, 1)
+        second = keyed_log.Update(ids.Offset(9), ids.Offset(9), [], 0.0, 2)
+        for update in (first, second):
+            self.first.note_log_read("topic", update, boot_clock.now())
+        self.pass_report()
+        (reading,) = self.readings
+        self.assertEqual(second, reading.update)
+
     async def test_what_was_read_of_the_log_is_reported_once(self):
         change = keyed_log.Change(ids.Offset(7), "k", None)
         first = keyed_log.Update(ids.Offset(3), ids.Offset(9), [change], 0.0)
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -26,12 +26,19 @@
         self.by_key = {k: v for k, v in self.by_key.items() if k in keys}
         self.changed.set()
 
+    def restore(self, records):
+        for record in records:
+            self.put(record)
+        return bool(records)
+
     def note_outage(self, lasted_s):
         self.outages.append(lasted_s)
         self.changed.set()
 
 
-class FollowerTest(unittest.IsolatedAsyncioTestCase):
+class FollowerTestCase(unittest.IsolatedAsyncioTestCase):
+    """A follower of a log in memory, which `start` starts."""
+
     async def asyncSetUp(self):
         self.source = test_keyed_log.MemoryKeyedLog()
         self.view = MemoryView()
@@ -44,7 +51,7 @@
             TOPIC,
             self.view,
             lambda: wait_s,
-            on_change=lambda topic, offset: self.seen.append(offset),
+            on_change=lambda topic, position: self.seen.append(position.offset),
             on_read=lambda topic, update, at: self.updates.append((update, at)),
             **fields,
         )
@@ -64,6 +71,8 @@
         await asyncio.sleep(0)
         self.assertTrue(self.follower.is_listed)
 
+
+class FollowerTest(FollowerTestCase):
     async def test_lists_the_topic_then_reads_on(self):
         self.source.add("a", b"1")
         self.start()
@@ -116,7 +125,7 @@
         self.start(wait_s=0.0, find_pause_s=lambda: 60.0)
         await self.wait_listed()
         self.source.add("a", b"1")
-        self.follower.wake_for(ids.Offset(0))
+        self.follower.wake_for(test_keyed_log.at(0))
         await self.wait_for({"a": b"1"})
 
     async def test_wake_for_ends_a_read_on_a_silent_connection(self):
@@ -130,7 +139,7 @@
         self.start(wait_s=60.0)
         await self.wait_listed()
         self.source.add("a", b"1")
-        self.follower.wake_for(ids.Offset(0))
+        self.follower.wake_for(test_keyed_log.at(0))
         await self.wait_for({"a": b"1"})
 
     async def start_idle(self):
@@ -171,7 +180,7 @@
         self.source = Slow()
         await self.start_idle()
         with unittest.mock.patch.object(keyed_follower, "SLOW_READ_S", delay_s / 2):
-            self.follower.wake_for(ids.Offset(2))
+            self.follower.wake_for(test_keyed_log.at(2))
             async with asyncio.timeout(5.0):
                 while not self.updates:  # noqa: ASYNC110
                     await asyncio.sleep(0)
@@ -189,7 +198,7 @@
         self.assertEqual([], self.source.reads)
         for _ in range(3):
             self.source.add("c", b"3")
-        self.follower.wake_for(ids.Offset(4))
+        self.follower.wake_for(test_keyed_log.at(4))
         await self.wait_for({"a": b"2", "b": b"1", "c": b"3"})
 
     async def test_changes_that_are_applied_already_are_skipped(self):
@@ -221,7 +230,7 @@
     async def test_on_read_gets_what_was_read(self):
         await self.start_idle()
         self.source.add("a", None)
-        self.follower.wake_for(ids.Offset(2))
+        self.follower.wake_for(test_keyed_log.at(2))
         await self.wait_for({"b": b"1"})
         ((update, _),) = self.updates
         change = keyed_log.Change(ids.Offset(2), "a", None)
@@ -243,7 +252,7 @@
         await self.start_idle()
         self.source.add("a", b"2")
         self.source.add("b", b"2")
-        self.follower.wake_for(ids.Offset(3))
+        self.follower.wake_for(test_keyed_log.at(3))
         async with asyncio.timeout(5.0):
             while not self.source.reads:  # noqa: ASYNC110
                 await asyncio.sleep(0)
@@ -259,7 +268,7 @@
     async def test_update_during_a_read_is_not_applied_twice(self):
         await self.read_during_update(5, (2, "a", b"2"), (4, "a", b"3"))
         self.assertEqual({"a": b"3", "b": b"1"}, self.view.by_key)
-        self.assertEqual(5, self.follower._next_offset)
+        self.assertEqual(test_keyed_log.at(5), self.follower._position)
 
     async def test_update_range_excludes_records_of_another_update(self):
         """A reader that missed the other update would otherwise skip its record."""
@@ -276,9 +285,7 @@
         class Ahead(test_keyed_log.MemoryKeyedLog):
             async def list_newest(self, topic):
                 page = await super().list_newest(topic)
-                return keyed_log.KeyedPage(
-                    page.records, ids.Offset(page.next_offset - 1)
-                )
+                return keyed_log.KeyedPage(page.records, page.end.advance(-1))
 
         class ComparingView(MemoryView):
             def put(self, record):
@@ -289,8 +296,137 @@
         self.source = Ahead()
         self.view = ComparingView()
         await self.start_idle()
-        self.follower.wake_for(ids.Offset(1))
+        self.follower.wake_for(test_keyed_log.at(1))
         await self.wait_update()
         ((update, _),) = self.updates
         change = keyed_log.Change(ids.Offset(1), "b", b"1")
         self.assertEqual([change], update.changes)
+
+
+class RestoreTest(FollowerTestCase):
+    """The log comes back from an older copy, while a follower reads it."""
+
+    async def start_in_era(self, wait_s=60.0, **fields):
+        """Starts a follower of a log in era 1 that waits at offset 3."""
+        self.source.era = ids.Era(1)
+        for number in range(3):
+            self.source.add("a", b"%d" % number)
+        self.start(wait_s, **fields)
+        await self.wait_for({"a": b"2"})
+        await self.wait_position(test_keyed_log.at(3, 1))
+
+    async def wait_position(self, position):
+        async with asyncio.timeout(5.0):
+            while self.follower._position != position:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+
+    def restore(self, *values):
+        """Goes back to the first record; then the given values are written."""
+        self.source.restore(self.source.records[:1])
+        for value in values:
+            self.source.add("a", value)
+
+    async def test_offset_that_exists_again_is_not_waited_at(self):
+        """The next manifest after a drill of the store was never read."""
+        await self.start_in_era(wait_s=0.02)
+        self.restore(b"2", b"3")
+        await self.wait_for({"a": b"3"})
+        self.assertEqual(test_keyed_log.at(3, 2), self.follower._position)
+
+    async def test_restore_ends_a_wait_that_gets_no_response(self):
+        await self.start_in_era()
+        self.restore(b"2", b"3")
+        self.follower.note_restore(ids.Era(2))
+        await self.wait_for({"a": b"3"})
+
+    async def test_two_restores_in_series(self):
+        await self.start_in_era()
+        for era, value in ((2, b"3"), (3, b"4")):
+            self.restore(value)
+            self.follower.note_restore(ids.Era(era))
+        await self.wait_for({"a": b"4"})
+        await self.wait_position(test_keyed_log.at(2, 3))
+
+    async def test_read_of_one_era_is_not_applied_in_another(self):
+        """It was answered in time but handled after another call had seen the rise."""
+        may_reply = asyncio.Event()
+
+        class Slow(test_keyed_log.MemoryKeyedLog):
+            async def read(self, topic, start, wait_s):
+                page = await super().read(topic, start, wait_s)
+                await may_reply.wait()
+                return page
+
+        self.source = Slow()
+        await self.start_in_era(wait_s=0.0, find_pause_s=lambda: 0.01)
+        self.source.add("a", b"lost")
+        await asyncio.sleep(0.01)
+        self.restore(b"3")
+        self.follower.note_restore(ids.Era(2))
+        may_reply.set()
+        await self.wait_for({"a": b"3"})
+        self.assertEqual([], [u for u, _ in self.updates if u.changes and u.era == 1])
+
+    async def test_listing_of_an_earlier_era_is_not_applied(self):
+        """It began before the restore and ended after it."""
+        may_reply = asyncio.Event()
+
+        class Slow(test_keyed_log.MemoryKeyedLog):
+            async def list_newest(self, topic):
+                page = await super().list_newest(topic)
+                await may_reply.wait()
+                return page
+
+        self.source = Slow()
+        self.source.era = ids.Era(1)
+        self.source.add("a", b"lost")
+        self.start()
+        await asyncio.sleep(0.01)
+        self.source.restore([])
+        self.source.add("a", b"2")
+        self.follower.note_restore(ids.Era(2))
+        may_reply.set()
+        await self.wait_for({"a": b"2"})
+        self.assertEqual(2, self.source.listings)
+
+    async def test_update_of_another_era_is_not_applied(self):
+        """Offsets of two eras were compared by number."""
+        await self.start_in_era()
+        changes = [keyed_log.Change(ids.Offset(3), "a", b"other")]
+        for era in (0, 2):
+            update = keyed_log.Update(ids.Offset(3), ids.Offset(9), changes, 5.0, era)
+            self.follower.apply_update(update, 0.0)
+        self.assertEqual({"a": b"2"}, self.view.by_key)
+        self.assertEqual([], self.view.outages)
+        update = keyed_log.Update(ids.Offset(3), ids.Offset(4), changes, 0.0, 1)
+        self.follower.apply_update(update, 0.0)
+        self.assertEqual({"a": b"other"}, self.view.by_key)
+
+    async def test_change_of_another_era_causes_no_read(self):
+        await self.start_in_era()
+        await asyncio.sleep(0.01)
+        reads = len(self.source.reads)
+        for position in (test_keyed_log.at(9, 0), test_keyed_log.at(9, 2)):
+            self.follower.wake_for(position)
+        await asyncio.sleep(0.01)
+        self.assertEqual(reads, len(self.source.reads))
+
+    async def test_first_read_after_a_failure_does_not_wait(self):
+        """Only a response shows the era."""
+        await self.start_in_era(wait_s=0.05)
+        self.source.down = True
+        await asyncio.sleep(0.1)
+        self.source.reads.clear()
+        self.source.down = False
+        async with asyncio.timeout(5.0):
+            while not self.source.reads:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.assertEqual(0.0, self.source.reads[0])
+
+    async def test_another_log_service_is_listed_also_in_an_earlier_era(self):
+        await self.start_in_era()
+        self.source.restore([])
+        self.source.era = ids.NO_ERA
+        self.source.add("a", b"moved")
+        self.follower.forget()
+        await self.wait_for({"a": b"moved"})
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -75,6 +75,18 @@
             received.get_nowait()
         await self.send_until_received(first, received, "first")
 
+    async def test_router_that_is_heard_stays_although_a_listing_lacks_it(self):
+        """A restored log lacks its entry until it has written it again."""
+        first, _ = await self.make("first")
+        second, received = await self.make("second")
+        first.put_peer(make_peer("second", second))
+        await self.send_until_received(first, received, "first")
+        first.keep_only(set())
+        self.assertTrue(first.has_peer(ids.InstanceId("second")))
+        first._liveness.is_live = lambda peer, now: False
+        first.keep_only(set())
+        self.assertFalse(first.has_peer(ids.InstanceId("second")))
+
     async def test_router_that_has_started_again_is_connected_to_at_once(self):
         """Until the others connect to it, it does not know what they know."""
         first, received_by_first = await self.make("first")
--- a/tests/test_peer_reports.py
+++ b/tests/test_peer_reports.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from teaselsill import peer_links, peer_reports, wire
+from teaselsill import ids, keyed_log, peer_links, peer_reports, wire
 from tests import test_fleet_view, test_peer_links
 
 
@@ -20,6 +20,15 @@
     log_reading_by_topic: dict
 
 
+class OlderUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What was read of a topic, as routers of version 0.1 report it."""
+
+    first_offset: int
+    next_offset: int
+    changes: list
+    outage_s: float
+
+
 def pass_on(message, message_type):
     """Encodes a message and decodes it as a router of another version does."""
     unpacker = wire.Unpacker(message_type=message_type)
@@ -38,6 +47,14 @@
         self.assertEqual("r", older.router)
         again = pass_on(older, peer_reports.Report)
         self.assertEqual(0.0, again.interval_s)
+        self.assertEqual(ids.NO_ERA, again.log_era)
+
+    def test_updates_of_routers_of_other_versions_are_understood(self):
+        update = keyed_log.Update(ids.Offset(3), ids.Offset(4), [], 0.0, ids.Era(2))
+        older = pass_on(update, OlderUpdate)
+        self.assertEqual((3, 4), (older.first_offset, older.next_offset))
+        again = pass_on(older, keyed_log.Update)
+        self.assertEqual(ids.NO_ERA, again.start.era)
 
     def test_interval_grows_with_the_fleet(self):
         intervals_s = [peer_reports.find_interval_s(n) for n in (3, 67, 299)]
--- a/tests/test_upstream_list.py
+++ b/tests/test_upstream_list.py
@@ -79,3 +79,51 @@
         self.listed.put(make_upstream("back"))
         self.listed.expire(10.0 + upstream_list.GRACE_AFTER_OUTAGE_S)
         self.assertEqual(["back"], self.usable())
+
+    def restore(self, *upstreams, now=10.0):
+        return self.listed.restore(list(upstreams), now)
+
+    def test_live_upstream_that_an_older_copy_lacks_has_a_grace_period(self):
+        """Servers were dropped until they had written their entries again."""
+        self.listed.put(make_upstream("old"))
+        self.listed.put(make_upstream("back"))
+        self.listed.put(make_upstream("gone"))
+        self.restore(make_upstream("old"))
+        self.assertEqual(["old", "back", "gone"], self.usable())
+        self.listed.put(make_upstream("back"))
+        self.listed.expire(10.0 + upstream_list.GRACE_AFTER_OUTAGE_S)
+        self.assertEqual(["old", "back"], self.usable())
+
+    def test_upstream_that_is_gone_does_not_come_back_by_an_older_copy(self):
+        self.listed.put(make_upstream(born_ms=2))
+        self.listed.remove(ids.UpstreamId("u"), 5.0)
+        for born_ms in (1, 2):
+            self.assertFalse(self.restore(make_upstream(born_ms=born_ms)))
+        self.assertEqual([], self.usable())
+
+    def test_upstream_that_was_thought_gone_comes_back_by_a_new_entry(self):
+        self.listed.put(make_upstream())
+        self.listed.remove(ids.UpstreamId("u"), 5.0)
+        self.restore(make_upstream())
+        self.assertTrue(self.listed.put(make_upstream()))
+        self.assertEqual(["u"], self.usable())
+
+    def test_new_incarnation_comes_back_by_a_copy(self):
+        self.listed.put(make_upstream())
+        self.listed.remove(ids.UpstreamId("u"), 5.0)
+        self.assertTrue(self.restore(make_upstream(born_ms=2)))
+        self.assertEqual(["u"], self.usable())
+
+    def test_leaving_or_replaced_upstream_stays_so_after_a_restore(self):
+        self.listed.put(make_upstream("leaving", state=upstream_list.State.LEAVING))
+        self.listed.put(make_upstream("replaced", born_ms=1))
+        self.listed.put(make_upstream("replaced", born_ms=2, slots=9))
+        self.restore(make_upstream("leaving"), make_upstream("replaced"))
+        (usable,) = self.listed.usable(ids.ServiceName("s"))
+        self.assertEqual(("replaced", 2, 9), (usable.id, usable.born_ms, usable.slots))
+
+    def test_gone_upstreams_are_forgotten_after_a_time(self):
+        self.listed.put(make_upstream())
+        self.listed.remove(ids.UpstreamId("u"), 5.0)
+        self.listed.expire(5.0 + upstream_list.GONE_KEPT_S)
+        self.assertEqual({}, self.listed._gone_by_id)
