--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -159,8 +159,8 @@
         self._position = update.end
 
     async def _pause(self) -> None:
-        """Waits until the next read is due or requested."""
-        while not self._wake_event.is_set():
+        """Waits until the next read is due or requested; a listing is always due."""
+        while self._position is not None and not self._wake_event.is_set():
             left_s = self._current_at + self._find_pause_s() - boot_clock.now()
             if left_s <= 0:
                 break
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -339,6 +339,13 @@
         self.follower.note_restore(ids.Era(2))
         await self.wait_for({"a": b"3"})
 
+    async def test_read_beyond_the_end_is_followed_by_a_listing_at_once(self):
+        """A router that reads rarely went on without a listing until its next read."""
+        await self.start_in_era(wait_s=0.0, find_pause_s=lambda: 60.0)
+        self.restore()
+        self.follower.read_now()
+        await self.wait_for({"a": b"0"})
+
     async def test_two_restores_in_series(self):
         await self.start_in_era()
         for era, value in ((2, b"3"), (3, b"4")):
