Let the store of the soak come back from older copies

In series and overlapping with all other failures; three of ten leave their connections open but silent. At the end each router must have the newest version in force. The other draws of a seed do not change.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -50,6 +50,9 @@
 TIMEOUT_S = 4.0
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 """Statuses by which a router guarantees that the request has not run."""
+NOT_FOUND_STATUS = 404
+SILENT_RATIO = 0.3
+"""The fraction of restores of the store that leave its connections open but silent."""
 LOST_RESPONSE_RATIO = 0.03
 """The fraction of executed requests whose response an upstream drops."""
 HEALTHY_RATIO = 0.95
@@ -74,6 +77,7 @@
     LINK_SILENT = "link-silent"
     LINK_RESET = "link-reset"
     LIMITED = "limited"
+    STORE_RESTORED = "store-restored"
 
 
 FAULT_BY_KIND = {
@@ -112,7 +116,9 @@
     """Returns the failures of a run; they depend only on the seed and may overlap."""
     source = random.Random(seed)
     failures = _draw_limits(seed, duration_s)
-    kinds = [kind for kind in FailureKind if kind is not FailureKind.LIMITED]
+    failures += _draw_restores(seed, duration_s)
+    drawn_apart = {FailureKind.LIMITED, FailureKind.STORE_RESTORED}
+    kinds = [kind for kind in FailureKind if kind not in drawn_apart]
     at_s = 1.0
     while at_s < duration_s:
         kind = source.choice(kinds)
@@ -137,6 +143,23 @@
     return failures
 
 
+def _draw_restores(seed: int, duration_s: float) -> list[Failure]:
+    """Returns when the store comes back from a copy, which changes no other draw.
+
+    Half of them are followed by another one.
+    """
+    source = random.Random(f"restores of {seed}")
+    failures = []
+    at_s = source.uniform(0.5, 3.0)
+    while at_s < duration_s:
+        failure_s = round(source.uniform(0.0, 1.5), 2)
+        failures.append(
+            Failure(FailureKind.STORE_RESTORED, 0, round(at_s, 2), failure_s)
+        )
+        at_s += failure_s + source.choice([source.uniform(0.1, 1.0), 6.0])
+    return failures
+
+
 @dataclasses.dataclass(frozen=True)
 class LimitSpan:
     """A time in which an upstream has named a limit.
@@ -166,8 +189,11 @@
         return max(counts, default=0)
 
 
-def make_manifest() -> bytes:
-    """Returns a manifest with one route for each member of `Repeat`."""
+def make_manifest(version: int) -> bytes:
+    """Returns a manifest with one route for each member of `Repeat`.
+
+    A route for the version alone shows which one is in force.
+    """
     type_by_repeat = {
         Repeat.FREELY: "idempotent",
         Repeat.NEVER: "non_idempotent",
@@ -178,7 +204,9 @@
         route | {"Name": r.name, "PathPrefix": r.value, "Type": type_by_repeat[r]}
         for r in Repeat
     ]
-    return json.dumps(test_manifest.MANIFEST | {"Routes": routes}).encode()
+    routes.append(route | {"Name": "v", "PathPrefix": f"/version-{version}/"})
+    manifest = test_manifest.MANIFEST | {"Routes": routes, "Version": version}
+    return json.dumps(manifest).encode()
 
 
 class Upstream:
@@ -386,6 +414,7 @@
         self._links_calm_at = -math.inf
         self._locks = [asyncio.Lock() for _ in range(ROUTER_COUNT)]
         self._number = 0
+        self._version = 0
         self._not_run: set[str] = set()
         self._unrepeatable: set[str] = set()
         self._is_over = False
@@ -394,12 +423,11 @@
         """Injects the failures under load and checks the observations."""
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(self._store)
-            self._store.put("keyed.op", "config", make_manifest())
+            self._put_version()
             for upstream in self._upstreams:
                 await stack.enter_async_context(upstream.server)
-                link = await self._link(stack, upstream.server)
-                address = f"{faulty_link.HOST}:{link.port}"
-                self._store.register(upstream.server, Address=address)
+                await self._link(stack, upstream.server)
+            self._register_upstreams()
             link = await self._link(stack, self._store)
             stack.push_async_callback(self._end_routers)
             await self._start_routers(f"{faulty_link.HOST}:{link.port}")
@@ -436,6 +464,7 @@
             injections.append(asyncio.create_task(self._inject(failure)))
         await asyncio.gather(*injections)
         await asyncio.sleep(SETTLE_S)
+        await self._check_version()
         before = self.count_by_result.copy()
         await asyncio.sleep(2.0)
         self._is_over = True
@@ -446,12 +475,29 @@
                 f"not recovered after the last failure: {dict(late)}"
             )
 
+    async def _check_version(self) -> None:
+        """Checks that each router has the newest version in force."""
+        for router in self._routers:
+            stream = await tcp_stream.connect(router.host, 8783, 0.5)
+            caller = entry_bench.Caller(stream)
+            head = [("host", "ficu95.example"), ("teaselsill-attempt-id", "version")]
+            path = f"/version-{self._version}/1"
+            caller.send_bytes(http_messages.encode_request("GET", path, head, b""))
+            status = (await caller.receive())[0]
+            caller.abort()
+            if status == NOT_FOUND_STATUS:
+                self.violations.append(
+                    f"{router.host} does not have version {self._version}"
+                )
+
     async def _inject(self, failure: Failure) -> None:
         match failure.kind:
             case FailureKind.STORE_DOWN:
                 self._store.down = True
                 await asyncio.sleep(failure.duration_s)
                 self._store.down = False
+            case FailureKind.STORE_RESTORED:
+                await self._restore_store(failure)
             case FailureKind.FLOOD:
                 target = failure.target
                 callers = range(FLOOD_CALLER_COUNT)
@@ -478,6 +524,35 @@
                             f"router not ready in time after {failure}"
                         )
 
+    async def _restore_store(self, failure: Failure) -> None:
+        """Lets the store come back from a copy, after which a version follows.
+
+        The copy lacks the version before; all servers and that version are written
+        again, as the operator and the servers do.
+        """
+        source = random.Random(f"restore at {failure.at_s}")
+        copy = self._store.copy()
+        self._put_version()
+        await asyncio.sleep(source.uniform(0.0, 0.5))
+        self._store.down = True
+        self._store.restore(copy, is_silent=source.random() < SILENT_RATIO)
+        await asyncio.sleep(failure.duration_s)
+        self._store.down = False
+        self._put_version(0)
+        await asyncio.sleep(source.uniform(0.0, 1.2))
+        self._register_upstreams()
+        self._put_version()
+
+    def _put_version(self, more: int = 1) -> None:
+        """Writes the manifest again, by default in the next version."""
+        self._version += more
+        self._store.put("keyed.op", "config", make_manifest(self._version))
+
+    def _register_upstreams(self) -> None:
+        for upstream, link in zip(self._upstreams, self._links, strict=False):
+            address = f"{faulty_link.HOST}:{link.port}"
+            self._store.register(upstream.server, Address=address)
+
     async def _disturb_link(self, failure: Failure) -> None:
         self._note_link_fault(failure.duration_s)
         link = self._links[failure.target]
