Bound every body that is read whole

Reported by other operators: a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory.

It can happen here. What is passed on is written with backpressure, and heads were bounded; what was read whole had no bound: responses of the store (400 MB kept, tried by the users), of the log service and the instance list, status and reports of instances, and in agents an answer that is no event stream, an answer with status 409, and an event that does not end.

Now there is one reader with a bound (16 MB; 8 MB for the store). Beyond it, the error names source and bound, the connection is closed, and a response of the store counts in `log_oversized_responses`. An event may have 256 KB, as in the entry router. Only the first 4 KB of a 409 are searched for the mark of a stale fencing number; what follows is passed on.

A bound for one connection has to be multiplied: 256 KB of unread bytes and 256 KB without a complete part would be 1 GB at the 2,088 connections that the upstreams of a small site accept together. Both are 64 KB now.

Heads, trailers, interim heads and chunk extensions without end pass, also with the client of the agents, which keeps none of them but goes on until the deadline.

--- a/teaselsill/completions.py
+++ b/teaselsill/completions.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import document, registry, upstream
+from teaselsill import bounded_body, document, event_stream, registry, upstream
 
 EVENT_END = b"\n\n"
 DONE = b"data: [DONE]"
@@ -68,7 +68,7 @@
                     response.status, upstream.response_headers(response)
                 )
                 if response.content_type != EVENT_STREAM:
-                    body = body_start or await response.read()
+                    body = body_start + await bounded_body.read(response)
                     yield upstream.BodyChunk(body, 0.0)
                     yield upstream.Finished(_cost_of(_find_usage(body), service))
                     return
@@ -78,6 +78,8 @@
             raise upstream.UpstreamUnreachableError(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise upstream.UpstreamUnreachableError(str(error)) from error
+        except bounded_body.BodyTooLargeError as error:
+            raise upstream.UpstreamFailedError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if not stream.last_event:
                 raise upstream.UpstreamFailedError(str(error)) from error
@@ -120,6 +122,9 @@
         if not data:
             return
         stream.rest += data
+        if len(stream.rest) > event_stream.MAX_EVENT_BYTES + len(data):
+            response.close()
+            raise upstream.UpstreamFailedError("an event does not end")
         events, separator, stream.rest = stream.rest.rpartition(EVENT_END)
         if separator:
             cost = _parse_events(events, stream, service)
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -28,6 +28,7 @@
         permit_wait_s: How long a request waited until a permit was granted or denied.
         crashes: Crashes of upstreams that this router has seen, by service.
         quarantines: Prompt parts that were put under quarantine.
+        oversized_responses: Responses of the platform's log that exceed their bound.
         log_restores: How often the platform's log has come back from an older copy.
     """
 
@@ -47,6 +48,9 @@
         self.permit_wait_s = self._histogram("permit_wait_seconds", WAIT_BOUNDS_S)
         self.crashes = self._counter("upstream_crashes", "Crashes seen.", "service")
         self.quarantines = self._counter("quarantines", "Prompt parts quarantined.")
+        self.oversized_responses = self._counter(
+            "log_oversized_responses", "Responses of the log beyond their bound."
+        )
         self.log_restores = self._counter("log_restores", "Restores of the log.")
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
--- a/teaselsill/http_instances.py
+++ b/teaselsill/http_instances.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import ids, instances, registry
+from teaselsill import bounded_body, ids, instances, registry
 
 TIMEOUT_S = 2.0
 NOT_MODIFIED_STATUS = 304
@@ -65,11 +65,16 @@
             async with self._session.get(self._url, headers=headers) as response:
                 response.raise_for_status()
                 return _Response(
-                    await response.read(),
+                    await bounded_body.read(response),
                     response.headers.get("ETag", ""),
                     is_unchanged=response.status == NOT_MODIFIED_STATUS,
                 )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (
+            aiohttp.ClientError,
+            bounded_body.BodyTooLargeError,
+            TimeoutError,
+            OSError,
+        ) as error:
             raise instances.InstanceListUnavailableError(
                 f"{self._url}: {error or type(error).__name__}"
             ) from error
--- a/teaselsill/http_log.py
+++ b/teaselsill/http_log.py
@@ -3,7 +3,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import ids, log, registry
+from teaselsill import bounded_body, ids, log, registry
 
 GRACE_S = 2.0
 """How long a response may take beyond the requested wait, in seconds."""
@@ -75,8 +75,13 @@
             async with self._session.request(
                 method, url, timeout=timeout, **arguments
             ) as response:
-                return response.status, await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                return response.status, await bounded_body.read(response)
+        except (
+            aiohttp.ClientError,
+            bounded_body.BodyTooLargeError,
+            TimeoutError,
+            OSError,
+        ) as error:
             raise log.LogUnavailableError(
                 f"{method} {stream}: {error or type(error).__name__}"
             ) from error
--- a/teaselsill/operations.py
+++ b/teaselsill/operations.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from teaselsill import (
+    bounded_body,
     configuration,
     configuration_fold,
     daemon,
@@ -288,8 +289,16 @@
     try:
         async with session.get(url) as response:
             response.raise_for_status()
-            body = msgspec.json.decode(await response.read(), type=_VersionBody)
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            body = msgspec.json.decode(
+                await bounded_body.read(response), type=_VersionBody
+            )
+    except (
+        aiohttp.ClientError,
+        bounded_body.BodyTooLargeError,
+        TimeoutError,
+        OSError,
+        ValueError,
+    ) as error:
         return InstanceStatus(instance, None, str(error) or type(error).__name__)
     return InstanceStatus(instance, ids.Version(body.version))
 
--- a/teaselsill/reports.py
+++ b/teaselsill/reports.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from teaselsill import (
+    bounded_body,
     configuration,
     credit_forecast,
     document,
@@ -162,8 +163,16 @@
             session.get(f"http://{host}:{item.admin_port}/report") as response,
         ):
             response.raise_for_status()
-            return msgspec.json.decode(await response.read(), type=NodeReport)
-    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+            return msgspec.json.decode(
+                await bounded_body.read(response), type=NodeReport
+            )
+    except (
+        aiohttp.ClientError,
+        bounded_body.BodyTooLargeError,
+        TimeoutError,
+        OSError,
+        msgspec.MsgspecError,
+    ) as error:
         return MissingReport(item.id, str(error) or type(error).__name__)
 
 
--- a/teaselsill/response_parser.py
+++ b/teaselsill/response_parser.py
@@ -7,7 +7,7 @@
 from teaselsill import http_messages
 
 BODILESS_STATUSES = frozenset({204, 304})
-MAX_BYTES_WITHOUT_PART = 256 * 1024
+MAX_BYTES_WITHOUT_PART = 64 * 1024
 """More received bytes without a complete part count as an endless head or trailer."""
 
 
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -8,7 +8,7 @@
 
 from teaselsill import errors
 
-MAX_UNREAD_BYTES = 256 * 1024
+MAX_UNREAD_BYTES = 64 * 1024
 """With more unread bytes, receiving is paused until half of them have been read."""
 KEEPALIVE_INTERVAL_S = 1
 """The idle time before a TCP keepalive probe, and between probes."""
--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -6,13 +6,15 @@
 
 import aiohttp
 
-from teaselsill import document, errors, ids
+from teaselsill import bounded_body, document, errors, ids
 
 FENCING_HEADER = "Teaselsill-Fencing"
 REQUEST_ID_HEADER = "X-Request-Id"
 STALE_FENCING_STATUS = 409
 STALE_FENCING_MARK = b"stale fencing number"
 """The body of the response to a stale fencing number contains this."""
+MAX_REFUSAL_BYTES = 4096
+"""How much of a response's body is searched for that mark."""
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
 AIOHTTP_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -243,15 +245,15 @@
     """Checks whether the upstream rejected a request for its fencing number.
 
     Returns:
-        The bytes of the response body that were read for the check. The caller has to
-        forward them, as they belong to the response.
+        The start of the response's body, which was read for the check. The caller has
+        to forward it, and what follows it.
 
     Raises:
         UpstreamRefusedError: It was rejected and has not run.
     """
     if request.fencing is None or response.status != STALE_FENCING_STATUS:
         return b""
-    body = await response.read()
+    body = await bounded_body.read_start(response, MAX_REFUSAL_BYTES)
     if STALE_FENCING_MARK in body:
         raise UpstreamRefusedError("the fencing number is stale")
     return body
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from teaselsill import http_messages, keyed_log, log, log_era
-from tests import entry_bench, test_keyed_log
+from tests import endless_server, entry_bench, test_keyed_log
 
 
 def make_read_body(end, *contents):
@@ -140,6 +140,25 @@
             ):
                 await client.read("keyed.op", test_keyed_log.at(0), 0.0)
 
+    async def test_endless_response_is_not_kept(self):
+        """All of it was kept, 400 MB and more, until the memory was used up."""
+        chunk = endless_server.make_chunk(endless_server.BLOCK)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        server = endless_server.EndlessServer(head, chunk)
+        await self.enterAsyncContext(server)
+        found = []
+        client = store.StoreClient(
+            endless_server.HOST,
+            server.port,
+            log_era.LogEra(),
+            on_too_large=lambda: found.append(True),
+        )
+        with self.assertRaisesRegex(log.LogUnavailableError, "exceeds 8388608 bytes"):
+            await client.read("keyed.op", test_keyed_log.at(0), 0.0)
+        self.assertEqual([True], found)
+        await server.wait_closed()
+        self.assertLess(server.sent_bytes, 3 * store.MAX_RESPONSE_BYTES)
+
     async def test_refused_connection_means_unavailable(self):
         client = store.StoreClient(entry_bench.HOST, 1, log_era.LogEra())
         with self.assertRaises(log.LogUnavailableError):
