Give each test process of the router role an address of its own

The page of metrics has a fixed port, and two test classes that run the role now run beside each other: each took the port from the other, and four tests of the first whole run failed (two of them for that, one for the page of the modules, one for an argument that UpstreamList.discard has got).

--- a/tests/adapter/role_bench.py
+++ b/tests/adapter/role_bench.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import tempfile
 import unittest
@@ -12,13 +13,20 @@
 from tests import entry_bench
 from tests.adapter import store_bench, test_manifest
 
-HOST = "127.0.0.9"
 KEY = "k1"
 PATH = "/pufi791/1"
 
 
+def find_host():
+    """Returns an address of this process alone: the page of metrics has a fixed port.
+
+    The processes that run the tests are forked after the modules are imported.
+    """
+    return f"127.{200 + os.getpid() // 200 % 50}.{1 + os.getpid() % 200}.9"
+
+
 def find_free_port():
-    listening = listener.Listener(HOST, 0, lambda stream: None)
+    listening = listener.Listener(find_host(), 0, lambda stream: None)
     port = listening.address[1]
     listening.close()
     return port
@@ -57,9 +65,11 @@
             role="router",
             zone="a",
             heartbeat_ms=1200,
-            ip=HOST,
+            ip=find_host(),
             port_range=(find_free_port(), 65535),
-            listen=settings.Listen(f"{HOST}:{self.front}", f"{HOST}:{self.ready}"),
+            listen=settings.Listen(
+                f"{find_host()}:{self.front}", f"{find_host()}:{self.ready}"
+            ),
             limits=settings.Limits(1.0, 1.0),
             bounds=settings.Bounds(2000.0, 2.0, 0.2, 10.0, 54.0),
             platform=settings.Platform(f"{store.host}:{store.port}"),
@@ -78,7 +88,7 @@
         self.store.register(self.server, **fields)
 
     async def ask(self, port, path, **fields):
-        stream = await tcp_stream.connect(HOST, port, 1.0)
+        stream = await tcp_stream.connect(find_host(), port, 1.0)
         caller = entry_bench.Caller(stream)
         try:
             caller.send(path=path, method="GET", **fields)
@@ -87,7 +97,7 @@
             caller.abort()
 
     async def call(self):
-        stream = await tcp_stream.connect(HOST, self.front, 1.0)
+        stream = await tcp_stream.connect(find_host(), self.front, 1.0)
         caller = entry_bench.Caller(stream)
         head = [
             ("host", "ficu95.example"),
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -189,7 +189,7 @@
         return max(counts, default=0)
 
 
-def make_manifest(version: int) -> bytes:
+def make_manifest(version: int = 1) -> bytes:
     """Returns a manifest with one route for each member of `Repeat`.
 
     A route for the version alone shows which one is in force.
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -174,7 +174,7 @@
     async def test_router_that_the_copy_lacks_is_heard_on(self):
         """Live routers disconnected from each other."""
         copy = await self.start_before_a_restore()
-        entry = views.RouterEntry(f"{role_bench.HOST}:1", "a")
+        entry = views.RouterEntry(f"{role_bench.find_host()}:1", "a")
         self.store.put("keyed.routers", "edge-2", msgspec.json.encode(entry))
         links = self.role._links
         async with asyncio.timeout(5.0):
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -143,7 +143,7 @@
     async def test_contact_is_not_suspected_for_a_pause_of_this_router(self):
         role = self.make_role()
         self.addCleanup(role._links.close)
-        contact = listener.Listener(role_bench.HOST, 0, lambda stream: None)
+        contact = listener.Listener(role_bench.find_host(), 0, lambda stream: None)
         self.addCleanup(contact.close)
         peer = ids.InstanceId("edge-2")
         role._links.put_peer(
@@ -168,7 +168,7 @@
         role._peers_follower._position = log_position.Position(
             ids.NO_ERA, ids.Offset(4)
         )
-        entry = msgspec.json.encode(views.RouterEntry(f"{role_bench.HOST}:7", "b"))
+        entry = msgspec.json.encode(views.RouterEntry("127.0.0.9:7", "b"))
         change = keyed_log.Change(ids.Offset(4), "edge-2", entry)
         update = keyed_log.Update(ids.Offset(4), ids.Offset(5), [change], 0.0)
         reading = peer_reports.LogReading(update, age_s=0.1)
@@ -197,9 +197,9 @@
 
     async def start_beside_another_router(self):
         """Starts the router beside one that accepts connections but says nothing."""
-        silent = listener.Listener(role_bench.HOST, 0, lambda stream: None)
+        silent = listener.Listener(role_bench.find_host(), 0, lambda stream: None)
         self.addCleanup(silent.close)
-        entry = views.RouterEntry(f"{role_bench.HOST}:{silent.address[1]}", "a")
+        entry = views.RouterEntry(f"{role_bench.find_host()}:{silent.address[1]}", "a")
         self.store.put("keyed.routers", "edge-2", msgspec.json.encode(entry))
         self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
