--- a/teaselsill/completions.py
+++ b/teaselsill/completions.py
@@ -7,7 +7,14 @@
 import aiohttp
 import msgspec
 
-from teaselsill import bounded_body, document, event_stream, registry, upstream
+from teaselsill import (
+    bounded_body,
+    document,
+    event_stream,
+    registry,
+    response_body,
+    upstream,
+)
 
 EVENT_END = b"\n\n"
 DONE = b"data: [DONE]"
@@ -68,7 +75,7 @@
                     response.status, upstream.response_headers(response)
                 )
                 if response.content_type != EVENT_STREAM:
-                    body = body_start + await bounded_body.read(response)
+                    body = body_start + await response_body.read(response)
                     yield upstream.BodyChunk(body, 0.0)
                     yield upstream.Finished(_cost_of(_find_usage(body), service))
                     return
--- a/teaselsill/http_instances.py
+++ b/teaselsill/http_instances.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import bounded_body, ids, instances, registry
+from teaselsill import bounded_body, ids, instances, registry, response_body
 
 TIMEOUT_S = 2.0
 NOT_MODIFIED_STATUS = 304
@@ -65,7 +65,7 @@
             async with self._session.get(self._url, headers=headers) as response:
                 response.raise_for_status()
                 return _Response(
-                    await bounded_body.read(response),
+                    await response_body.read(response),
                     response.headers.get("ETag", ""),
                     is_unchanged=response.status == NOT_MODIFIED_STATUS,
                 )
--- a/teaselsill/http_log.py
+++ b/teaselsill/http_log.py
@@ -3,7 +3,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import bounded_body, ids, log, registry
+from teaselsill import bounded_body, ids, log, registry, response_body
 
 GRACE_S = 2.0
 """How long a response may take beyond the requested wait, in seconds."""
@@ -75,7 +75,7 @@
             async with self._session.request(
                 method, url, timeout=timeout, **arguments
             ) as response:
-                return response.status, await bounded_body.read(response)
+                return response.status, await response_body.read(response)
         except (
             aiohttp.ClientError,
             bounded_body.BodyTooLargeError,
--- a/teaselsill/operations.py
+++ b/teaselsill/operations.py
@@ -24,6 +24,7 @@
     log,
     registry,
     reports,
+    response_body,
     settings,
 )
 
@@ -290,7 +291,7 @@
         async with session.get(url) as response:
             response.raise_for_status()
             body = msgspec.json.decode(
-                await bounded_body.read(response), type=_VersionBody
+                await response_body.read(response), type=_VersionBody
             )
     except (
         aiohttp.ClientError,
--- a/teaselsill/reports.py
+++ b/teaselsill/reports.py
@@ -21,6 +21,7 @@
     ids,
     instances,
     log,
+    response_body,
     service_level_burn,
     service_levels,
 )
@@ -164,7 +165,7 @@
         ):
             response.raise_for_status()
             return msgspec.json.decode(
-                await bounded_body.read(response), type=NodeReport
+                await response_body.read(response), type=NodeReport
             )
     except (
         aiohttp.ClientError,
--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from teaselsill import bounded_body, document, errors, ids
+from teaselsill import document, errors, ids, response_body
 
 FENCING_HEADER = "Teaselsill-Fencing"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -253,7 +253,7 @@
     """
     if request.fencing is None or response.status != STALE_FENCING_STATUS:
         return b""
-    body = await bounded_body.read_start(response, MAX_REFUSAL_BYTES)
+    body = await response_body.read_start(response, MAX_REFUSAL_BYTES)
     if STALE_FENCING_MARK in body:
         raise UpstreamRefusedError("the fencing number is stale")
     return body
--- a/tests/test_failures_endless.py
+++ b/tests/test_failures_endless.py
@@ -8,7 +8,6 @@
 import aiohttp
 
 from teaselsill import (
-    bounded_body,
     completions,
     document,
     event_stream,
@@ -18,6 +17,7 @@
     log,
     operations,
     reports,
+    response_body,
     response_parser,
     tcp_stream,
     upstream,
@@ -58,7 +58,7 @@
         self.addAsyncCleanup(client.close)
         with self.assertRaisesRegex(log.LogUnavailableError, "exceeds"):
             await client.read("s", 0)
-        await self.check_bound(server, bounded_body.MAX_BODY_BYTES)
+        await self.check_bound(server, response_body.MAX_BODY_BYTES)
 
     async def test_instance_list(self):
         server = await self.start(JSON)
@@ -67,7 +67,7 @@
         self.addAsyncCleanup(client.close)
         with self.assertRaisesRegex(instances.InstanceListUnavailableError, "exceeds"):
             await client.fetch()
-        await self.check_bound(server, bounded_body.MAX_BODY_BYTES)
+        await self.check_bound(server, response_body.MAX_BODY_BYTES)
 
     async def test_status_and_report_of_an_instance(self):
         server = await self.start(JSON)
@@ -78,7 +78,7 @@
             report = await reports._fetch_report(session, limit, item)
         self.assertIn("exceeds", status.error)
         self.assertIn("exceeds", report.reason)
-        await self.check_bound(server, 2 * bounded_body.MAX_BODY_BYTES)
+        await self.check_bound(server, 2 * response_body.MAX_BODY_BYTES)
 
 
 class EndlessUpstreamTest(EndlessTest):
@@ -111,7 +111,7 @@
         server = await self.start(JSON)
         with self.assertRaisesRegex(upstream.UpstreamFailedError, "exceeds"):
             await self.run_request(server)
-        await self.check_bound(server, bounded_body.MAX_BODY_BYTES)
+        await self.check_bound(server, response_body.MAX_BODY_BYTES)
 
     async def test_event(self):
         server = await self.start(EVENTS)
@@ -123,7 +123,7 @@
         server = await self.start(JSON.replace(b"200 OK", b"409 Conflict"))
         with self.assertRaisesRegex(upstream.UpstreamFailedError, "exceeds"):
             await self.run_request(server, fencing=3)
-        await self.check_bound(server, bounded_body.MAX_BODY_BYTES)
+        await self.check_bound(server, response_body.MAX_BODY_BYTES)
 
 
 class EndlessHeadTest(EndlessTest):
@@ -169,7 +169,7 @@
             asyncio.timeout(deadline_s),
             session.get(url) as response,
         ):
-            await bounded_body.read(response)
+            await response_body.read(response)
 
 
 class ManyAtOnceTest(EndlessTest):
