Take only what can end before a stop does

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, then cut at its end with no response, among them requests that may not be repeated.

It can happen here. A stopping router took everything for 3 s and closed all connections 0.8 s before the end of the grace, whatever was still open on them. Seen failing on the code before: an order with 15 s of time, sent 0.5 to 2.9 s after the signal, ran and got no response; so did one that had been taken earlier; a request that waited for an upstream got no response either, although it had not run.

Now a stop has a deadline, 0.2 s before the connections are closed. A request that may run only once is taken if all the time that it may need is left; any other one if its route's requests hardly ever take longer than what is left (mean and deviation as in RFC 6298; the whole limit if nothing is known). What is not taken gets 503 at once, and another router can take it. What is still open at the deadline gets a response: 503 if it has not run, 502 if it may have. A response that has started is broken off, as before.

Routers with agents, by reading only: their stop waits until the responses are delivered, with no deadline of its own.

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -30,6 +30,8 @@
 """How long a stopping router accepts connections, until the balancer has noticed."""
 KILL_MARGIN_S = 0.8
 """How long before the process is killed a stop gives up on unfinished requests."""
+RESPONSE_MARGIN_S = 0.2
+"""How long before that unfinished requests get a response that says so."""
 STOP_CHECK_INTERVAL_S = 0.05
 PERMIT_PORT_OFFSET = 1
 """The port for permits follows the one for requests of other routers."""
@@ -238,9 +240,10 @@
         self._view.report_status()
         began_at = self._now()
         deadline = began_at + self.grace_s - KILL_MARGIN_S
+        self._forwarder.shutdown.begin(deadline - RESPONSE_MARGIN_S)
         await asyncio.sleep(min(LISTEN_AFTER_STOP_S, self.grace_s / 2))
         self._close_listeners()
-        self._forwarder.is_stopping = True
+        self._forwarder.shutdown.is_refusing = True
         while self._now() < deadline:
             # After a delay, requests that have arrived may not have been read.
             await tcp_stream.process_pending_events()
@@ -299,7 +302,7 @@
 
     def _takes_requests(self) -> bool:
         """Returns whether a request that another router offers now is served."""
-        return self.is_ready and not self._forwarder.is_stopping
+        return self.is_ready and not self._forwarder.shutdown.is_refusing
 
     async def _serve(
         self, stream: tcp_stream.TcpStream, serve: caller_connection.Serve
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -22,6 +22,7 @@
     request_log_line,
     retry_budget,
     routing_table,
+    shutdown,
     tcp_stream,
     upstream_attempt,
     upstream_choice,
@@ -67,7 +68,7 @@
         table: The configuration in force, or `None`.
         active_requests: The number of requests in progress.
         metrics: The metrics of the router.
-        is_stopping: Whether new requests are rejected.
+        shutdown: The planned stop of the router.
     """
 
     def __init__(
@@ -85,7 +86,7 @@
     ):
         self.table: routing_table.RoutingTable | None = None
         self.active_requests = 0
-        self.is_stopping = False
+        self.shutdown = shutdown.Shutdown()
         self._dialect = dialect
         self._directory = upstreams
         self._budget_policy = budget_policy
@@ -139,7 +140,8 @@
 
         Returns:
             The longest time that it may take, in seconds; None if it should be served
-            here, since it will be rejected or may be the trial of a quarantined part.
+            here, since it will be rejected, may be the trial of a quarantined part, or
+            may have to end with the stop of this router.
         """
         if self.table is None:
             return None
@@ -149,7 +151,7 @@
             account = self._find_account(self.table, route, call)
         except (calls.BadCallError, rejections.RejectedError):
             return None
-        if self._quarantine.concerns(call.parts):
+        if self.shutdown.has_begun or self._quarantine.concerns(call.parts):
             return None
         service = self.table.service_by_name[route.choose_service(call.id)]
         self._budget_of(service.name).note_request(received_at)
@@ -183,6 +185,7 @@
             line.request = call.id
             await self._forward(call, response, line, prior)
             line.ending = request_log_line.Ending.DELIVERED
+            self.shutdown.durations.note(line.route, self._age_of(call))
         except calls.BadCallError as error:
             rejection = rejections.RejectedError(
                 rejections.Cause.BAD_REQUEST, str(error)
@@ -230,10 +233,6 @@
         Raises:
             RejectedError: The request is rejected, or no attempt succeeded.
         """
-        if self.is_stopping:
-            raise rejections.RejectedError(
-                rejections.Cause.STOPPING, "the router is stopping", 0.0
-            )
         if self._lag.is_late:
             raise rejections.RejectedError(
                 rejections.Cause.ROUTER_BUSY,
@@ -255,6 +254,8 @@
             )
         route = self._find_route(table, call)
         account = self._find_account(table, route, call)
+        limit_s = calls.find_limit_s(call, route)
+        self.shutdown.check(route, limit_s - self._age_of(call), self._now())
         service = table.service_by_name[route.choose_service(call.id)]
         if not response.is_counted:
             self._budget_of(service.name).note_request(call.received_at)
@@ -264,7 +265,7 @@
         await self._chooser.await_permission(call)
         if not response.is_counted:
             self._view.note_received(account, call)
-        deadline = call.received_at + calls.find_limit_s(call, route)
+        deadline = min(call.received_at + limit_s, self.shutdown.deadline)
         state = outcomes.RequestState(
             call=call,
             route=route,
@@ -277,19 +278,34 @@
             line=line,
         )
         try:
-            async with asyncio.timeout_at(state.deadline):
+            async with self.shutdown.limit(state.deadline):
                 if prior is not None:
                     self._check_rerun(state, prior)
                 await self._try_upstreams(state)
         except TimeoutError as error:
-            is_unsent = not state.possible_runs
+            raise self._make_timeout_rejection(state) from error
+
+    def _make_timeout_rejection(
+        self, state: outcomes.RequestState
+    ) -> rejections.RejectedError:
+        """Returns the rejection of a request whose time is up."""
+        is_unsent = not state.possible_runs
+        if self.shutdown.is_over(self._now()):
             cause = (
-                rejections.Cause.TIMEOUT_UNSENT
+                rejections.Cause.STOPPING
                 if is_unsent
-                else rejections.Cause.TIMEOUT
+                else rejections.Cause.ANSWER_FAILED
             )
-            wait_s = upstream_choice.RETRY_AFTER_S if is_unsent else None
-            raise rejections.RejectedError(cause, "time is up", wait_s) from error
+            wait_s = 0.0 if is_unsent else None
+            return rejections.RejectedError(cause, "the router stops", wait_s)
+        cause = (
+            rejections.Cause.TIMEOUT_UNSENT if is_unsent else rejections.Cause.TIMEOUT
+        )
+        wait_s = upstream_choice.RETRY_AFTER_S if is_unsent else None
+        return rejections.RejectedError(cause, "time is up", wait_s)
+
+    def _age_of(self, call: calls.Call) -> float:
+        return self._now() - call.received_at
 
     def _check_rerun(self, state: outcomes.RequestState, prior) -> None:
         """Checks that a request may run again after it was sent by another router.
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -149,7 +149,12 @@
         await tcp_stream.process_pending_events()
         self._remote_requests += 1
         try:
-            outcome = await self._try(router, message, response, received_at, limit_s)
+            async with self._forwarder.shutdown.limit(math.inf):
+                outcome = await self._try(
+                    router, message, response, received_at, limit_s
+                )
+        except TimeoutError:
+            outcome = offload_link.BrokenOff("this router stops", upstreams=[])
         finally:
             self._remote_requests -= 1
         self._forwarder.metrics.offers.labels(type(outcome).__name__).inc()
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -341,11 +341,11 @@
         self.send(request, **fields)
         return await self.receive()
 
-    async def receive(self):
+    async def receive(self, timeout_s=5.0):
         """Returns the status, the body and whether the response was complete."""
         parser = response_parser.ResponseParser("POST")
         status, body = 0, b""
-        async with asyncio.timeout(5.0):
+        async with asyncio.timeout(timeout_s):
             while not parser.is_complete:
                 try:
                     data = await self._stream.read()
--- a/tests/test_failures_passed_on.py
+++ b/tests/test_failures_passed_on.py
@@ -142,7 +142,9 @@
 
     async def test_request_to_a_stopping_router_is_served_here(self):
         await self.start()
-        self.bench.other.forwarder.is_stopping = True
+        shutdown = self.bench.other.forwarder.shutdown
+        shutdown.begin(asyncio.get_running_loop().time())
+        shutdown.is_refusing = True
         caller = await self.bench.busy.connect()
         caller.send()
         await self.check_served_here(caller)
