Fail a response whose connection is reset, at agents too

Reported by other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Heads with a length, with chunks and without either were cut at every ninth byte, closed and reset, for orders, on kept connections, for requests that may be repeated, passed on to another router, and at both clients of agents: always a failure, one send for an order. These tests passed at once.

But a body without a length ends with its connection, and of such a body the client of agents (aiohttp) took a reset for the end: callers got a short body as whole. Seen failing on the code before: AgentTest.test_body_that_ends_with_a_reset_is_not_whole, for both kinds of upstream. Entry routers were right already. Nothing else tells: an orderly close is the end of such a body, as the protocol says.

--- a/teaselsill/upstream.py
+++ b/teaselsill/upstream.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from teaselsill import document, errors, ids, response_body
+from teaselsill import document, errors, ids, response_body, upstream_connector
 
 FENCING_HEADER = "Teaselsill-Fencing"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -154,9 +154,8 @@
             url: The URL to use instead of the upstream's URL and the request's path.
         """
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(
-                connector=connector, auto_decompress=False
+                connector=upstream_connector.Connector(), auto_decompress=False
             )
         headers = [(name, _decode_utf_8(value)) for name, value in request.headers]
         headers.append((REQUEST_ID_HEADER, request.request))
