Tell a log in era 0 from one that states no era

With a store that counts from 0, the first rise would have been taken for the first answer that states an era; routers would have listed again, but not written their own entries.

Seen failing first: test_first_rise_of_a_log_that_counts_from_zero_is_a_restore.

--- a/teaselsill/ids.py
+++ b/teaselsill/ids.py
@@ -26,7 +26,7 @@
 Era = typing.NewType("Era", int)
 """How often the log service has come back from an older copy; see `log_position`."""
 
-NO_ERA = Era(0)
+NO_ERA = Era(-1)
 """The era of a log service that states none; lower than any other."""
 
 Version = typing.NewType("Version", int)
--- a/tests/test_log_era.py
+++ b/tests/test_log_era.py
@@ -21,6 +21,12 @@
         self.assertEqual(3, self.era.note_response(ids.Era(3), CALL))
         self.assertEqual([], self.restores)
 
+    def test_first_rise_of_a_log_that_counts_from_zero_is_a_restore(self):
+        """Era 0 was taken for no era, so that nothing was written again."""
+        self.era.note_response(ids.Era(0), CALL)
+        self.era.note_response(ids.Era(1), CALL)
+        self.assertEqual([1], self.restores)
+
     def test_each_rise_is_one_restore_also_by_more_than_one(self):
         for era in (3, 3, 4, 4, 6):
             self.era.note_response(ids.Era(era), CALL)
