--- a/teaselsill/completions.py
+++ b/teaselsill/completions.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from teaselsill import (
-    bounded_body,
     document,
     event_stream,
     registry,
@@ -85,8 +84,6 @@
             raise upstream.UpstreamUnreachableError(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise upstream.UpstreamUnreachableError(str(error)) from error
-        except bounded_body.BodyTooLargeError as error:
-            raise upstream.UpstreamFailedError(str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if not stream.last_event:
                 raise upstream.UpstreamFailedError(str(error)) from error
--- a/teaselsill/http_instances.py
+++ b/teaselsill/http_instances.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import bounded_body, ids, instances, registry, response_body
+from teaselsill import ids, instances, registry, response_body
 
 TIMEOUT_S = 2.0
 NOT_MODIFIED_STATUS = 304
@@ -69,12 +69,7 @@
                     response.headers.get("ETag", ""),
                     is_unchanged=response.status == NOT_MODIFIED_STATUS,
                 )
-        except (
-            aiohttp.ClientError,
-            bounded_body.BodyTooLargeError,
-            TimeoutError,
-            OSError,
-        ) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise instances.InstanceListUnavailableError(
                 f"{self._url}: {error or type(error).__name__}"
             ) from error
--- a/teaselsill/http_log.py
+++ b/teaselsill/http_log.py
@@ -3,7 +3,7 @@
 import aiohttp
 import msgspec
 
-from teaselsill import bounded_body, ids, log, registry, response_body
+from teaselsill import ids, log, registry, response_body
 
 GRACE_S = 2.0
 """How long a response may take beyond the requested wait, in seconds."""
@@ -76,12 +76,7 @@
                 method, url, timeout=timeout, **arguments
             ) as response:
                 return response.status, await response_body.read(response)
-        except (
-            aiohttp.ClientError,
-            bounded_body.BodyTooLargeError,
-            TimeoutError,
-            OSError,
-        ) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise log.LogUnavailableError(
                 f"{method} {stream}: {error or type(error).__name__}"
             ) from error
--- a/teaselsill/operations.py
+++ b/teaselsill/operations.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from teaselsill import (
-    bounded_body,
     configuration,
     configuration_fold,
     daemon,
@@ -293,13 +292,7 @@
             body = msgspec.json.decode(
                 await response_body.read(response), type=_VersionBody
             )
-    except (
-        aiohttp.ClientError,
-        bounded_body.BodyTooLargeError,
-        TimeoutError,
-        OSError,
-        ValueError,
-    ) as error:
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
         return InstanceStatus(instance, None, str(error) or type(error).__name__)
     return InstanceStatus(instance, ids.Version(body.version))
 
--- a/teaselsill/reports.py
+++ b/teaselsill/reports.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from teaselsill import (
-    bounded_body,
     configuration,
     credit_forecast,
     document,
@@ -167,13 +166,7 @@
             return msgspec.json.decode(
                 await response_body.read(response), type=NodeReport
             )
-    except (
-        aiohttp.ClientError,
-        bounded_body.BodyTooLargeError,
-        TimeoutError,
-        OSError,
-        msgspec.MsgspecError,
-    ) as error:
+    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
         return MissingReport(item.id, str(error) or type(error).__name__)
 
 
--- a/teaselsill/response_body.py
+++ b/teaselsill/response_body.py
@@ -18,15 +18,15 @@
         max_bytes: The bound, in bytes.
 
     Raises:
-        BodyTooLargeError: The body exceeds the bound.
+        aiohttp.ClientPayloadError: The body is incomplete or exceeds the bound.
     """
     body = bounded_body.BoundedBody(str(response.url), max_bytes)
     try:
         async for data in response.content.iter_any():
             body.add(data)
-    except bounded_body.BodyTooLargeError:
+    except bounded_body.BodyTooLargeError as error:
         response.close()
-        raise
+        raise aiohttp.ClientPayloadError(str(error)) from error
     return body.join()
 
 
--- a/tests/test_failures_cut_heads.py
+++ b/tests/test_failures_cut_heads.py
@@ -3,11 +3,10 @@
 import asyncio
 import socket
 import struct
-import time
 import unittest
 
-from teaselsill import completions, document, plain, routing_table, upstream
-from tests import entry_bench, offload_bench
+from teaselsill import completions, plain, routing_table, upstream
+from tests import agent_client, entry_bench, offload_bench
 
 BODY = b"the whole body"
 HEADS = (
@@ -147,29 +146,11 @@
 
         server = await asyncio.start_server(serve, entry_bench.HOST, 0)
         port = server.sockets[0].getsockname()[1]
-        client = client_type(f"http://{entry_bench.HOST}:{port}")
-        request = upstream.UpstreamRequest(
-            request="r",
-            method="POST",
-            path="/v1/completions",
-            headers=[],
-            body=b"",
-            deadline=time.monotonic() + 5.0,
-            repeatable=False,
-        )
-        service = document.Service(name="s", kind="completions", models=["m"])
-        status, body = 0, b""
         try:
-            async for event in client.run(request, service):
-                match event:
-                    case upstream.Started(status=status):
-                        pass
-                    case upstream.BodyChunk(data=data):
-                        body += data
+            url = f"http://{entry_bench.HOST}:{port}"
+            return await agent_client.fetch(client_type, url)
         finally:
-            await client.close()
             server.close()
-        return status, body
 
     async def test_head_that_is_cut_is_a_failure(self):
         for client_type in (plain.PlainUpstream, completions.CompletionsUpstream):
--- a/tests/test_failures_endless.py
+++ b/tests/test_failures_endless.py
@@ -9,7 +9,6 @@
 
 from teaselsill import (
     completions,
-    document,
     event_stream,
     http_instances,
     http_log,
@@ -23,7 +22,7 @@
     upstream,
     upstream_connection,
 )
-from tests import endless_server
+from tests import agent_client, endless_server
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 JSON = CHUNKED + b"Content-Type: application/json\r\n\r\n"
@@ -84,28 +83,10 @@
 class EndlessUpstreamTest(EndlessTest):
     """An agent kept the answer of a model engine, or an event that did not end."""
 
-    async def run_request(self, server, repeatable=False, fencing=None):
-        """Sends a request as an agent; returns the bytes of the response's body."""
+    async def run_request(self, server, fencing=None):
         url = f"http://{endless_server.HOST}:{server.port}"
-        client = completions.CompletionsUpstream(url)
-        self.addAsyncCleanup(client.close)
-        request = upstream.UpstreamRequest(
-            request="r",
-            method="POST",
-            path="/v1/completions",
-            headers=[],
-            body=b"",
-            deadline=asyncio.get_running_loop().time() + 20.0,
-            repeatable=repeatable,
-            fencing=fencing,
-        )
-        service = document.Service(name="s", kind="completions", models=["m"])
-        size = 0
-        async for event in client.run(request, service):
-            match event:
-                case upstream.BodyChunk(data=data):
-                    size += len(data)
-        return size
+        client_type = completions.CompletionsUpstream
+        return await agent_client.fetch(client_type, url, fencing)
 
     async def test_answer_that_is_no_event_stream(self):
         server = await self.start(JSON)
