Expect a request of an unknown route to meet its objective, in a stop

A router that stopped soon after its start rejected every request that may be repeated, since nothing was known of its route and its limit counted: found by test_serves_requests_between_sigterm_and_its_exit, which the commit that introduced this had broken.

--- a/teaselsill/shutdown.py
+++ b/teaselsill/shutdown.py
@@ -90,10 +90,13 @@
         """Returns how much time a request needs, in seconds.
 
         One that may run only once needs all the time that it may take, since nobody
-        can repeat it if it is cut.
+        can repeat it if it is cut. Of a route without any history, requests are
+        expected to meet their objective.
         """
         match route.repeat:
             case routing_table.Repeat.NEVER:
                 return limit_s
         predicted_s = self.durations.predict_s(route.name)
-        return limit_s if predicted_s is None else min(limit_s, predicted_s)
+        if predicted_s is None:
+            predicted_s = route.objective_s
+        return min(limit_s, predicted_s)
