Let an entry that is not whole change nothing

Cause: the type of an entry had five of its eight fields, so an entry without the others was taken for the server's own.

Now the type has all fields with ranges; what is not whole changes nothing. It counts in `log_rejected_records` by topic, and is logged once for each key and reason, not at every heartbeat.

Run with the code before, the six new rows of test_malformed_entry_is_rejected for these fields failed, and test_entry_that_is_not_whole_changes_nothing.

Taking the first service and address of an incarnation for good would keep a wrong one for good, if a router reads that one first.

--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -29,6 +29,7 @@
         crashes: Crashes of upstreams that this router has seen, by service.
         quarantines: Prompt parts that were put under quarantine.
         oversized_responses: Responses of the platform's log that exceed their bound.
+        rejected_records: Records of the platform's log that cannot be used, by topic.
         log_restores: How often the platform's log has come back from an older copy.
     """
 
@@ -51,6 +52,9 @@
         self.oversized_responses = self._counter(
             "log_oversized_responses", "Responses of the log beyond their bound."
         )
+        self.rejected_records = self._counter(
+            "log_rejected_records", "Records that cannot be used.", "topic"
+        )
         self.log_restores = self._counter("log_restores", "Restores of the log.")
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
--- a/teaselsill/upstream_list.py
+++ b/teaselsill/upstream_list.py
@@ -136,23 +136,13 @@
         )
         return has_changed
 
-    def restore(self, upstreams: list[Upstream], now: float) -> bool:
-        """Applies the entries of an older copy of the list.
+    def put_restored(self, upstream: Upstream) -> bool:
+        """Applies an entry of an older copy of the list; see `put`.
 
-        A missing entry may belong to a live upstream that has not written it again yet.
         An incarnation that is known to be gone does not come back by its entry in the
         copy; if it is alive, it writes another one.
-
-        Args:
-            upstreams: The entries.
-            now: The time, in seconds.
-
-        Returns:
-            Whether anything but heartbeats changed.
         """
-        self.note_outage(now)
-        self.keep_only({upstream.id for upstream in upstreams}, now)
-        return any([self.put(each) for each in upstreams if not self._is_gone(each)])
+        return not self._is_gone(upstream) and self.put(upstream)
 
     def note_leaving(self, upstream: Upstream) -> bool:
         """Records an upstream's announcement that it leaves; returns whether it is new.
@@ -169,17 +159,6 @@
         logger.info("upstream says that it leaves", extra={"upstream": upstream.id})
         return True
 
-    def discard(self, upstream_id: ids.UpstreamId, reason: str, now: float) -> None:
-        """Drops an upstream whose entry cannot be used.
-
-        Args:
-            upstream_id: The upstream.
-            reason: Why the entry cannot be used, for the log.
-            now: The time, in seconds.
-        """
-        if upstream_id in self.by_id:
-            self._drop(upstream_id, reason, now)
-
     def remove(self, upstream_id: ids.UpstreamId, now: float) -> None:
         """Removes an upstream whose entry is gone, at once or after a grace period.
 
--- a/tests/adapter/store_bench.py
+++ b/tests/adapter/store_bench.py
@@ -69,8 +69,11 @@
             "Service": "huvo11a",
             "Address": f"{upstream.host}:{upstream.port}",
             "Zone": "a",
+            "Version": "v1",
             "Slots": 8,
             "State": "ready",
+            "ColdLeftMs": 0,
+            "Seq": 1,
             "born": 1,
         }
         self.put("keyed.servers", upstream.id, json.dumps(entry | fields).encode())
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import time
+import unittest.mock
 
 import msgspec
 from adapter import router_role, settings, views
@@ -225,6 +226,44 @@
         await self.wait_ready(200)
         self.assertLess(time.monotonic() - began_at, introduction.MAX_WAIT_S)
 
+    async def test_entry_that_is_not_whole_changes_nothing(self):
+        """Orders were run by a server of another service, whose entry it replaced."""
+        self.store.put("keyed.op", "config", role_bench.make_manifest(7))
+        self.register()
+        self.start()
+        await self.wait_ready(200)
+        whole = json.loads(self.store.newest("keyed.servers")["i-1"])
+        before = self.role._directory.listed.by_id["i-1"]
+        with self.assertLogs("adapter.views", "WARNING") as logs:
+            for seq in range(3):
+                for field in ("Version", "ColdLeftMs", "Seq"):
+                    foreign = whole | {"Service": "wuno96b", "Seq": seq}
+                    del foreign[field]
+                    self.store.put("keyed.servers", "i-1", json.dumps(foreign).encode())
+            position = self.role._servers_follower._position.advance(9)
+            async with asyncio.timeout(5.0):
+                while self.role._servers_follower._position != position:
+                    self.assertEqual(200, (await self.call())[0])
+                    await asyncio.sleep(0.02)
+        self.assertEqual(before, self.role._directory.listed.by_id["i-1"])
+        self.assertLess(len(logs.records), 10)
+        self.assertIn("Version", logs.records[0].reason)
+        _, text, _ = await self.ask(router_role.METRICS_PORT, router_role.METRICS_PATH)
+        line = b'teaselsill_log_rejected_records_total{topic="keyed.servers"} 9.0'
+        self.assertIn(line, text)
+
+    async def test_repeated_odd_entry_is_logged_once(self):
+        count = unittest.mock.Mock()
+        rejected = views.RejectedRecords("ignored", count)
+        with self.assertLogs("adapter.views", "WARNING") as logs:
+            for _ in range(5):
+                rejected.note("a", "no Version")
+            rejected.note("a", "no Seq")
+        self.assertEqual((6, 2), (count.call_count, len(logs.records)))
+        for number in range(2 * views.MAX_REJECTED_KEYS):
+            rejected.note(str(number), "no Seq")
+        self.assertLessEqual(len(rejected._reason_by_key), views.MAX_REJECTED_KEYS)
+
     async def test_odd_entries_cost_only_themselves(self):
         """Routers that read them ended, or stopped following the list."""
         self.store.put("keyed.op", "config", role_bench.make_manifest(7))
@@ -252,7 +291,7 @@
             async with asyncio.timeout(5.0):
                 while "last" not in role._directory.listed.by_id:  # noqa: ASYNC110
                     await asyncio.sleep(0.02)
-        ignored = {getattr(record, "upstream", None) for record in logs.records}
+        ignored = {getattr(record, "key", None) for record in logs.records}
         self.assertLessEqual({f"odd{number}" for number in range(len(odd))}, ignored)
         self.assertFalse(running.done())
         listed = set(role._directory.listed.by_id)
--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -50,6 +50,13 @@
             {"State": "resting"},
             {"State": ...},
             {"Slots": "128"},
+            {"Zone": ...},
+            {"Version": ...},
+            {"Version": 1},
+            {"ColdLeftMs": ...},
+            {"ColdLeftMs": -1},
+            {"Seq": ...},
+            {"Seq": "4"},
             {"born": "1784002132479"},
             {"born": 1.5},
         ):
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -64,7 +64,7 @@
         self.assertEqual([], self.take_crashes())
 
     async def test_upstream_that_is_not_listed_any_more_is_no_crash(self):
-        self.directory.listed.discard(self.listed.id, "gone", 0.0)
+        self.directory.listed.remove(self.listed.id, 0.0)
         self.upstream.crash()
         self.assertEqual([False, False], await self.check())
 
--- a/tests/test_upstream_list.py
+++ b/tests/test_upstream_list.py
@@ -81,7 +81,9 @@
         self.assertEqual(["back"], self.usable())
 
     def restore(self, *upstreams, now=10.0):
-        return self.listed.restore(list(upstreams), now)
+        self.listed.note_outage(now)
+        self.listed.keep_only({upstream.id for upstream in upstreams}, now)
+        return any([self.listed.put_restored(each) for each in upstreams])
 
     def test_live_upstream_that_an_older_copy_lacks_has_a_grace_period(self):
         """Servers were dropped until they had written their entries again."""
