--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -36,6 +36,19 @@
         self.changed.set()
 
 
+class HeldLog(test_keyed_log.MemoryKeyedLog):
+    """A log whose replies to reads are held on the way until `may_reply` is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_reply = asyncio.Event()
+
+    async def read(self, topic, start, wait_s):
+        page = await super().read(topic, start, wait_s)
+        await self.may_reply.wait()
+        return page
+
+
 class FollowerTestCase(unittest.IsolatedAsyncioTestCase):
     """A follower of a log in memory, which `start` starts."""
 
@@ -240,15 +253,7 @@
 
     async def read_during_update(self, next_offset, *changes):
         """Reads two records and applies an update before the reply arrives."""
-        may_reply = asyncio.Event()
-
-        class Slow(test_keyed_log.MemoryKeyedLog):
-            async def read(self, topic, start, wait_s):
-                page = await super().read(topic, start, wait_s)
-                await may_reply.wait()
-                return page
-
-        self.source = Slow()
+        self.source = HeldLog()
         await self.start_idle()
         self.source.add("a", b"2")
         self.source.add("b", b"2")
@@ -257,7 +262,7 @@
             while not self.source.reads:  # noqa: ASYNC110
                 await asyncio.sleep(0)
         self.apply_update(2, next_offset, *changes)
-        may_reply.set()
+        self.source.may_reply.set()
         await self.wait_update()
 
     async def wait_update(self):
@@ -356,21 +361,13 @@
 
     async def test_read_of_one_era_is_not_applied_in_another(self):
         """It was answered in time but handled after another call had seen the rise."""
-        may_reply = asyncio.Event()
-
-        class Slow(test_keyed_log.MemoryKeyedLog):
-            async def read(self, topic, start, wait_s):
-                page = await super().read(topic, start, wait_s)
-                await may_reply.wait()
-                return page
-
-        self.source = Slow()
+        self.source = HeldLog()
         await self.start_in_era(wait_s=0.0, find_pause_s=lambda: 0.01)
         self.source.add("a", b"lost")
         await asyncio.sleep(0.01)
         self.restore(b"3")
         self.follower.note_restore(ids.Era(2))
-        may_reply.set()
+        self.source.may_reply.set()
         await self.wait_for({"a": b"3"})
         self.assertEqual([], [u for u, _ in self.updates if u.changes and u.era == 1])
 
