--- a/tests/bench.py
+++ b/tests/bench.py
@@ -104,9 +104,16 @@
 
 
 class AgentBench:
-    """One agent with a fake upstream, reached through a relay."""
+    """One agent with a fake upstream, reached through a relay.
 
-    def __init__(self, name, log_service, plain=DOCUMENT):
+    Args:
+        name: The name of the agent.
+        log_service: The log service.
+        plain: The configuration.
+        client: The client of a real upstream, in place of the fake one.
+    """
+
+    def __init__(self, name, log_service, plain=DOCUMENT, client=None):
         self.follower = FixedFollower(plain)
         self.upstream = FakeUpstream()
         self.relay = None
@@ -129,7 +136,7 @@
             SERVICE, self.upstream_id, self.follower, service_counters, policy, sink
         )
         runner = running.Runner(
-            self.upstream,
+            client or self.upstream,
             claims.Ledger(log_service, SERVICE, identity.incarnation, time.time),
             fencing.Fence(log_service, SERVICE, self.upstream_id, identity.incarnation),
             scheduler,
@@ -179,9 +186,11 @@
         log: The log service.
     """
 
-    def __init__(self, agents=1, plain=DOCUMENT, log_service=None):
+    def __init__(self, agents=1, plain=DOCUMENT, log_service=None, client=None):
         self.log = log_service or log.MemoryLog()
-        self.agents = [AgentBench(f"agent-{n}", self.log, plain) for n in range(agents)]
+        self.agents = [
+            AgentBench(f"agent-{n}", self.log, plain, client) for n in range(agents)
+        ]
         self.follower = FixedFollower(plain)
         self.router = None
         self._running = None
--- a/tests/test_failures_cut_heads.py
+++ b/tests/test_failures_cut_heads.py
@@ -5,8 +5,16 @@
 import struct
 import unittest
 
-from teaselsill import completions, plain, routing_table, upstream
-from tests import agent_client, entry_bench, offload_bench
+from teaselsill import (
+    completions,
+    errors,
+    messages,
+    plain,
+    refusals,
+    routing_table,
+    upstream,
+)
+from tests import agent_client, bench, entry_bench, offload_bench
 
 BODY = b"the whole body"
 HEADS = (
@@ -122,6 +130,52 @@
                     self.assertEqual(1, len(bench.list_requests()))
 
 
+class FixedServer:
+    """Sends the same bytes to each request and ends the connection.
+
+    Args:
+        sent: The bytes.
+        is_reset: Whether the connection is reset, not closed.
+
+    Attributes:
+        requests: How many requests have come.
+    """
+
+    def __init__(self, sent, is_reset=False):
+        self.requests = 0
+        self._sent = sent
+        self._is_reset = is_reset
+        self._server = None
+
+    async def __aenter__(self):
+        """Starts listening."""
+        self._server = await asyncio.start_server(self._serve, entry_bench.HOST, 0)
+        return self
+
+    async def __aexit__(self, *exc):
+        """Stops listening."""
+        self._server.close()
+
+    @property
+    def url(self):
+        """Its base URL."""
+        port = self._server.sockets[0].getsockname()[1]
+        return f"http://{entry_bench.HOST}:{port}"
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        writer.write(self._sent)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if self._is_reset:
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        writer.close()
+
+
 class AgentTest(unittest.IsolatedAsyncioTestCase):
     """The same at the clients of agents, which use another HTTP library."""
 
@@ -132,25 +186,8 @@
             The status and the body.
         """
 
-        async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(sent)
-            await writer.drain()
-            await asyncio.sleep(0.02)
-            if is_reset:
-                sock = writer.get_extra_info("socket")
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                writer.transport.abort()
-            writer.close()
-
-        server = await asyncio.start_server(serve, entry_bench.HOST, 0)
-        port = server.sockets[0].getsockname()[1]
-        try:
-            url = f"http://{entry_bench.HOST}:{port}"
-            return await agent_client.fetch(client_type, url)
-        finally:
-            server.close()
+        async with FixedServer(sent, is_reset) as server:
+            return await agent_client.fetch(client_type, server.url)
 
     async def test_head_that_is_cut_is_a_failure(self):
         for client_type in (plain.PlainUpstream, completions.CompletionsUpstream):
@@ -188,3 +225,36 @@
             ):
                 sent = HEADS[2] % b"1" + BODY[:5]
                 await self.fetch(client_type, sent, is_reset=True)
+
+
+class AgentPathTest(unittest.IsolatedAsyncioTestCase):
+    """Through a router and an agent: the order's caller gets no success."""
+
+    async def order(self, sent, is_reset=False):
+        """Sends one order; returns its outcome or its status and body."""
+        async with FixedServer(sent, is_reset) as server:
+            client = plain.PlainUpstream(server.url)
+            self.addAsyncCleanup(client.close)
+            async with bench.Bench(client=client) as fleet:
+                try:
+                    result = await fleet.call(bench.ORDER)
+                except errors.RequestError as error:
+                    result = refusals.describe(error).outcome
+            self.assertEqual(1, server.requests)
+        return result
+
+    async def test_head_that_is_cut(self):
+        for template in HEADS:
+            head = template % b"1"
+            for cut in list_cuts(head):
+                for is_reset in (False, True):
+                    with self.subTest(head=template, cut=cut, is_reset=is_reset):
+                        result = await self.order(head[:cut], is_reset)
+                        self.assertEqual(messages.Outcome.UNKNOWN, result)
+
+    async def test_body_that_ends_with_a_reset(self):
+        result = await self.order(HEADS[2] % b"1" + BODY[:5], is_reset=True)
+        self.assertEqual(messages.Outcome.UNKNOWN, result)
+
+    async def test_whole_body(self):
+        self.assertEqual((200, BODY), await self.order(HEADS[2] % b"1" + BODY))
--- a/tests/test_failures_endless.py
+++ b/tests/test_failures_endless.py
@@ -9,12 +9,14 @@
 
 from teaselsill import (
     completions,
+    errors,
     event_stream,
     http_instances,
     http_log,
     instances,
     log,
     operations,
+    plain,
     reports,
     response_body,
     response_parser,
@@ -22,7 +24,7 @@
     upstream,
     upstream_connection,
 )
-from tests import agent_client, endless_server
+from tests import agent_client, bench, endless_server
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 JSON = CHUNKED + b"Content-Type: application/json\r\n\r\n"
@@ -107,6 +109,36 @@
         await self.check_bound(server, response_body.MAX_BODY_BYTES)
 
 
+class AgentPathTest(EndlessTest):
+    """Through a router and an agent, to a caller that reads nothing."""
+
+    async def test_body_that_is_passed_on(self):
+        server = await self.start(JSON)
+        client = plain.PlainUpstream(f"http://{endless_server.HOST}:{server.port}")
+        self.addAsyncCleanup(client.close)
+        before_bytes = read_peak_memory()
+        async with bench.Bench(client=client) as fleet:
+            request = bench.make_request(bench.LOOKUP, deadline_s=2.0)
+            response = await fleet.router.serve(request, 100)
+            try:
+                await asyncio.sleep(2.0)
+            finally:
+                response.close()
+            await server.wait_closed()
+        self.assertLess(server.sent_bytes, SLACK_BYTES)
+        self.assertLess(read_peak_memory() - before_bytes, 2 * SLACK_BYTES)
+
+    async def test_head(self):
+        server = await self.start(b"HTTP/1.1 200 OK\r\na: ", endless_server.BLOCK)
+        client = plain.PlainUpstream(f"http://{endless_server.HOST}:{server.port}")
+        self.addAsyncCleanup(client.close)
+        async with bench.Bench(client=client) as fleet:
+            with self.assertRaises(errors.RequestError):
+                await fleet.call(bench.ORDER)
+            await server.wait_closed()
+        self.assertLess(server.sent_bytes, SLACK_BYTES)
+
+
 class EndlessHeadTest(EndlessTest):
     """No complete part ever arrives, so nothing can be passed on."""
 
--- a/tests/test_failures_stop.py
+++ b/tests/test_failures_stop.py
@@ -4,6 +4,9 @@
 import dataclasses
 import unittest
 
+import aiohttp
+
+from standins import fleet, shapes
 from teaselsill import durations, rejections, routing_table, shutdown
 from tests import entry_bench, test_routing_table
 
@@ -179,3 +182,68 @@
         for _ in range(50):
             seen.note("r", 2.0)
         self.assertAlmostEqual(2.0, seen.predict_s("r"), places=1)
+
+
+class AgentPathTest(unittest.IsolatedAsyncioTestCase):
+    """Processes of routers and agents: their stop waits for what they have taken."""
+
+    SHAPE = shapes.Shape(
+        ("oslo-a",),
+        (shapes.ServiceShape("bookings", "plain", 1),),
+        routers=1,
+        accounts=1,
+    )
+    WORK_MS = 3000
+    MOMENTS_S = (0.0, 0.1, 0.3, 1.0)
+    """Before or after the signal; the router listens on for 0.2 s."""
+
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(fleet.Fleet(self.SHAPE))
+        self.router = self.fleet.with_role(fleet.Role.ROUTER)[0]
+
+    async def order(self, number, moment_s):
+        """Sends an order; returns its status and outcome, or None if none was taken."""
+        await asyncio.sleep(moment_s)
+        headers = self.fleet.request_headers(shapes.account_name(0))
+        url = f"{self.router.url}/services/bookings/orders/{number}"
+        try:
+            async with self.fleet.session.post(
+                url, headers=headers, params={"work_ms": self.WORK_MS}
+            ) as response:
+                await response.read()
+                return response.status, response.headers["Teaselsill-Outcome"]
+        except aiohttp.ClientConnectorError:
+            return None
+
+    async def count_runs(self):
+        upstream = self.fleet.upstream_of(self.fleet.agents_of("bookings")[0])
+        page = await self.fleet.get_json(f"{upstream.url}/admin/executions")
+        return page["by_path"]
+
+    async def stop(self, node):
+        """Stops a process while orders arrive; returns the results by number."""
+        sending = [
+            asyncio.create_task(self.order(number, moment_s))
+            for number, moment_s in enumerate(self.MOMENTS_S)
+        ]
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, await self.fleet.stop(node))
+        return dict(enumerate(await asyncio.gather(*sending)))
+
+    async def test_router_answers_what_it_has_taken(self):
+        results = await self.stop(self.router)
+        runs = await self.count_runs()
+        for number, result in results.items():
+            has_run = runs.get(f"/orders/{number}", 0)
+            self.assertIn(result, [(200, "ran"), None])
+            self.assertEqual(result is not None, bool(has_run))
+        self.assertEqual((200, "ran"), results[0])
+
+    async def test_agent_answers_what_it_has_taken(self):
+        results = await self.stop(self.fleet.agents_of("bookings")[0])
+        runs = await self.count_runs()
+        for number, (_, outcome) in results.items():
+            has_run = runs.get(f"/orders/{number}", 0)
+            self.assertEqual(outcome == "ran", bool(has_run), results)
+            self.assertIn(outcome, ("ran", "not-run"))
+        self.assertEqual((200, "ran"), results[0])
