Wait until the order runs before the agent is stopped

In a whole run at load 17 to 23 test_agent_answers_what_it_has_taken failed: its first order got 503 with the outcome not-run, truthfully. The test gave it 0.05 s by the wall clock to reach the agent.

--- a/tests/test_failures_stop.py
+++ b/tests/test_failures_stop.py
@@ -195,7 +195,7 @@
     )
     WORK_MS = 3000
     MOMENTS_S = (0.0, 0.1, 0.3, 1.0)
-    """Before or after the signal; the router listens on for 0.2 s."""
+    """When orders are sent after the signal; the router listens on for 0.2 s."""
 
     async def asyncSetUp(self):
         self.fleet = await self.enterAsyncContext(fleet.Fleet(self.SHAPE))
@@ -221,15 +221,30 @@
         return page["by_path"]
 
     async def stop(self, node):
-        """Stops a process while orders arrive; returns the results by number."""
-        sending = [
+        """Stops a process while an order runs and others arrive.
+
+        Returns:
+            The results by number; 0 is the order that runs already.
+        """
+        sending = [asyncio.create_task(self.order(0, 0.0))]
+        await self.wait_until_running()
+        sending += [
             asyncio.create_task(self.order(number, moment_s))
-            for number, moment_s in enumerate(self.MOMENTS_S)
+            for number, moment_s in enumerate(self.MOMENTS_S, 1)
         ]
-        await asyncio.sleep(0.05)
         self.assertEqual(0, await self.fleet.stop(node))
         return dict(enumerate(await asyncio.gather(*sending)))
 
+    async def wait_until_running(self):
+        """Waits until an order runs in a slot of the agent."""
+        agent = self.fleet.agents_of("bookings")[0]
+        async with asyncio.timeout(10.0):
+            while True:
+                report = await self.fleet.get_json(f"{agent.admin_url}/report")
+                if report["slots"]["busy"]:
+                    return
+                await asyncio.sleep(0.02)
+
     async def test_router_answers_what_it_has_taken(self):
         results = await self.stop(self.router)
         runs = await self.count_runs()
