Read load reports that also state how long work takes

At two new customers upstreams add a fourth figure to their load report. The report was thrown away whole, so no router knew from responses how many requests ran and waited there.

Three figures are read as before. The fourth is passed on as the slowdown; one that is no number, zero, negative or absurd is as if absent, leaves the other figures readable and is counted.

--- a/teaselsill/calls.py
+++ b/teaselsill/calls.py
@@ -71,6 +71,9 @@
         idle_timeout_s: How long the upstream keeps an idle connection, if it is given.
         running: How many requests the upstream runs; None if it is not given.
         waiting: How many requests wait there; None if it is not given.
+        slowdown: How long work takes there now, relative to the usual time; None if it
+            is not given.
+        is_load_malformed: Whether a figure of its load could not be read.
         announcement: What the upstream states about itself; None if another one has
             sent the response.
     """
@@ -82,6 +85,8 @@
     idle_timeout_s: float | None = None
     running: int | None = None
     waiting: int | None = None
+    slowdown: float | None = None
+    is_load_malformed: bool = False
     announcement: announcements.Announcement | None = None
 
 
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -30,6 +30,8 @@
         quarantines: Prompt parts that were put under quarantine.
         oversized_responses: Responses of the platform's log that exceed their bound.
         rejected_records: Records of the platform's log that cannot be used, by topic.
+        malformed_loads: Load reports of upstreams with a figure that cannot be read, by
+            service.
         log_restores: How often the platform's log has come back from an older copy.
     """
 
@@ -55,6 +57,9 @@
         self.rejected_records = self._counter(
             "log_rejected_records", "Records that cannot be used.", "topic"
         )
+        self.malformed_loads = self._counter(
+            "malformed_load_reports", "Load reports that cannot be read.", "service"
+        )
         self.log_restores = self._counter("log_restores", "Restores of the log.")
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -309,9 +309,7 @@
         metadata = state.metadata
         if metadata.idle_timeout_s is not None:
             attempt.connection.idle_timeout_s = metadata.idle_timeout_s
-        if metadata.running is not None:
-            total = metadata.running + (metadata.waiting or 0)
-            candidate.load.note_report(total, self._now())
+        self._note_load(candidate, metadata)
         if metadata.announcement is not None:
             self._view.note_announcement(
                 candidate, metadata.announcement, attempt.in_flight.sent_at
@@ -345,6 +343,15 @@
         self._metrics.first_byte_s.labels(state.route.name).observe(took_s)
         return None
 
+    def _note_load(self, candidate, metadata: calls.ResponseMetadata) -> None:
+        """Records what a response states about the load of its upstream."""
+        if metadata.is_load_malformed:
+            service = candidate.upstream.service
+            self._metrics.malformed_loads.labels(service).inc()
+        if metadata.running is not None:
+            total = metadata.running + (metadata.waiting or 0)
+            candidate.load.note_report(total, self._now())
+
     async def _relay_body(self, attempt: open_attempts.Attempt, data: bytes) -> None:
         state, candidate = attempt.state, attempt.candidate
         in_flight = candidate.load.start(attempt.number, self._now())
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -147,6 +147,25 @@
         ))  # fmt: skip
         self.assertIsNone(self.read(200, (dialect.SERVER_LOAD, "3,x,8")).running)
 
+    def test_load_report_with_a_slowdown(self):
+        """The fourth figure made the whole report unreadable."""
+        metadata = self.read(200, (dialect.SERVER_LOAD, "3,1,8,250"))
+        self.assertEqual((3, 1, 2.5), (
+            metadata.running, metadata.waiting, metadata.slowdown,
+        ))  # fmt: skip
+        self.assertFalse(metadata.is_load_malformed)
+        self.assertIsNone(self.read(200, (dialect.SERVER_LOAD, "3,1,8")).slowdown)
+        self.assertFalse(self.read(200).is_load_malformed)
+
+    def test_malformed_slowdown_is_as_if_absent(self):
+        for figure in ("x", "", "-100", "0", "nan", "1e9", "9" * 400, "4", "10001"):
+            with self.subTest(figure=figure[:8]):
+                metadata = self.read(200, (dialect.SERVER_LOAD, f"3,1,8,{figure}"))
+                self.assertEqual((3, 1), (metadata.running, metadata.waiting))
+                self.assertIsNone(metadata.slowdown)
+                self.assertTrue(metadata.is_load_malformed)
+        self.assertTrue(self.read(200, (dialect.SERVER_LOAD, "3,1")).is_load_malformed)
+
     def test_absurd_numbers_are_ignored(self):
         for absurd in ("9" * 5000, "1" + 400 * "0", "-1", "1e9", "\u0663", ""):
             with self.subTest(absurd=absurd[:8]):
@@ -177,6 +196,7 @@
         metadata = self.read(status, (dialect.REQUEST_ID, "9c41"), (name, value))
         for count in (metadata.running, metadata.waiting):
             self.assertTrue(count is None or 0 <= count < dialect.NUMBER_BOUND)
+        self.assertTrue(metadata.slowdown is None or 0.05 <= metadata.slowdown <= 100)
         idle_s = metadata.idle_timeout_s
         self.assertTrue(idle_s is None or 0 <= idle_s < dialect.NUMBER_BOUND)
         if metadata.announcement is not None:
