--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,6 +1,7 @@
 """Runs the tests and prints a summary; failures listed in KNOWN-RED.txt are accepted.
 
-The classes of the tests run in several processes.
+The classes of the tests run in several processes. A class with `runs_alone = True`,
+whose bound would not hold beside other load, runs after the others, one at a time.
 """
 
 import concurrent.futures
@@ -68,6 +69,29 @@
     return found
 
 
+def find_alone(suite):
+    """Returns the names of the classes in a suite that run alone."""
+    found = set()
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            found |= find_alone(test)
+        elif getattr(test, "runs_alone", False):
+            found.add(test.id().rpartition(".")[0])
+    return found
+
+
+def run_classes(ids_by_class, alone):
+    """Runs the tests of classes: several classes at once, then those that run alone."""
+    beside = [name for name in ids_by_class if name not in alone]
+    last = [name for name in ids_by_class if name in alone]
+    results = []
+    for names, workers in ((beside, WORKERS), (last, 1)):
+        with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+            ids = [ids_by_class[name] for name in names]
+            results += pool.map(run_class, names, ids)
+    return results
+
+
 def run_class(name, ids):
     """Runs the tests of one class in this process."""
     started_at = time.monotonic()
@@ -98,9 +122,8 @@
 
 def main(names):
     """Runs the tests and returns the exit status."""
-    ids_by_class = group_ids_by_class(load(names))
-    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        results = list(pool.map(run_class, ids_by_class, ids_by_class.values()))
+    suite = load(names)
+    results = run_classes(group_ids_by_class(suite), find_alone(suite))
     for result in results:
         if result.failing:
             print(result.text)
