Pass no requests on to routers with a newer configuration that cannot be had here

Cause: a router with a newer configuration was chosen although the local one stays in force for the next request of the same caller. While the log is lost, or a change that another router has seen cannot be read within 0.2 s, only routers with the same version are chosen now. The tests failed before (no such parameter or property).

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -90,6 +90,7 @@
         has_started: Returns whether the router has what it needs to serve requests.
         grace_s: The maximum duration of a stop, in seconds.
         lag: Measures the delay of the event loop.
+        is_behind: Returns whether this router cannot have the newest configuration.
 
     Attributes:
         grace_s: The maximum duration of a stop, in seconds.
@@ -106,6 +107,7 @@
         has_started: collections.abc.Callable[[], bool],
         grace_s: float,
         lag: loop_lag.LoopLag,
+        is_behind: collections.abc.Callable[[], bool] = lambda: False,
     ):
         self.grace_s = grace_s
         self.cores = location.cores
@@ -118,7 +120,7 @@
         self._is_stopping = False
         self._connections: set[caller_connection.CallerConnection] = set()
         self._offloader = offload.Offloader(
-            router, view, lag, forwarder, self.describe_status
+            router, view, lag, forwarder, self.describe_status, is_behind
         )
         self._offload_server = offload_server.OffloadServer(
             forwarder.serve, self._takes_requests, lambda: forwarder.version
--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -19,6 +19,8 @@
 Its reply was delayed on the way, so its content may be as old as the call. If no reply
 has come by then, its connection may be dead.
 """
+MAX_UNREAD_S = 0.2
+"""How long reading a change that another reader has seen may take."""
 WAKE_GRACE_S = 0.1
 """How long a waiting read may go on once another reader has seen a change.
 
@@ -86,9 +88,26 @@
         self._newest_era = ids.NO_ERA
         self._is_first_read_after_listing = False
         self._lost_at: float | None = None
+        self._unread_position: log_position.Position | None = None
+        self._unread_since = -math.inf
         self._failures = 0
         self._max_wait_s = math.inf
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether there may be changes that cannot be read at present."""
+        if self._lost_at is not None:
+            return True
+        return self._has_unread and self._now() - self._unread_since > MAX_UNREAD_S
+
+    @property
+    def _has_unread(self) -> bool:
+        """Whether another reader has seen a change that was not read yet."""
+        unread, position = self._unread_position, self._position
+        if unread is None or position is None or unread.era != position.era:
+            return False
+        return unread >= position
+
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         while True:
@@ -130,6 +149,9 @@
         if self._position is None or (
             position.era == self._position.era and position >= self._position
         ):
+            if not self._has_unread:
+                self._unread_since = self._now()
+            self._unread_position = position
             self._wake_event.set()
 
     def apply_update(self, update: keyed_log.Update, age_s: float) -> None:
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -54,18 +54,22 @@
 def choose_router(
     own: peer_reports.RouterStatus,
     others: collections.abc.Mapping[ids.InstanceId, peer_reports.RouterStatus],
+    may_be_newer: bool = True,
 ) -> ids.InstanceId | None:
     """Returns the router that should serve new requests instead, or `None`.
 
     The router's configuration must not be older than the local one, whose effects
-    callers have already seen. Routers in the same data centre are preferred, since
-    traffic between data centres costs money. The less loaded of two random routers is
-    chosen: reports are delayed, so that all routers would choose the least loaded one
-    at the same time.
+    callers have already seen. It must not be newer either if this router cannot have
+    that one: its callers would see the effects of both in turn. Routers in the same
+    data centre are preferred, since traffic between data centres costs money. The less
+    loaded of two random routers is chosen: reports are delayed, so that all routers
+    would choose the least loaded one at the same time.
 
     Args:
         own: The status of this router.
         others: The latest status of the other routers.
+        may_be_newer: Whether the router's configuration may be newer than the local
+            one.
     """
     max_load = MAX_LOAD_RATIO * own.load
     eligible = [
@@ -74,6 +78,7 @@
         if status.takes_requests
         and status.load < max_load
         and status.version >= own.version
+        and (may_be_newer or status.version == own.version)
     ]
     local = [r for r in eligible if others[r].data_centre == own.data_centre]
     preferred = local or eligible
@@ -90,6 +95,7 @@
         lag: Measures the delay of the event loop.
         forwarder: Serves the requests that are not passed on.
         describe_status: Returns the status of this router.
+        is_behind: Returns whether this router cannot have the newest configuration.
     """
 
     def __init__(
@@ -99,7 +105,9 @@
         lag: loop_lag.LoopLag,
         forwarder: forwarding.Forwarder,
         describe_status: fleet_view.DescribeStatus,
+        is_behind: collections.abc.Callable[[], bool] = lambda: False,
     ):
+        self._is_behind = is_behind
         self._router = router
         self._view = view
         self._lag = lag
@@ -220,7 +228,7 @@
             for router, status in self._view.list_statuses().items()
             if avoided.get(router, -math.inf) <= now
         }
-        self._chosen = choose_router(own, statuses)
+        self._chosen = choose_router(own, statuses, not self._is_behind())
         if self._chosen == previous:
             return
         chosen_load = statuses[self._chosen].load if self._chosen else None
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -141,6 +141,21 @@
         self.follower.wake_for(test_keyed_log.at(0))
         await self.wait_for({"a": b"1"})
 
+    async def test_is_behind_while_a_known_change_cannot_be_read(self):
+        self.source = HeldLog()
+        self.start()
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.follower.is_listed)
+        self.assertFalse(self.follower.is_behind)
+        self.follower.wake_for(test_keyed_log.at(0))
+        self.assertFalse(self.follower.is_behind)
+        await asyncio.sleep(keyed_follower.MAX_UNREAD_S + 0.1)
+        self.assertTrue(self.follower.is_behind)
+        self.source.may_reply.set()
+        await self.source.put(TOPIC, keyed_log.KeyedRecord("a", b"1"))
+        await self.wait_for({"a": b"1"})
+        self.assertFalse(self.follower.is_behind)
+
     async def test_wake_for_ends_a_read_on_a_silent_connection(self):
         class Silent(test_keyed_log.MemoryKeyedLog):
             async def read(self, topic, start, wait_s):
--- a/tests/test_offload.py
+++ b/tests/test_offload.py
@@ -54,6 +54,15 @@
         )
         self.assertEqual("r1", offload.choose_router(own, others))
 
+    def test_router_that_cannot_have_the_newest_configuration_chooses_its_own(self):
+        """Its callers saw the effects of a newer one and of its own in turn."""
+        others = make_status_by_router(
+            make_status(load=0.0, version=11), make_status(load=80.0, version=10)
+        )
+        own = make_status(load=400.0, version=10)
+        chosen = {offload.choose_router(own, others, False) for _ in range(20)}
+        self.assertEqual({"r1"}, chosen)
+
     def test_routers_with_the_same_reports_choose_different_routers(self):
         """Flooded routers choose by reports that are a third of a second old."""
         random.seed(1)
