Get the configuration from another router while the log turns this one away

Cause: a router that hears of a change from the others could read it from the store only. It now gets the newest records of that topic from another router. A copy of another era, or one that ends before what is known, changes nothing.

--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -21,6 +21,7 @@
     permit_server,
     routing_table,
     tcp_stream,
+    topic_copy,
 )
 
 TEXT_TYPE = "text/plain; charset=utf-8"
@@ -35,13 +36,15 @@
 STOP_CHECK_INTERVAL_S = 0.05
 PERMIT_PORT_OFFSET = 1
 """The port for permits follows the one for requests of other routers."""
+COPY_PORT_OFFSET = 2
+"""The port for copies of a topic follows the one for permits."""
 
 logger = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """A short plain-text response.
+    """A response that is made at once.
 
     Attributes:
         status: The HTTP status.
@@ -129,6 +132,7 @@
             forwarder.permits.issuer, view, upstreams
         )
         self._request_port = 0
+        self._copy_port = 0
         self._tasks: set[asyncio.Task] = set()
         self._listeners: list[listener.Listener] = []
         self._started_at = time.monotonic()
@@ -159,6 +163,7 @@
             request_port=self._request_port,
             takes_requests=self.is_ready and not self._lag.is_busy,
             permit_port=0 if self._is_stopping else self._permit_server.port,
+            copy_port=self._copy_port,
         )
 
     @property
@@ -189,8 +194,25 @@
         port = self._location.port and self._location.port + PERMIT_PORT_OFFSET
         self._permit_server.listen(self._location.host, port)
 
-    def listen_for_page(self, host: str, port: int, path: str, render: Render) -> None:
-        """Serves one page to operators or the balancer.
+    def listen_for_copies(self, render: Render) -> None:
+        """Serves copies of the topic with the configuration to other routers.
+
+        Args:
+            render: Returns the page with the copy.
+
+        Raises:
+            ListenError: The address cannot be used.
+        """
+        port = self._location.port and self._location.port + COPY_PORT_OFFSET
+        new_listener = self.listen_for_page(
+            self._location.host, port, topic_copy.PATH, render
+        )
+        self._copy_port = new_listener.address[1]
+
+    def listen_for_page(
+        self, host: str, port: int, path: str, render: Render
+    ) -> listener.Listener:
+        """Serves one page to operators, the balancer or other routers.
 
         Args:
             host: The IP address to listen on.
@@ -198,6 +220,9 @@
             path: The page's path; other paths get status 404.
             render: Returns the page.
 
+        Returns:
+            The listener.
+
         Raises:
             ListenError: The address cannot be used.
         """
@@ -221,7 +246,7 @@
         async def serve_page(stream: tcp_stream.TcpStream) -> None:
             await self._serve(stream, write_page)
 
-        self._listen(host, port, serve_page)
+        return self._listen(host, port, serve_page)
 
     def render_readiness(self) -> Page:
         """Returns the readiness page for the balancer."""
--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -90,6 +90,7 @@
         self._lost_at: float | None = None
         self._unread_position: log_position.Position | None = None
         self._unread_since = -math.inf
+        self._newest_by_key: dict[str, keyed_log.KeyedRecord] = {}
         self._failures = 0
         self._max_wait_s = math.inf
 
@@ -100,6 +101,11 @@
             return True
         return self._has_unread and self._now() - self._unread_since > MAX_UNREAD_S
 
+    @property
+    def needs_copy(self) -> bool:
+        """Whether there are known changes that cannot be read at present."""
+        return self._has_unread and self.is_behind
+
     @property
     def _has_unread(self) -> bool:
         """Whether another reader has seen a change that was not read yet."""
@@ -177,9 +183,34 @@
             self._view.note_outage(update.outage_s)
         self._note_available(boot_clock.now() - age_s)
         for change in update.list_changes_from(self._position):
-            self._view.put(keyed_log.KeyedRecord(change.key, change.value))
+            self._put(keyed_log.KeyedRecord(change.key, change.value))
         self._position = update.end
 
+    def copy(self) -> keyed_log.KeyedPage | None:
+        """Returns the newest records, as in a listing; None if they are not known."""
+        if self._position is None:
+            return None
+        return keyed_log.KeyedPage(list(self._newest_by_key.values()), self._position)
+
+    def apply_copy(self, page: keyed_log.KeyedPage) -> bool:
+        """Applies a listing that another reader has, unless this one knows more.
+
+        A listing of another era is not applied: it says nothing of what is newer.
+
+        Args:
+            page: The newest record of each key.
+
+        Returns:
+            Whether it was applied.
+        """
+        if self._position is None or page.end.era != self._position.era:
+            return False
+        if page.end <= self._position:
+            return False
+        self._apply_listing(page)
+        self._position = page.end
+        return True
+
     async def _pause(self) -> None:
         """Waits until the next read is due or requested; a listing is always due."""
         while self._position is not None and not self._wake_event.is_set():
@@ -248,7 +279,7 @@
         """
         changes = []
         for offset, record in enumerate(records, self._position.offset):
-            if self._view.put(record) or self._is_first_read_after_listing:
+            if self._put(record) or self._is_first_read_after_listing:
                 changes.append(
                     keyed_log.Change(ids.Offset(offset), record.key, record.value)
                 )
@@ -277,6 +308,7 @@
 
     def _apply_listing(self, page: keyed_log.KeyedPage) -> bool:
         """Applies a complete listing; returns whether it changes the view."""
+        self._newest_by_key = {record.key: record for record in page.records}
         if self._listed_era not in (None, page.end.era):
             logger.info(
                 "topic listed again",
@@ -294,6 +326,14 @@
             has_changed |= self._view.put(record)
         return has_changed
 
+    def _put(self, record: keyed_log.KeyedRecord) -> bool:
+        """Applies the next record; returns whether it changes the view."""
+        if record.value is None:
+            self._newest_by_key.pop(record.key, None)
+        else:
+            self._newest_by_key[record.key] = record
+        return self._view.put(record)
+
     async def _read_on(
         self, start: log_position.Position, wait_s: float
     ) -> keyed_log.KeyedPage:
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -70,6 +70,8 @@
         takes_requests: Whether it serves such requests.
         permit_port: The port on which other routers ask for permits; 0 if it grants
             none, since it stops or its version grants none.
+        copy_port: The port on which other routers get a copy of the topic with the
+            configuration; 0 if there is none.
     """
 
     data_centre: ids.DataCentre
@@ -83,6 +85,7 @@
     request_port: int = 0
     takes_requests: bool = False
     permit_port: int = 0
+    copy_port: int = 0
 
     @property
     def grants_permits(self) -> bool:
