Send nothing to the upstreams of an evacuated data centre

No view read the records `evacuate/NAME` of keyed.op.

Routers now keep the evacuated data centres (`evacuation.Evacuations`), leave their upstreams out of the candidates and of the engines' capacity, and reject a request at once with 503, cause `evacuated`, if nothing else is left. A record that can't be read, or names no data centre of the settings, changes nothing; it is logged once with its key, and counted. A listing without the record takes an evacuation back. After a restore from an older copy, what holds goes on for 60 s, unless its record is removed or written again.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -5,6 +5,7 @@
 from teaselsill import (
     announcements,
     engine_queue,
+    evacuation,
     ids,
     placement,
     prefix_cache_index,
@@ -25,10 +26,12 @@
     Attributes:
         listed: The platform's list.
         service_by_name: The services of the configuration in force.
+        evacuations: The data centres whose upstreams get no requests.
     """
 
     def __init__(self):
         self.listed = upstream_list.UpstreamList()
+        self.evacuations = evacuation.Evacuations()
         self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
         self._candidate_by_key: dict[
             upstream_list.UpstreamKey, placement.Candidate
@@ -48,12 +51,21 @@
             service: The service.
             excluded: Upstreams that must not get it.
         """
+        evacuated = self.evacuations.data_centres
         return [
             self._candidate(upstream)
             for upstream in self.listed.usable(service.name)
-            if upstream.id not in excluded and upstream.key not in self._address_reused
+            if upstream.id not in excluded
+            and upstream.data_centre not in evacuated
+            and upstream.key not in self._address_reused
         ]
 
+    def is_evacuated(self, service: routing_table.Service) -> bool:
+        """Returns whether all usable upstreams of a service are evacuated."""
+        usable = self.listed.usable(service.name)
+        evacuated = self.evacuations.data_centres
+        return bool(usable) and all(u.data_centre in evacuated for u in usable)
+
     def is_usable(self, upstream: upstream_list.Upstream) -> bool:
         """Returns whether an upstream is listed and has not begun to leave."""
         listed = self.listed.by_id.get(upstream.id)
@@ -114,10 +126,14 @@
             candidate.find_rate()
             for candidate in self._candidate_by_key.values()
             if candidate.queue.is_used
+            and not self.evacuations.is_evacuated(candidate.upstream.data_centre)
         )
 
     def find_usable_part(self) -> float:
-        """Returns which part of the engines' prefill rate their limits leave."""
+        """Returns which part of the engines' prefill rate can be used.
+
+        Their limits and evacuations take some of it.
+        """
         full_rate = sum(
             candidate.queue.rate
             for candidate in self._candidate_by_key.values()
@@ -156,6 +172,7 @@
             now: The event loop's time, in seconds.
         """
         self.listed.expire(now)
+        self.evacuations.expire(now)
         keys = {upstream.key for upstream in self.listed.by_id.values()}
         for key in self._pool_by_key.keys() - keys:
             self._pool_by_key.pop(key).close()
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -61,6 +61,12 @@
             "malformed_load_reports", "Load reports that cannot be read.", "service"
         )
         self.log_restores = self._counter("log_restores", "Restores of the log.")
+        self._evacuated = prometheus_client.Gauge(
+            "evacuated_data_centres",
+            "Evacuated data centres.",
+            namespace=NAMESPACE,
+            registry=self._registry,
+        )
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
@@ -83,6 +89,7 @@
             now: The event loop's time, in seconds.
             usage: The usage of the client accounts, for their gauges.
         """
+        self._evacuated.set(len(self._directory.evacuations.data_centres))
         self._set_upstreams(now)
         self._set_accounts(now, usage)
         return prometheus_client.generate_latest(self._registry)
--- a/teaselsill/upstream_choice.py
+++ b/teaselsill/upstream_choice.py
@@ -274,6 +274,10 @@
                 f"no permit in time: {waits}",
                 admission.spread_retry_after_s(wait_s),
             )
+        if self._directory.is_evacuated(state.service):
+            reject_after_attempts(
+                state, rejections.Cause.EVACUATED, "all upstreams are being evacuated"
+            )
         pause_s = self._directory.find_pause_left_s(state.service, now)
         if pause_s and not state.possible_runs:
             raise rejections.RejectedError(
--- a/tests/adapter/role_bench.py
+++ b/tests/adapter/role_bench.py
@@ -74,6 +74,7 @@
             limits=settings.Limits(1.0, 1.0),
             bounds=settings.Bounds(2000.0, 2.0, 0.2, 10.0, 54.0, 1000 * CONFIG_APPLY_S),
             platform=settings.Platform(f"{store.host}:{store.port}"),
+            zones={"a": "north", "b": "north"},
         )
         self.path = pathlib.Path(self.folder) / "settings.toml"
         return router_role.RouterRole(self.path, current)
