Look at the evacuations once more right before a request is sent

A request may wait for a permit, for its connection, or for the router that passed it on, while its data centre is evacuated. It is then placed again, as if the upstream could not be reached. A cached prompt is not copied from an evacuated upstream either.

--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -93,6 +93,9 @@
             except tcp_stream.ConnectionFailedError as error:
                 candidate.health.note(upstream_health.Result.UNREACHABLE, self._now())
                 return outcomes.Unsent(str(error))
+            if self._directory.evacuations.is_evacuated(target.data_centre):
+                self._directory.pool(target).put(connection)
+                return outcomes.Unsent("its data centre is being evacuated")
             if not permit.use():
                 self._directory.pool(target).put(connection)
                 state.excluded.discard(target.id)
@@ -214,13 +217,16 @@
         call = state.call
         message = call.message
         last_event_id = state.events.last_event_id
+        fetch_from = choice.fetch_from
+        if fetch_from and not self._may_copy_from(fetch_from):
+            fetch_from = None
         headers = self._dialect.make_headers(
             call,
             choice.candidate.upstream,
             state.account,
             state.find_time_left_s(now),
             last_event_id,
-            choice.fetch_from,
+            fetch_from,
         )
         request = http_messages.encode_request(
             message.method, message.target, headers, message.body
@@ -232,6 +238,10 @@
 
         connection.send(message.method, request, is_expected)
 
+    def _may_copy_from(self, source: upstream_list.Upstream) -> bool:
+        """Returns whether an upstream may still be asked for a cached prompt."""
+        return not self._directory.evacuations.is_evacuated(source.data_centre)
+
     async def _relay_response(self, attempt: open_attempts.Attempt) -> outcomes.Outcome:
         """Relays a response to the caller, part by part.
 
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -88,6 +88,7 @@
     Args:
         name: The id of the upstream.
         script: A coroutine function that gets the request and the TCP stream.
+        data_centre: Where it runs.
 
     Attributes:
         requests: The received requests.
@@ -95,8 +96,9 @@
         disconnected: Set when the router closed a connection while a script ran.
     """
 
-    def __init__(self, name, script):
+    def __init__(self, name, script, data_centre="a"):
         self.name = name
+        self.data_centre = ids.DataCentre(data_centre)
         self.requests = []
         self.connections = 0
         self.disconnected = asyncio.Event()
@@ -141,6 +143,7 @@
             self.name,
             host=HOST,
             port=self._listener.address[1],
+            data_centre=self.data_centre,
             **({"state": state} if state else {}),
         )
 
