Keep requests in the regions that their route and client account allow

`AllowedRegions` of routes and tenants was not decoded: a request could reach any upstream, and be passed on to any router.

Where both name regions, both bind. Upstreams elsewhere are no candidates, so that no prompt is copied from them either, and a busy router passes a request on only to a router in an allowed region. A data centre whose region the settings don't state is in none; a region that does not exist allows nothing. A request without an allowed upstream is rejected at once with 503, cause `no-allowed-region`. An empty list names no region, so it binds nothing.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -27,11 +27,13 @@
         listed: The platform's list.
         service_by_name: The services of the configuration in force.
         evacuations: The data centres whose upstreams get no requests.
+        region_by_data_centre: The region of each data centre.
     """
 
     def __init__(self):
         self.listed = upstream_list.UpstreamList()
         self.evacuations = evacuation.Evacuations()
+        self.region_by_data_centre: dict[ids.DataCentre, ids.Region] = {}
         self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
         self._candidate_by_key: dict[
             upstream_list.UpstreamKey, placement.Candidate
@@ -43,28 +45,69 @@
         self._address_reused: set[upstream_list.UpstreamKey] = set()
 
     def candidates(
-        self, service: routing_table.Service, excluded: set[ids.UpstreamId]
+        self,
+        service: routing_table.Service,
+        excluded: set[ids.UpstreamId],
+        allowed_regions: frozenset[ids.Region] | None = None,
     ) -> list[placement.Candidate]:
         """Returns the upstreams of a service that may get a request.
 
         Args:
             service: The service.
             excluded: Upstreams that must not get it.
+            allowed_regions: The regions to which it may be sent; None for any.
         """
         evacuated = self.evacuations.data_centres
         return [
             self._candidate(upstream)
-            for upstream in self.listed.usable(service.name)
+            for upstream in self.list_allowed(service, allowed_regions)
             if upstream.id not in excluded
             and upstream.data_centre not in evacuated
             and upstream.key not in self._address_reused
         ]
 
-    def is_evacuated(self, service: routing_table.Service) -> bool:
-        """Returns whether all usable upstreams of a service are evacuated."""
+    def list_allowed(
+        self,
+        service: routing_table.Service,
+        allowed_regions: frozenset[ids.Region] | None,
+    ) -> list[upstream_list.Upstream]:
+        """Returns the usable upstreams of a service in the allowed regions."""
         usable = self.listed.usable(service.name)
+        if allowed_regions is None:
+            return usable
+        return [u for u in usable if self.is_allowed(u.data_centre, allowed_regions)]
+
+    def is_allowed(
+        self,
+        data_centre: ids.DataCentre,
+        allowed_regions: frozenset[ids.Region] | None,
+    ) -> bool:
+        """Returns whether a data centre is in an allowed region.
+
+        One whose region is unknown is in none.
+
+        Args:
+            data_centre: The data centre.
+            allowed_regions: The regions; None for any.
+        """
+        if allowed_regions is None:
+            return True
+        return self.region_by_data_centre.get(data_centre) in allowed_regions
+
+    def is_evacuated(
+        self,
+        service: routing_table.Service,
+        allowed_regions: frozenset[ids.Region] | None = None,
+    ) -> bool:
+        """Returns whether all upstreams that a request may be sent to are evacuated.
+
+        Args:
+            service: The service.
+            allowed_regions: The regions to which it may be sent; None for any.
+        """
+        allowed = self.list_allowed(service, allowed_regions)
         evacuated = self.evacuations.data_centres
-        return bool(usable) and all(u.data_centre in evacuated for u in usable)
+        return bool(allowed) and all(u.data_centre in evacuated for u in allowed)
 
     def is_usable(self, upstream: upstream_list.Upstream) -> bool:
         """Returns whether an upstream is listed and has not begun to leave."""
@@ -75,12 +118,18 @@
             and listed.state is upstream_list.State.READY
         )
 
-    def find_pause_left_s(self, service: routing_table.Service, now: float) -> float:
+    def find_pause_left_s(
+        self,
+        service: routing_table.Service,
+        now: float,
+        allowed_regions: frozenset[ids.Region] | None = None,
+    ) -> float:
         """Returns how long until the first paused upstream takes requests again.
 
         Args:
             service: The service.
             now: The event loop's time, in seconds.
+            allowed_regions: The regions to consider; None for any.
 
         Returns:
             The time in seconds; 0 if at least one upstream is not paused, or if none
@@ -89,7 +138,7 @@
         return min(
             (
                 c.announced.find_pause_left_s(now)
-                for c in self.candidates(service, set())
+                for c in self.candidates(service, set(), allowed_regions)
             ),
             default=0.0,
         )
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -135,13 +135,22 @@
         message: http_messages.Request,
         response: caller_connection.Response,
         received_at: float,
+        data_centre: ids.DataCentre,
     ) -> float | None:
         """Counts a request that is offered to another router as demand.
 
+        Args:
+            message: The request.
+            response: The response to it.
+            received_at: When its last byte arrived, on the event loop's clock, in
+                seconds.
+            data_centre: The data centre of the other router.
+
         Returns:
             The longest time that it may take, in seconds; None if it should be served
-            here, since it will be rejected, may be the trial of a quarantined part, or
-            may have to end with the stop of this router.
+            here, since it will be rejected, may be the trial of a quarantined part, may
+            not be sent to the region of the other router, or may have to end with the
+            stop of this router.
         """
         if self.table is None:
             return None
@@ -153,6 +162,9 @@
             return None
         if self.shutdown.has_begun or self._quarantine.concerns(call.parts):
             return None
+        allowed_regions = self.table.find_allowed_regions(route, account)
+        if not self._directory.is_allowed(data_centre, allowed_regions):
+            return None
         service = self.table.service_by_name[route.choose_service(call.id)]
         self._budget_of(service.name).note_request(received_at)
         self._view.note_received(account, call)
@@ -276,6 +288,7 @@
             boot_deadline=boot_clock.now() + deadline - self._now(),
             events=event_stream.EventSplitter(call.last_event),
             line=line,
+            allowed_regions=table.find_allowed_regions(route, account),
         )
         try:
             async with self.shutdown.limit(state.deadline):
--- a/teaselsill/ids.py
+++ b/teaselsill/ids.py
@@ -8,6 +8,7 @@
 UpstreamId = typing.NewType("UpstreamId", str)
 InstanceId = typing.NewType("InstanceId", str)
 DataCentre = typing.NewType("DataCentre", str)
+Region = typing.NewType("Region", str)
 RequestId = typing.NewType("RequestId", str)
 PartKey = typing.NewType("PartKey", str)
 
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -149,7 +149,12 @@
         router = self._find_router()
         limit_s = None
         if router is not None and len(message.body) <= MAX_BODY_BYTES:
-            limit_s = self._forwarder.count_offered(message, response, received_at)
+            limit_s = self._forwarder.count_offered(
+                message,
+                response,
+                received_at,
+                self._view.find_status(router).data_centre,
+            )
         if limit_s is None:
             await self._forwarder.serve(message, response, received_at)
             return
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -86,6 +86,7 @@
         sends: How many times it was sent.
         possible_runs: How many upstreams may have run it.
         crashes: How many upstreams have crashed when they began to respond to it.
+        allowed_regions: The regions to which it may be sent; None for any.
         line: Its log line.
         is_event_stream: Whether the response that has started is a stream of events.
         metadata: The metadata of the last response.
@@ -108,6 +109,7 @@
     sends: int = 0
     possible_runs: int = 0
     crashes: int = 0
+    allowed_regions: frozenset[ids.Region] | None = None
 
     def find_time_left_s(self, now: float) -> float:
         """Returns the time left until the deadline, in seconds.
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -18,6 +18,7 @@
     NOT_CONFIGURED = ("not-configured", 503)
     STARTING = ("starting", 503)
     NO_UPSTREAM = ("no-upstream", 503)
+    NO_ALLOWED_REGION = ("no-allowed-region", 503)
     EVACUATED = ("evacuated", 503)
     UPSTREAMS_PAUSED = ("upstreams-paused", 503)
     UPSTREAMS_LIMITED = ("upstreams-limited", 503)
--- a/teaselsill/routing_table.py
+++ b/teaselsill/routing_table.py
@@ -48,6 +48,7 @@
         max_upstreams: How many upstreams may run one request.
         priority: Its rank; 0 is the highest.
         is_public: Whether callers need no key.
+        allowed_regions: The regions to which its requests may be sent; None for any.
     """
 
     name: str
@@ -62,6 +63,7 @@
     max_upstreams: int
     priority: int
     is_public: bool
+    allowed_regions: frozenset[ids.Region] | None = None
 
     def choose_service(self, request: str) -> ids.ServiceName:
         """Returns the service for a request; the same one for the same id.
@@ -139,6 +141,8 @@
         account_by_key: The client accounts by their API keys; None if requests need no
             key.
         limits: Limits on the requests and connections of callers.
+        allowed_regions_by_account: The regions to which the requests of client accounts
+            may be sent; any for accounts that are missing.
 
     Attributes:
         version: Its version.
@@ -155,12 +159,15 @@
         services: list[Service],
         account_by_key: dict[str, ids.AccountId] | None,
         limits: Limits,
+        allowed_regions_by_account: dict[ids.AccountId, frozenset[ids.Region]]
+        | None = None,
     ):
         self.version = version
         self.service_by_name = {service.name: service for service in services}
         self.needs_keys = account_by_key is not None
         self.account_by_key = account_by_key or {}
         self.limits = limits
+        self._allowed_regions_by_account = allowed_regions_by_account or {}
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: len(r.path_prefix), reverse=True):
             self._routes_by_host.setdefault(route.host, []).append(route)
@@ -178,6 +185,18 @@
                 return route
         return None
 
+    def find_allowed_regions(
+        self, route: Route, account: ids.AccountId | None
+    ) -> frozenset[ids.Region] | None:
+        """Returns the regions to which a request may be sent; None for any.
+
+        If both the route and the client account name regions, both must allow it.
+        """
+        by_account = self._allowed_regions_by_account.get(account)
+        if by_account is None or route.allowed_regions is None:
+            return route.allowed_regions if by_account is None else by_account
+        return by_account & route.allowed_regions
+
 
 def _has_port(host: str) -> bool:
     return host.rpartition(":")[2].isdigit() and ":" in host
--- a/teaselsill/upstream_choice.py
+++ b/teaselsill/upstream_choice.py
@@ -182,7 +182,7 @@
         now = self._now()
         permission = self.check_quarantine(state.call, state.possible_runs)
         candidates = self._directory.candidates(
-            state.service, state.excluded | denied.keys()
+            state.service, state.excluded | denied.keys(), state.allowed_regions
         )
         if len(denied) >= MAX_DENIALS:
             candidates = [c for c in candidates if c.announced.limit is None]
@@ -274,11 +274,10 @@
                 f"no permit in time: {waits}",
                 admission.spread_retry_after_s(wait_s),
             )
-        if self._directory.is_evacuated(state.service):
-            reject_after_attempts(
-                state, rejections.Cause.EVACUATED, "all upstreams are being evacuated"
-            )
-        pause_s = self._directory.find_pause_left_s(state.service, now)
+        self._check_places(state)
+        pause_s = self._directory.find_pause_left_s(
+            state.service, now, state.allowed_regions
+        )
         if pause_s and not state.possible_runs:
             raise rejections.RejectedError(
                 rejections.Cause.UPSTREAMS_PAUSED, "all upstreams want a pause", pause_s
@@ -287,6 +286,26 @@
             state, rejections.Cause.NO_UPSTREAM, "no upstream is left"
         )
 
+    def _check_places(self, state: outcomes.RequestState) -> None:
+        """Rejects a request if no upstream is where it may be sent.
+
+        Raises:
+            RejectedError: Allowed regions or evacuations leave no upstream.
+        """
+        allowed = state.allowed_regions
+        if self._directory.is_evacuated(state.service, allowed):
+            reject_after_attempts(
+                state, rejections.Cause.EVACUATED, "all upstreams are being evacuated"
+            )
+        if allowed is None or self._directory.list_allowed(state.service, allowed):
+            return
+        if self._directory.list_allowed(state.service, None):
+            reject_after_attempts(
+                state,
+                rejections.Cause.NO_ALLOWED_REGION,
+                f"no upstream in {', '.join(sorted(allowed)) or 'any region'}",
+            )
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/tests/adapter/test_evacuation_view.py
+++ b/tests/adapter/test_evacuation_view.py
@@ -5,6 +5,7 @@
 import unittest
 import unittest.mock
 
+import msgspec
 from adapter import evacuation_view, router_role
 
 from teaselsill import evacuation, ids, keyed_log
@@ -111,6 +112,18 @@
         self.assertIn(line, text)
         self.assertIn(b"teaselsill_evacuated_data_centres 1.0", text)
 
+    async def test_data_centre_that_the_settings_name_later(self):
+        await self.start_ready()
+        with self.assertLogs("adapter.views", "WARNING"):
+            self.store.put("keyed.op", "evacuate/c", b"{}")
+            await asyncio.sleep(0.2)
+        self.assertEqual(set(), self.role._directory.evacuations.data_centres)
+        zones = {"a": "north", "c": "south"}
+        current = self.role._settings
+        self.role._apply(msgspec.structs.replace(current, zones=zones))
+        await self.wait_evacuated(ids.DataCentre("c"))
+        self.assertEqual(zones, self.role._directory.region_by_data_centre)
+
     async def test_rejections_name_their_cause(self):
         await self.start_ready()
         self.store.put("keyed.op", KEY, b"{}")
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -95,6 +95,24 @@
             found = table.find_route("ficu95.example", "/lohu930/1")
             self.assertEqual(repeat, found.repeat)
 
+    def test_allowed_regions_of_routes_and_accounts(self):
+        account = MANIFEST["Tenants"][0]
+        for by_route, by_account, allowed in (
+            ({}, {}, None),
+            ({"AllowedRegions": ["n", "s"]}, {}, {"n", "s"}),
+            ({}, {"AllowedRegions": ["n"]}, {"n"}),
+            ({"AllowedRegions": ["n"]}, {"AllowedRegions": ["n", "s"]}, {"n"}),
+            ({"AllowedRegions": ["n"]}, {"AllowedRegions": ["s"]}, set()),
+            ({"AllowedRegions": []}, {"AllowedRegions": None}, None),
+        ):
+            table = decode(
+                Routes=[MANIFEST["Routes"][0] | by_route],
+                Tenants=[account | by_account],
+            )
+            route = table.find_route("ficu95.example", "/lohu930/1")
+            found = table.find_allowed_regions(route, account["Name"])
+            self.assertEqual(allowed, found)
+
     def test_without_accounts_no_key_is_needed(self):
         fields = {k: v for k, v in MANIFEST.items() if k != "Tenants"}
         table = manifest.decode(json.dumps(fields).encode())
@@ -108,6 +126,7 @@
             ({"Routes": [route | {"Service": "none"}]}, "r-2"),
             ({"Routes": [route | {"Service": None}]}, "r-2"),
             ({"Routes": [route | {"TimeoutMs": "1"}]}, "Routes"),
+            ({"Routes": [route | {"AllowedRegions": "n"}]}, "AllowedRegions"),
         ):
             with (
                 self.subTest(fields=fields),
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -118,6 +118,11 @@
             ("10.1.0.33", 8783), settings.split_address(loaded.listen.front)
         )
 
+    def test_zones_may_be_missing(self):
+        self.assertEqual({}, self.load(TEXT).zones)
+        loaded = self.load(TEXT + '[Zones]\nchaguanas = "tt-central"\n')
+        self.assertEqual({"chaguanas": "tt-central"}, loaded.zones)
+
     def test_errors_name_the_place(self):
         for old, new, place in (
             ('Node = "edge-chaguanas-1"', "Node = 1", "Node"),
@@ -128,6 +133,7 @@
             ("PortRange = [7400,7415]", "PortRange = [7400,7400]", "PortRange"),
             ("BudgetWindowS = 10", "BudgetWindowS = nan", "BudgetWindowS"),
             ("CpuShare = 0.717", "CpuShare = 0", "CpuShare"),
+            ("[Platform]", "[Zones]\nchaguanas = 7\n[Platform]", "Zones"),
         ):
             with (
                 self.subTest(new=new),
