Share what a cold upstream takes among all routers

Callers saw streams cut off when model servers crashed. A server that has just started, or that has become cold again, tolerates only so many requests a second (`ColdPerS`); routers decoded `ColdLeftMs` and dropped it, and never read the rate, so that all of them sent their usual share to it at once.

`cold_start` holds what is believed of an upstream: from its entry, its responses, its birth and the end of an evacuation of its data centre, each with its age; the last word holds. Its rate is a strict limit that goes through the grantor like an announced one: hardly any permits are kept, one has to be used within 0.2 s, a router that hears less than half of the fleet grants none, and a new grantor waits for its predecessor. Routers report changes at once and tell one that connects; a request for a permit carries what its router knows.

--- a/teaselsill/announcements.py
+++ b/teaselsill/announcements.py
@@ -44,11 +44,13 @@
             refused the request and states this.
         rate_limit: The limit on requests that it names; None if nothing follows from
             its absence, since the response may not be the upstream's own.
+        cold_left_s: How long it stays cold, in seconds, if it states this.
     """
 
     is_leaving: bool = False
     pause_s: float | None = None
     rate_limit: RateLimit | None = None
+    cold_left_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,10 +60,13 @@
     Attributes:
         per_s: How many requests a second the upstream takes.
         since: Since when the limit is known, in seconds.
+        is_strict: Whether it holds for any second, since the upstream crashes beyond
+            it.
     """
 
     per_s: float
     since: float
+    is_strict: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -4,6 +4,7 @@
 
 from teaselsill import (
     announcements,
+    cold_start,
     engine_queue,
     evacuation,
     ids,
@@ -28,6 +29,8 @@
         service_by_name: The services of the configuration in force.
         evacuations: The data centres whose upstreams get no requests.
         region_by_data_centre: The region of each data centre.
+        cold_allowance: What the operators let a cold upstream get.
+        cold_states: Which upstreams are cold.
     """
 
     def __init__(self):
@@ -35,6 +38,8 @@
         self.evacuations = evacuation.Evacuations()
         self.region_by_data_centre: dict[ids.DataCentre, ids.Region] = {}
         self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
+        self.cold_allowance = cold_start.Allowance()
+        self.cold_states = cold_start.ColdStates()
         self._candidate_by_key: dict[
             upstream_list.UpstreamKey, placement.Candidate
         ] = {}
@@ -109,6 +114,44 @@
         evacuated = self.evacuations.data_centres
         return bool(allowed) and all(u.data_centre in evacuated for u in allowed)
 
+    def note_entry(
+        self,
+        upstream: upstream_list.Upstream,
+        cold_left_s: float,
+        age_s: float | None,
+        now: float,
+    ) -> None:
+        """Records how long an upstream stays cold, by its entry.
+
+        Args:
+            upstream: The upstream.
+            cold_left_s: The time, in seconds; 0 if it is not cold.
+            age_s: See `cold_start.make_entry_statement`. What another router has read,
+                that router reports itself.
+            now: The event loop's time, in seconds.
+        """
+        statement = cold_start.make_entry_statement(cold_left_s, age_s, now)
+        if statement is None:
+            return
+        if statement.is_cold or self.cold_states.knows(upstream.key):
+            state = self._find_cold_state(upstream)
+            if state.note(statement, now) and not age_s:
+                self.cold_states.on_change(upstream.id)
+
+    def note_birth(
+        self, upstream: upstream_list.Upstream, age_s: float, now: float
+    ) -> None:
+        """Records an upstream that appears while requests are served.
+
+        Args:
+            upstream: The upstream.
+            age_s: How long ago it started by its own account, in seconds.
+            now: The event loop's time, in seconds.
+        """
+        state = self._find_cold_state(upstream)
+        if not state.is_cold(now):
+            state.note_birth(age_s, now)
+
     def is_usable(self, upstream: upstream_list.Upstream) -> bool:
         """Returns whether an upstream is listed and has not begun to leave."""
         listed = self.listed.by_id.get(upstream.id)
@@ -153,10 +196,26 @@
             return None
         return self._candidate(upstream)
 
-    def find_limit(self, key: upstream_list.UpstreamKey) -> announcements.Limit | None:
-        """Returns the limit of an upstream in force; None if it is gone."""
+    def find_limit(
+        self, key: upstream_list.UpstreamKey, now: float
+    ) -> announcements.Limit | None:
+        """Returns the limit of an upstream in force; None if it is gone.
+
+        Args:
+            key: The upstream.
+            now: The event loop's time, in seconds.
+        """
         candidate = self._candidate_by_key.get(key)
-        return candidate.announced.limit if candidate is not None else None
+        return candidate.find_limit(now) if candidate is not None else None
+
+    def list_cold(self, now: float) -> list[placement.Candidate]:
+        """Returns the upstreams that are cold.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        candidates = [self.find(upstream) for upstream in self.listed.by_id]
+        return [c for c in candidates if c is not None and c.cold.is_cold(now)]
 
     def list_limited(self) -> list[placement.Candidate]:
         """Returns the upstreams that limit the requests that they take."""
@@ -166,29 +225,35 @@
             if candidate.announced.limit_per_s is not None
         ]
 
-    def sum_rates(self) -> float:
+    def sum_rates(self, now: float) -> float:
         """Returns the prefill rate of all engines in use, in tokens a second.
 
         It is the rate at which prompts can be sent to them.
+
+        Args:
+            now: The event loop's time, in seconds.
         """
         return sum(
-            candidate.find_rate()
+            candidate.find_rate(now)
             for candidate in self._candidate_by_key.values()
             if candidate.queue.is_used
             and not self.evacuations.is_evacuated(candidate.upstream.data_centre)
         )
 
-    def find_usable_part(self) -> float:
+    def find_usable_part(self, now: float) -> float:
         """Returns which part of the engines' prefill rate can be used.
 
         Their limits and evacuations take some of it.
+
+        Args:
+            now: The event loop's time, in seconds.
         """
         full_rate = sum(
             candidate.queue.rate
             for candidate in self._candidate_by_key.values()
             if candidate.queue.is_used
         )
-        return self.sum_rates() / full_rate if full_rate else 1.0
+        return self.sum_rates(now) / full_rate if full_rate else 1.0
 
     def summarize(self) -> dict[ids.UpstreamId, upstream_load.LoadSummary]:
         """Returns the load that this router puts on each engine in use."""
@@ -227,6 +292,7 @@
             self._pool_by_key.pop(key).close()
         for key in self._candidate_by_key.keys() - keys:
             del self._candidate_by_key[key]
+        self.cold_states.keep_only(keys)
         self._address_reused &= keys
         for pool in self._pool_by_key.values():
             pool.drop_stale(now)
@@ -261,7 +327,29 @@
                 health=upstream_health.UpstreamHealth(upstream.id),
                 announced=announcements.AnnouncedState(upstream.id),
                 hold_time=self._find_hold_time(upstream.service),
+                cold=self._find_cold_state(upstream),
             )
             self._candidate_by_key[upstream.key] = known
         known.upstream = upstream
+        self._update_cold_state(known.cold, upstream)
         return known
+
+    def _find_cold_state(
+        self, upstream: upstream_list.Upstream
+    ) -> cold_start.ColdState:
+        state = self.cold_states.find(upstream.key)
+        self._update_cold_state(state, upstream)
+        return state
+
+    def _update_cold_state(
+        self, state: cold_start.ColdState, upstream: upstream_list.Upstream
+    ) -> None:
+        """Applies what the configuration and the operators say of cold upstreams."""
+        service = self.service_by_name.get(upstream.service)
+        state.policy = service.cold_start if service is not None else None
+        if state.policy is None:
+            return
+        state.allowance = self.cold_allowance
+        ended_at = self.evacuations.find_ended_at(upstream.data_centre)
+        if ended_at is not None:
+            state.note_return(ended_at)
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -72,6 +72,7 @@
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
         self._avoided = self._gauge("upstream_avoided", "Whether it is avoided.")
         self._limit = self._gauge("upstream_limit_per_second", "Limit, if any.")
+        self._cold = self._gauge("upstream_cold", "Whether it is cold.")
         self._requested = self._gauge(
             "account_asked_tokens_per_second", "What is asked for.", "account"
         )
@@ -102,7 +103,7 @@
 
     def _set_upstreams(self, now: float) -> None:
         gauges = (self._running, self._planned, self._rate, self._avoided, self._limit)
-        for gauge in gauges:
+        for gauge in (*gauges, self._cold):
             gauge.clear()
         for upstream in self._directory.listed.by_id.values():
             candidate = self._directory.find(upstream.id)
@@ -113,8 +114,10 @@
             self._planned.labels(*labels).set(candidate.queue.count_planned(now))
             self._rate.labels(*labels).set(candidate.queue.rate)
             self._avoided.labels(*labels).set(candidate.health.is_avoided(now))
-            if candidate.announced.limit is not None:
-                self._limit.labels(*labels).set(candidate.announced.limit.per_s)
+            self._cold.labels(*labels).set(candidate.cold.is_cold(now))
+            limit_per_s = candidate.find_limit_per_s(now)
+            if limit_per_s is not None:
+                self._limit.labels(*labels).set(limit_per_s)
 
     def _counter(self, name: str, text: str, *labels: str):
         return prometheus_client.Counter(
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -9,6 +9,7 @@
     account_usage,
     announcements,
     calls,
+    cold_start,
     decaying_sum,
     directory,
     engine_queue,
@@ -96,7 +97,9 @@
         self._lag = lag or loop_lag.LoopLag()
         self._liveness = peer_liveness.PeerLiveness(self._lag)
         self.grantor = grantor.Grantor(
-            router, self.describe_members, upstreams.find_limit
+            router,
+            self.describe_members,
+            lambda key: upstreams.find_limit(key, self._now()),
         )
         self._has_new_router = False
         self._has_new_status = False
@@ -105,6 +108,8 @@
         self._peer_tokens = decaying_sum.DecayingSum(PEER_RATE_DECAY_S)
         self._urgent = asyncio.Event()
         self._changed_limits: set[ids.UpstreamId] = set()
+        self._changed_cold: set[ids.UpstreamId] = set()
+        upstreams.cold_states.on_change = self._note_cold_change
         self._on_log_change = on_log_change
         self._on_log_reading = on_log_reading
         self.quarantine = quarantine.Quarantine()
@@ -118,6 +123,7 @@
             or self._has_new_router
             or self._has_new_status
             or bool(self._changed_limits)
+            or bool(self._changed_cold)
             or not self.quarantine.outbox.is_empty
             or not self._report_builder.is_empty
         )
@@ -281,6 +287,25 @@
         if candidate.announced.note(announcement, sent_at, self._now()):
             self._changed_limits.add(upstream.id)
             self._urgent.set()
+        if announcement.cold_left_s:
+            self._note_cold_response(candidate, announcement.cold_left_s)
+
+    def _note_cold_response(
+        self, candidate: placement.Candidate, cold_left_s: float
+    ) -> None:
+        if cold_left_s > cold_start.MAX_COLD_S:
+            return
+        now = self._now()
+        statement = cold_start.Statement(
+            now + cold_left_s, now, cold_start.Source.RESPONSE
+        )
+        if candidate.cold.note(statement, now):
+            self._note_cold_change(candidate.upstream.id)
+
+    def _note_cold_change(self, upstream: ids.UpstreamId) -> None:
+        """Reports at once that an upstream has become cold or warm."""
+        self._changed_cold.add(upstream)
+        self._urgent.set()
 
     def note_ended(self, candidate: placement.Candidate) -> None:
         """Records that a request of this router has ended at an engine."""
@@ -293,6 +318,7 @@
         drop what is not repeated.
         """
         now = self._now()
+        self.grantor.watch(now)
         self._directory.expire_peer_reports(self._liveness.count_until(now))
         self._update_engine_capacity()
         load_by_upstream = self._directory.summarize()
@@ -322,6 +348,7 @@
             limit_news=self._take_limit_news(now),
             permit_wait_by_upstream=self.grantor.list_waits(now),
             log_era=self._era.current,
+            cold_news=self._take_cold_news(now),
         )
 
     def _list_offsets(self) -> dict[str, ids.Offset]:
@@ -349,6 +376,10 @@
             crash_news=self.quarantine.describe(self._now()),
             limit_news=self._list_limits(self._now()),
             log_era=self._era.current,
+            cold_news=[
+                make_cold_news(each, self._now())
+                for each in self._directory.list_cold(self._now())
+            ],
         )
 
     def apply(self, report: peer_reports.Report) -> None:
@@ -368,6 +399,8 @@
             self._apply_leaving(leaving)
         for news in report.limit_news:
             self.apply_limit_news(report.router, news)
+        for cold_news in report.cold_news:
+            self.apply_cold_news(report.router, cold_news)
         for upstream, wait_s in report.permit_wait_by_upstream.items():
             candidate = self._directory.find(upstream)
             if candidate is not None:
@@ -443,6 +476,30 @@
         )
         candidate.announced.note_sighting(sighting, told_by=router)
 
+    def _take_cold_news(self, now: float) -> list[peer_reports.ColdNews]:
+        """Returns what has changed about cold upstreams since the last report."""
+        candidates = [self._directory.find(upstream) for upstream in self._changed_cold]
+        self._changed_cold = set()
+        news = [make_cold_news(each, now) for each in candidates if each is not None]
+        return [each for each in news if each is not None]
+
+    def apply_cold_news(
+        self, router: ids.InstanceId, news: peer_reports.ColdNews
+    ) -> None:
+        """Applies what another router knows of the cold start of an upstream."""
+        now = self._now()
+        candidate = self._directory.find(news.upstream)
+        if candidate is None or candidate.upstream.born_ms != news.born_ms:
+            return
+        stated_at = now - news.stated_ago_s
+        statement = cold_start.Statement(
+            now + news.left_s if news.left_s else stated_at,
+            stated_at,
+            news.source,
+            since=now - news.cold_s,
+        )
+        candidate.cold.note(statement, now, told_by=router)
+
     def set_capacity(self, tokens_per_s: float) -> None:
         """Sets the capacity of all engines, in tokens a second; 0 if it is unknown."""
         self._capacity = tokens_per_s * account_usage.DECAY_S
@@ -450,9 +507,10 @@
 
     def _update_engine_capacity(self) -> None:
         """Updates what the client accounts share, which limits of engines reduce."""
+        now = self._now()
         usable = engine_queue.PREFILL_RATIO * account_usage.DECAY_S
-        self.usage.engine_capacity = self._directory.sum_rates() * usable
-        self.usage.capacity = self._capacity * self._directory.find_usable_part()
+        self.usage.engine_capacity = self._directory.sum_rates(now) * usable
+        self.usage.capacity = self._capacity * self._directory.find_usable_part(now)
 
     def _update_outstanding(self, candidate: placement.Candidate, now: float) -> None:
         tokens = candidate.load.count_outstanding_tokens()
@@ -468,10 +526,14 @@
     """Returns what is known of the limit of an upstream.
 
     Args:
-        candidate: An upstream that has named a limit.
+        candidate: The upstream.
         now: The time, in seconds.
     """
     sighting = candidate.announced.last_sighting
+    if sighting is None:
+        return peer_reports.LimitNews(
+            candidate.upstream.id, candidate.upstream.born_ms, None, 0.0, 0.0
+        )
     return peer_reports.LimitNews(
         candidate.upstream.id,
         candidate.upstream.born_ms,
@@ -482,6 +544,28 @@
     )
 
 
+def make_cold_news(
+    candidate: placement.Candidate, now: float
+) -> peer_reports.ColdNews | None:
+    """Returns what is known of the cold start of an upstream; None if nothing is.
+
+    Args:
+        candidate: The upstream.
+        now: The time, in seconds.
+    """
+    statement = candidate.cold.statement
+    if statement is None:
+        return None
+    return peer_reports.ColdNews(
+        candidate.upstream.id,
+        candidate.upstream.born_ms,
+        left_s=max(0.0, statement.until - now) if statement.is_cold else 0.0,
+        stated_ago_s=max(0.0, now - statement.stated_at),
+        cold_s=max(0.0, now - candidate.cold.since),
+        source=statement.source,
+    )
+
+
 def find_cost(call: calls.Call) -> int:
     """Returns the cost of a request, in prompt tokens."""
     return call.prompt_tokens + OUTPUT_WEIGHT * call.expected_output_tokens
--- a/teaselsill/grantor.py
+++ b/teaselsill/grantor.py
@@ -17,6 +17,9 @@
 
 REFRESH_S = 0.05
 """How long the list of routers is reused."""
+QUORUM_RATIO = 0.5
+"""The part of the routers that a router hears at least, itself included, while it
+grants permits under a strict limit."""
 NOT_RESPONSIBLE_WAIT_S = 0.5
 """How long a request should wait that has asked a router that is not responsible."""
 
@@ -41,6 +44,14 @@
     handover_s: float
     uninterrupted_s: float
 
+    def can_grant(self, limit: announcements.Limit) -> bool:
+        """Returns whether a router may grant its part of a limit.
+
+        Routers out of reach may not know of a strict limit. While they may be the
+        greater part of the fleet, they take all that it allows.
+        """
+        return not limit.is_strict or self.reachable_ratio >= QUORUM_RATIO
+
 
 class DescribeMembers(typing.Protocol):
     """Describes the routers at a time, in seconds."""
@@ -74,6 +85,7 @@
         self._find_limit = find_limit
         self._members: Members | None = None
         self._described_at = -math.inf
+        self._changed_at = -math.inf
         self._grantor_by_key: dict[upstream_list.UpstreamKey, ids.InstanceId] = {}
         self._queue_by_key: dict[
             upstream_list.UpstreamKey, permit_queue.PermitQueue
@@ -120,11 +132,20 @@
         limit = self._find_limit(key)
         if limit is None:
             return [*decisions, permit_queue.Granted(waiter)]
-        if self.find_grantor(key, now) != self._router:
+        is_grantor = self.find_grantor(key, now) == self._router
+        if not is_grantor or not self._refresh(now).can_grant(limit):
             denied = permit_queue.Denied(waiter, NOT_RESPONSIBLE_WAIT_S)
             return [*decisions, denied]
         return decisions + self._find_queue(key, limit, now).ask(waiter, now)
 
+    def watch(self, now: float) -> None:
+        """Notes periodically whether the routers have changed.
+
+        Args:
+            now: The time, in seconds.
+        """
+        self._refresh(now)
+
     def withdraw(
         self, key: upstream_list.UpstreamKey, waiter: permit_queue.Waiter
     ) -> None:
@@ -180,10 +201,13 @@
             limit = self._find_limit(key)
             if limit is None:
                 decisions += queue.grant_all()
-            elif self._has_lost(key, queue, members, now):
+            elif self._has_lost(key, queue, members, now) or not members.can_grant(
+                limit
+            ):
                 decisions += queue.deny_all(NOT_RESPONSIBLE_WAIT_S)
             else:
-                queue.set_rate(limit.per_s * members.reachable_ratio, now)
+                per_s = limit.per_s * members.reachable_ratio
+                queue.set_rate(per_s, now, limit.is_strict)
                 continue
             del self._queue_by_key[key]
             self._log("stopped granting permits", key)
@@ -207,6 +231,7 @@
             members = self._describe_members(now)
             if self._members is None or members.grantors != self._members.grantors:
                 self._grantor_by_key = {}
+                self._changed_at = now
             self._members = members
             self._described_at = now
         return self._members
@@ -217,9 +242,11 @@
         queue = self._queue_by_key.get(key)
         if queue is None:
             members = self._refresh(now)
-            opens_at = find_opening(limit, members, now)
+            opens_at = find_opening(limit, members, now, now - self._changed_at)
             per_s = limit.per_s * members.reachable_ratio
-            queue = permit_queue.PermitQueue(per_s, opens_at, created_at=now)
+            queue = permit_queue.PermitQueue(
+                per_s, opens_at, created_at=now, is_strict=limit.is_strict
+            )
             self._queue_by_key[key] = queue
             self._log("granting permits", key, opens_in_s=round(opens_at - now, 3))
         return queue
@@ -228,16 +255,26 @@
         logger.info(message, extra={"upstream": key.upstream, **fields})
 
 
-def find_opening(limit: announcements.Limit, members: Members, now: float) -> float:
+def find_opening(
+    limit: announcements.Limit, members: Members, now: float, unchanged_s: float = 0.0
+) -> float:
     """Returns when a router that has become responsible may begin to grant permits.
 
-    Nobody can have granted permits before the limit was known.
+    Nobody can have granted permits before the limit was known. A strict limit is as
+    short as a handover may be long, so its first permit may be asked for late: there a
+    router has no predecessor that has been responsible all the while, and waits in any
+    case after a change of the routers.
 
     Args:
         limit: The limit.
         members: The routers.
         now: The time, in seconds.
+        unchanged_s: For how long the routers that can grant permits have been the same,
+            in seconds.
     """
+    if limit.is_strict:
+        responsible_s = min(members.uninterrupted_s, unchanged_s)
+        return now + max(0.0, members.handover_s - responsible_s)
     if now - limit.since >= members.handover_s:
         return now + members.handover_s
     missing_s = members.handover_s - members.uninterrupted_s
--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import logging
 import math
 import random
@@ -183,7 +184,7 @@
             self._view.note_outage(update.outage_s)
         self._note_available(boot_clock.now() - age_s)
         for change in update.list_changes_from(self._position):
-            self._put(keyed_log.KeyedRecord(change.key, change.value))
+            self._put(keyed_log.KeyedRecord(change.key, change.value, age_s))
         self._position = update.end
 
     def copy(self) -> keyed_log.KeyedPage | None:
@@ -309,6 +310,7 @@
     def _apply_listing(self, page: keyed_log.KeyedPage) -> bool:
         """Applies a complete listing; returns whether it changes the view."""
         self._newest_by_key = {record.key: record for record in page.records}
+        records = [dataclasses.replace(each, age_s=None) for each in page.records]
         if self._listed_era not in (None, page.end.era):
             logger.info(
                 "topic listed again",
@@ -319,10 +321,10 @@
                     "records": len(page.records),
                 },
             )
-            return self._view.restore(page.records)
-        self._view.keep_only({record.key for record in page.records})
+            return self._view.restore(records)
+        self._view.keep_only({record.key for record in records})
         has_changed = False
-        for record in page.records:
+        for record in records:
             has_changed |= self._view.put(record)
         return has_changed
 
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -20,10 +20,13 @@
     Attributes:
         key: The key.
         value: The value; none if the record deletes the key.
+        age_s: How long ago another reader has read it, in seconds; 0 if it was just
+            read here, None if it was listed, so that it may be of any age.
     """
 
     key: str
     value: bytes | None
+    age_s: float | None = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -8,6 +8,7 @@
 from teaselsill import (
     boot_clock,
     calls,
+    cold_start,
     crash_reports,
     ids,
     keyed_log,
@@ -146,6 +147,26 @@
     limited_s: float = 0.0
 
 
+class ColdNews(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender has learnt of the cold start of an upstream.
+
+    Attributes:
+        upstream: The upstream.
+        born_ms: When this incarnation started, in Unix milliseconds.
+        left_s: How long it stays cold, in seconds; 0 if it is not cold.
+        stated_ago_s: How long ago that was true, in seconds.
+        cold_s: How long it has been known to be cold, in seconds.
+        source: What says so; see `cold_start.Source`.
+    """
+
+    upstream: ids.UpstreamId
+    born_ms: int
+    left_s: typing.Annotated[float, msgspec.Meta(ge=0, le=cold_start.MAX_COLD_S)]
+    stated_ago_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+    cold_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+    source: cold_start.Source
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What has happened at a router since its last report.
 
@@ -169,6 +190,7 @@
         permit_wait_by_upstream: How long one more request waits for a permit of an
             upstream whose permits it grants, in seconds.
         log_era: The era of the platform's log that it knows.
+        cold_news: The upstreams that it has seen become cold or warm.
     """
 
     router: ids.InstanceId
@@ -186,6 +208,7 @@
     limit_news: list[LimitNews] = []
     permit_wait_by_upstream: dict[ids.UpstreamId, float] = {}
     log_era: ids.Era = ids.NO_ERA
+    cold_news: list[ColdNews] = []
 
     @property
     def position_by_topic(self) -> dict[str, log_position.Position]:
--- a/teaselsill/permit_link.py
+++ b/teaselsill/permit_link.py
@@ -93,6 +93,7 @@
         account: ids.AccountId | None,
         max_wait_s: float,
         is_retry: bool,
+        cold: peer_reports.ColdNews | None = None,
     ) -> permit_messages.FromGrantor:
         """Asks for a permit; cancelling the call withdraws the request.
 
@@ -101,6 +102,7 @@
             account: The client account; None for a public route.
             max_wait_s: How long the request waits, in seconds.
             is_retry: Whether the request was sent before.
+            cold: What is known of the upstream's cold start.
 
         Returns:
             The reply. A request without a reply in time is denied.
@@ -110,7 +112,9 @@
         asked_at = self.used_at = _now()
         reply = asyncio.get_running_loop().create_future()
         self._reply_by_number[number] = reply
-        self._send(permit_messages.Ask(number, limit, account, max_wait_s, is_retry))
+        self._send(
+            permit_messages.Ask(number, limit, account, max_wait_s, is_retry, cold)
+        )
         if self.is_lost:
             return permit_messages.Denied(number, SILENT_WAIT_S)
         try:
--- a/teaselsill/permit_messages.py
+++ b/teaselsill/permit_messages.py
@@ -28,6 +28,7 @@
         account: The client account; None for a public route.
         max_wait_s: How long the request waits, in seconds.
         is_retry: Whether the request was sent before.
+        cold: What the asking router knows of the upstream's cold start.
     """
 
     number: int
@@ -35,6 +36,7 @@
     account: ids.AccountId | None
     max_wait_s: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_S)]
     is_retry: bool
+    cold: peer_reports.ColdNews | None = None
 
 
 class Withdrawn(msgspec.Struct, array_like=True, frozen=True, tag="withdrawn"):
--- a/teaselsill/permit_queue.py
+++ b/teaselsill/permit_queue.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from teaselsill import decaying_sum, ids
+from teaselsill import cold_start, decaying_sum, ids
 
 BURST_S = 0.25
 """Permits of so much time are kept while nobody wants them, in addition to one."""
@@ -67,14 +67,22 @@
         per_s: The rate of permits.
         opens_at: From when on permits accrue, in seconds.
         created_at: The time, in seconds.
+        is_strict: Whether the rate holds for any second: hardly any permits are kept,
+            and however low it is, it is not raised.
 
     Attributes:
         created_at: As above.
     """
 
-    def __init__(self, per_s: float, opens_at: float, created_at: float):
+    def __init__(
+        self,
+        per_s: float,
+        opens_at: float,
+        created_at: float,
+        is_strict: bool = False,
+    ):
         self.created_at = created_at
-        self._per_s = max(MIN_RATE_PER_S, per_s)
+        self._set_rate(per_s, is_strict)
         self._permits = 0.0
         self._counted_at = opens_at
         self._waiters: list[Waiter] = []
@@ -87,17 +95,22 @@
         """Whether no request waits."""
         return not self._waiters
 
-    def set_rate(self, per_s: float, now: float) -> None:
+    def set_rate(self, per_s: float, now: float, is_strict: bool = False) -> None:
         """Changes the rate of permits from now on.
 
         Args:
             per_s: The rate, in permits a second.
             now: The time, in seconds.
+            is_strict: Whether it holds for any second.
         """
         self._accrue(now)
-        self._per_s = max(MIN_RATE_PER_S, per_s)
+        self._set_rate(per_s, is_strict)
         self._permits = min(self._permits, self._capacity)
 
+    def _set_rate(self, per_s: float, is_strict: bool) -> None:
+        self._per_s = per_s if is_strict else max(MIN_RATE_PER_S, per_s)
+        self._burst_s = cold_start.BURST_S if is_strict else BURST_S
+
     def ask(self, waiter: Waiter, now: float) -> list[Decision]:
         """Adds a request that wants a permit; returns what is decided by that."""
         self._waiters.append(waiter)
@@ -153,7 +166,7 @@
 
     @property
     def _capacity(self) -> float:
-        return 1.0 + BURST_S * self._per_s
+        return 1.0 + self._burst_s * self._per_s
 
     def _accrue(self, now: float) -> None:
         if now > self._counted_at:
--- a/teaselsill/permit_server.py
+++ b/teaselsill/permit_server.py
@@ -82,6 +82,8 @@
         """Returns the upstream of a request, after hearing what is known of it."""
         news = ask.limit
         self._view.apply_limit_news(router, news)
+        if ask.cold is not None:
+            self._view.apply_cold_news(router, ask.cold)
         candidate = self._directory.find(news.upstream)
         if candidate is None or candidate.upstream.born_ms != news.born_ms:
             return None
--- a/teaselsill/permits.py
+++ b/teaselsill/permits.py
@@ -7,8 +7,8 @@
 import math
 
 from teaselsill import (
-    announcements,
     boot_clock,
+    cold_start,
     fleet_view,
     grantor_members,
     ids,
@@ -36,18 +36,18 @@
     A context manager: a permit that is not used in its context is given back.
 
     Args:
-        announced: What the upstream has announced.
+        candidate: The upstream.
         expires_at: Until when it may be used, on the boot clock, in seconds.
         issuer: Takes the permit back if it is not used; None if there was no limit.
     """
 
     def __init__(
         self,
-        announced: announcements.AnnouncedState,
+        candidate: placement.Candidate,
         expires_at: float = math.inf,
         issuer: "Local | Remote | None" = None,
     ):
-        self._announced = announced
+        self._candidate = candidate
         self._expires_at = expires_at
         self._issuer = issuer
         self._is_used = False
@@ -70,10 +70,10 @@
         """Uses the permit; returns False if the request must not be sent.
 
         The time may be up, for example after a pause of this router, or the upstream
-        may have named a limit since.
+        may have a limit since.
         """
         if self._issuer is None:
-            return self._announced.limit is None
+            return self._candidate.find_limit_per_s(_now()) is None
         self._is_used = boot_clock.now() <= self._expires_at
         return self._is_used
 
@@ -158,11 +158,16 @@
 
     link: permit_link.PermitLink
     news: peer_reports.LimitNews
+    cold_news: peer_reports.ColdNews | None
 
     async def ask(self, request: Request) -> Denied | None:
         """Waits for a permit; returns None once it is granted."""
         reply = await self.link.ask(
-            self.news, request.account, request.max_wait_s, request.is_retry
+            self.news,
+            request.account,
+            request.max_wait_s,
+            request.is_retry,
+            self.cold_news,
         )
         match reply:
             case permit_messages.Denied(wait_s=wait_s):
@@ -210,8 +215,9 @@
             candidate: The upstream.
             request: The request.
         """
-        if candidate.announced.limit is None:
-            return Permit(candidate.announced)
+        limit = candidate.find_limit(_now())
+        if limit is None:
+            return Permit(candidate)
         asked_at = boot_clock.now()
         issuer = await self._find_issuer(candidate)
         denied = issuer if isinstance(issuer, Denied) else await issuer.ask(request)
@@ -222,8 +228,10 @@
             return denied
         # A pause of this router may lie between the grant and now.
         granted_by = min(boot_clock.now(), asked_at + request.max_wait_s)
-        expires_at = granted_by + grantor_members.PERMIT_TTL_S
-        return Permit(candidate.announced, expires_at, issuer)
+        ttl_s = grantor_members.PERMIT_TTL_S
+        if limit.is_strict:
+            ttl_s = cold_start.PERMIT_TTL_S
+        return Permit(candidate, granted_by + ttl_s, issuer)
 
     async def _find_issuer(
         self, candidate: placement.Candidate
@@ -244,7 +252,11 @@
         except tcp_stream.ConnectionFailedError as error:
             self._avoid(router, str(error))
             return Denied(AVOIDED_S)
-        return Remote(link, fleet_view.make_limit_news(candidate, _now()))
+        return Remote(
+            link,
+            fleet_view.make_limit_news(candidate, _now()),
+            fleet_view.make_cold_news(candidate, _now()),
+        )
 
     def _avoid(self, router: ids.InstanceId, reason: str) -> None:
         logger.info("grantor avoided", extra={"peer": router, "reason": reason})
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -7,6 +7,7 @@
 from teaselsill import (
     announcements,
     calls,
+    cold_start,
     engine_queue,
     expected_wait,
     ids,
@@ -56,6 +57,7 @@
         announced: What it has announced about its own state.
         hold_time: How long requests hold a slot at the upstreams of its service.
         permit_wait: How long requests wait for a permit if it limits them.
+        cold: Whether it is cold, so that it takes few requests.
     """
 
     upstream: upstream_list.Upstream
@@ -70,24 +72,54 @@
     permit_wait: expected_wait.ExpectedWait = dataclasses.field(
         default_factory=expected_wait.ExpectedWait
     )
+    cold: cold_start.ColdState = dataclasses.field(default_factory=cold_start.ColdState)
 
     @property
     def key(self) -> upstream_list.UpstreamKey:
         """Identifies the incarnation of the upstream."""
         return self.upstream.key
 
+    def find_limit(self, now: float) -> announcements.Limit | None:
+        """Returns the limit in force: the lower one of those that hold, or None.
+
+        Args:
+            now: The time, in seconds.
+        """
+        announced = self.announced.limit
+        cold = self.cold.find_limit(now)
+        if cold is None or announced is None:
+            return cold or announced
+        return announcements.Limit(
+            min(cold.per_s, announced.per_s),
+            min(cold.since, announced.since),
+            is_strict=True,
+        )
+
+    def find_limit_per_s(self, now: float) -> float | None:
+        """Returns the limit in force, in requests a second, or None.
+
+        Args:
+            now: The time, in seconds.
+        """
+        if not self.cold.is_limited(now):
+            return self.announced.limit_per_s
+        return self.find_limit(now).per_s
+
     def predict_permit_wait_s(self, now: float) -> float:
         """Returns how long one more request waits for a permit, in seconds."""
-        if self.announced.limit_per_s is None:
+        if self.find_limit_per_s(now) is None:
             return 0.0
         return self.permit_wait.predict_s(now)
 
-    def find_rate(self) -> float:
+    def find_rate(self, now: float) -> float:
         """Returns the rate at which prompts can be prefilled, in tokens a second.
 
         An upstream that limits its requests cannot be sent more than these.
+
+        Args:
+            now: The time, in seconds.
         """
-        per_s = self.announced.limit_per_s
+        per_s = self.find_limit_per_s(now)
         if per_s is None:
             return self.queue.rate
         return min(self.queue.rate, per_s * self.queue.mean_tokens)
@@ -239,7 +271,7 @@
 ) -> float:
     distance = candidate.upstream.data_centre != data_centre
     score = candidate.load.count(now) + DISTANCE_REQUESTS * distance
-    per_s = candidate.announced.limit_per_s
+    per_s = candidate.find_limit_per_s(now)
     if per_s is not None:
         score += candidate.predict_permit_wait_s(now) * per_s
     return score
@@ -315,7 +347,7 @@
         now: The time, in seconds.
         saves_permits: Whether a small prompt costs more.
     """
-    per_s = candidate.announced.limit_per_s
+    per_s = candidate.find_limit_per_s(now)
     if per_s is None:
         return 0.0
     rate = candidate.queue.rate
--- a/teaselsill/rejections.py
+++ b/teaselsill/rejections.py
@@ -22,6 +22,7 @@
     EVACUATED = ("evacuated", 503)
     UPSTREAMS_PAUSED = ("upstreams-paused", 503)
     UPSTREAMS_LIMITED = ("upstreams-limited", 503)
+    UPSTREAMS_COLD = ("upstreams-cold", 503)
     NOT_TAKEN = ("not-taken", 503)
     QUARANTINED = ("quarantined", 503)
     OVERLOADED = ("overloaded", 503)
--- a/teaselsill/routing_table.py
+++ b/teaselsill/routing_table.py
@@ -4,7 +4,7 @@
 import enum
 import hashlib
 
-from teaselsill import ids
+from teaselsill import cold_start, ids
 
 
 class Repeat(enum.Enum):
@@ -103,12 +103,14 @@
         health_path: The path of the health check.
         max_connections: How many connections one upstream accepts from all callers.
         engine: Set if the upstreams are model engines.
+        cold_start: How its upstreams start; None if they take any load at once.
     """
 
     name: ids.ServiceName
     health_path: str
     max_connections: int
     engine: Engine | None
+    cold_start: "cold_start.Policy | None" = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/teaselsill/upstream_choice.py
+++ b/teaselsill/upstream_choice.py
@@ -130,8 +130,8 @@
             candidate: The upstream.
             began_at: Since when the request needs a permit, in seconds.
         """
-        is_limited = candidate.announced.limit is not None
         asked_at = self._now()
+        is_limited = candidate.find_limit(asked_at) is not None
         request = self._make_permit_request(state, began_at)
         reply = await self.permits.acquire(candidate, request)
         if is_limited:
@@ -185,7 +185,7 @@
             state.service, state.excluded | denied.keys(), state.allowed_regions
         )
         if len(denied) >= MAX_DENIALS:
-            candidates = [c for c in candidates if c.announced.limit is None]
+            candidates = [c for c in candidates if c.find_limit_per_s(now) is None]
         if isinstance(permission, quarantine.Trial):
             candidates = placement.find_least_loaded(candidates, now)
         choice = self._place(state, candidates, now)
@@ -195,7 +195,7 @@
             raise TimeoutError
         if self._is_admissible(state, choice, now):
             return choice
-        if any(c.announced.limit is not None for c in candidates):
+        if any(c.find_limit_per_s(now) is not None for c in candidates):
             # Rather a permit for a small prompt than none while there are permits.
             choice = self._place(state, candidates, now, saves_permits=False)
             if self._is_admissible(state, choice, now):
@@ -270,7 +270,7 @@
             waits = ", ".join(f"{u} {d.wait_s:.3f} s" for u, d in denied.items())
             wait_s = min(each.wait_s for each in denied.values())
             raise rejections.RejectedError(
-                rejections.Cause.UPSTREAMS_LIMITED,
+                self._find_limited_cause(denied, now),
                 f"no permit in time: {waits}",
                 admission.spread_retry_after_s(wait_s),
             )
@@ -306,6 +306,15 @@
                 f"no upstream in {', '.join(sorted(allowed)) or 'any region'}",
             )
 
+    def _find_limited_cause(
+        self, denied: dict[ids.UpstreamId, permits.Denied], now: float
+    ) -> rejections.Cause:
+        """Returns why no upstream had a permit in time."""
+        candidates = [self._directory.find(upstream) for upstream in denied]
+        if all(c is not None and c.cold.is_limited(now) for c in candidates):
+            return rejections.Cause.UPSTREAMS_COLD
+        return rejections.Cause.UPSTREAMS_LIMITED
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/teaselsill/upstream_list.py
+++ b/teaselsill/upstream_list.py
@@ -95,6 +95,11 @@
         self._gone_by_id: dict[ids.UpstreamId, Gone] = {}
         self._outage_ended_at = float("-inf")
 
+    def is_listed(self, upstream: Upstream) -> bool:
+        """Returns whether this incarnation of an upstream is listed."""
+        known = self.by_id.get(upstream.id)
+        return known is not None and known.born_ms >= upstream.born_ms
+
     def note_outage(self, now: float) -> None:
         """Records that the list was unavailable until now.
 
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -249,6 +249,20 @@
         self.assertEqual(announcements.Unlimited(), self.read_limit())
         self.assertIsNone(self.read(200).announcement.rate_limit)
 
+    def test_cold_time(self):
+        for value, left_s in (
+            ("1500", 1.5),
+            ("0", 0.0),
+            ("-5", None),
+            ("nan", None),
+            ("soon", None),
+            ("9" * 30, None),
+        ):
+            with self.subTest(value=value):
+                said = self.read(200, (dialect.COLD_MS, value)).announcement
+                self.assertEqual(left_s, said.cold_left_s)
+        self.assertIsNone(self.read(200).announcement.cold_left_s)
+
     def test_announcements_of_another_instance_are_ignored(self):
         metadata = self.read(
             421,
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -5,7 +5,7 @@
 from adapter import manifest
 from hypothesis import strategies
 
-from teaselsill import routing_table
+from teaselsill import cold_start, routing_table
 
 MANIFEST = {
     "Version": 7,
@@ -66,6 +66,25 @@
     return manifest.decode(json.dumps(MANIFEST | fields).encode())
 
 
+def decode_cold_start(**fields):
+    service = MANIFEST["Services"][0] | fields
+    table = decode(Services=[service, *MANIFEST["Services"][1:]])
+    return table.service_by_name["huvo11a"].cold_start
+
+
+class ColdStartTest(unittest.TestCase):
+    def test_decodes_how_servers_start(self):
+        policy = cold_start.Policy(duration_s=3.0, per_s=13.0)
+        self.assertEqual(policy, decode_cold_start(ColdStartS=3, ColdPerS=13))
+        self.assertIsNone(decode_cold_start())
+
+    def test_absurd_cold_start_is_as_if_absent(self):
+        for absurd in (-1, 0, 10**12, "3", None, [3], True):
+            with self.subTest(absurd=absurd):
+                self.assertIsNone(decode_cold_start(ColdStartS=absurd, ColdPerS=13))
+                self.assertIsNone(decode_cold_start(ColdStartS=3, ColdPerS=absurd))
+
+
 class DecodeTest(unittest.TestCase):
     def test_decodes_every_field(self):
         table = decode()
--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -39,6 +39,10 @@
     def test_heartbeat_does_not_change_the_upstream(self):
         self.assertEqual(decode(), decode(Seq=5))
 
+    def test_decodes_how_long_a_server_stays_cold(self):
+        entry = json.dumps(ENTRY | {"ColdLeftMs": 1500}).encode()
+        self.assertEqual(1.5, servers.decode_entry("i-1", entry).cold_left_s)
+
     def test_malformed_entry_is_rejected(self):
         for fields in (
             {"Service": ...},
--- a/tests/limit_replay.py
+++ b/tests/limit_replay.py
@@ -103,7 +103,7 @@
         self.lag = loop_lag.LoopLag()
         self.liveness = peer_liveness.PeerLiveness(self.lag)
         self.grantor = grantor.Grantor(
-            self.id, self.describe_members, lambda key: replay.find_limit()
+            self.id, self.describe_members, lambda key: self.find_limit(key)
         )
         self.decide = {}
         self.unread = {}
@@ -136,10 +136,14 @@
             now,
         )
 
-    def ask(self, waiter, reply):
+    def find_limit(self, key):
+        """Returns the limit of an upstream in force."""
+        return self.replay.find_limit()
+
+    def ask(self, waiter, reply, key=KEY):
         """Asks this router for a permit; `reply` is called with the decision."""
         self.decide[waiter] = reply
-        self.deliver(self.grantor.ask(KEY, waiter, self.replay.now))
+        self.deliver(self.grantor.ask(key, waiter, self.replay.now))
 
     def settle(self):
         """Grants the permits that there are by now."""
@@ -163,11 +167,14 @@
             `share` (each to its part).
 
     Attributes:
+        router_class: Makes the routers.
         arrived_at: When requests reached the upstream, in seconds.
         denied_waits_s: The waits that denied requests were told.
         granted_by_account: How many requests of each account were sent.
     """
 
+    router_class = Router
+
     def __init__(self, load, policy="permits"):
         self.load = load
         self.policy = policy
@@ -179,7 +186,9 @@
         self.events = []
         self.numbers = itertools.count()
         self.cut = frozenset()
-        self.routers = [Router(self, n, -UPTIME_S) for n in range(load.routers)]
+        self.routers = [
+            self.router_class(self, n, -UPTIME_S) for n in range(load.routers)
+        ]
         self.bucket_by_router = {}
         self.period_s = peer_reports.find_period_s(load.routers - 1)
         self.interval_s = peer_reports.find_interval_s(load.routers - 1)
@@ -298,7 +307,7 @@
 
     def restart(self, router):
         """Replaces a router by a new process."""
-        new = Router(self, router.number, self.now)
+        new = self.router_class(self, router.number, self.now)
         self.routers[router.number] = new
         self.start(new)
 
--- a/tests/test_routing_table.py
+++ b/tests/test_routing_table.py
@@ -24,8 +24,8 @@
     )
 
 
-def make_service(name="s", engine=None):
-    return routing_table.Service(ids.ServiceName(name), "/health", 10, engine)
+def make_service(name="s", engine=None, **fields):
+    return routing_table.Service(ids.ServiceName(name), "/health", 10, engine, **fields)
 
 
 def make_table(routes, version=1, keys=None, services=None):
