Give up a stream once its caller has waited for as long as callers do

Callers abandon a stream after a pause that follows from its route. A router now gives the stream up by itself 0.1 s later, before the first event too, and does not blame the upstream. The tests failed before.

--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -416,7 +416,7 @@
         Raises:
             RejectedError: A part of its prompt is quarantined.
         """
-        if not state.may_run_elsewhere:
+        if not state.may_run_elsewhere or state.find_patience_left_s(self._now()) <= 0:
             return False
         self._chooser.check_quarantine(state.call, state.possible_runs)
         return self._spend_retry(state, "failed")
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -62,6 +62,8 @@
     upstreams: list[ids.UpstreamId]
 
 
+PATIENCE_MARGIN_S = 0.1
+"""How long after a caller's patience has ended its request is given up."""
 MAX_CRASHES = 2
 """A request is not sent again once it was beginning at so many crashes."""
 NO_METADATA = calls.ResponseMetadata()
@@ -91,6 +93,8 @@
         is_event_stream: Whether the response that has started is a stream of events.
         metadata: The metadata of the last response.
         assessment: What admission was last based on; None for a call without a prompt.
+        progressed_at: When a part of a response was last passed to the caller, in
+            seconds; before the first one, when the request arrived.
     """
 
     call: calls.Call
@@ -110,6 +114,18 @@
     possible_runs: int = 0
     crashes: int = 0
     allowed_regions: frozenset[ids.Region] | None = None
+    progressed_at: float = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.progressed_at = self.call.received_at
+
+    def find_patience_left_s(self, now: float) -> float:
+        """Returns how long until the caller has abandoned the stream, in seconds.
+
+        Args:
+            now: The event loop's time, in seconds.
+        """
+        return self.progressed_at + self.route.patience_s + PATIENCE_MARGIN_S - now
 
     def find_time_left_s(self, now: float) -> float:
         """Returns the time left until the deadline, in seconds.
--- a/teaselsill/routing_table.py
+++ b/teaselsill/routing_table.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import hashlib
+import math
 
 from teaselsill import cold_start, ids
 
@@ -49,6 +50,8 @@
         priority: Its rank; 0 is the highest.
         is_public: Whether callers need no key.
         allowed_regions: The regions to which its requests may be sent; None for any.
+        patience_s: Callers abandon a stream that sends nothing for so long, also before
+            its first event, in seconds.
     """
 
     name: str
@@ -64,6 +67,7 @@
     priority: int
     is_public: bool
     allowed_regions: frozenset[ids.Region] | None = None
+    patience_s: float = math.inf
 
     def choose_service(self, request: str) -> ids.ServiceName:
         """Returns the service for a request; the same one for the same id.
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from teaselsill import (
     calls,
@@ -168,7 +169,8 @@
                 result = upstream_health.Result.FAILED
             case outcomes.Failed():
                 attempt.state.events.drop_partial_event()
-                if attempt.in_flight.has_met_silence:
+                in_flight = attempt.in_flight
+                if in_flight.has_met_silence or in_flight.is_abandoned:
                     return
                 result = upstream_health.Result.FAILED
             case outcomes.Delivered(status=status) if status >= FIRST_FAILURE_STATUS:
@@ -279,12 +281,25 @@
                         return outcomes.Delivered(state.response.status)
 
     async def _watch_progress(self, state, candidate, in_flight, connection) -> None:
-        """Aborts an attempt once the request should go to another upstream."""
-        while state.is_repeatable:
-            await asyncio.sleep(
-                failover.find_check_delay_s(candidate.load, self._now())
-            )
-            if self._should_fail_over(state, candidate, in_flight):
+        """Aborts an attempt that is not worth waiting for any more.
+
+        Its caller has abandoned it, or the request should go to another upstream.
+        """
+        while True:
+            delay_s = state.find_patience_left_s(self._now())
+            if state.is_repeatable:
+                check_s = failover.find_check_delay_s(candidate.load, self._now())
+                delay_s = min(delay_s, check_s)
+            if math.isinf(delay_s):
+                return
+            await asyncio.sleep(max(0.0, delay_s))
+            if state.find_patience_left_s(self._now()) <= 0:
+                in_flight.is_abandoned = True
+                connection.abort("its caller has abandoned the stream")
+                return
+            if state.is_repeatable and self._should_fail_over(
+                state, candidate, in_flight
+            ):
                 in_flight.has_met_silence = failover.is_merely_silent(
                     candidate.load, self._now()
                 )
@@ -370,7 +385,8 @@
         if state.can_be_resumed:
             data = state.events.feed(data)
         if data:
-            candidate.load.note_progress(attempt.number, self._now())
+            state.progressed_at = self._now()
+            candidate.load.note_progress(attempt.number, state.progressed_at)
         await state.response.write(data)
 
     def _now(self) -> float:
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -38,6 +38,7 @@
         has_survived: Whether its response has gone on without a crash of the upstream.
         has_met_silence: Whether it was given up while the upstream was silent for no
             longer than a sound one may be.
+        is_abandoned: Whether it was given up since its caller had abandoned it.
     """
 
     prefill_tokens: int
@@ -47,6 +48,7 @@
     progressed_at: float | None = None
     has_survived: bool = False
     has_met_silence: bool = False
+    is_abandoned: bool = False
 
     @property
     def has_started(self) -> bool:
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -1,4 +1,5 @@
 import json
+import math
 import unittest
 
 import hypothesis
@@ -72,6 +73,20 @@
     return table.service_by_name["huvo11a"].cold_start
 
 
+class PatienceTest(unittest.TestCase):
+    def find(self, **fields):
+        route = MANIFEST["Routes"][0] | {"Type": "streaming"} | fields
+        content = MANIFEST | {"Routes": [route]}
+        table = manifest.decode(json.dumps(content).encode())
+        return table.find_route(route["Host"], route["PathPrefix"]).patience_s
+
+    def test_longest_of_a_time_and_multiples_of_objective_and_pause(self):
+        self.assertEqual(2.0, self.find(LatencyTargetMs=400, GapTargetMs=200))
+        self.assertEqual(2.4, self.find(LatencyTargetMs=600, GapTargetMs=250))
+        self.assertEqual(3.2, self.find(LatencyTargetMs=400, GapTargetMs=400))
+        self.assertEqual(math.inf, self.find(Type="idempotent"))
+
+
 class ColdStartTest(unittest.TestCase):
     def test_decodes_how_servers_start(self):
         policy = cold_start.Policy(duration_s=3.0, per_s=13.0)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -633,6 +633,56 @@
                 self.assertEqual(0, bench.forwarder.active_requests)
 
 
+class PatienceTest(ForwardingCase):
+    """A busy router noticed late that callers had abandoned their streams."""
+
+    async def check_given_up(self, script, **fields):
+        """Checks that a caller that stays gets no complete response, from one run."""
+        bench = await self.start(
+            script, script, is_stream=True, max_upstreams=2, timeout_s=30.0, **fields
+        )
+        status, _, is_complete = await bench.ask()
+        (used,) = [each for each in self.upstreams if each.requests]
+        await used.wait_disconnected()
+        self.assertEqual(1, len(used.requests))
+        self.assertEqual(0, bench.forwarder.active_requests)
+        return status, is_complete
+
+    async def test_stream_without_a_first_event_is_given_up(self):
+        async def script(request, stream):
+            await asyncio.sleep(60)
+
+        for repeat in (NEVER, RESUME):
+            with self.subTest(repeat=repeat):
+                status, _ = await self.check_given_up(
+                    script, repeat=repeat, patience_s=0.3
+                )
+                self.assertEqual(502, status)
+
+    async def test_stream_that_pauses_for_too_long_is_given_up(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await asyncio.sleep(60)
+
+        for repeat in (NEVER, RESUME):
+            with self.subTest(repeat=repeat):
+                status, is_complete = await self.check_given_up(
+                    script, repeat=repeat, patience_s=0.3
+                )
+                self.assertEqual((200, False), (status, is_complete))
+
+    async def test_stream_with_shorter_pauses_goes_on(self):
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request))
+            for number in range(1, 6):
+                stream.write(entry_bench.event(number))
+                await asyncio.sleep(0.2)
+            stream.write(http_messages.LAST_CHUNK)
+
+        bench = await self.start(script, is_stream=True, timeout_s=9, patience_s=0.5)
+        self.assertEqual((200, True), (await bench.ask())[::2])
+
+
 class QuarantineTest(ForwardingCase):
     """Requests with a prompt part that crashes upstreams."""
 
