Place by the time that work takes at each upstream

What callers saw: on asdci a quarter of the engines need 0.55 of the usual time and the others 1.2, for moments 2.5 times as much. All were given the same number of tokens, planned at 100,000 a second where 47,000 are read.

Each engine's rate is now the usual rate of its service, learned from all of its engines, divided by what the engine announces. Heads of responses tell it, and reports pass on what is new. A figure is used for half a second, then the average; after five seconds without one, a slow engine is tried again. What an engine does while busy contradicts a false figure. Scores are seconds; slots drain at the upstream's own speed; plain calls go where the calls ahead take the least time. Upstreams that announce nothing are measured as before.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -16,6 +16,7 @@
     upstream_health,
     upstream_list,
     upstream_load,
+    upstream_speed,
 )
 
 logger = logging.getLogger(__name__)
@@ -47,6 +48,9 @@
             upstream_list.UpstreamKey, upstream_connection.ConnectionPool
         ] = {}
         self._hold_time_by_service: dict[ids.ServiceName, slot_wait.HoldTime] = {}
+        self._usual_rate_by_service: dict[
+            ids.ServiceName, upstream_speed.UsualRate
+        ] = {}
         self._address_reused: set[upstream_list.UpstreamKey] = set()
 
     def candidates(
@@ -249,7 +253,7 @@
             now: The event loop's time, in seconds.
         """
         full_rate = sum(
-            candidate.queue.rate
+            candidate.queue.find_rate(now)
             for candidate in self._candidate_by_key.values()
             if candidate.queue.is_used
         )
@@ -314,6 +318,12 @@
     def _find_hold_time(self, service: ids.ServiceName) -> slot_wait.HoldTime:
         return self._hold_time_by_service.setdefault(service, slot_wait.HoldTime())
 
+    def _find_speed(self, service: ids.ServiceName) -> upstream_speed.UpstreamSpeed:
+        usual_rate = self._usual_rate_by_service.setdefault(
+            service, upstream_speed.UsualRate()
+        )
+        return upstream_speed.UpstreamSpeed(usual_rate)
+
     def _candidate(self, upstream: upstream_list.Upstream) -> placement.Candidate:
         known = self._candidate_by_key.get(upstream.key)
         if known is None:
@@ -322,7 +332,7 @@
             known = placement.Candidate(
                 upstream=upstream,
                 load=upstream_load.UpstreamLoad(),
-                queue=engine_queue.EngineQueue(),
+                queue=engine_queue.EngineQueue(self._find_speed(upstream.service)),
                 prefix_cache=prefix_cache_index.PrefixCacheIndex(capacity),
                 health=upstream_health.UpstreamHealth(upstream.id),
                 announced=announcements.AnnouncedState(upstream.id),
--- a/teaselsill/engine_queue.py
+++ b/teaselsill/engine_queue.py
@@ -2,9 +2,11 @@
 
 import math
 
-INITIAL_RATE = 100_000.0
+from teaselsill import upstream_speed
+
+INITIAL_RATE = upstream_speed.INITIAL_RATE
 """Prefill rate assumed for a new engine, in prompt tokens a second."""
-MIN_RATE = 5_000.0
+MIN_RATE = upstream_speed.MIN_RATE
 INITIAL_MEAN_TOKENS = 2_000.0
 """The average prompt assumed before there has been any."""
 MEAN_WEIGHT = 0.05
@@ -26,15 +28,20 @@
     that the engine keeps time for decoding. The outstanding tokens are those of prompts
     whose responses have not started; they reveal an engine that has become slower.
 
+    Args:
+        speed: The speed of the engine, which it may announce.
+
     Attributes:
+        speed: The speed of the engine.
         outstanding_tokens: The prompt tokens of requests whose responses have not
             started.
-        rate: Estimated prefill rate, in prompt tokens a second.
+        rate: Measured prefill rate, in prompt tokens a second.
         mean_tokens: How many tokens the engine has to prefill for a prompt, as a moving
             average.
     """
 
-    def __init__(self):
+    def __init__(self, speed: upstream_speed.UpstreamSpeed | None = None):
+        self.speed = speed or upstream_speed.UpstreamSpeed()
         self._planned_tokens = 0.0
         self._planned_at = 0.0
         self.outstanding_tokens = 0
@@ -60,9 +67,18 @@
         self._planned_at = now
         self.mean_tokens += MEAN_WEIGHT * (tokens - self.mean_tokens)
 
+    def note_slowdown(self, slowdown: float, now: float) -> bool:
+        """Records what the engine announces; see `UpstreamSpeed.note_announced`."""
+        self._planned_tokens = self.count_planned(now)
+        if self.is_used:
+            self._planned_at = now
+        return self.speed.note_announced(slowdown, now)
+
     def note_prefilled(self, tokens: int, now: float) -> None:
         """Records prompt tokens of requests whose responses have started."""
         self._prefilled_tokens += tokens
+        if self.outstanding_tokens >= BUSY_TOKENS:
+            self.speed.note_prefilled(tokens, now)
         self._update_rate(now)
 
     def set_outstanding(self, tokens: int, now: float) -> None:
@@ -70,18 +86,30 @@
         self._update_rate(now)
         self.outstanding_tokens = tokens
 
+    def find_rate(self, now: float) -> float:
+        """Returns the rate at which prompts are prefilled now, in tokens a second."""
+        speed = self.speed
+        return speed.find_rate(now) if speed.is_announced else self.rate
+
     def count_planned(self, now: float) -> float:
         """Returns the planned tokens that have not drained yet."""
-        drained = (now - self._planned_at) * self.rate * PREFILL_RATIO
-        return max(0.0, self._planned_tokens - drained)
+        return self.count_planned_at(self.find_rate(now), now)
 
-    def count_tokens(self, now: float) -> float:
-        """Returns how many prompt tokens are ahead of a prompt that is sent now."""
-        return max(self.count_planned(now), self.outstanding_tokens)
+    def count_planned_at(self, rate: float, now: float) -> float:
+        """Returns the planned tokens that have not drained yet.
+
+        Args:
+            rate: The prefill rate, in prompt tokens a second; see `find_rate`.
+            now: The time, in seconds.
+        """
+        drained = (now - self._planned_at) * rate * PREFILL_RATIO
+        return max(0.0, self._planned_tokens - drained)
 
     def predict_wait_s(self, now: float) -> float:
         """Returns how long a prompt that is sent now waits, in seconds."""
-        return self.count_tokens(now) / self.rate
+        rate = self.find_rate(now)
+        tokens = max(self.count_planned_at(rate, now), self.outstanding_tokens)
+        return tokens / rate
 
     def _update_rate(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._changed_at)
@@ -91,5 +119,6 @@
         self._busy_s *= decay
         if self.outstanding_tokens >= BUSY_TOKENS:
             self._busy_s += min(elapsed_s, DECAY_S)
+            self.speed.note_busy(min(elapsed_s, DECAY_S), now)
         prefilled_tokens = self._prefilled_tokens + PRIOR_S * INITIAL_RATE
         self.rate = max(MIN_RATE, prefilled_tokens / (self._busy_s + PRIOR_S))
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -112,7 +112,7 @@
             labels = (upstream.service, upstream.id)
             self._running.labels(*labels).set(candidate.load.count(now))
             self._planned.labels(*labels).set(candidate.queue.count_planned(now))
-            self._rate.labels(*labels).set(candidate.queue.rate)
+            self._rate.labels(*labels).set(candidate.queue.find_rate(now))
             self._avoided.labels(*labels).set(candidate.health.is_avoided(now))
             self._cold.labels(*labels).set(candidate.cold.is_cold(now))
             limit_per_s = candidate.find_limit_per_s(now)
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -307,6 +307,16 @@
         self._changed_cold.add(upstream)
         self._urgent.set()
 
+    def note_slowdown(self, candidate: placement.Candidate, slowdown: float) -> None:
+        """Records how long an upstream says that work takes there.
+
+        Args:
+            candidate: The upstream.
+            slowdown: That time, relative to the usual time.
+        """
+        if candidate.queue.note_slowdown(slowdown, self._now()):
+            self._report_builder.add_slowdown(candidate.upstream.id, slowdown)
+
     def note_ended(self, candidate: placement.Candidate) -> None:
         """Records that a request of this router has ended at an engine."""
         self._update_outstanding(candidate, self._now())
@@ -419,6 +429,10 @@
             candidate = self._directory.find(upstream)
             if candidate is not None:
                 candidate.queue.note_prefilled(tokens, now)
+        for upstream, percent in report.slowdown_by_upstream.items():
+            candidate = self._directory.find(upstream)
+            if candidate is not None:
+                candidate.queue.note_slowdown(percent / 100, now)
         until = self._liveness.find_responsive_until(report.router) + FULL_REPORT_S
         for upstream, load in report.load_by_upstream.items():
             candidate = self._directory.find(upstream)
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -26,6 +26,9 @@
 """A router that has run for so long has heard what the other routers know."""
 
 
+Percent = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
 class AssignedPrompt(msgspec.Struct, array_like=True, frozen=True):
     """A prompt that was sent to an engine.
 
@@ -191,6 +194,8 @@
             upstream whose permits it grants, in seconds.
         log_era: The era of the platform's log that it knows.
         cold_news: The upstreams that it has seen become cold or warm.
+        slowdown_by_upstream: How long upstreams have said that work takes there, in per
+            cent of the usual time.
     """
 
     router: ids.InstanceId
@@ -209,6 +214,7 @@
     permit_wait_by_upstream: dict[ids.UpstreamId, float] = {}
     log_era: ids.Era = ids.NO_ERA
     cold_news: list[ColdNews] = []
+    slowdown_by_upstream: dict[ids.UpstreamId, Percent] = {}
 
     @property
     def position_by_topic(self) -> dict[str, log_position.Position]:
@@ -231,6 +237,7 @@
         self._assigned_prompts: list[AssignedPrompt] = []
         self._leaving: list[Leaving] = []
         self._prefilled_tokens_by_upstream: dict[ids.UpstreamId, int] = {}
+        self._slowdown_by_upstream: dict[ids.UpstreamId, int] = {}
         self._requested_by_account: dict[ids.AccountId, int] = {}
         self._admitted_by_account: dict[ids.AccountId, int] = {}
         self._update_by_topic: dict[str, keyed_log.Update] = {}
@@ -245,6 +252,7 @@
             or self._requested_by_account
             or self._admitted_by_account
             or self._prefilled_tokens_by_upstream
+            or self._slowdown_by_upstream
             or self._update_by_topic
         )
 
@@ -290,6 +298,10 @@
         known = self._prefilled_tokens_by_upstream.get(upstream, 0)
         self._prefilled_tokens_by_upstream[upstream] = known + prefill_tokens
 
+    def add_slowdown(self, upstream: ids.UpstreamId, slowdown: float) -> None:
+        """Adds how long an upstream says that work takes, relative to the usual."""
+        self._slowdown_by_upstream[upstream] = max(1, round(100 * slowdown))
+
     def take(
         self,
         status: RouterStatus,
@@ -316,8 +328,10 @@
             self._leaving,
             crash_news=crash_news,
             interval_s=interval_s,
+            slowdown_by_upstream=self._slowdown_by_upstream,
         )
         self._assigned_prompts = []
+        self._slowdown_by_upstream = {}
         self._leaving = []
         self._prefilled_tokens_by_upstream = {}
         self._requested_by_account = {}
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -17,6 +17,7 @@
     upstream_health,
     upstream_list,
     upstream_load,
+    upstream_speed,
 )
 
 TOKENS_PER_REQUEST = 300
@@ -36,8 +37,8 @@
 """The cost of a permit that a small prompt uses, at most, in prefill time."""
 DISTANCE_REQUESTS = 0.5
 """The cost of sending a plain call to another data centre, in running requests."""
-DISTANCE_TOKENS = 2000
-"""The same for a prompt and its response, in prompt tokens."""
+DISTANCE_S = 0.02
+"""The same for a prompt and its response, in seconds."""
 SILENCE_S = 0.8
 """An upstream that has requests but sends nothing for so long gets no new ones."""
 MAX_SILENCE_S = 1.75
@@ -105,6 +106,11 @@
             return self.announced.limit_per_s
         return self.find_limit(now).per_s
 
+    @property
+    def speed(self) -> upstream_speed.UpstreamSpeed:
+        """How fast it works now."""
+        return self.queue.speed
+
     def predict_permit_wait_s(self, now: float) -> float:
         """Returns how long one more request waits for a permit, in seconds."""
         if self.find_limit_per_s(now) is None:
@@ -119,15 +125,15 @@
         Args:
             now: The time, in seconds.
         """
+        rate = self.queue.find_rate(now)
         per_s = self.find_limit_per_s(now)
-        if per_s is None:
-            return self.queue.rate
-        return min(self.queue.rate, per_s * self.queue.mean_tokens)
+        return rate if per_s is None else min(rate, per_s * self.queue.mean_tokens)
 
     def predict_slot_wait_s(self, now: float) -> float:
         """Returns how long one more request waits for a free slot, in seconds."""
-        requests = self.load.count(now)
-        return self.hold_time.predict_wait_s(requests, self.upstream.slots)
+        return self.hold_time.predict_wait_s(
+            self.load.count(now), self.upstream.slots, self.speed.find_slowdown(now)
+        )
 
     def predict_wait_s(self, now: float) -> float:
         """Returns how long a prompt waits before it is prefilled, in seconds.
@@ -144,7 +150,8 @@
     Attributes:
         candidate: The upstream.
         prefill_tokens: How many tokens of the prompt it has to prefill.
-        score: The cost that was compared, in prompt tokens; the lowest wins.
+        score: The cost that was compared, in seconds; in requests for a call without a
+            prompt. The lowest wins.
         fetch_from: An upstream that has cached more of the prompt, for the chosen one
             to copy it from, or None.
     """
@@ -188,8 +195,9 @@
     ] or candidates
     random.shuffle(healthy)
     if call.parts:
-        spread = unreported_tokens / len(healthy)
-        return _choose_engine(call, healthy, data_centre, now, spread, saves_permits)
+        return _choose_engine(
+            call, healthy, data_centre, now, unreported_tokens, saves_permits
+        )
     scores = [_score_plain(c, data_centre, now) for c in healthy]
     least = min(scores)
     return Choice(healthy[scores.index(least)], 0, least)
@@ -269,8 +277,13 @@
 def _score_plain(
     candidate: Candidate, data_centre: ids.DataCentre, now: float
 ) -> float:
+    """Returns the cost of one more call, in requests of the usual duration."""
     distance = candidate.upstream.data_centre != data_centre
-    score = candidate.load.count(now) + DISTANCE_REQUESTS * distance
+    requests = candidate.load.count(now)
+    speed = candidate.speed
+    if speed.is_announced:
+        requests = (requests + 1) * speed.find_slowdown(now)
+    score = requests + DISTANCE_REQUESTS * distance
     per_s = candidate.find_limit_per_s(now)
     if per_s is not None:
         score += candidate.predict_permit_wait_s(now) * per_s
@@ -282,13 +295,13 @@
     candidates: list[Candidate],
     data_centre: ids.DataCentre,
     now: float,
-    spread: float,
+    unreported_tokens: float,
     saves_permits: bool,
 ) -> Choice:
-    """Returns the engine with the least prefill work before the response starts.
+    """Returns the engine where the least time passes before the response starts.
 
     Routers that all see the same idle engine would all choose it. So each score gets a
-    random part of up to `spread` tokens, for the load that the router cannot know yet.
+    random part of the time that the load takes which the router cannot know yet.
     """
     cached_tokens = [c.prefix_cache.count_cached_tokens(call.parts) for c in candidates]
     most = max(cached_tokens)
@@ -296,47 +309,59 @@
     shared = sum(part.tokens for part in call.parts[:-1])
     near = [c for c in candidates if c.upstream.data_centre == data_centre]
     home = None if most >= shared else find_home(call, near or candidates)
+    rates = [c.queue.find_rate(now) for c in candidates]
+    spread_s = unreported_tokens / sum(rates)
     best = None
-    for candidate, cached in zip(candidates, cached_tokens, strict=True):
+    for candidate, cached, rate in zip(candidates, cached_tokens, rates, strict=True):
         fetched = most - cached
         if fetched < MIN_FETCHED_TOKENS:
             fetched = 0
         if candidate is home and not fetched:
             cached = max(cached, int(HOME_RATIO * shared))
         prefill_tokens = max(0, call.prompt_tokens - cached - fetched)
-        score = prefill_tokens + FETCH_RATIO * fetched + spread * random.random()
-        score += _score_engine(candidate, prefill_tokens, now)
-        score += _score_permit(candidate, prefill_tokens, now, saves_permits)
+        score = (prefill_tokens + FETCH_RATIO * fetched) / rate
+        score += spread_s * random.random()
+        score += _score_engine(candidate, prefill_tokens, rate, now)
+        score += _score_permit(candidate, prefill_tokens, rate, now, saves_permits)
         if candidate.upstream.data_centre != data_centre:
-            score += DISTANCE_TOKENS
+            score += DISTANCE_S
         if best is None or score < best.score:
             fetch_from = holder.upstream if fetched else None
             best = Choice(candidate, prefill_tokens, score, fetch_from)
     return best
 
 
-def _score_engine(candidate: Candidate, prefill_tokens: int, now: float) -> float:
-    """Returns the cost of an engine's load for one more prompt, in prompt tokens.
+def _score_engine(
+    candidate: Candidate, prefill_tokens: int, rate: float, now: float
+) -> float:
+    """Returns the cost of an engine's load for one more prompt, in seconds.
 
     It includes the delay that a long prompt causes to the responses that run there.
 
     Args:
         candidate: The engine.
         prefill_tokens: How many tokens of the prompt it would have to prefill.
+        rate: Its prefill rate, in tokens a second.
         now: The time, in seconds.
     """
     is_long = prefill_tokens >= LONG_PROMPT_TOKENS
     tokens_per_request = TOKENS_PER_DELAYED if is_long else TOKENS_PER_REQUEST
     requests = candidate.load.count(now)
-    slot_wait_tokens = candidate.predict_slot_wait_s(now) * candidate.queue.rate
-    planned = candidate.queue.count_planned(now)
-    return planned + tokens_per_request * requests + slot_wait_tokens
+    tokens = candidate.queue.count_planned_at(rate, now) + tokens_per_request * requests
+    score = tokens / rate
+    if requests >= candidate.upstream.slots:
+        score += candidate.predict_slot_wait_s(now)
+    return score
 
 
 def _score_permit(
-    candidate: Candidate, prefill_tokens: int, now: float, saves_permits: bool
+    candidate: Candidate,
+    prefill_tokens: int,
+    rate: float,
+    now: float,
+    saves_permits: bool,
 ) -> float:
-    """Returns the cost of a permit of a limited engine, in prompt tokens.
+    """Returns the cost of a permit of a limited engine, in seconds.
 
     A permit allows one request of any size. A small prompt leaves a part of what the
     engine could do unused, so it rather goes to an engine without a limit.
@@ -344,19 +369,19 @@
     Args:
         candidate: The engine.
         prefill_tokens: How many tokens of the prompt it would have to prefill.
+        rate: Its prefill rate, in tokens a second.
         now: The time, in seconds.
         saves_permits: Whether a small prompt costs more.
     """
     per_s = candidate.find_limit_per_s(now)
     if per_s is None:
         return 0.0
-    rate = candidate.queue.rate
-    wait_tokens = candidate.predict_permit_wait_s(now) * rate
+    wait_s = candidate.predict_permit_wait_s(now)
     if not saves_permits:
-        return wait_tokens
+        return wait_s
     possible_tokens = engine_queue.PREFILL_RATIO * rate / max(per_s, MIN_PER_S)
     unused_tokens = max(0.0, possible_tokens - prefill_tokens)
-    return wait_tokens + min(unused_tokens, MAX_PERMIT_COST_S * rate)
+    return wait_s + min(unused_tokens / rate, MAX_PERMIT_COST_S)
 
 
 def home_rank(part: calls.PromptPart, upstream: upstream_list.Upstream) -> int:
--- a/teaselsill/slot_wait.py
+++ b/teaselsill/slot_wait.py
@@ -10,24 +10,30 @@
     """How long requests hold a slot at the upstreams of one service.
 
     Attributes:
-        average_s: The exponential moving average, in seconds.
+        average_s: The exponential moving average where work takes as long as usual, in
+            seconds.
     """
 
     def __init__(self):
         self.average_s = INITIAL_HOLD_S
 
-    def note(self, held_s: float) -> None:
-        """Records how long a request held a slot, in seconds."""
-        self.average_s += WEIGHT * (held_s - self.average_s)
+    def note(self, held_s: float, slowdown: float = 1.0) -> None:
+        """Records how long a request held a slot.
 
-    def predict_wait_s(self, requests: int, slots: int) -> float:
+        Args:
+            held_s: That time, in seconds.
+            slowdown: How long work takes at the upstream, relative to the usual time.
+        """
+        self.average_s += WEIGHT * (held_s / slowdown - self.average_s)
+
+    def predict_wait_s(self, requests: int, slots: int, slowdown: float = 1.0) -> float:
         """Returns how long one more request waits for a slot, in seconds.
 
         Args:
             requests: How many requests run or wait at the upstream.
             slots: How many requests it runs at a time; no wait is predicted if 0.
+            slowdown: How long work takes there, relative to the usual time.
         """
-        if not slots:
+        if requests < slots or not slots:
             return 0.0
-        ahead = max(0, requests + 1 - slots)
-        return ahead * self.average_s / slots
+        return (requests + 1 - slots) * self.average_s * slowdown / slots
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -184,7 +184,8 @@
         candidate = attempt.candidate
         in_flight = candidate.load.remove(attempt.number, now)
         if in_flight.started_at is not None:
-            candidate.hold_time.note(now - in_flight.started_at)
+            held_s = now - in_flight.started_at
+            candidate.hold_time.note(held_s, candidate.speed.find_slowdown(now))
         self._view.note_ended(candidate)
 
     def _note_cancelled(self, state, candidate, in_flight) -> None:
@@ -376,6 +377,8 @@
         if metadata.running is not None:
             total = metadata.running + (metadata.waiting or 0)
             candidate.load.note_report(total, self._now())
+        if metadata.slowdown is not None:
+            self._view.note_slowdown(candidate, metadata.slowdown)
 
     async def _relay_body(self, attempt: open_attempts.Attempt, data: bytes) -> None:
         state, candidate = attempt.state, attempt.candidate
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -117,6 +117,15 @@
             share.requested_tokens_per_s, share.admitted_tokens_per_s, delta=10
         )
 
+    async def test_slowdown_of_an_engine_is_reported(self):
+        now = asyncio.get_running_loop().time()
+        self.first.note_slowdown(find_candidate(self.first_upstreams), 1.37)
+        self.assertTrue(self.first.has_unreported_changes)
+        self.pass_report()
+        heard = find_candidate(self.second_upstreams).speed
+        self.assertEqual(1.37, heard.find_slowdown(now))
+        self.assertFalse(self.first.has_unreported_changes)
+
     async def test_load_and_cached_prefixes_of_an_engine_are_reported(self):
         self.send()
         self.assertTrue(self.first.has_unreported_changes)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -59,6 +59,27 @@
             near.load.add(upstream_load.InFlightRequest(0, 0.0))
         self.assertIs(far, choose(make_call(), [far, near]).candidate)
 
+    def test_plain_call_goes_where_work_takes_the_least_time(self):
+        slow, fast = make_candidate("slow"), make_candidate("fast")
+        slow.queue.note_slowdown(2.5, 0.0)
+        fast.queue.note_slowdown(1.0, 0.0)
+        fast.load.add(upstream_load.InFlightRequest(0, 0.0))
+        self.assertIs(fast, choose(make_call(), [slow, fast]).candidate)
+        for _ in range(2):
+            fast.load.add(upstream_load.InFlightRequest(0, 0.0))
+        self.assertIs(slow, choose(make_call(), [slow, fast]).candidate)
+
+    def test_prompt_goes_where_it_is_read_first(self):
+        """The fast engine has more tokens to read, but less time to read them in."""
+        call = make_call(("own", 4000))
+        slow, fast = make_candidate("slow"), make_candidate("fast")
+        slow.queue.note_slowdown(1.2, 0.0)
+        fast.queue.note_slowdown(0.55, 0.0)
+        fast.queue.add(4000, 0.0)
+        self.assertIs(fast, choose(call, [slow, fast]).candidate)
+        fast.queue.add(4000, 0.0)
+        self.assertIs(slow, choose(call, [slow, fast]).candidate)
+
     def test_first_request_for_a_shared_prefix_goes_to_its_home(self):
         names = [f"u{n}" for n in range(5)]
         call = make_call(("tool", 500), ("session", 4000), ("own", 1000))
