--- /dev/null
+++ b/teaselsill/memory_budget.py
@@ -0,0 +1,272 @@
+"""One account of the bytes that a process holds for its clients.
+
+It counts heads, bodies, responses that their callers have not read yet, requests that
+were passed on and what upstreams send. While the account is nearly full, reading from
+those that hold much pauses. If that does not help, the ones that hold most and give
+least are refused; never a request that has been passed on to an upstream.
+"""
+
+import abc
+import collections.abc
+import dataclasses
+import logging
+import math
+
+logger = logging.getLogger(__name__)
+
+MB = 1024 * 1024
+PROCESS_BYTES = 48 * MB
+"""What a process needs itself, without its clients."""
+USABLE_RATIO = 0.6
+"""The part of the remaining memory that is given out; the rest is lost to gaps."""
+MIN_LIMIT_BYTES = 16 * MB
+DEFAULT_LIMIT_BYTES = 256 * MB
+"""The limit if the settings name no memory."""
+FREE_BYTES = 128 * 1024
+"""What a connection may hold without a pause: more than an ordinary request."""
+PRESSED_RATIO = 0.5
+"""Reading pauses while this part of the limit is held, or more."""
+CALM_RATIO = 0.4
+"""Reading goes on below this part."""
+LARGE_RATIO = 0.75
+"""Requests that hold more than `FREE_BYTES` are passed on up to this part."""
+REFUSED_RATIO = 0.9
+"""When the limit is exceeded, connections are refused down to this part."""
+SMALL_RATIO = 0.95
+"""Other requests are passed on up to this part."""
+PATIENCE_S = 0.5
+"""How long reading is paused before connections are refused."""
+LOG_INTERVAL_S = 1.0
+"""At most one line about refusals is logged in this time."""
+
+
+class Owner(abc.ABC):
+    """What the budget tells the owner of a holding."""
+
+    @abc.abstractmethod
+    def pause_for_budget(self) -> None:
+        """Stops reading from the client."""
+
+    @abc.abstractmethod
+    def resume_for_budget(self) -> None:
+        """Reads from the client again."""
+
+    @abc.abstractmethod
+    def refuse_for_budget(self) -> None:
+        """Refuses what has been received, drops it at once and closes the connection.
+
+        A refusal tells the client that nothing has run.
+        """
+
+    @abc.abstractmethod
+    def measure_for_budget(self) -> int:
+        """Returns the bytes that are held now."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Holding:
+    """What one connection holds.
+
+    Attributes:
+        held_bytes: How much it holds.
+        client: The client account; empty while it is unknown.
+        completed: How many requests it has completed.
+        is_passed_on: Whether a request of it has been passed on to an upstream, or it
+            is a connection to an upstream.
+        is_paused: Whether reading from it is paused.
+        free_bytes: What it may hold without being paused.
+    """
+
+    budget: "MemoryBudget"
+    owner: Owner
+    held_bytes: int = 0
+    client: str = ""
+    completed: int = 0
+    is_passed_on: bool = False
+    is_paused: bool = False
+    free_bytes: int = FREE_BYTES
+
+    def update(self, held_bytes: int) -> None:
+        """Sets what the connection holds, in bytes."""
+        self.budget.change(self, held_bytes)
+
+    def close(self) -> None:
+        """Ends the holding; later updates have no effect."""
+        self.budget.remove(self)
+
+
+def choose_refused(
+    holdings: collections.abc.Iterable[Holding], excess_bytes: int, min_bytes: int = 1
+) -> list[Holding]:
+    """Returns the holdings to refuse so that an excess is freed, in order.
+
+    The account that holds most goes first, and of its connections the ones that hold
+    most for each request that they have completed. What has been passed on stays.
+
+    Args:
+        holdings: All holdings.
+        excess_bytes: How much to free.
+        min_bytes: Smaller holdings stay.
+    """
+    by_client: dict[str, list[Holding]] = {}
+    for each in holdings:
+        if not each.is_passed_on and each.held_bytes >= min_bytes:
+            by_client.setdefault(each.client, []).append(each)
+    for eligible in by_client.values():
+        eligible.sort(key=lambda each: each.held_bytes / (1 + each.completed))
+    sums = {
+        client: sum(each.held_bytes for each in eligible)
+        for client, eligible in by_client.items()
+    }
+    chosen = []
+    while sums and excess_bytes > 0:
+        client = max(sums, key=sums.__getitem__)
+        worst = by_client[client].pop()
+        sums[client] -= worst.held_bytes
+        if not by_client[client]:
+            del sums[client]
+        excess_bytes -= worst.held_bytes
+        chosen.append(worst)
+    return chosen
+
+
+def find_limit_bytes(memory_mb: float | None) -> int:
+    """Returns the limit for a machine's memory in MB, or the default for None."""
+    if memory_mb is None:
+        return DEFAULT_LIMIT_BYTES
+    usable_bytes = USABLE_RATIO * (memory_mb * MB - PROCESS_BYTES)
+    return max(MIN_LIMIT_BYTES, int(usable_bytes))
+
+
+class MemoryBudget:
+    """The account of one process.
+
+    Args:
+        limit_bytes: The limit; see `find_limit_bytes`.
+        on_refused: Called for each refusal.
+
+    Attributes:
+        held_bytes: The sum of all holdings.
+        limit_bytes: The limit.
+        on_refused: Called for each refusal.
+    """
+
+    def __init__(
+        self,
+        limit_bytes: int = DEFAULT_LIMIT_BYTES,
+        on_refused: collections.abc.Callable[[], None] = lambda: None,
+    ):
+        self.held_bytes = 0
+        self.limit_bytes = limit_bytes
+        self.on_refused = on_refused
+        self._holdings: set[Holding] = set()
+        self._is_pressed = False
+        self._pressed_since = math.inf
+        self._logged_at = -math.inf
+        self._unlogged = 0
+
+    @property
+    def is_pressed(self) -> bool:
+        """Whether reading from those that hold much is paused."""
+        return self._is_pressed
+
+    def open(self, owner: Owner) -> Holding:
+        """Returns a new holding of nothing."""
+        holding = Holding(self, owner)
+        self._holdings.add(holding)
+        return holding
+
+    def remove(self, holding: Holding) -> None:
+        """Ends a holding."""
+        self._holdings.discard(holding)
+        self.held_bytes -= holding.held_bytes
+        holding.held_bytes = 0
+
+    def change(self, holding: Holding, held_bytes: int) -> None:
+        """Sets what a connection holds; frees others if the limit is exceeded."""
+        if holding not in self._holdings:
+            return
+        self.held_bytes += held_bytes - holding.held_bytes
+        holding.held_bytes = held_bytes
+        if self.held_bytes > PRESSED_RATIO * self.limit_bytes and not self._is_pressed:
+            self._press()
+        should_pause = self._is_pressed and held_bytes > holding.free_bytes
+        if should_pause != holding.is_paused:
+            self._set_paused(holding, should_pause)
+        if self.held_bytes > self.limit_bytes:
+            kept_bytes = int(REFUSED_RATIO * self.limit_bytes)
+            self._refuse(self.held_bytes - kept_bytes, min_bytes=1)
+
+    def admits(self, holding: Holding) -> bool:
+        """Returns whether a complete request may be passed on now.
+
+        A request is admitted if nothing else has been passed on.
+        """
+        is_small = holding.held_bytes <= FREE_BYTES
+        ratio = SMALL_RATIO if is_small else LARGE_RATIO
+        if self.held_bytes <= ratio * self.limit_bytes:
+            return True
+        return not any(each.is_passed_on for each in self._holdings)
+
+    def tick(self, now: float) -> None:
+        """Measures what is held; refuses what has been paused in vain.
+
+        Args:
+            now: The time, in seconds.
+        """
+        for holding in list(self._holdings):
+            holding.update(holding.owner.measure_for_budget())
+        if not self._is_pressed:
+            return
+        excess_bytes = self.held_bytes - int(CALM_RATIO * self.limit_bytes)
+        if excess_bytes <= 0:
+            self._relax()
+            return
+        self._pressed_since = min(self._pressed_since, now)
+        if now - self._pressed_since >= PATIENCE_S:
+            self._refuse(excess_bytes, min_bytes=FREE_BYTES + 1)
+        self._log(now)
+
+    def note_refused(self) -> None:
+        """Counts a refusal that was decided elsewhere."""
+        self._unlogged += 1
+        self.on_refused()
+
+    def _refuse(self, excess_bytes: int, min_bytes: int) -> None:
+        for holding in choose_refused(self._holdings, excess_bytes, min_bytes):
+            self.note_refused()
+            holding.owner.refuse_for_budget()
+            self.remove(holding)
+
+    def _press(self) -> None:
+        self._is_pressed = True
+        for holding in self._holdings:
+            if holding.held_bytes > holding.free_bytes:
+                self._set_paused(holding, True)
+
+    def _relax(self) -> None:
+        self._is_pressed = False
+        self._pressed_since = math.inf
+        for holding in self._holdings:
+            if holding.is_paused:
+                self._set_paused(holding, False)
+
+    def _set_paused(self, holding: Holding, is_paused: bool) -> None:
+        holding.is_paused = is_paused
+        if is_paused:
+            holding.owner.pause_for_budget()
+        else:
+            holding.owner.resume_for_budget()
+
+    def _log(self, now: float) -> None:
+        if self._unlogged and now - self._logged_at >= LOG_INTERVAL_S:
+            logger.warning(
+                "memory budget refused connections",
+                extra={
+                    "refused": self._unlogged,
+                    "held_mb": round(self.held_bytes / MB, 1),
+                    "limit_mb": round(self.limit_bytes / MB, 1),
+                },
+            )
+            self._logged_at = now
+            self._unlogged = 0
