Count births as cold only while requests are served

Every router logged each upstream that started together with the fleet as cold, 700 lines on huon. Callers saw nothing of it. A source that nothing used is gone, too.

--- a/teaselsill/cold_start.py
+++ b/teaselsill/cold_start.py
@@ -51,8 +51,6 @@
     """A response of its own."""
     RETURN = "return"
     """Its data centre takes requests again after an evacuation."""
-    SILENCE = "silence"
-    """It was out of reach and may have started again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,17 +239,6 @@
         until = at + self.policy.duration_s
         self.note(Statement(until, at, Source.RETURN), at)
 
-    def note_silence(self, now: float) -> bool:
-        """Records that the upstream is out of reach, so that it may start again.
-
-        Returns:
-            Whether the other routers should know.
-        """
-        if self.policy is None or self.is_cold(now):
-            return False
-        until = now + self.policy.duration_s
-        return self.note(Statement(until, now, Source.SILENCE), now)
-
     def _should_apply(self, statement: Statement, now: float) -> bool:
         """Returns whether a statement is the last word."""
         known = self.statement
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -52,6 +52,7 @@
             ids.ServiceName, upstream_speed.UsualRate
         ] = {}
         self._address_reused: set[upstream_list.UpstreamKey] = set()
+        self._is_in_use = False
 
     def candidates(
         self,
@@ -67,6 +68,7 @@
             allowed_regions: The regions to which it may be sent; None for any.
         """
         evacuated = self.evacuations.data_centres
+        self._is_in_use = True
         return [
             self._candidate(upstream)
             for upstream in self.list_allowed(service, allowed_regions)
@@ -145,7 +147,7 @@
     def note_birth(
         self, upstream: upstream_list.Upstream, age_s: float, now: float
     ) -> None:
-        """Records an upstream that appears while requests are served.
+        """Records an upstream that appears; it is cold if requests are served by now.
 
         Args:
             upstream: The upstream.
@@ -153,7 +155,7 @@
             now: The event loop's time, in seconds.
         """
         state = self._find_cold_state(upstream)
-        if not state.is_cold(now):
+        if self._is_in_use and not state.is_cold(now):
             state.note_birth(age_s, now)
 
     def is_usable(self, upstream: upstream_list.Upstream) -> bool:
