Bound trailers, chunk extensions and pipelined requests at HTTP ports

Callers saw: routers, agents and consoles that ran out of memory. uvicorn added each trailer to the headers of its request and bounded none; 256 KB of pipelined requests became one state for each before the first had an answer. Trailers are now dropped and count like a head, at most 64 KB arrive without a byte of a body, and the parser gets at most one end of a head at a time; the rest stays unparsed and reading pauses. A 400 is written only where no other response is due on the connection.

--- /dev/null
+++ b/teaselsill/http_protocol.py
@@ -0,0 +1,141 @@
+"""uvicorn's HTTP protocol with bounds on what a client can make it keep.
+
+The parser, httptools, sets no limit of its own on heads, trailers or chunk extensions,
+and uvicorn none on the requests that arrive in one read.
+"""
+
+import asyncio
+
+import httptools
+from uvicorn.protocols.http import flow_control, httptools_impl
+
+READ_BYTES = 16 * 1024
+"""How much is read from a connection at a time."""
+MAX_HEAD_BYTES = 64 * 1024
+"""The maximum size of a request line with its headers, and of a request's trailers."""
+END_OF_HEAD = b"\r\n\r\n"
+
+_read_buffer = bytearray(READ_BYTES)
+
+
+class Flow(flow_control.FlowControl):
+    """Pauses reading for uvicorn's own reasons and, apart from them, while it is held.
+
+    uvicorn resumes reading whenever the application waits for something to arrive.
+    """
+
+    def __init__(self, transport: asyncio.Transport):
+        super().__init__(transport)
+        self._is_held = False
+
+    def set_held(self, is_held: bool) -> None:
+        """Pauses reading until this is called again with false."""
+        self._is_held = is_held
+        if is_held:
+            self._transport.pause_reading()
+        elif not self.read_paused:
+            self._transport.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Ends uvicorn's own pause."""
+        self.read_paused = False
+        if not self._is_held:
+            self._transport.resume_reading()
+
+
+class Protocol(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
+    """The HTTP protocol of one connection.
+
+    The parser gets at most one end of a head at a time. Once a request waits for the
+    response to the one before it, the rest of what was read stays as it came.
+    """
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self._unparsed = bytearray()
+        self._bytes_without_body = 0
+        self._is_in_head = True
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Called by asyncio once the connection is open."""
+        super().connection_made(transport)
+        self.flow = Flow(transport)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer that the next bytes are read into."""
+        return _read_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Parses the bytes that have been read into the buffer."""
+        self.data_received(bytes(memoryview(_read_buffer)[:size]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parses the next bytes; closes the connection if they exceed a bound."""
+        self._unparsed += data
+        self._parse()
+
+    def on_headers_complete(self) -> None:
+        """Starts to handle the request; called by the parser."""
+        super().on_headers_complete()
+        self._is_in_head = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header and drops a trailer; called by the parser."""
+        if self._is_in_head:
+            super().on_header(name, value)
+
+    def on_body(self, body: bytes) -> None:
+        """Keeps a part of the body; called by the parser."""
+        self._bytes_without_body = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Starts to count the head of the next request; called by the parser."""
+        self._bytes_without_body = 0
+        self._is_in_head = True
+        super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Starts the next request that has arrived."""
+        super().on_response_complete()
+        if self._unparsed:
+            self.loop.call_soon(self._parse)
+
+    def _parse(self) -> None:
+        """Parses what has arrived, until a request has to wait for its turn."""
+        while self._unparsed and not self.pipeline and not self.transport.is_closing():
+            end = self._unparsed.find(END_OF_HEAD)
+            size = len(self._unparsed) if end < 0 else end + len(END_OF_HEAD)
+            part = bytes(memoryview(self._unparsed)[:size])
+            del self._unparsed[:size]
+            self._feed(part)
+        self.flow.set_held(len(self._unparsed) >= READ_BYTES)
+
+    def _feed(self, part: bytes) -> None:
+        self._unset_keepalive_if_required()
+        self._bytes_without_body += len(part)
+        try:
+            self.parser.feed_data(part)
+        except httptools.HttpParserError:
+            self._refuse("Invalid HTTP request received.")
+            return
+        except httptools.HttpParserUpgrade:
+            return
+        if self._bytes_without_body > MAX_HEAD_BYTES:
+            self._refuse("The request's head is too large.")
+
+    def _refuse(self, text: str) -> None:
+        """Refuses the request that is being read, and closes the connection.
+
+        A response that says so is written only where no other one is due.
+        """
+        self._unparsed.clear()
+        cycle = self.cycle
+        if self._is_in_head:
+            is_due = cycle is None or cycle.response_complete
+        else:
+            is_due = not cycle.response_started
+        if is_due:
+            self.send_400_response(text)
+        else:
+            self.transport.close()
--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -5,13 +5,10 @@
 import ssl
 
 import uvicorn
-from uvicorn.protocols.http import httptools_impl
 
-from teaselsill import certificates, errors
+from teaselsill import certificates, errors, http_protocol
 
 START_POLL_S = 0.005
-MAX_HEAD_BYTES = 64 * 1024
-"""The maximum size of a request line with its headers."""
 TLS_HANDSHAKE_TIMEOUT_S = 1.0
 
 
@@ -41,37 +38,6 @@
         raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
 
 
-class Protocol(httptools_impl.HttpToolsProtocol):
-    """uvicorn's HTTP protocol with a limit on the size of request headers.
-
-    The parser, httptools, sets no limit and would buffer headers of any size.
-    """
-
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self._head_bytes = 0
-        self._is_in_head = True
-
-    def data_received(self, data: bytes) -> None:
-        """Parses the next bytes; responds with 400 if the headers are too large."""
-        if self._is_in_head:
-            self._head_bytes += len(data)
-        super().data_received(data)
-        if self._is_in_head and self._head_bytes > MAX_HEAD_BYTES:
-            self.send_400_response("The request's head is too large.")
-
-    def on_headers_complete(self) -> None:
-        """Starts to handle the request; called by the parser."""
-        self._is_in_head = False
-        super().on_headers_complete()
-
-    def on_message_complete(self) -> None:
-        """Starts to count the headers of the next request; called by the parser."""
-        self._head_bytes = 0
-        self._is_in_head = True
-        super().on_message_complete()
-
-
 class Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the daemon."""
 
@@ -105,7 +71,8 @@
             host=host,
             port=port,
             lifespan="off",
-            http=Protocol,
+            http=http_protocol.Protocol,
+            ws="none",
             log_config=None,
             log_level="warning",
             access_log=False,
--- /dev/null
+++ b/tests/test_http_protocol.py
@@ -0,0 +1,103 @@
+import asyncio
+import unittest
+
+from starlette import applications, responses, routing
+
+from standins import fleet
+from teaselsill import http_protocol, servers
+
+HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ROOM = 2 * http_protocol.MAX_HEAD_BYTES
+
+
+class ProtocolTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.bodies = []
+        self.headers = []
+        self.may_respond = asyncio.Event()
+        self.may_respond.set()
+        app = applications.Starlette(
+            routes=[
+                routing.Route("/", self.respond, methods=["GET", "POST"]),
+                routing.Route("/early", self.respond_early, methods=["POST"]),
+            ]
+        )
+        port = fleet.find_free_port()
+        self.server = servers.HttpServer(app, fleet.HOST, port)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.reader, self.writer = await asyncio.open_connection(fleet.HOST, port)
+        self.addCleanup(self.writer.close)
+
+    async def respond(self, request):
+        self.bodies.append(await request.body())
+        await self.may_respond.wait()
+        self.headers.append(request.headers.raw)
+        return responses.PlainTextResponse("hello")
+
+    async def respond_early(self, request):
+        return responses.PlainTextResponse("early")
+
+    async def send(self, data):
+        """Sends bytes and returns all that comes until the connection is closed."""
+        self.writer.write(data)
+        async with asyncio.timeout(5):
+            try:
+                return await self.reader.read()
+            except ConnectionError:
+                return b""
+
+    async def check_refused(self, data):
+        response = await self.send(data)
+        self.assertIn(response[:12], (b"HTTP/1.1 400", b""))
+        self.assertEqual([], self.bodies)
+
+    async def test_trailers_are_dropped(self):
+        self.writer.write(CHUNKED + b"1\r\na\r\n0\r\nx: y\r\n\r\n")
+        await self.reader.readuntil(b"hello")
+        self.assertEqual([b"a"], self.bodies)
+        self.assertNotIn((b"x", b"y"), self.headers[0])
+
+    async def test_trailers_without_end_are_refused(self):
+        await self.check_refused(CHUNKED + b"1\r\na\r\n0\r\n" + b"x: y\r\n" * ROOM)
+
+    async def test_trailer_without_end_is_refused(self):
+        await self.check_refused(CHUNKED + b"1\r\na\r\n0\r\nx: " + b"y" * ROOM)
+
+    async def test_chunk_extension_without_end_is_refused(self):
+        await self.check_refused(CHUNKED + b"1;" + b"a" * ROOM)
+
+    async def test_empty_lines_without_end_are_refused(self):
+        await self.check_refused(b"\r\n" * ROOM)
+
+    async def test_lines_without_end_are_refused(self):
+        await self.check_refused(HEAD + b"a: b\r\n" * ROOM)
+
+    async def test_trailers_after_the_response_close_the_connection(self):
+        early = CHUNKED.replace(b"/ ", b"/early ", 1)
+        self.writer.write(early)
+        await self.reader.readuntil(b"early")
+        self.assertEqual(b"", await self.send(b"0\r\n" + b"x: y\r\n" * ROOM))
+
+    async def test_body_in_one_byte_chunks(self):
+        self.writer.write(CHUNKED + b"1\r\na\r\n" * 100_000 + b"0\r\n\r\n")
+        await self.reader.readuntil(b"hello")
+        self.assertEqual([b"a" * 100_000], self.bodies)
+
+    async def test_pipelined_requests_with_bodies_are_served_in_order(self):
+        for number in range(1000):
+            body = b"\r\n\r\n%d" % number
+            self.writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        for _ in range(1000):
+            await self.reader.readuntil(b"hello")
+        self.assertEqual([b"\r\n\r\n%d" % n for n in range(1000)], self.bodies)
+
+    async def test_pipelined_requests_wait_unparsed(self):
+        self.may_respond.clear()
+        self.writer.write((HEAD + b"Content-Length: 0\r\n\r\n") * 10_000)
+        await asyncio.sleep(0.2)
+        (protocol,) = self.server._server.server_state.connections
+        self.assertEqual(1, len(protocol.pipeline))
+        self.assertLessEqual(len(protocol._unparsed), 2 * http_protocol.READ_BYTES)
+        self.may_respond.set()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -4,7 +4,7 @@
 from starlette import applications, responses, routing
 
 from standins import fleet
-from teaselsill import servers
+from teaselsill import http_protocol, servers
 
 
 async def _respond(request):
@@ -31,7 +31,7 @@
         request = (
             b"GET / HTTP/1.1\r\nHost: a\r\nX-Padding: " + b"x" * 4096 + b"\r\n\r\n"
         )
-        count = servers.MAX_HEAD_BYTES // len(request) + 4
+        count = http_protocol.MAX_HEAD_BYTES // len(request) + 4
         for _ in range(count):
             self.writer.write(request)
         for _ in range(count):
@@ -39,7 +39,7 @@
 
     async def test_endless_head_is_refused(self):
         self.writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX-Padding: ")
-        self.writer.write(b"x" * (servers.MAX_HEAD_BYTES + 1))
+        self.writer.write(b"x" * (http_protocol.MAX_HEAD_BYTES + 1))
         async with asyncio.timeout(5):
             response = await self.reader.read()
         self.assertTrue(response.startswith(b"HTTP/1.1 400"))
