Bound the connections of routers, agents and consoles by their descriptors

Callers saw: with 300 silent connections at a process that may open 160 descriptors, no request was answered within 60 s, and nothing ever closed the silent ones. asyncio also accepted hundreds of connections before the first was seen. The setting max_fds, or else the system's limit, now bounds the connections of each port; connections without a head close first, then idle ones, then those whose request is unfinished, with 503, not run. A request that has arrived whole is never given up for another; the account that holds the most gets 429. Connections are accepted four at a time. Connections that do nothing for 30 s, and those that take nothing of a response for 300 s, are closed. At an agent, the oldest handshakes give way.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -22,11 +22,13 @@
     running,
     slot_scheduler,
     slots,
+    strangers,
     upstream,
 )
 
 WINDOW_BYTES = 256 * 1024
 """Unacknowledged bytes of a response at which reading from the upstream pauses."""
+MAX_STRANGERS = 1024
 MAX_ATTEMPTS = 100_000
 """How many finished or refused attempts are remembered."""
 ATTEMPT_RETENTION_S = 600.0
@@ -72,6 +74,7 @@
         exchange: This agent's node in the aggregation tree.
         policy: The scheduling policy, which receives the metered service.
         sink: Receives the metrics.
+        max_strangers: How many peers may be authenticating themselves at a time.
 
     Attributes:
         scheduler: Grants slots to client accounts.
@@ -88,6 +91,7 @@
         exchange: aggregation_tree.CounterExchange,
         policy: policies.Policy,
         sink: metrics.Metrics,
+        max_strangers: int = MAX_STRANGERS,
     ):
         self.scheduler = scheduler
         self._identity = identity
@@ -109,6 +113,7 @@
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._idle = asyncio.Event()
         self._connection_tasks: set[asyncio.Task] = set()
+        self._strangers = strangers.Strangers(max_strangers)
         self._undrained: set[router_peer.RouterPeer] = set()
 
     def sent_bytes_by_type(self) -> dict[str, int]:
@@ -125,12 +130,16 @@
         task.add_done_callback(self._connection_tasks.discard)
 
     async def _serve(self, reader, writer) -> None:
+        closed = self._strangers.add(writer)
+        if closed is not None:
+            closed.transport.abort()
         try:
             connected = await link.accept(reader, writer, self._secret, self._identity)
         except errors.LinkError as error:
-            self._metrics.count(metrics.Metric.PEERS_REFUSED)
-            logger.warning("peer refused: %s: %s", type(error).__name__, error)
+            self._record_refused(error)
             return
+        finally:
+            self._strangers.discard(writer)
         peer = router_peer.RouterPeer(connected)
         self.scheduler.peers.add(peer)
         try:
@@ -140,6 +149,14 @@
         finally:
             self._drop_peer(peer)
 
+    def _record_refused(self, error: errors.LinkError) -> None:
+        self._metrics.count(metrics.Metric.PEERS_REFUSED)
+        count = self._strangers.count_refused(time.monotonic())
+        if count:
+            extra = {"refused": count}
+            name = type(error).__name__
+            logger.warning("peer refused: %s: %s", name, error, extra=extra)
+
     async def leave(self) -> None:
         """Stops granting slots and waits until all attempts end and are delivered.
 
--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -16,6 +16,7 @@
     backlog,
     document,
     errors,
+    http_protocol,
     ids,
     logs,
     messages,
@@ -126,6 +127,7 @@
         try:
             account = self._find_account(request)
             call.account = ids.AccountId(account.id)
+            _check_connection(request, call.account)
             routed = await read(request, account, call.id)
             call.service = routed.service
             await call.respond(self._router, routed, account.max_waiting)
@@ -385,6 +387,19 @@
     )
 
 
+def _check_connection(request: requests.Request, account: ids.AccountId) -> None:
+    """Checks that a client account does not hold too many connections.
+
+    Raises:
+        TooManyConnectionsError: It holds the most, and there are too many.
+    """
+    connection = request.scope.get("state", {}).get(http_protocol.STATE_KEY)
+    if connection is not None and not connection.admit(account):
+        raise refusals.TooManyConnectionsError(
+            "the client account holds too many connections of this router", 1.0
+        )
+
+
 def _read_deadline(request, service: document.Service) -> float:
     header_value = request.headers.get(DEADLINE_HEADER)
     if header_value is None:
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -16,6 +16,7 @@
     configuration,
     console,
     counters,
+    descriptors,
     fairness,
     fencing,
     gap_watch,
@@ -59,6 +60,7 @@
         follower: Follows the configuration.
         metrics: Records the metrics.
         host: The address that the ports of this process are bound to.
+        descriptors: How many connections each port may have.
     """
 
     def __init__(self, loaded: settings.CommonSettings, role: instances.Role):
@@ -78,6 +80,7 @@
         self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
         self.host = str(loaded.host)
+        self.descriptors = descriptors.divide(loaded.max_fds)
         self._settings = loaded
         self._started_at = time.monotonic()
         self._tasks: list[asyncio.Task] = []
@@ -111,7 +114,11 @@
         )
         app = admin.create_app(source)
         self._admin_server = servers.HttpServer(
-            app, self.host, self._settings.admin_port
+            app,
+            self.host,
+            self._settings.admin_port,
+            max_connections=self.descriptors.admin,
+            sink=self.metrics,
         )
         await self._admin_server.start()
         self.run_in_background(self.follower.run())
@@ -166,7 +173,12 @@
     node.follower.subscribe(lambda: levels.set_targets(node.follower.document))
     api = callers.CallerApi(fleet_router, levels, node.metrics, loaded.max_body_bytes)
     caller_server = servers.HttpServer(
-        api.create_app(), node.host, loaded.port, loaded.tls
+        api.create_app(),
+        node.host,
+        loaded.port,
+        loaded.tls,
+        node.descriptors.clients,
+        node.metrics,
     )
     await node.start(
         lambda: node.follower.document is not None,
@@ -189,7 +201,7 @@
 async def run_agent(loaded: settings.AgentSettings) -> None:
     """Runs an agent until it is told to stop, then delivers responses in progress."""
     node = Node(loaded, instances.Role.AGENT)
-    parts = _make_agent(node, loaded)
+    parts = _make_agent(node, loaded, node.descriptors.strangers)
     slot_agent = parts.agent
     node.membership.subscribe(lambda: _update_listed_state(node, slot_agent.scheduler))
     listener = await servers.listen(
@@ -228,7 +240,13 @@
     """Runs a console until it is told to stop."""
     node = Node(loaded, instances.Role.CONSOLE)
     app = console.create_app(node.log, node.instance_list)
-    page_server = servers.HttpServer(app, node.host, loaded.port)
+    page_server = servers.HttpServer(
+        app,
+        node.host,
+        loaded.port,
+        max_connections=node.descriptors.clients,
+        sink=node.metrics,
+    )
     await node.start(lambda: True, dict)
     await page_server.start()
     logger.info("console listens on %s:%s", node.host, loaded.port)
@@ -272,7 +290,11 @@
         }
 
 
-def _make_agent(node: Node, loaded: settings.AgentSettings) -> AgentParts:
+def _make_agent(
+    node: Node,
+    loaded: settings.AgentSettings,
+    max_strangers: int = agent.MAX_STRANGERS,
+) -> AgentParts:
     service = ids.ServiceName(loaded.service)
     upstream = ids.UpstreamId(loaded.upstream)
     service_counters = counters.Counters(0)
@@ -308,6 +330,7 @@
         exchange,
         policy,
         node.metrics,
+        max_strangers,
     )
     return AgentParts(slot_agent, service_counters, exchange, fence)
 
--- a/teaselsill/http_protocol.py
+++ b/teaselsill/http_protocol.py
@@ -5,15 +5,25 @@
 """
 
 import asyncio
+import time
 
 import httptools
 from uvicorn.protocols.http import flow_control, httptools_impl
 
+from teaselsill import http_connections, ids, metrics
+
 READ_BYTES = 16 * 1024
 """How much is read from a connection at a time."""
 MAX_HEAD_BYTES = 64 * 1024
 """The maximum size of a request line with its headers, and of a request's trailers."""
 END_OF_HEAD = b"\r\n\r\n"
+STATE_KEY = "connection"
+"""The key of the protocol in the state of a request's ASGI scope."""
+BUSY_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nTeaselsill-Outcome: not-run\r\n"
+    b"Retry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+"""Written to a connection whose request has not arrived whole, before it is closed."""
 
 _read_buffer = bytearray(READ_BYTES)
 
@@ -48,10 +58,22 @@
 
     The parser gets at most one end of a head at a time. Once a request waits for the
     response to the one before it, the rest of what was read stays as it came.
+
+    Args:
+        connections: The connections of the port.
+        sink: Receives the metrics.
+        **options: The arguments of uvicorn.
     """
 
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
+    def __init__(
+        self,
+        connections: http_connections.Connections,
+        sink: metrics.Metrics,
+        **options,
+    ):
+        super().__init__(**options)
+        self._open_connections = connections
+        self._sink = sink
         self._unparsed = bytearray()
         self._bytes_without_body = 0
         self._is_in_head = True
@@ -60,6 +82,39 @@
         """Called by asyncio once the connection is open."""
         super().connection_made(transport)
         self.flow = Flow(transport)
+        closed = self._open_connections.add(self, time.monotonic())
+        if closed is not None:
+            self._sink.count(metrics.Metric.CONNECTIONS_REFUSED)
+            closed.give_up()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by asyncio once the connection is closed."""
+        self._open_connections.remove(self)
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Called by asyncio when the client takes too little of a response."""
+        self._open_connections.set_unread(self, True, time.monotonic())
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Called by asyncio when the client has taken most of a response."""
+        self._open_connections.set_unread(self, False, time.monotonic())
+        super().resume_writing()
+
+    def admit(self, account: ids.AccountId) -> bool:
+        """Returns whether a client account may use this connection for its request."""
+        return self._open_connections.admit(self, account)
+
+    def give_up(self) -> None:
+        """Closes the connection for the good of others."""
+        cycle = self.cycle
+        is_due = cycle is None or not cycle.response_started
+        if is_due and not self.transport.is_closing():
+            self.transport.write(BUSY_RESPONSE)
+            self.transport.close()
+        else:
+            self.transport.abort()
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Returns the buffer that the next bytes are read into."""
@@ -74,10 +129,17 @@
         self._unparsed += data
         self._parse()
 
+    def on_message_begin(self) -> None:
+        """Prepares the scope of a request; called by the parser."""
+        super().on_message_begin()
+        self.scope["state"][STATE_KEY] = self
+
     def on_headers_complete(self) -> None:
         """Starts to handle the request; called by the parser."""
         super().on_headers_complete()
         self._is_in_head = False
+        if not self.pipeline:
+            self._move(http_connections.Stage.BODY)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keeps a header and drops a trailer; called by the parser."""
@@ -94,13 +156,25 @@
         self._bytes_without_body = 0
         self._is_in_head = True
         super().on_message_complete()
+        self._move(self._find_stage())
 
     def on_response_complete(self) -> None:
         """Starts the next request that has arrived."""
         super().on_response_complete()
+        self._move(self._find_stage())
         if self._unparsed:
             self.loop.call_soon(self._parse)
 
+    def _find_stage(self) -> http_connections.Stage:
+        if self.cycle.response_complete:
+            return http_connections.Stage.IDLE
+        if self.cycle.more_body and not self.pipeline:
+            return http_connections.Stage.BODY
+        return http_connections.Stage.BUSY
+
+    def _move(self, stage: http_connections.Stage) -> None:
+        self._open_connections.move(self, stage, time.monotonic())
+
     def _parse(self) -> None:
         """Parses what has arrived, until a request has to wait for its turn."""
         while self._unparsed and not self.pipeline and not self.transport.is_closing():
@@ -129,6 +203,7 @@
 
         A response that says so is written only where no other one is due.
         """
+        self._sink.count(metrics.Metric.HEADS_REFUSED)
         self._unparsed.clear()
         cycle = self.cycle
         if self._is_in_head:
--- a/teaselsill/metrics.py
+++ b/teaselsill/metrics.py
@@ -44,6 +44,12 @@
     """Requests that a router refused; they count in `requests.not_run` too."""
     REQUESTS_CANCELLED = ("requests.cancelled", Kind.COUNT, "requests")
     """Requests whose caller disconnected."""
+    HEADS_REFUSED = ("heads.refused", Kind.COUNT, "requests")
+    """Requests that were malformed, or had too large a head or trailers."""
+    CONNECTIONS_REFUSED = ("connections.refused", Kind.COUNT, "connections")
+    """HTTP connections that were closed because there were too many."""
+    CONNECTIONS_EXPIRED = ("connections.expired", Kind.COUNT, "connections")
+    """HTTP connections that were closed because their client did nothing for long."""
     REQUEST_DURATION = ("request.duration", Kind.TIMING, "ms")
     """The time from a request's head to the end of its response."""
     REQUEST_WAIT = ("request.wait", Kind.TIMING, "ms")
--- a/teaselsill/refusals.py
+++ b/teaselsill/refusals.py
@@ -54,6 +54,10 @@
     """The body did not arrive in time."""
 
 
+class TooManyConnectionsError(backlog.RefusedError):
+    """The client account holds too many of the router's connections."""
+
+
 class NotReadyError(backlog.RefusedError):
     """The router has no configuration yet."""
 
@@ -68,6 +72,7 @@
         text: The human-readable explanation.
         outcome: What is known about whether the request ran.
         retry_after_s: After how many seconds a retry makes sense; 0 for never.
+        closes: Whether the connection is closed after the response.
     """
 
     status: int
@@ -75,6 +80,7 @@
     text: str
     outcome: messages.Outcome = messages.Outcome.NOT_RUN
     retry_after_s: float = 0.0
+    closes: bool = False
 
     def make_body(self) -> bytes:
         """Returns the JSON body, which has the reason and the explanation."""
@@ -83,7 +89,7 @@
     def make_response(self, request_id: ids.RequestId) -> responses.Response:
         """Returns the complete HTTP response."""
         headers = {OUTCOME_HEADER: self.outcome.value, REQUEST_ID_HEADER: request_id}
-        if self.status in UNREAD_STATUSES:
+        if self.closes or self.status in UNREAD_STATUSES:
             headers["Connection"] = "close"
         if self.status == 401:
             headers["WWW-Authenticate"] = "Bearer"
@@ -121,6 +127,14 @@
             return Refusal(413, "body-too-large", text)
         case BodyTimeoutError():
             return Refusal(408, "body-timeout", text)
+        case TooManyConnectionsError():
+            return Refusal(
+                429,
+                "too-many-connections",
+                text,
+                retry_after_s=_retry_after_of(error),
+                closes=True,
+            )
         case backlog.BacklogFullError():
             return Refusal(
                 429, "too-many-waiting", text, retry_after_s=_retry_after_of(error)
--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -2,13 +2,22 @@
 
 import asyncio
 import contextlib
+import functools
+import socket
 import ssl
+import time
 
 import uvicorn
 
-from teaselsill import certificates, errors, http_protocol
+from teaselsill import certificates, errors, http_connections, http_protocol, metrics
 
 START_POLL_S = 0.005
+ACCEPT_BATCH = 4
+"""How many connections are accepted before the ones too many are closed."""
+LISTEN_BACKLOG = 1024
+"""How many connections wait to be accepted."""
+SWEEP_INTERVAL_S = 1.0
+DEFAULT_MAX_CONNECTIONS = 10_000
 TLS_HANDSHAKE_TIMEOUT_S = 1.0
 
 
@@ -16,6 +25,26 @@
     """A port cannot be bound."""
 
 
+def open_socket(host: str, port: int) -> socket.socket:
+    """Binds a port.
+
+    asyncio accepts as many connections at once as its backlog says, before any of them
+    is seen. So it gets a small one, and the socket a larger one afterwards.
+
+    Args:
+        host: The IP address.
+        port: The TCP port.
+
+    Raises:
+        ListenError: The port cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        return socket.create_server((host, port), family=family)
+    except OSError as error:
+        raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
+
+
 async def listen(serve, host: str, port: int, tls=None) -> asyncio.Server:
     """Starts to accept connections of peers.
 
@@ -29,13 +58,12 @@
     Raises:
         ListenError: The port cannot be bound.
     """
-    options = {}
+    options = {"sock": open_socket(host, port), "backlog": ACCEPT_BATCH}
     if tls is not None:
-        options = {"ssl": tls, "ssl_handshake_timeout": TLS_HANDSHAKE_TIMEOUT_S}
-    try:
-        return await asyncio.start_server(serve, host, port, **options)
-    except OSError as error:
-        raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
+        options |= {"ssl": tls, "ssl_handshake_timeout": TLS_HANDSHAKE_TIMEOUT_S}
+    server = await asyncio.start_server(serve, **options)
+    options["sock"].listen(LISTEN_BACKLOG)
+    return server
 
 
 class Server(uvicorn.Server):
@@ -55,23 +83,39 @@
         host: The IP address to listen on.
         port: The TCP port.
         tls: The TLS settings, or None for plain HTTP.
+        max_connections: How many connections may be open.
+        sink: Receives the metrics.
 
     Raises:
         CertificateError: A certificate file cannot be loaded.
     """
 
-    def __init__(self, app, host: str, port: int, tls=None):
-        self._address = f"{host}:{port}"
+    def __init__(
+        self,
+        app,
+        host: str,
+        port: int,
+        tls=None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        sink: metrics.Metrics | None = None,
+    ):
+        self._host = host
+        self._port = port
+        self._sink = sink or metrics.Metrics()
+        self._connections = http_connections.Connections(max_connections)
         options = {}
         if tls is not None:
             certificates.load_chain(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), tls)
             options = {"ssl_certfile": tls.certificate, "ssl_keyfile": tls.key}
         config = uvicorn.Config(
             app,
-            host=host,
-            port=port,
             lifespan="off",
-            http=http_protocol.Protocol,
+            backlog=ACCEPT_BATCH,
+            http=functools.partial(
+                http_protocol.Protocol,
+                connections=self._connections,
+                sink=self._sink,
+            ),
             ws="none",
             log_config=None,
             log_level="warning",
@@ -81,6 +125,7 @@
         )
         self._server = Server(config)
         self._task: asyncio.Task | None = None
+        self._sweep_task: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Starts the server and returns when it accepts connections.
@@ -88,22 +133,25 @@
         Raises:
             ListenError: The port cannot be bound.
         """
-        self._task = asyncio.create_task(self._serve())
+        listening = open_socket(self._host, self._port)
+        self._task = asyncio.create_task(self._server.serve([listening]))
         while not self._server.started:
             if self._task.done():
                 self._task.result()
-                raise ListenError(f"cannot listen on {self._address}")
             await asyncio.sleep(START_POLL_S)
+        listening.listen(LISTEN_BACKLOG)
+        self._sweep_task = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
         """Stops accepting connections and returns when every request is completed."""
         self._server.should_exit = True
         await self._task
-
-    async def _serve(self) -> None:
-        try:
-            await self._server.serve()
-        except SystemExit as error:
-            raise ListenError(
-                f"cannot listen on {self._address}: the port is taken or not allowed"
-            ) from error
+        self._sweep_task.cancel()
+
+    async def _sweep(self) -> None:
+        """Closes the connections whose clients do nothing for too long."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            for expired in self._connections.find_expired(time.monotonic()):
+                self._sink.count(metrics.Metric.CONNECTIONS_EXPIRED)
+                expired.transport.abort()
