--- a/teaselsill/cold_start.py
+++ b/teaselsill/cold_start.py
@@ -153,7 +153,6 @@
         self._upstream = upstream
         self._over_at = -math.inf
         self._reported_until = -math.inf
-        self._returned_at = -math.inf
 
     def is_limited(self, now: float) -> bool:
         """Returns whether the upstream is cold or was cold a short time ago."""
@@ -226,16 +225,15 @@
         return self.note(Statement(now + left_s, now, Source.BIRTH), now)
 
     def note_return(self, at: float) -> None:
-        """Records that its data centre takes requests again; the same time only once.
+        """Records that its data centre takes requests again.
 
         Every router learns this by itself.
 
         Args:
             at: When the evacuation ended, in seconds.
         """
-        if self.policy is None or at <= self._returned_at:
+        if self.policy is None:
             return
-        self._returned_at = at
         until = at + self.policy.duration_s
         self.note(Statement(until, at, Source.RETURN), at)
 
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -27,10 +27,8 @@
 
     Attributes:
         listed: The platform's list.
-        service_by_name: The services of the configuration in force.
         evacuations: The data centres whose upstreams get no requests.
         region_by_data_centre: The region of each data centre.
-        cold_allowance: What the operators let a cold upstream get.
         cold_states: Which upstreams are cold.
     """
 
@@ -38,9 +36,10 @@
         self.listed = upstream_list.UpstreamList()
         self.evacuations = evacuation.Evacuations()
         self.region_by_data_centre: dict[ids.DataCentre, ids.Region] = {}
-        self.service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
-        self.cold_allowance = cold_start.Allowance()
         self.cold_states = cold_start.ColdStates()
+        self._service_by_name: dict[ids.ServiceName, routing_table.Service] = {}
+        self._cold_allowance = cold_start.Allowance()
+        self._returned_at_by_data_centre: dict[ids.DataCentre, float] = {}
         self._candidate_by_key: dict[
             upstream_list.UpstreamKey, placement.Candidate
         ] = {}
@@ -54,6 +53,28 @@
         self._address_reused: set[upstream_list.UpstreamKey] = set()
         self._is_in_use = False
 
+    @property
+    def service_by_name(self) -> dict[ids.ServiceName, routing_table.Service]:
+        """The services of the configuration in force."""
+        return self._service_by_name
+
+    @service_by_name.setter
+    def service_by_name(
+        self, service_by_name: dict[ids.ServiceName, routing_table.Service]
+    ) -> None:
+        self._service_by_name = service_by_name
+        self._update_cold_states()
+
+    @property
+    def cold_allowance(self) -> cold_start.Allowance:
+        """What the operators let a cold upstream get."""
+        return self._cold_allowance
+
+    @cold_allowance.setter
+    def cold_allowance(self, allowance: cold_start.Allowance) -> None:
+        self._cold_allowance = allowance
+        self._update_cold_states()
+
     def candidates(
         self,
         service: routing_table.Service,
@@ -67,8 +88,9 @@
             excluded: Upstreams that must not get it.
             allowed_regions: The regions to which it may be sent; None for any.
         """
-        evacuated = self.evacuations.data_centres
         self._is_in_use = True
+        self._note_returns()
+        evacuated = self.evacuations.data_centres
         return [
             self._candidate(upstream)
             for upstream in self.list_allowed(service, allowed_regions)
@@ -211,6 +233,7 @@
             key: The upstream.
             now: The event loop's time, in seconds.
         """
+        self._note_returns()
         candidate = self._candidate_by_key.get(key)
         return candidate.find_limit(now) if candidate is not None else None
 
@@ -343,25 +366,28 @@
             )
             self._candidate_by_key[upstream.key] = known
         known.upstream = upstream
-        self._update_cold_state(known.cold, upstream)
         return known
 
     def _find_cold_state(
         self, upstream: upstream_list.Upstream
     ) -> cold_start.ColdState:
         state = self.cold_states.find(upstream.key)
-        self._update_cold_state(state, upstream)
+        service = self._service_by_name.get(upstream.service)
+        state.policy = service.cold_start if service is not None else None
+        state.allowance = self._cold_allowance
         return state
 
-    def _update_cold_state(
-        self, state: cold_start.ColdState, upstream: upstream_list.Upstream
-    ) -> None:
+    def _update_cold_states(self) -> None:
         """Applies what the configuration and the operators say of cold upstreams."""
-        service = self.service_by_name.get(upstream.service)
-        state.policy = service.cold_start if service is not None else None
-        if state.policy is None:
-            return
-        state.allowance = self.cold_allowance
-        ended_at = self.evacuations.find_ended_at(upstream.data_centre)
-        if ended_at is not None:
-            state.note_return(ended_at)
+        for upstream in self.listed.by_id.values():
+            self._find_cold_state(upstream)
+
+    def _note_returns(self) -> None:
+        """Counts the upstreams of data centres that are taken back as cold."""
+        for data_centre, ended_at in self.evacuations.list_ended():
+            if self._returned_at_by_data_centre.get(data_centre) == ended_at:
+                continue
+            self._returned_at_by_data_centre[data_centre] = ended_at
+            for upstream in self.listed.by_id.values():
+                if upstream.data_centre == data_centre:
+                    self._find_cold_state(upstream).note_return(ended_at)
--- a/teaselsill/evacuation.py
+++ b/teaselsill/evacuation.py
@@ -48,6 +48,10 @@
         """
         return self._ended_at_by_data_centre.get(data_centre)
 
+    def list_ended(self) -> list[tuple[ids.DataCentre, float]]:
+        """Returns each data centre whose evacuation has ended, and when."""
+        return list(self._ended_at_by_data_centre.items())
+
     def begin(self, data_centre: ids.DataCentre, now: float) -> bool:
         """Evacuates a data centre; returns whether it was not evacuated."""
         self._kept_until_by_data_centre.pop(data_centre, None)
--- a/tests/adapter/test_views.py
+++ b/tests/adapter/test_views.py
@@ -100,4 +100,5 @@
         evacuations = self.directory.evacuations
         evacuations.begin("chaguanas", ended_at - 5.0)
         evacuations.end("chaguanas", ended_at)
+        self.use()
         self.assertAlmostEqual(3.0, self.left_s, delta=0.2)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -110,10 +110,10 @@
     def test_engines_of_an_evacuated_data_centre_are_no_capacity(self):
         for candidate in self.directory.candidates(self.service, set()):
             candidate.queue.add(100, 1.0)
-        full_rate = self.directory.sum_rates()
+        full_rate = self.directory.sum_rates(now=1.0)
         self.directory.evacuations.begin(A, now=1.0)
-        self.assertAlmostEqual(full_rate / 3, self.directory.sum_rates())
-        self.assertAlmostEqual(1 / 3, self.directory.find_usable_part())
+        self.assertAlmostEqual(full_rate / 3, self.directory.sum_rates(now=1.0))
+        self.assertAlmostEqual(1 / 3, self.directory.find_usable_part(now=1.0))
 
     def test_pruning_ends_one_that_was_not_written_again(self):
         self.directory.evacuations.begin(A, now=1.0)
