Join the chunks of a response that arrive together

A response in chunks of one byte was kept as one object a chunk while its caller read slowly: 64 KB received cost a router over 1 MB for each caller. Test seen failing first.

--- a/teaselsill/response_parser.py
+++ b/teaselsill/response_parser.py
@@ -41,6 +41,7 @@
         self._head: http_messages.Head | None = None
         self._bytes_without_part = 0
         self._parts: list[http_messages.Part] = []
+        self._bodies: list[bytes] = []
         self._reason = ""
         self._headers: http_messages.Headers = []
 
@@ -64,6 +65,7 @@
             if not self.is_complete:
                 raise http_messages.MalformedMessageError(str(error)) from error
             self.has_extra_bytes = True
+        self._join_bodies()
         parts, self._parts = self._parts, []
         self._bytes_without_part = 0 if parts else self._bytes_without_part + len(data)
         if self._bytes_without_part > MAX_BYTES_WITHOUT_PART:
@@ -129,14 +131,23 @@
     def on_body(self, body: bytes) -> None:
         """Called by httptools."""
         if self._head is not None and not self.is_complete:
-            self._parts.append(http_messages.Data(body))
+            self._bodies.append(body)
 
     def on_message_complete(self) -> None:
         """Called by httptools."""
         if self._head is not None and not self.is_complete:
             self._end()
 
+    def _join_bodies(self) -> None:
+        """Makes one part of the chunks of a body, since each part is an object."""
+        if not self._bodies:
+            return
+        body = self._bodies[0] if len(self._bodies) == 1 else b"".join(self._bodies)
+        self._bodies = []
+        self._parts.append(http_messages.Data(body))
+
     def _end(self) -> None:
+        self._join_bodies()
         self.is_complete = True
         self._parts.append(http_messages.End())
 
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -35,6 +35,18 @@
         self.assertNotIn(http_messages.End(), parts)
         self.assertEqual([http_messages.End()], parser.close())
 
+    def test_small_chunks_are_joined_to_one_part(self):
+        parser = response_parser.ResponseParser("GET")
+        parts = self.feed(
+            parser,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 1000,
+            b"0\r\n\r\n",
+        )
+        self.assertEqual(
+            [http_messages.Data(b"x" * 1000), http_messages.End()], parts[1:]
+        )
+
     def test_truncated_response_is_incomplete(self):
         parser = response_parser.ResponseParser("GET")
         self.feed(parser, b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab")
