Bound what a router holds for all its clients, and their connections

Callers saw the router end when a crowd sent legal requests at once, read slowly or opened connections: nothing bounded the sum. Now a process has one account of bytes, whose limit follows from MemoryMb: reading from those that hold much pauses first, then those that hold most and give least are refused with 503 (not run), an account that floods before others, never what was passed on. Connections of callers and to upstreams share a bound from MaxFds, those of other routers have one of their own; one without a head is closed first, then an idle one. At most 64 KB are received at once. Refusals are counted by cause; one line a second is logged.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -4,12 +4,14 @@
 import asyncio
 import collections.abc
 import enum
-import logging
 
 from teaselsill import (
+    client_refusals,
+    connection_limit,
     errors,
     http_messages,
     ids,
+    memory_budget,
     request_parser,
     routing_table,
     tcp_stream,
@@ -31,11 +33,15 @@
 }
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_VERSION_WITHOUT_CHUNKS = "1.0"
+READ_BYTES = 32 * 1024
+"""The most bytes that are parsed at once: they may hold many lines or requests."""
+UNREAD_S = 15.0
+"""A caller that has read nothing of an error response for so long is given up."""
+RETRY_AFTER_S = 1
+"""`Retry-After` of requests for which no memory is left, in seconds."""
 FIRST_REQUEST_GRACE_S = 1.0
 """A new connection without a request does not count as idle for this long."""
 
-logger = logging.getLogger(__name__)
-
 
 class CallerGoneError(errors.RequestError):
     """The caller closed its connection before the response was complete."""
@@ -125,7 +131,7 @@
         super().__init__()
         self.keep_alive = request.keep_alive
         self._stream = stream
-        self._request = request
+        self._version = request.version
         self._should_close = should_close
         self._is_chunked = False
         self._ends_with_connection = False
@@ -141,7 +147,7 @@
         match head.framing:
             case http_messages.Framing.CHUNKED | http_messages.Framing.UNTIL_CLOSE:
                 headers = [h for h in headers if h[0] != "content-length"]
-                if self._request.version == LAST_VERSION_WITHOUT_CHUNKS:
+                if self._version == LAST_VERSION_WITHOUT_CHUNKS:
                     self.keep_alive = False
                     self._ends_with_connection = True
                 else:
@@ -186,7 +192,7 @@
         reason = REASON_BY_STATUS.get(status, "")
         self._write_head(status, reason, [*headers, ("content-length", "0")])
         self.progress = Progress.COMPLETE
-        await self._stream.drain()
+        await self._stream.drain_or_abort(UNREAD_S)
 
     def _write_head(self, status: int, reason: str, headers) -> None:
         self.keep_alive = self.keep_alive and not self._should_close()
@@ -202,7 +208,10 @@
 ]
 
 
-class CallerConnection:
+FindClient = collections.abc.Callable[[http_messages.Headers], str]
+
+
+class CallerConnection(connection_limit.Member):
     """Serves the requests of one connection, one after the other.
 
     Args:
@@ -213,6 +222,10 @@
             connection closes (`Connection: close`).
         must_close: Returns whether the connection is closed after the response even if
             that was not announced, unless another request has already arrived.
+        budget: The account of the process; decides whether a request is served.
+        refusals: Counts refusals.
+        find_client: Returns the client account that the headers of a request name;
+            empty if they name none.
 
     Attributes:
         is_idle: Whether no request is being received, served or about to arrive.
@@ -225,7 +238,13 @@
         find_limits: collections.abc.Callable[[], routing_table.Limits],
         should_close: collections.abc.Callable[[], bool],
         must_close: collections.abc.Callable[[], bool],
+        budget: memory_budget.MemoryBudget | None = None,
+        refusals: client_refusals.ClientRefusals | None = None,
+        find_client: FindClient = lambda headers: "",
     ):
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._refusals = refusals or client_refusals.ClientRefusals()
+        self._find_client = find_client
         self._stream = stream
         self._serve = serve
         self._find_limits = find_limits
@@ -235,7 +254,11 @@
         self._response: CallerResponse | None = None
         self._is_serving = False
         self._has_served = False
+        self._has_ended = False
         self._opened_at = _now()
+        self._used_at = self._opened_at
+        self._rest_bytes = 0
+        self._request_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -246,6 +269,32 @@
             return False
         return self._has_served or _now() - self._opened_at > FIRST_REQUEST_GRACE_S
 
+    @property
+    def use(self) -> connection_limit.Use:
+        """What the connection is used for; see `connection_limit.Member`."""
+        if self._is_serving:
+            return connection_limit.Use.SERVING
+        if self._has_ended or self._stream.unsent_bytes:
+            return connection_limit.Use.SENDING_REST
+        if self._parser is not None and self._parser.is_head_complete:
+            return connection_limit.Use.RECEIVING
+        if not self._has_served:
+            return connection_limit.Use.NO_HEAD_YET
+        return connection_limit.Use.IDLE
+
+    @property
+    def used_since(self) -> float:
+        """When it was opened or last used; see `connection_limit.Member`."""
+        rest_bytes = self._stream.unsent_bytes
+        if rest_bytes < self._rest_bytes:
+            self._used_at = _now()
+        self._rest_bytes = rest_bytes
+        return self._used_at
+
+    def close_for_limit(self) -> None:
+        """Closes the connection at once."""
+        self._stream.abort()
+
     def close(self) -> None:
         """Closes the connection."""
         self._stream.close()
@@ -256,9 +305,12 @@
         self._parser = request_parser.RequestParser(
             limits.head_bytes, limits.body_bytes
         )
+        self._stream.on_refused = self._parser.drop
         try:
             while await self._serve_next():
                 pass
+        except tcp_stream.RefusedError:
+            await self._reject_unread(503)
         except (tcp_stream.ConnectionResetError, CallerGoneError):
             self._stream.abort()
         except http_messages.MalformedMessageError as error:
@@ -270,6 +322,10 @@
         """Closes the connection; a response in progress does not look complete."""
         if self._response is not None and self._response.progress is Progress.HEAD:
             self._response.abort()
+        self._parser.drop()
+        self._has_ended = True
+        self._used_at = _now()
+        self._stream.note_kept(0)
         self._stream.close()
 
     async def _serve_next(self) -> bool:
@@ -278,6 +334,7 @@
             request = await self._read_request()
         except TimeoutError:
             if self._parser.is_in_message:
+                self._refusals.note(client_refusals.Cause.INCOMPLETE)
                 await self._reject_unread(408)
             return False
         if request is None:
@@ -286,10 +343,13 @@
         self._response = response
         self._is_serving = True
         try:
-            await self._serve_request(request, response)
+            if await self._admit(response):
+                await self._serve_request(request, response)
         finally:
             self._is_serving = False
             self._has_served = True
+            self._used_at = _now()
+            self._note_served()
         if response.progress is not Progress.COMPLETE or not response.keep_alive:
             return False
         if not self._must_close():
@@ -297,6 +357,29 @@
         await tcp_stream.process_pending_events()
         return self._stream.has_unread
 
+    async def _admit(self, response: CallerResponse) -> bool:
+        """Rejects a request if no memory is left; returns whether it is served."""
+        holding = self._stream.holding
+        if holding is None:
+            return True
+        if self._budget.admits(holding):
+            holding.is_passed_on = True
+            return True
+        self._refusals.note(client_refusals.Cause.NO_MEMORY)
+        await response.send_error(503, [("retry-after", str(RETRY_AFTER_S))])
+        return False
+
+    def _note_served(self) -> None:
+        self._request_bytes = 0
+        holding = self._stream.holding
+        if holding is not None:
+            holding.is_passed_on = False
+            holding.completed += 1
+        self._note_kept()
+
+    def _note_kept(self) -> None:
+        self._stream.note_kept(self._parser.held_bytes + self._request_bytes)
+
     async def _serve_request(self, request, response: CallerResponse) -> None:
         """Serves a request, or stops at once when the caller disconnects.
 
@@ -322,7 +405,7 @@
         Raises:
             TimeoutError: The request did not arrive in time.
         """
-        request = self._parser.take()
+        request = self._take()
         if request is not None:
             return request
         limits = self._find_limits()
@@ -330,11 +413,18 @@
         if is_idle and not await self._receive_within(limits.idle_timeout_s):
             return None
         deadline = _now() + limits.head_timeout_s
-        while (request := self._parser.take()) is None:
+        while (request := self._take()) is None:
             if not await self._receive_within(deadline - _now()):
                 return None
         return request
 
+    def _take(self) -> http_messages.Request | None:
+        """Returns the next complete request, which stays accounted for."""
+        request = self._parser.take()
+        if request is not None:
+            self._request_bytes = self._parser.taken_bytes
+        return request
+
     async def _receive_within(self, timeout_s: float) -> bool:
         """Parses the next bytes; returns `False` at the end of the stream.
 
@@ -355,24 +445,32 @@
 
     async def _receive(self) -> bool:
         """Parses the next received bytes; returns `False` at the end of the stream."""
-        data = await self._stream.read()
+        data = await self._stream.read(READ_BYTES)
         if not data:
             return False
         self._parser.feed(data)
+        self._note_kept()
+        self._note_client()
         if self._parser.expects_continue:
             self._parser.expects_continue = False
             self._stream.write(CONTINUE)
         return True
 
+    def _note_client(self) -> None:
+        """Records which account sends a body that has not arrived yet."""
+        holding = self._stream.holding
+        if holding is not None and self._parser.is_head_complete:
+            holding.client = self._find_client(self._parser.headers)
+
     async def _reject_malformed(self, error) -> None:
-        logger.info("malformed request", extra={"reason": str(error)})
         match error:
             case http_messages.HeadTooLargeError():
-                status = 431
+                status, cause = 431, client_refusals.Cause.HEAD_TOO_LARGE
             case http_messages.BodyTooLargeError():
-                status = 413
+                status, cause = 413, client_refusals.Cause.BODY_TOO_LARGE
             case _:
-                status = 400
+                status, cause = 400, client_refusals.Cause.MALFORMED
+        self._refusals.note(cause, str(error))
         await self._reject_unread(status)
 
     async def _reject_unread(self, status: int) -> None:
@@ -380,7 +478,7 @@
         reason = REASON_BY_STATUS[status]
         headers = [("content-length", "0"), ("connection", "close")]
         self._stream.write(http_messages.encode_head(status, reason, headers))
-        await self._stream.drain()
+        await self._stream.drain_or_abort(UNREAD_S)
 
 
 def _now() -> float:
--- a/teaselsill/calls.py
+++ b/teaselsill/calls.py
@@ -101,6 +101,10 @@
             BadCallError: The request cannot be served; the text states the reason.
         """
 
+    def read_key(self, headers: http_messages.Headers) -> str | None:
+        """Returns the key of a client account in the headers of a request, if any."""
+        return None
+
     @abc.abstractmethod
     def make_headers(
         self,
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -300,6 +300,10 @@
             upstream.key, upstream_connection.ConnectionPool()
         )
 
+    def close_idle_connection(self) -> bool:
+        """Closes one idle connection to an upstream; returns whether there was one."""
+        return any(pool.close_one() for pool in self._pool_by_key.values())
+
     def note_address_reused(self, upstream: upstream_list.Upstream) -> None:
         """Excludes an upstream whose address now belongs to another instance."""
         logger.warning(
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-from teaselsill import account_usage, directory
+from teaselsill import account_usage, client_refusals, directory
 
 LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 WAIT_BOUNDS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
@@ -33,6 +33,8 @@
         malformed_loads: Load reports of upstreams with a figure that cannot be read, by
             service.
         log_restores: How often the platform's log has come back from an older copy.
+        client_refusals: Requests and connections of clients that were refused before
+            they were read, by cause.
     """
 
     def __init__(self, upstreams: directory.Directory):
@@ -67,6 +69,9 @@
             namespace=NAMESPACE,
             registry=self._registry,
         )
+        self.client_refusals = self._counter(
+            "client_refusals", "Clients refused beyond their requests.", "cause"
+        )
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
@@ -83,6 +88,10 @@
             "account_share_ratio", "What an account has of its share.", "account"
         )
 
+    def note_refused(self, cause: client_refusals.Cause) -> None:
+        """Counts the refusal of a client."""
+        self.client_refusals.labels(cause.value).inc()
+
     def render(self, now: float, usage: account_usage.AccountUsage) -> bytes:
         """Returns all metrics as text.
 
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -4,10 +4,13 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 import time
 
 from teaselsill import (
     caller_connection,
+    client_refusals,
+    connection_limit,
     directory,
     fleet_view,
     forwarding,
@@ -15,6 +18,7 @@
     ids,
     listener,
     loop_lag,
+    memory_budget,
     offload,
     offload_server,
     peer_reports,
@@ -94,10 +98,16 @@
         grace_s: The maximum duration of a stop, in seconds.
         lag: Measures the delay of the event loop.
         is_behind: Returns whether this router cannot have the newest configuration.
+        budget: The account of the bytes that the process holds for its clients.
+        max_sockets: How many sockets the process may have open.
 
     Attributes:
         grace_s: The maximum duration of a stop, in seconds.
         cores: The CPU capacity of the router, in cores.
+        budget: The account of the bytes that the process holds for its clients.
+        refusals: Counts what clients are refused for.
+        caller_limit: The bound on connections of callers and to upstreams.
+        router_limit: The bound on connections that other routers have opened.
     """
 
     def __init__(
@@ -111,7 +121,21 @@
         grace_s: float,
         lag: loop_lag.LoopLag,
         is_behind: collections.abc.Callable[[], bool] = lambda: False,
+        budget: memory_budget.MemoryBudget | None = None,
+        max_sockets: float = math.inf,
     ):
+        self.budget = budget or memory_budget.MemoryBudget()
+        self.refusals = client_refusals.ClientRefusals(forwarder.metrics.note_refused)
+        self.budget.on_refused = self._note_no_memory
+        self.caller_limit = connection_limit.ConnectionLimit(
+            on_closed=self._note_no_connections
+        )
+        self.caller_limit.release_idle = upstreams.close_idle_connection
+        self.router_limit = connection_limit.ConnectionLimit(
+            on_closed=self._note_no_connections
+        )
+        self.limit_sockets(max_sockets)
+        forwarder.use(self.budget, self.caller_limit)
         self.grace_s = grace_s
         self.cores = location.cores
         self._location = location
@@ -138,6 +162,22 @@
         self._started_at = time.monotonic()
         self._was_ready = False
 
+    def limit_sockets(self, max_sockets: float) -> None:
+        """Applies a bound on the sockets of the process."""
+        for limit, ratio in (
+            (self.caller_limit, connection_limit.CALLER_RATIO),
+            (self.router_limit, connection_limit.ROUTER_RATIO),
+        ):
+            limit.max_connections = max(
+                connection_limit.MIN_CONNECTIONS, ratio * max_sockets
+            )
+
+    def _note_no_memory(self) -> None:
+        self.refusals.note(client_refusals.Cause.NO_MEMORY)
+
+    def _note_no_connections(self) -> None:
+        self.refusals.note(client_refusals.Cause.NO_CONNECTIONS)
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send new connections to this router."""
@@ -189,10 +229,13 @@
             self._location.host,
             self._location.port,
             self._offload_server.serve_connection,
+            self.router_limit,
         )
         self._request_port = new_listener.address[1]
         port = self._location.port and self._location.port + PERMIT_PORT_OFFSET
-        self._permit_server.listen(self._location.host, port)
+        self._permit_server.listen(
+            self._location.host, port, self.budget, self.router_limit
+        )
 
     def listen_for_copies(self, render: Render) -> None:
         """Serves copies of the topic with the configuration to other routers.
@@ -258,8 +301,17 @@
             self._directory.prune(self._now())
             self._offloader.drop_unused()
             self._forwarder.permits.drop_unused()
+            self._check_clients()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
+    def _check_clients(self) -> None:
+        """Measures what is held for clients, and logs what they were refused for."""
+        now = self._now()
+        self.budget.tick(now)
+        self.caller_limit.drop_unread(now)
+        held_bytes = self.budget.held_bytes
+        self.refusals.log(now, held_bytes, self.caller_limit.count)
+
     async def stop(self) -> None:
         """Finishes the requests in progress and closes all connections."""
         logger.info("stopping", extra={"underway": self._forwarder.active_requests})
@@ -307,9 +359,19 @@
                 connection.close()
         self._offload_server.announce_closing()
 
-    def _listen(self, host: str, port: int, serve: ServeStream) -> listener.Listener:
+    def _listen(
+        self,
+        host: str,
+        port: int,
+        serve: ServeStream,
+        limit: connection_limit.ConnectionLimit | None = None,
+    ) -> listener.Listener:
         new_listener = listener.Listener(
-            host, port, lambda stream: self._start(serve(stream))
+            host,
+            port,
+            lambda stream: self._start(serve(stream)),
+            self.budget,
+            limit or self.caller_limit,
         )
         self._listeners.append(new_listener)
         return new_listener
@@ -346,8 +408,13 @@
             self._find_limits,
             should_close=self._should_close,
             must_close=lambda: self._is_stopping,
+            budget=self.budget,
+            refusals=self.refusals,
+            find_client=self._find_client,
         )
         self._connections.add(connection)
+        self.caller_limit.add(connection)
+        stream.on_lost.append(lambda: self.caller_limit.remove(connection))
         try:
             await connection.run()
         finally:
@@ -357,6 +424,9 @@
         """Returns whether callers should reconnect, preferably to another router."""
         return self._is_stopping or (self._lag.is_busy and not self._offloader.relieves)
 
+    def _find_client(self, headers: http_messages.Headers) -> str:
+        return self._forwarder.find_account(headers) or ""
+
     def _find_limits(self) -> routing_table.Limits:
         table = self._forwarder.table
         return table.limits if table is not None else routing_table.Limits()
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -9,6 +9,7 @@
     boot_clock,
     caller_connection,
     calls,
+    connection_limit,
     directory,
     entry_metrics,
     event_stream,
@@ -16,6 +17,7 @@
     http_messages,
     ids,
     loop_lag,
+    memory_budget,
     outcomes,
     permits,
     rejections,
@@ -103,6 +105,20 @@
         self._sender = upstream_attempt.Sender(dialect, upstreams, view, metrics, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
+    def use(
+        self,
+        budget: memory_budget.MemoryBudget,
+        limit: connection_limit.ConnectionLimit,
+    ) -> None:
+        """Accounts for the connections to upstreams and what they hold."""
+        self._sender.budget = budget
+        self._sender.limit = limit
+
+    def find_account(self, headers: http_messages.Headers) -> ids.AccountId | None:
+        """Returns the client account whose key is in the headers of a request."""
+        key = self._dialect.read_key(headers)
+        return self.table.account_by_key.get(key) if self.table and key else None
+
     @property
     def permits(self) -> permits.Permits:
         """Gets and issues permits for upstreams that limit their requests."""
--- a/teaselsill/listener.py
+++ b/teaselsill/listener.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 
-from teaselsill import errors, tcp_stream
+from teaselsill import connection_limit, errors, memory_budget, tcp_stream
 
 BACKLOG_CONNECTIONS = 1024
 MAX_ACCEPTS = 128
@@ -33,13 +33,24 @@
         host: The IP address.
         port: The port; 0 for any free one.
         on_stream: Called with each new connection.
+        budget: The account that the bytes of its connections belong to.
+        limit: The bound on its connections.
 
     Raises:
         ListenError: The address cannot be used.
     """
 
-    def __init__(self, host: str, port: int, on_stream: OnStream):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        on_stream: OnStream,
+        budget: memory_budget.MemoryBudget | None = None,
+        limit: connection_limit.ConnectionLimit | None = None,
+    ):
         self._on_stream = on_stream
+        self._budget = budget
+        self._limit = limit or connection_limit.ConnectionLimit()
         self._loop = asyncio.get_running_loop()
         self._connecting: set[asyncio.Task] = set()
         try:
@@ -88,15 +99,28 @@
                 self._loop.remove_reader(self._socket)
                 self._loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume)
                 return
+            was_full = self._limit.is_full
+            if not self._limit.make_room():
+                accepted.close()
+                continue
+            self._limit.count += 1
             task = self._loop.create_task(self._connect(accepted))
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
+            if was_full:
+                # The descriptor of the closed connection is free only after this round.
+                return
 
     async def _connect(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)
-        # The peer may have disconnected already.
-        with contextlib.suppress(OSError):
-            _, stream = await self._loop.connect_accepted_socket(
-                tcp_stream.TcpStream, accepted
-            )
-            self._on_stream(stream)
+        try:
+            # The peer may have disconnected already.
+            with contextlib.suppress(OSError):
+                _, stream = await self._loop.connect_accepted_socket(
+                    lambda: tcp_stream.TcpStream(self._budget), accepted
+                )
+                self._limit.note_opened(stream)
+                self._on_stream(stream)
+        finally:
+            # From here on, the stream counts.
+            self._limit.count -= 1
--- a/teaselsill/memory_budget.py
+++ b/teaselsill/memory_budget.py
@@ -9,11 +9,8 @@
 import abc
 import collections.abc
 import dataclasses
-import logging
 import math
 
-logger = logging.getLogger(__name__)
-
 MB = 1024 * 1024
 PROCESS_BYTES = 48 * MB
 """What a process needs itself, without its clients."""
@@ -36,8 +33,6 @@
 """Other requests are passed on up to this part."""
 PATIENCE_S = 0.5
 """How long reading is paused before connections are refused."""
-LOG_INTERVAL_S = 1.0
-"""At most one line about refusals is logged in this time."""
 
 
 class Owner(abc.ABC):
@@ -162,8 +157,6 @@
         self._holdings: set[Holding] = set()
         self._is_pressed = False
         self._pressed_since = math.inf
-        self._logged_at = -math.inf
-        self._unlogged = 0
 
     @property
     def is_pressed(self) -> bool:
@@ -206,7 +199,7 @@
         ratio = SMALL_RATIO if is_small else LARGE_RATIO
         if self.held_bytes <= ratio * self.limit_bytes:
             return True
-        return not any(each.is_passed_on for each in self._holdings)
+        return not any(each.is_passed_on and each.held_bytes for each in self._holdings)
 
     def tick(self, now: float) -> None:
         """Measures what is held; refuses what has been paused in vain.
@@ -225,16 +218,10 @@
         self._pressed_since = min(self._pressed_since, now)
         if now - self._pressed_since >= PATIENCE_S:
             self._refuse(excess_bytes, min_bytes=FREE_BYTES + 1)
-        self._log(now)
-
-    def note_refused(self) -> None:
-        """Counts a refusal that was decided elsewhere."""
-        self._unlogged += 1
-        self.on_refused()
 
     def _refuse(self, excess_bytes: int, min_bytes: int) -> None:
         for holding in choose_refused(self._holdings, excess_bytes, min_bytes):
-            self.note_refused()
+            self.on_refused()
             holding.owner.refuse_for_budget()
             self.remove(holding)
 
@@ -257,16 +244,3 @@
             holding.owner.pause_for_budget()
         else:
             holding.owner.resume_for_budget()
-
-    def _log(self, now: float) -> None:
-        if self._unlogged and now - self._logged_at >= LOG_INTERVAL_S:
-            logger.warning(
-                "memory budget refused connections",
-                extra={
-                    "refused": self._unlogged,
-                    "held_mb": round(self.held_bytes / MB, 1),
-                    "limit_mb": round(self.limit_bytes / MB, 1),
-                },
-            )
-            self._logged_at = now
-            self._unlogged = 0
--- a/teaselsill/offload_server.py
+++ b/teaselsill/offload_server.py
@@ -209,6 +209,8 @@
         self._serve_offer = serve_offer
         self._is_closing = False
         self._router = ids.InstanceId("")
+        self._unfinished_bytes = 0
+        self._offered_bytes = 0
         self._response_by_number: dict[int, RemoteResponse] = {}
         self._task_by_number: dict[int, asyncio.Task] = {}
 
@@ -226,7 +228,8 @@
             while data := await self._stream.read():
                 for message in unpacker.feed(data):
                     self._handle(message)
-        except tcp_stream.ConnectionResetError:
+                self._note_kept(unpacker.held_bytes)
+        except (tcp_stream.ConnectionResetError, tcp_stream.RefusedError):
             pass
         except wire.MalformedMessageError as error:
             logger.warning("malformed offer", extra={"reason": str(error)})
@@ -237,6 +240,13 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _note_kept(self, unfinished_bytes: int) -> None:
+        """Counts what is kept: the offers in progress and the unfinished message."""
+        if self._stream.holding is not None:
+            self._stream.holding.is_passed_on = bool(self._task_by_number)
+        self._unfinished_bytes = unfinished_bytes
+        self._stream.note_kept(unfinished_bytes + self._offered_bytes)
+
     def _handle(self, message: offload_messages.FromBusy) -> None:
         match message:
             case offload_messages.Hello(router=router):
@@ -255,14 +265,18 @@
 
     def _begin(self, offer: offload_messages.Offer) -> None:
         response = RemoteResponse(offer.number, self._router, self._stream)
+        self._offered_bytes += len(offer.body)
         task = asyncio.create_task(self._serve_offer(offer, response))
         self._response_by_number[offer.number] = response
         self._task_by_number[offer.number] = task
-        task.add_done_callback(lambda done: self._forget(offer.number, done))
+        number, size = offer.number, len(offer.body)
+        task.add_done_callback(lambda done: self._forget(number, size, done))
 
-    def _forget(self, number: int, task: asyncio.Task) -> None:
+    def _forget(self, number: int, body_bytes: int, task: asyncio.Task) -> None:
+        self._offered_bytes -= body_bytes
         del self._response_by_number[number]
         del self._task_by_number[number]
+        self._note_kept(self._unfinished_bytes)
         if not task.cancelled() and task.exception() is not None:
             logger.error("offered request failed", exc_info=task.exception())
             self._stream.write(
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -10,10 +10,12 @@
 import msgspec
 
 from teaselsill import (
+    connection_limit,
     fleet_view,
     ids,
     listener,
     loop_lag,
+    memory_budget,
     peer_liveness,
     peer_reports,
     report_routes,
@@ -74,13 +76,25 @@
         self._accepted_by_router: dict[ids.InstanceId, tcp_stream.TcpStream] = {}
         self._listener: listener.Listener | None = None
 
-    def listen(self, host: str, port: int) -> None:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        budget: memory_budget.MemoryBudget | None = None,
+        limit: connection_limit.ConnectionLimit | None = None,
+    ) -> None:
         """Starts to accept the connections of other routers.
 
+        Args:
+            host: The IP address.
+            port: The port; 0 for any free one.
+            budget: The account that the bytes of the connections belong to.
+            limit: The bound on the connections.
+
         Raises:
             ListenError: The router cannot listen on the address.
         """
-        self._listener = listener.Listener(host, port, self._accept)
+        self._listener = listener.Listener(host, port, self._accept, budget, limit)
 
     @property
     def port(self) -> int:
@@ -309,7 +323,8 @@
                 for report in unpacker.feed(data):
                     self._handle_report(report)
                     yield report
-        except tcp_stream.ConnectionResetError:
+                stream.note_kept(unpacker.held_bytes)
+        except (tcp_stream.ConnectionResetError, tcp_stream.RefusedError):
             pass
         except wire.MalformedMessageError as error:
             logger.warning("malformed report", extra={"reason": str(error)})
--- a/teaselsill/permit_server.py
+++ b/teaselsill/permit_server.py
@@ -5,10 +5,12 @@
 import logging
 
 from teaselsill import (
+    connection_limit,
     directory,
     fleet_view,
     ids,
     listener,
+    memory_budget,
     permit_issuer,
     permit_messages,
     permit_queue,
@@ -55,13 +57,25 @@
         """The port that the server listens on; 0 if it does not."""
         return self._listener.address[1] if self._listener is not None else 0
 
-    def listen(self, host: str, port: int) -> None:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        budget: memory_budget.MemoryBudget | None = None,
+        limit: connection_limit.ConnectionLimit | None = None,
+    ) -> None:
         """Starts to accept connections.
 
+        Args:
+            host: The IP address.
+            port: The port; 0 for any free one.
+            budget: The account that the bytes of the connections belong to.
+            limit: The bound on the connections.
+
         Raises:
             ListenError: The address cannot be used.
         """
-        self._listener = listener.Listener(host, port, self._accept)
+        self._listener = listener.Listener(host, port, self._accept, budget, limit)
 
     def close(self) -> None:
         """Closes all connections."""
@@ -126,7 +140,8 @@
             while data := await self._stream.read():
                 for message in unpacker.feed(data):
                     self._handle(message)
-        except tcp_stream.ConnectionResetError:
+                self._stream.note_kept(unpacker.held_bytes)
+        except (tcp_stream.ConnectionResetError, tcp_stream.RefusedError):
             pass
         except wire.MalformedMessageError as error:
             logger.warning(
--- a/teaselsill/request_parser.py
+++ b/teaselsill/request_parser.py
@@ -77,16 +77,16 @@
         try:
             self._feed(data)
         except httptools.HttpParserUpgrade as error:
-            self._drop()
+            self.drop()
             raise http_messages.MalformedMessageError(
                 "protocol upgrades are not supported"
             ) from error
         except httptools.HttpParserError as error:
             failure, self._error = self._error, None
-            self._drop()
+            self.drop()
             raise failure or http_messages.MalformedMessageError(str(error)) from error
         except http_messages.MalformedMessageError:
-            self._drop()
+            self.drop()
             raise
 
     def _feed(self, data: bytes) -> None:
@@ -107,8 +107,10 @@
             f"head or trailers are larger than {self._max_head_bytes} bytes"
         )
 
-    def _drop(self) -> None:
+    def drop(self) -> None:
         """Drops what has been received, which a failure would keep otherwise."""
+        self._body_bytes = 0
+        self._head_bytes = 0
         self.headers = []
         self._parts = []
         self._joined = bytearray()
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import collections
+import collections.abc
+import contextlib
 import errno
 import socket
 import struct
 
-from teaselsill import errors
+from teaselsill import errors, memory_budget
 
 MAX_UNREAD_BYTES = 64 * 1024
 """With more unread bytes, receiving is paused until half of them have been read."""
+RECEIVE_BYTES = 64 * 1024
+"""The most bytes that are received at once, so that a pause comes in time."""
+UPSTREAM_FREE_BYTES = 16 * 1024
+"""What an upstream's connection may hold without being paused by the budget."""
 KEEPALIVE_INTERVAL_S = 1
 """The idle time before a TCP keepalive probe, and between probes."""
 KEEPALIVE_PROBES = 1
@@ -31,15 +37,36 @@
     """The connection ended without an orderly close."""
 
 
-class TcpStream(asyncio.Protocol):
+class RefusedError(errors.TeaselsillError):
+    """The process has no memory left for what the peer sends."""
+
+
+_receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
+"""Shared by all connections: what is received is copied from it at once."""
+
+
+class TcpStream(asyncio.BufferedProtocol, memory_budget.Owner):
     """One TCP connection; at most one task reads from it and one writes to it.
 
+    Args:
+        budget: The account that its bytes belong to; None for none.
+
     Attributes:
         last_received_at: The event loop's time when bytes last arrived, in seconds.
+        holding: What the connection holds; None without a budget.
+        is_lost: Whether the connection has ended.
+        on_lost: Called when the connection ends.
+        on_refused: Called when the budget refuses what the peer sends; it drops what
+            else is held.
     """
 
-    def __init__(self):
+    def __init__(self, budget: memory_budget.MemoryBudget | None = None):
         self.last_received_at = 0.0
+        self.holding: memory_budget.Holding | None = None
+        self.is_lost = False
+        self.on_lost: list[collections.abc.Callable[[], None]] = []
+        self.on_refused: collections.abc.Callable[[], None] = self.abort
+        self._budget = budget
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._unread: collections.deque[bytes] = collections.deque()
@@ -51,6 +78,9 @@
         self._closed_by_peer = asyncio.Event()
         self._has_eof = False
         self._is_reset = False
+        self._is_refused = False
+        self._is_pressed = False
+        self._kept_bytes = 0
 
     @property
     def is_closed_by_peer(self) -> bool:
@@ -76,19 +106,84 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Called by asyncio."""
         self._transport = transport
+        if self._budget is not None:
+            self.holding = self._budget.open(self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Called by asyncio."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Called by asyncio."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Takes received bytes."""
         self.last_received_at = self._loop.time()
+        if self._is_refused:
+            return
         self._unread.append(data)
         self._unread_bytes += len(data)
         self._readable.set()
-        if self._unread_bytes > MAX_UNREAD_BYTES and not self._is_paused:
-            self._is_paused = True
+        if self.holding is not None:
+            self._update_holding()
+        if not self._is_paused:
+            self._update_reading()
+
+    def pause_for_budget(self) -> None:
+        """See `memory_budget.Owner`."""
+        self._is_pressed = True
+        self._update_reading()
+
+    def resume_for_budget(self) -> None:
+        """See `memory_budget.Owner`."""
+        self._is_pressed = False
+        self._update_reading()
+
+    def refuse_for_budget(self) -> None:
+        """See `memory_budget.Owner`; a task that reads gets a `RefusedError`."""
+        self._is_refused = True
+        self._unread.clear()
+        self._unread_bytes = 0
+        self._readable.set()
+        self.on_refused()
+
+    def measure_for_budget(self) -> int:
+        """See `memory_budget.Owner`."""
+        return self._unread_bytes + self._kept_bytes + self.unsent_bytes
+
+    def note_kept(self, kept_bytes: int) -> None:
+        """Counts what is kept of the read bytes, toward the budget."""
+        self._kept_bytes = kept_bytes
+        if self.holding is not None:
+            self._update_holding()
+
+    def _update_holding(self) -> None:
+        self.holding.update(self.measure_for_budget())
+
+    def _update_reading(self) -> None:
+        """Pauses receiving while much is unread or the budget asks for it.
+
+        The end of a connection whose request has been passed on must be noticed: it
+        goes on as long as all has been read.
+        """
+        limit = MAX_UNREAD_BYTES // 2 if self._is_paused else MAX_UNREAD_BYTES
+        should_pause = self._unread_bytes > limit
+        if self._is_pressed:
+            is_passed_on = self.holding.is_passed_on
+            should_pause = should_pause or bool(self._unread) or not is_passed_on
+        if should_pause == self._is_paused or self._transport is None:
+            return
+        self._is_paused = should_pause
+        if self._transport.is_closing():
+            return
+        if should_pause:
             self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Called by asyncio; returns `True` to keep the sending side open."""
@@ -103,6 +198,12 @@
         self._closed_by_peer.set()
         self._readable.set()
         self._writable.set()
+        if self.holding is not None:
+            self.holding.close()
+        self.is_lost = True
+        for call in self.on_lost:
+            call()
+        self.on_lost.clear()
 
     def pause_writing(self) -> None:
         """Called by asyncio."""
@@ -111,14 +212,22 @@
     def resume_writing(self) -> None:
         """Called by asyncio."""
         self._writable.set()
+        if self.holding is not None:
+            self._update_holding()
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int = MAX_UNREAD_BYTES) -> bytes:
         """Waits for bytes; returns `b""` at the orderly end of the connection.
 
+        Args:
+            max_bytes: The most bytes to return.
+
         Raises:
             ConnectionResetError: The connection was reset.
+            RefusedError: The process has no memory left for what the peer sends.
         """
         while not self._unread:
+            if self._is_refused:
+                raise RefusedError("no memory is left")
             if self._has_eof:
                 return b""
             if self._is_reset:
@@ -126,10 +235,12 @@
             self._readable.clear()
             await self._readable.wait()
         data = self._unread.popleft()
+        if len(data) > max_bytes:
+            self._unread.appendleft(data[max_bytes:])
+            data = data[:max_bytes]
         self._unread_bytes -= len(data)
-        if self._is_paused and self._unread_bytes <= MAX_UNREAD_BYTES // 2:
-            self._is_paused = False
-            self._transport.resume_reading()
+        if self._is_paused:
+            self._update_reading()
         return data
 
     async def wait_closed_by_peer(self) -> None:
@@ -157,11 +268,29 @@
         """Sends bytes, or discards them if the connection is closing."""
         if not self._transport.is_closing():
             self._transport.write(data)
+            if self.holding is not None:
+                self._update_holding()
 
     async def drain(self) -> None:
         """Waits until the write buffer is below its limit."""
         await self._writable.wait()
 
+    async def drain_or_abort(self, unread_s: float) -> None:
+        """Waits likewise; aborts the connection if its peer reads nothing for so long.
+
+        Args:
+            unread_s: How long the peer may read nothing, in seconds.
+        """
+        while not self._writable.is_set():
+            before = self.unsent_bytes
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(unread_s):
+                    await self._writable.wait()
+                    return
+            if self.unsent_bytes >= before:
+                self.abort()
+                return
+
     def close(self) -> None:
         """Closes the connection after sending the written bytes."""
         self._transport.close()
@@ -188,8 +317,19 @@
         await asyncio.sleep(0)
 
 
-async def connect(host: str, port: int, timeout_s: float) -> TcpStream:
-    """Opens a connection.
+async def connect(
+    host: str,
+    port: int,
+    timeout_s: float,
+    budget: memory_budget.MemoryBudget | None = None,
+) -> TcpStream:
+    """Opens a connection, by which a request can be passed on.
+
+    Args:
+        host: The IP address.
+        port: The port.
+        timeout_s: How long it may take, in seconds.
+        budget: The account that its bytes belong to; None for none.
 
     Raises:
         ConnectionFailedError: The connection could not be opened in time.
@@ -197,10 +337,15 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, stream = await loop.create_connection(TcpStream, host, port)
+            _, stream = await loop.create_connection(
+                lambda: TcpStream(budget), host, port
+            )
     except (OSError, TimeoutError) as error:
         reason = f"{host}:{port}: {str(error) or 'timeout'}"
         if isinstance(error, OSError) and error.errno == errno.ECONNREFUSED:
             raise ConnectionRefusedError(reason) from error
         raise ConnectionFailedError(reason) from error
+    if stream.holding is not None:
+        stream.holding.is_passed_on = True
+        stream.holding.free_bytes = UPSTREAM_FREE_BYTES
     return stream
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -6,6 +6,7 @@
 
 from teaselsill import (
     calls,
+    connection_limit,
     directory,
     entry_metrics,
     event_stream,
@@ -14,6 +15,7 @@
     http_messages,
     ids,
     loop_lag,
+    memory_budget,
     open_attempts,
     outcomes,
     permits,
@@ -46,6 +48,10 @@
         view: The load of the whole fleet, as reported by the routers.
         metrics: Receives the metrics.
         lag: Measures the delay of the event loop.
+
+    Attributes:
+        budget: The account that the connections to upstreams belong to.
+        limit: The bound on connections, which they count toward.
     """
 
     def __init__(
@@ -56,6 +62,8 @@
         metrics: entry_metrics.EntryMetrics,
         lag: loop_lag.LoopLag,
     ):
+        self.budget: memory_budget.MemoryBudget | None = None
+        self.limit = connection_limit.ConnectionLimit()
         self._dialect = dialect
         self._directory = upstreams
         self._view = view
@@ -211,7 +219,7 @@
         if pooled is not None:
             return pooled
         return await upstream_connection.open_connection(
-            target.host, target.port, CONNECT_TIMEOUT_S
+            target.host, target.port, CONNECT_TIMEOUT_S, self.budget, self.limit
         )
 
     def _send(
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -4,8 +4,10 @@
 import collections.abc
 
 from teaselsill import (
+    connection_limit,
     errors,
     http_messages,
+    memory_budget,
     response_parser,
     tcp_stream,
 )
@@ -76,6 +78,7 @@
         """
         try:
             data = await self._stream.read()
+            self._stream.note_kept(len(data))
             parts = self._parser.feed(data) if data else self._parser.close()
         except (
             http_messages.PrematureCloseError,
@@ -127,6 +130,7 @@
         return ConnectionLostError(str(error))
 
     def _finish(self) -> None:
+        self._stream.note_kept(0)
         if (
             self._parser.has_extra_bytes
             or self._stream.is_closed_by_peer
@@ -138,13 +142,33 @@
         self._idle_since = asyncio.get_running_loop().time()
 
 
-async def open_connection(host: str, port: int, timeout_s: float) -> UpstreamConnection:
+async def open_connection(
+    host: str,
+    port: int,
+    timeout_s: float,
+    budget: memory_budget.MemoryBudget | None = None,
+    limit: connection_limit.ConnectionLimit | None = None,
+) -> UpstreamConnection:
     """Opens a connection to an upstream.
 
+    Args:
+        host: The IP address.
+        port: The port.
+        timeout_s: How long it may take, in seconds.
+        budget: The account that its bytes belong to; None for none.
+        limit: The bound that it counts toward; None for none.
+
     Raises:
-        ConnectionFailedError: The connection could not be opened in time.
+        ConnectionFailedError: The connection could not be opened in time, or no
+            descriptor is left for it.
     """
-    return UpstreamConnection(await tcp_stream.connect(host, port, timeout_s))
+    limit = limit or connection_limit.ConnectionLimit()
+    if not limit.make_room():
+        raise tcp_stream.ConnectionFailedError("no descriptor is left")
+    with limit.reserve():
+        stream = await tcp_stream.connect(host, port, timeout_s, budget)
+        limit.note_opened(stream)
+    return UpstreamConnection(stream)
 
 
 class ConnectionPool:
@@ -177,6 +201,13 @@
         else:
             connection.abort()
 
+    def close_one(self) -> bool:
+        """Closes the connection that has been idle for longest, if there is one."""
+        if not self._idle:
+            return False
+        self._idle.pop(0).abort()
+        return True
+
     def drop_stale(self, now: float) -> None:
         """Closes the connections that are unsafe to reuse."""
         kept = []
--- a/teaselsill/wire.py
+++ b/teaselsill/wire.py
@@ -34,6 +34,11 @@
         self._buffer = bytearray()
         self._buffer_offset = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """What is kept of an unfinished message, here and in the scanner, in bytes."""
+        return 2 * len(self._buffer)
+
     def feed(self, data: bytes) -> list:
         """Adds the next bytes and returns the messages that are now complete.
 
