Evacuate data centres in the soak of entry routers

Each upstream is in a data centre of its own; one or two are evacuated at a time, also while the store is away or restored. A request that comes later than 1.5 s after routers could learn of it is a violation.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -4,8 +4,9 @@
 
 It starts routers, a store and upstreams on loopback addresses of their own and sends
 requests of all kinds. Meanwhile it kills, freezes, stops and floods routers, makes the
-store unavailable and injects faults into the links to the store and to upstreams. It
-checks what callers and upstreams observe and exits with status 1 after a violation.
+store unavailable, evacuates data centres and injects faults into the links to the store
+and to upstreams. It checks what callers and upstreams observe and exits with status 1
+after a violation.
 """
 
 import argparse
@@ -62,6 +63,12 @@
 LIMIT_KNOWN_S = 1.0
 """Time after which all routers know a limit that an upstream has named."""
 LIMIT_WINDOW_S = 4.0
+EVACUATION_S = 10.0
+"""How long a data centre is evacuated, in addition to the duration that is drawn."""
+EVACUATION_KNOWN_S = 1.5
+"""All routers know an evacuation after so long without failures that hide it."""
+BOTH_RATIO = 0.3
+"""The fraction of evacuations that go with another one."""
 
 
 class FailureKind(enum.Enum):
@@ -78,6 +85,7 @@
     LINK_RESET = "link-reset"
     LIMITED = "limited"
     STORE_RESTORED = "store-restored"
+    EVACUATED = "evacuated"
 
 
 FAULT_BY_KIND = {
@@ -117,7 +125,12 @@
     source = random.Random(seed)
     failures = _draw_limits(seed, duration_s)
     failures += _draw_restores(seed, duration_s)
-    drawn_apart = {FailureKind.LIMITED, FailureKind.STORE_RESTORED}
+    failures += _draw_evacuations(seed, duration_s)
+    drawn_apart = {
+        FailureKind.LIMITED,
+        FailureKind.STORE_RESTORED,
+        FailureKind.EVACUATED,
+    }
     kinds = [kind for kind in FailureKind if kind not in drawn_apart]
     at_s = 1.0
     while at_s < duration_s:
@@ -160,6 +173,34 @@
     return failures
 
 
+def _draw_evacuations(seed: int, duration_s: float) -> list[Failure]:
+    """Returns when data centres are evacuated, which changes no other draw."""
+    source = random.Random(f"evacuations of {seed}")
+    failures = []
+    at_s = source.uniform(0.5, 2.0)
+    while at_s < duration_s:
+        targets = source.sample(range(UPSTREAM_COUNT), 2)
+        failure_s = round(source.uniform(0.3, 2.5), 2)
+        for target in targets[: 2 if source.random() < BOTH_RATIO else 1]:
+            failure = Failure(FailureKind.EVACUATED, target, round(at_s, 2), failure_s)
+            failures.append(failure)
+        at_s += EVACUATION_S + failure_s + source.uniform(0.2, 3.0)
+    return failures
+
+
+@dataclasses.dataclass(frozen=True)
+class Span:
+    """A time on the monotonic clock, in seconds.
+
+    Attributes:
+        began_at: When it began.
+        ended_at: When it ended.
+    """
+
+    began_at: float
+    ended_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class LimitSpan:
     """A time in which an upstream has named a limit.
@@ -219,9 +260,13 @@
         arrived_at: When requests arrived, on the monotonic clock, in seconds.
         limit_per_s: The limit that it names; None for none.
         limit_spans: The times in which it has named one.
+        data_centre: The data centre, in which it is the only one.
+        evacuated: The times in which it was to get nothing.
     """
 
-    def __init__(self, name: str, source: random.Random):
+    def __init__(self, name: str, source: random.Random, data_centre: str):
+        self.data_centre = data_centre
+        self.evacuated: list[Span] = []
         self.arrived_at: list[float] = []
         self.limit_per_s: float | None = None
         self.limit_spans: list[LimitSpan] = []
@@ -274,6 +319,40 @@
             if (most := span.count_most(self.arrived_at)) > span.bound
         ]
 
+    def check_evacuations(self, hidden: list[Span], restored: list[Span]) -> list[str]:
+        """Returns a description of each request that came in spite of an evacuation.
+
+        Args:
+            hidden: The times in which routers may have been unable to learn of it.
+            restored: The times in which the store may have lacked it, so that routers
+                that started could not know it.
+        """
+        return [
+            f"{self.server.name}: request {at - span.began_at:.2f} s after its"
+            " evacuation"
+            for span in self.evacuated
+            for at in self.arrived_at
+            if find_known_at(span, hidden) < at < span.ended_at
+            and not any(
+                each.began_at <= at < each.ended_at + EVACUATION_KNOWN_S
+                for each in restored
+            )
+        ]
+
+
+def find_known_at(evacuated: Span, hidden: list[Span]) -> float:
+    """Returns from when on all running routers know an evacuation.
+
+    Args:
+        evacuated: When the data centre was evacuated.
+        hidden: The times in which routers may have been unable to learn of it.
+    """
+    known_at = evacuated.began_at + EVACUATION_KNOWN_S
+    for span in sorted(hidden, key=lambda span: span.began_at):
+        if span.began_at < known_at:
+            known_at = max(known_at, span.ended_at + EVACUATION_KNOWN_S)
+    return known_at
+
 
 def make_event(number: int, request_id: str) -> bytes:
     """Returns one event of the stream that answers a request."""
@@ -385,6 +464,10 @@
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
 RetryBudgetBurst = 54
+[Zones]
+a = "north"
+b = "north"
+c = "south"
 [Platform]
 Address = "{store_address}"
 """
@@ -407,7 +490,7 @@
         self._source = random.Random(seed)
         self._store = store_bench.KeyedStore()
         self._upstreams = [
-            Upstream(f"i-{n}", self._source) for n in range(UPSTREAM_COUNT)
+            Upstream(f"i-{n}", self._source, "abc"[n]) for n in range(UPSTREAM_COUNT)
         ]
         self._routers: list[Router] = []
         self._links: list[faulty_link.FaultyLink] = []
@@ -418,6 +501,9 @@
         self._not_run: set[str] = set()
         self._unrepeatable: set[str] = set()
         self._is_over = False
+        self._hidden: list[Span] = []
+        self._restored: list[Span] = []
+        self._evacuated: set[str] = set()
 
     async def run(self) -> None:
         """Injects the failures under load and checks the observations."""
@@ -435,6 +521,7 @@
         self._check_runs()
         for upstream in self._upstreams:
             self.violations += upstream.check_limits()
+            self.violations += upstream.check_evacuations(self._hidden, self._restored)
 
     async def _link(self, stack, server) -> faulty_link.FaultyLink:
         upstream = server.describe()
@@ -461,7 +548,7 @@
         injections = []
         for failure in self._failures:
             await asyncio.sleep(max(0.0, began_at + failure.at_s - time.monotonic()))
-            injections.append(asyncio.create_task(self._inject(failure)))
+            injections.append(asyncio.create_task(self._inject_and_note(failure)))
         await asyncio.gather(*injections)
         await asyncio.sleep(SETTLE_S)
         await self._check_version()
@@ -490,6 +577,20 @@
                     f"{router.host} does not have version {self._version}"
                 )
 
+    async def _inject_and_note(self, failure: Failure) -> None:
+        """Injects a failure; notes when routers may miss what operators write."""
+        began_at = time.monotonic()
+        await self._inject(failure)
+        ended_at = time.monotonic()
+        match failure.kind:
+            case FailureKind.STORE_RESTORED:
+                self._hidden.append(Span(began_at, ended_at))
+                self._restored.append(Span(began_at, ended_at))
+            case FailureKind.STORE_DOWN | FailureKind.FROZEN:
+                self._hidden.append(Span(began_at, ended_at))
+            case kind if kind in FAULT_BY_KIND:
+                self._hidden.append(Span(began_at, ended_at + LINK_RECOVERY_S))
+
     async def _inject(self, failure: Failure) -> None:
         match failure.kind:
             case FailureKind.STORE_DOWN:
@@ -509,6 +610,8 @@
                 await self._upstreams[failure.target].limit(
                     per_s, LIMIT_S + failure.duration_s
                 )
+            case FailureKind.EVACUATED:
+                await self._evacuate(failure)
             case FailureKind.LINK_RESET:
                 self._links[failure.target].cut()
                 self._note_link_fault(0.0)
@@ -539,10 +642,28 @@
         await asyncio.sleep(failure.duration_s)
         self._store.down = False
         self._put_version(0)
+        for upstream in self._upstreams:
+            self._put_evacuation(upstream)
         await asyncio.sleep(source.uniform(0.0, 1.2))
         self._register_upstreams()
         self._put_version()
 
+    async def _evacuate(self, failure: Failure) -> None:
+        upstream = self._upstreams[failure.target]
+        began_at = time.monotonic()
+        self._evacuated.add(upstream.data_centre)
+        self._put_evacuation(upstream)
+        await asyncio.sleep(EVACUATION_S + failure.duration_s)
+        upstream.evacuated.append(Span(began_at, time.monotonic()))
+        self._evacuated.discard(upstream.data_centre)
+        self._put_evacuation(upstream)
+
+    def _put_evacuation(self, upstream: Upstream) -> None:
+        """Writes that a data centre is evacuated, or removes the record."""
+        is_evacuated = upstream.data_centre in self._evacuated
+        key = f"evacuate/{upstream.data_centre}"
+        self._store.put("keyed.op", key, b"{}" if is_evacuated else None)
+
     def _put_version(self, more: int = 1) -> None:
         """Writes the manifest again, by default in the next version."""
         self._version += more
@@ -551,7 +672,9 @@
     def _register_upstreams(self) -> None:
         for upstream, link in zip(self._upstreams, self._links, strict=False):
             address = f"{faulty_link.HOST}:{link.port}"
-            self._store.register(upstream.server, Address=address)
+            self._store.register(
+                upstream.server, Address=address, Zone=upstream.data_centre
+            )
 
     async def _disturb_link(self, failure: Failure) -> None:
         self._note_link_fault(failure.duration_s)
