--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,10 +1,13 @@
+import collections
+import random
 import unittest
 
-from teaselsill import directory, evacuation, ids, routing_table
-from tests import test_upstream_list
+from teaselsill import directory, evacuation, ids, placement, routing_table
+from tests import test_placement, test_upstream_list
 
 A = ids.DataCentre("a")
 B = ids.DataCentre("b")
+C = ids.DataCentre("c")
 
 
 class EvacuationsTest(unittest.TestCase):
@@ -120,3 +123,58 @@
         self.directory.evacuations.note_restore(set(), now=2.0)
         self.directory.prune(now=2.0 + evacuation.KEPT_S)
         self.assertEqual(["u0", "u1", "u2"], self.list_candidates())
+
+
+class LoadTest(unittest.TestCase):
+    """Replays a steady load of prompts on twelve engines in three data centres."""
+
+    ENGINES = 12
+    PROMPTS_PER_S = 400
+    DATA_CENTRES = (A, B, C)
+
+    def setUp(self):
+        random.seed(1)
+        self.directory = directory.Directory()
+        self.service = routing_table.Service(
+            ids.ServiceName("s"), "/health", 9, routing_table.Engine(64, 500_000)
+        )
+        self.directory.service_by_name = {self.service.name: self.service}
+        for number in range(self.ENGINES):
+            upstream = test_upstream_list.make_upstream(
+                f"u{number}", data_centre=self.DATA_CENTRES[number % 3], slots=64
+            )
+            self.directory.listed.put(upstream)
+        self.now = 1.0
+        self.sent = 0
+
+    def play(self, duration_s):
+        """Places prompts for a time; returns how many each data centre got."""
+        count_by_upstream = collections.Counter()
+        for _ in range(int(duration_s * self.PROMPTS_PER_S)):
+            self.sent += 1
+            call = test_placement.make_call((f"own{self.sent}", 2000))
+            candidates = self.directory.candidates(self.service, set())
+            choice = placement.choose(call, candidates, A, self.now)
+            choice.candidate.queue.add(choice.prefill_tokens, self.now)
+            count_by_upstream[choice.candidate.upstream] += 1
+            self.now += 1 / self.PROMPTS_PER_S
+        count_by_data_centre = collections.Counter()
+        for upstream, count in count_by_upstream.items():
+            count_by_data_centre[upstream.data_centre] += count
+        return count_by_data_centre, count_by_upstream.values()
+
+    def test_load_moves_to_the_others_and_back(self):
+        begin, end = self.directory.evacuations.begin, self.directory.evacuations.end
+        self.assertEqual({A, B, C}, set(self.play(4.0)[0]))
+        begin(A, self.now)
+        count_by_data_centre, counts = self.play(4.0)
+        self.assertEqual({B, C}, set(count_by_data_centre))
+        self.assertLess(max(counts), 1.15 * sum(counts) / len(counts))
+        begin(B, self.now)
+        count_by_data_centre, counts = self.play(4.0)
+        self.assertEqual({C}, set(count_by_data_centre))
+        self.assertLess(max(counts), 1.15 * sum(counts) / len(counts))
+        end(A, self.now)
+        self.assertEqual({A, C}, set(self.play(4.0)[0]))
+        end(B, self.now)
+        self.assertEqual({A, B, C}, set(self.play(4.0)[0]))
