--- a/tests/test_cold_replay.py
+++ b/tests/test_cold_replay.py
@@ -54,6 +54,17 @@
             with self.subTest(routers=routers):
                 self.play(routers=routers, turns=turns, duration_s=10.0)
 
+    def test_upstream_that_is_no_longer_cold_is_not_flooded(self):
+        """All routers see an upstream without work."""
+        for routers in SIZES:
+            replay = self.play(routers=routers, turns=(cold_replay.Turn(0, 2.0),))
+            times = replay.arrived_at_by_key[replay.keys[0]]
+            steps = [5.0, 5.5, 6.0, 6.5]
+            sent = [sum(a <= t < a + 0.5 for t in times) for a in steps]
+            with self.subTest(routers=routers, sent=sent):
+                self.assertLessEqual(sent[0], cold_replay.POLICY.per_s)
+                self.assertLessEqual(sent[1], 2 * cold_replay.POLICY.per_s)
+
 
 class OutageTest(ReplayCase):
     def test_routers_out_of_touch_send_nothing_to_an_upstream_that_they_know_cold(
