Believe a router that has read the entry of a cold upstream

A router that learnt the end of an evacuation up to 0.5 s after the one that reads the entries ignored its word that an upstream is not cold, and held it back for the whole cold time. Only a router that reads an entry itself has to ask how old it is (`test_router_that_has_read_an_entry_is_believed`, seen failing). Tests of the strict limit at the grantor and in its queue.

--- a/teaselsill/cold_start.py
+++ b/teaselsill/cold_start.py
@@ -194,7 +194,9 @@
         Returns:
             Whether the other routers should know.
         """
-        if not self._should_apply(statement, now):
+        if not self._is_last_word(statement, now):
+            return False
+        if told_by is None and self._may_be_old(statement, now):
             return False
         is_over = now >= self._over_at
         since = min(statement.since, statement.stated_at)
@@ -237,19 +239,26 @@
         until = at + self.policy.duration_s
         self.note(Statement(until, at, Source.RETURN), at)
 
-    def _should_apply(self, statement: Statement, now: float) -> bool:
-        """Returns whether a statement is the last word."""
+    def _is_last_word(self, statement: Statement, now: float) -> bool:
+        """Returns whether a statement changes what is known."""
+        known = self.statement
+        if known is None or now >= known.until:
+            is_newer = known is None or statement.stated_at >= known.stated_at
+            return is_newer and statement.until > now
+        return statement.stated_at >= known.stated_at
+
+    def _may_be_old(self, statement: Statement, now: float) -> bool:
+        """Returns whether an entry may be older than what another source has said.
+
+        It may shorten that only if it surely was written later. A router that passes
+        an entry on has looked at this itself.
+        """
         known = self.statement
-        if known is None:
-            return statement.until > now
-        if statement.stated_at < known.stated_at:
+        if known is None or known.source is Source.ENTRY or now >= known.until:
             return False
-        if now >= known.until:
-            return statement.until > now
         is_shorter = statement.until < known.until
-        if is_shorter and statement.source is Source.ENTRY is not known.source:
-            return statement.stated_at >= known.stated_at + ENTRY_AGE_S
-        return True
+        is_early = statement.stated_at < known.stated_at + ENTRY_AGE_S
+        return statement.source is Source.ENTRY and is_shorter and is_early
 
     def _log(
         self, statement: Statement, now: float, told_by: ids.InstanceId | None
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -109,6 +109,13 @@
                 self.assertTrue(self.note(0.0, NOW + 1.0))
                 self.assertFalse(self.state.is_cold(NOW + 1.0))
 
+    def test_router_that_has_read_an_entry_is_believed(self):
+        """It learnt a little earlier that the data centre was taken back."""
+        self.state.note_return(NOW)
+        told = make_statement(0.0, NOW + 0.3)
+        self.assertTrue(self.state.note(told, NOW + 0.3, ids.InstanceId("r")))
+        self.assertFalse(self.state.is_cold(NOW + 0.3))
+
     def test_birth_counts_as_cold_whatever_the_time_of_day_says(self):
         for age_s, left_s in ((0.5, 2.5), (0.0, 3.0), (-3600.0, 3.0)):
             with self.subTest(age_s=age_s):
--- a/tests/test_grantor.py
+++ b/tests/test_grantor.py
@@ -28,11 +28,12 @@
     def find_key(self, router):
         """Returns an upstream that a router is responsible for."""
         chooser = self.make_grantor(OWN, self.make_members())
-        keys = (
-            upstream_list.UpstreamKey(ids.UpstreamId(f"u{n}"), 1) for n in range(99)
-        )
+        keys = map(self.make_key, range(99))
         return next(k for k in keys if chooser.find_grantor(k, NOW) == router)
 
+    def make_key(self, number):
+        return upstream_list.UpstreamKey(ids.UpstreamId(f"u{number}"), 1)
+
     def make_grantor(self, router, members):
         return grantor.Grantor(router, lambda now: members, lambda key: self.limit)
 
@@ -72,6 +73,34 @@
         (granted,) = self.ask(NOW + 0.11)
         self.assertIsInstance(granted, permit_queue.Granted)
 
+    def test_strict_limit_is_not_shared_out_without_half_of_the_routers(self):
+        self.limit = announcements.Limit(10.0, since=0.0, is_strict=True)
+        self.grantor.watch(NOW - 1.0)
+        self.assertGreater(self.count_granted(NOW, NOW + 1.0), 8)
+        self.members = self.make_members(reachable_ratio=0.49)
+        self.assertEqual(0, self.count_granted(NOW + 1.1, NOW + 2.0))
+        self.members = self.make_members(reachable_ratio=0.5)
+        self.assertGreater(self.count_granted(NOW + 2.1, NOW + 3.1), 3)
+
+    def test_strict_limit_is_shared_out_at_once_by_the_router_responsible_so_far(self):
+        """The first request comes long after the limit was known."""
+        self.limit = announcements.Limit(10.0, since=0.0, is_strict=True)
+        self.grantor.watch(NOW - HANDOVER_S)
+        self.assertGreaterEqual(self.count_granted(NOW, NOW + 0.5), 4)
+
+    def test_strict_limit_waits_for_a_handover_after_a_change_of_the_routers(self):
+        """Nobody may have known the limit before, but two may hold it theirs."""
+        self.limit = announcements.Limit(10.0, since=NOW, is_strict=True)
+        self.grantor.watch(NOW - 10.0)
+        self.members = self.make_members([OWN, OTHER, ids.InstanceId("third")])
+        self.key = next(
+            key
+            for key in map(self.make_key, range(99))
+            if self.make_grantor(OWN, self.members).find_grantor(key, NOW) == OWN
+        )
+        self.assertEqual(0, self.count_granted(NOW, NOW + HANDOVER_S - 0.05))
+        self.assertGreater(self.count_granted(NOW + 1.0, NOW + 2.0), 8)
+
     def test_requests_are_denied_when_another_router_becomes_responsible(self):
         self.ask(NOW)
         self.ask(NOW + HANDOVER_S + 0.01)
--- a/tests/test_permit_queue.py
+++ b/tests/test_permit_queue.py
@@ -52,6 +52,18 @@
         self.assertEqual([permit_queue.Granted(retry)], self.queue.settle(0.1))
         self.assertEqual([permit_queue.Granted(first)], self.queue.settle(0.2))
 
+    def test_strict_rate_keeps_one_permit_and_is_not_raised(self):
+        queue = permit_queue.PermitQueue(0.1, 0.0, 0.0, is_strict=True)
+        self.assertEqual([], queue.ask(make_waiter(now=9.0, max_wait_s=2.0), 9.0))
+        self.assertEqual(1, len(queue.settle(10.0)))
+        queue.set_rate(PER_S, 10.0, is_strict=True)
+        granted = sum(
+            isinstance(decision, permit_queue.Granted)
+            for _ in range(20)
+            for decision in queue.ask(make_waiter(now=60.0), 60.0)
+        )
+        self.assertEqual(1, granted)
+
     def test_few_permits_are_kept_for_later(self):
         granted = sum(
             isinstance(decision, permit_queue.Granted)
