Compare upstreams without an announced speed as before

The measured rate of an engine varies from 5,000 to 200,000 tokens a second, more than engines differ, and scores divided by it send prompts from one to the other.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -347,11 +347,13 @@
     def _find_hold_time(self, service: ids.ServiceName) -> slot_wait.HoldTime:
         return self._hold_time_by_service.setdefault(service, slot_wait.HoldTime())
 
-    def _find_speed(self, service: ids.ServiceName) -> upstream_speed.UpstreamSpeed:
+    def _make_speed(
+        self, upstream: upstream_list.Upstream
+    ) -> upstream_speed.UpstreamSpeed:
         usual_rate = self._usual_rate_by_service.setdefault(
-            service, upstream_speed.UsualRate()
+            upstream.service, upstream_speed.UsualRate()
         )
-        return upstream_speed.UpstreamSpeed(usual_rate)
+        return upstream_speed.UpstreamSpeed(usual_rate, upstream.id)
 
     def _candidate(self, upstream: upstream_list.Upstream) -> placement.Candidate:
         known = self._candidate_by_key.get(upstream.key)
@@ -361,7 +363,7 @@
             known = placement.Candidate(
                 upstream=upstream,
                 load=upstream_load.UpstreamLoad(),
-                queue=engine_queue.EngineQueue(self._find_speed(upstream.service)),
+                queue=engine_queue.EngineQueue(self._make_speed(upstream)),
                 prefix_cache=prefix_cache_index.PrefixCacheIndex(capacity),
                 health=upstream_health.UpstreamHealth(upstream.id),
                 announced=announcements.AnnouncedState(upstream.id),
--- a/teaselsill/engine_queue.py
+++ b/teaselsill/engine_queue.py
@@ -91,6 +91,15 @@
         speed = self.speed
         return speed.find_rate(now) if speed.is_announced else self.rate
 
+    def find_compared_rate(self, now: float) -> float:
+        """Returns the rate by which engines are compared, in tokens a second.
+
+        Without an announced speed all of them count alike: the measured rate varies
+        more than they differ.
+        """
+        speed = self.speed
+        return speed.find_rate(now) if speed.is_announced else INITIAL_RATE
+
     def count_planned(self, now: float) -> float:
         """Returns the planned tokens that have not drained yet."""
         return self.count_planned_at(self.find_rate(now), now)
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -75,6 +75,7 @@
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
         self._rate = self._gauge("upstream_tokens_per_second", "Estimated rate.")
+        self._slowdown = self._gauge("upstream_slowdown", "Time that work takes.")
         self._avoided = self._gauge("upstream_avoided", "Whether it is avoided.")
         self._limit = self._gauge("upstream_limit_per_second", "Limit, if any.")
         self._cold = self._gauge("upstream_cold", "Whether it is cold.")
@@ -111,8 +112,16 @@
             self._share_ratio.labels(account).set(share.ratio)
 
     def _set_upstreams(self, now: float) -> None:
-        gauges = (self._running, self._planned, self._rate, self._avoided, self._limit)
-        for gauge in (*gauges, self._cold):
+        gauges = (
+            self._running,
+            self._planned,
+            self._rate,
+            self._slowdown,
+            self._avoided,
+            self._limit,
+            self._cold,
+        )
+        for gauge in gauges:
             gauge.clear()
         for upstream in self._directory.listed.by_id.values():
             candidate = self._directory.find(upstream.id)
@@ -122,6 +131,9 @@
             self._running.labels(*labels).set(candidate.load.count(now))
             self._planned.labels(*labels).set(candidate.queue.count_planned(now))
             self._rate.labels(*labels).set(candidate.queue.find_rate(now))
+            if candidate.speed.is_announced:
+                slowdown = candidate.speed.find_slowdown(now)
+                self._slowdown.labels(*labels).set(slowdown)
             self._avoided.labels(*labels).set(candidate.health.is_avoided(now))
             self._cold.labels(*labels).set(candidate.cold.is_cold(now))
             limit_per_s = candidate.find_limit_per_s(now)
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -309,7 +309,7 @@
     shared = sum(part.tokens for part in call.parts[:-1])
     near = [c for c in candidates if c.upstream.data_centre == data_centre]
     home = None if most >= shared else find_home(call, near or candidates)
-    rates = [c.queue.find_rate(now) for c in candidates]
+    rates = [c.queue.find_compared_rate(now) for c in candidates]
     spread_s = unreported_tokens / sum(rates)
     best = None
     for candidate, cached, rate in zip(candidates, cached_tokens, rates, strict=True):
@@ -341,13 +341,13 @@
     Args:
         candidate: The engine.
         prefill_tokens: How many tokens of the prompt it would have to prefill.
-        rate: Its prefill rate, in tokens a second.
+        rate: The rate by which it is compared, in tokens a second.
         now: The time, in seconds.
     """
     is_long = prefill_tokens >= LONG_PROMPT_TOKENS
     tokens_per_request = TOKENS_PER_DELAYED if is_long else TOKENS_PER_REQUEST
     requests = candidate.load.count(now)
-    tokens = candidate.queue.count_planned_at(rate, now) + tokens_per_request * requests
+    tokens = candidate.queue.count_planned(now) + tokens_per_request * requests
     score = tokens / rate
     if requests >= candidate.upstream.slots:
         score += candidate.predict_slot_wait_s(now)
@@ -369,7 +369,7 @@
     Args:
         candidate: The engine.
         prefill_tokens: How many tokens of the prompt it would have to prefill.
-        rate: Its prefill rate, in tokens a second.
+        rate: The rate by which it is compared, in tokens a second.
         now: The time, in seconds.
         saves_permits: Whether a small prompt costs more.
     """
--- a/teaselsill/upstream_speed.py
+++ b/teaselsill/upstream_speed.py
@@ -1,7 +1,10 @@
 """How fast each upstream works now, from what it announces and what is measured."""
 
+import logging
 import math
 
+from teaselsill import ids
+
 INITIAL_RATE = 100_000.0
 """Prefill rate assumed before any was measured, in prompt tokens a second."""
 MIN_RATE = 5_000.0
@@ -29,6 +32,8 @@
 """Up to this ratio a measurement does not contradict the announced figure."""
 MAX_DISTRUST = 10.0
 
+logger = logging.getLogger(__name__)
+
 
 class UsualRate:
     """The prefill rate of a service's engines while work takes as long as usual.
@@ -71,6 +76,7 @@
 
     Args:
         usual_rate: The usual rate of the engines of its service.
+        upstream: The upstream, for the log.
 
     Attributes:
         is_announced: Whether the upstream has announced how long work takes there.
@@ -85,13 +91,19 @@
         "_heard_at",
         "_measured_at",
         "_tokens",
+        "_upstream",
         "_usual_busy_s",
         "is_announced",
         "usual_rate",
     )
 
-    def __init__(self, usual_rate: UsualRate | None = None):
+    def __init__(
+        self,
+        usual_rate: UsualRate | None = None,
+        upstream: ids.UpstreamId | None = None,
+    ):
         self.usual_rate = usual_rate or UsualRate()
+        self._upstream = upstream
         self.is_announced = False
         self._announced = 1.0
         self._average = 1.0
@@ -177,4 +189,21 @@
         ratio = expected / (self._tokens + MEASURED_PRIOR_S * per_s)
         is_plausible = 1 / TRUSTED_RATIO < ratio < TRUSTED_RATIO
         bounded = min(MAX_DISTRUST, max(1 / MAX_DISTRUST, ratio))
-        self._distrust = 1.0 if is_plausible else bounded
+        distrust = 1.0 if is_plausible else bounded
+        if (distrust == 1.0) != (self._distrust == 1.0):
+            self._log_distrust(distrust, now)
+        self._distrust = distrust
+
+    def _log_distrust(self, distrust: float, now: float) -> None:
+        """Logs that measurements begin or cease to contradict the announced figure."""
+        logger.info(
+            "trust in announced speed changed",
+            extra={
+                "upstream": self._upstream,
+                "slower_than_announced": round(distrust, 2),
+                "announced": round(self._find_announced(now), 2),
+                "age_s": round(now - self._heard_at, 2),
+                "busy_s": round(self._usual_busy_s, 2),
+                "tokens": round(self._tokens),
+            },
+        )
