Keep the clients of routers, agents and consoles within one account of memory

Callers saw: routers that ran out of memory; requests of legal size took 2 to 7 times their bytes, and nothing bounded those of all connections. The setting memory_mb, or the machine's memory, now bounds what clients hold: heads (by what a line costs), bodies, and answers that are not read, in the process's MemoryBudget. Reading pauses first; then unfinished requests are refused with 503, not run. Headers are dropped once a request is passed on, reads are 16 KB each, and uvicorn's middleware for proxies, which copied all headers, is off.

--- a/teaselsill/callers.py
+++ b/teaselsill/callers.py
@@ -130,6 +130,7 @@
             _check_connection(request, call.account)
             routed = await read(request, account, call.id)
             call.service = routed.service
+            _check_memory(request)
             await call.respond(self._router, routed, account.max_waiting)
         except requests.ClientDisconnect:
             call.record_disconnect()
@@ -191,16 +192,14 @@
             ) from None
 
     async def _read_chunks(self, request: requests.Request) -> bytes:
-        chunks = []
-        size = 0
+        body = bytearray()
         async for chunk in request.stream():
-            size += len(chunk)
-            if size > self._max_body_bytes:
+            body += chunk
+            if len(body) > self._max_body_bytes:
                 raise refusals.BodyTooLargeError(
                     f"the body is larger than {self._max_body_bytes} bytes"
                 )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return bytes(body)
 
 
 class _Endpoint:
@@ -393,13 +392,29 @@
     Raises:
         TooManyConnectionsError: It holds the most, and there are too many.
     """
-    connection = request.scope.get("state", {}).get(http_protocol.STATE_KEY)
+    connection = _find_connection(request)
     if connection is not None and not connection.admit(account):
         raise refusals.TooManyConnectionsError(
             "the client account holds too many connections of this router", 1.0
         )
 
 
+def _check_memory(request: requests.Request) -> None:
+    """Checks that there is memory for a request that is about to be passed on.
+
+    Raises:
+        MemoryFullError: There is not.
+    """
+    connection = _find_connection(request)
+    if connection is not None and not connection.pass_on(request.scope):
+        raise refusals.MemoryFullError("the router has no memory left", 1.0)
+
+
+def _find_connection(request: requests.Request) -> http_protocol.Protocol | None:
+    """Returns the connection of a request, if the server is the router's own."""
+    return request.scope.get("state", {}).get(http_protocol.STATE_KEY)
+
+
 def _read_deadline(request, service: document.Service) -> float:
     header_value = request.headers.get(DEADLINE_HEADER)
     if header_value is None:
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -27,9 +27,11 @@
     link,
     logs,
     membership,
+    memory_budget,
     metered_log,
     metrics,
     peer_tls,
+    process_memory,
     registry,
     reports,
     router,
@@ -60,6 +62,7 @@
         follower: Follows the configuration.
         metrics: Records the metrics.
         host: The address that the ports of this process are bound to.
+        budget: The account of the memory of the process.
         descriptors: How many connections each port may have.
     """
 
@@ -80,6 +83,10 @@
         self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
         self.host = str(loaded.host)
+        limit_bytes = process_memory.find_client_bytes(loaded.memory_mb)
+        self.budget = memory_budget.MemoryBudget(
+            limit_bytes, lambda: self.metrics.count(metrics.Metric.MEMORY_REFUSED)
+        )
         self.descriptors = descriptors.divide(loaded.max_fds)
         self._settings = loaded
         self._started_at = time.monotonic()
@@ -119,6 +126,7 @@
             self._settings.admin_port,
             max_connections=self.descriptors.admin,
             sink=self.metrics,
+            budget=self.budget,
         )
         await self._admin_server.start()
         self.run_in_background(self.follower.run())
@@ -179,6 +187,7 @@
         loaded.tls,
         node.descriptors.clients,
         node.metrics,
+        node.budget,
     )
     await node.start(
         lambda: node.follower.document is not None,
@@ -246,6 +255,7 @@
         loaded.port,
         max_connections=node.descriptors.clients,
         sink=node.metrics,
+        budget=node.budget,
     )
     await node.start(lambda: True, dict)
     await page_server.start()
--- a/teaselsill/http_protocol.py
+++ b/teaselsill/http_protocol.py
@@ -5,17 +5,28 @@
 """
 
 import asyncio
+import enum
+import sys
 import time
 
 import httptools
 from uvicorn.protocols.http import flow_control, httptools_impl
 
-from teaselsill import http_connections, ids, metrics
+from teaselsill import http_connections, ids, memory_budget, metrics, passed_on
 
 READ_BYTES = 16 * 1024
 """How much is read from a connection at a time."""
 MAX_HEAD_BYTES = 64 * 1024
 """The maximum size of a request line with its headers, and of a request's trailers."""
+HEADER_BYTES = 384
+"""What a header costs beside its text: objects here, and those of the request."""
+BODY_COPIES = 2
+"""How often the bytes of a body are in memory while it is joined and passed on."""
+UNREAD_BYTES = 256 * 1024
+"""What more is held of a response that its caller does not read."""
+RESPONSE_BYTES = 256 * 1024
+"""What may arrive of a response before its caller takes any of it."""
+UNLIMITED = sys.maxsize
 END_OF_HEAD = b"\r\n\r\n"
 STATE_KEY = "connection"
 """The key of the protocol in the state of a request's ASGI scope."""
@@ -28,6 +39,13 @@
 _read_buffer = bytearray(READ_BYTES)
 
 
+class Reason(enum.Enum):
+    """Why reading from a connection is held."""
+
+    UNPARSED = "unparsed"
+    BUDGET = "budget"
+
+
 class Flow(flow_control.FlowControl):
     """Pauses reading for uvicorn's own reasons and, apart from them, while it is held.
 
@@ -36,24 +54,28 @@
 
     def __init__(self, transport: asyncio.Transport):
         super().__init__(transport)
-        self._is_held = False
+        self._reasons: set[Reason] = set()
 
-    def set_held(self, is_held: bool) -> None:
-        """Pauses reading until this is called again with false."""
-        self._is_held = is_held
+    def set_held(self, reason: Reason, is_held: bool) -> None:
+        """Pauses reading until this is called again with false for each reason."""
         if is_held:
+            self._reasons.add(reason)
             self._transport.pause_reading()
-        elif not self.read_paused:
-            self._transport.resume_reading()
+            return
+        self._reasons.discard(reason)
+        if not self.read_paused:
+            self.resume_reading()
 
     def resume_reading(self) -> None:
         """Ends uvicorn's own pause."""
         self.read_paused = False
-        if not self._is_held:
+        if not self._reasons:
             self._transport.resume_reading()
 
 
-class Protocol(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
+class Protocol(
+    httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol, memory_budget.Owner
+):
     """The HTTP protocol of one connection.
 
     The parser gets at most one end of a head at a time. Once a request waits for the
@@ -62,6 +84,8 @@
     Args:
         connections: The connections of the port.
         sink: Receives the metrics.
+        budget: The account of the memory of the process.
+        requests: The requests of the port that have been passed on.
         **options: The arguments of uvicorn.
     """
 
@@ -69,9 +93,15 @@
         self,
         connections: http_connections.Connections,
         sink: metrics.Metrics,
+        budget: memory_budget.MemoryBudget,
+        requests: passed_on.PassedOn,
         **options,
     ):
         super().__init__(**options)
+        self._holding = budget.open(self)
+        self._kept_bytes = 0
+        self._requests = requests
+        self._passed_on: tuple[ids.AccountId, int] | None = None
         self._open_connections = connections
         self._sink = sink
         self._unparsed = bytearray()
@@ -90,32 +120,103 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by asyncio once the connection is closed."""
         self._open_connections.remove(self)
+        self._holding.close()
+        self._end_request()
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Called by asyncio when the client takes too little of a response."""
         self._open_connections.set_unread(self, True, time.monotonic())
         super().pause_writing()
+        self._holding.is_passed_on = False
+        self._holding.update(self.measure_for_budget())
 
     def resume_writing(self) -> None:
         """Called by asyncio when the client has taken most of a response."""
         self._open_connections.set_unread(self, False, time.monotonic())
         super().resume_writing()
+        self._holding.is_passed_on = self.cycle is not None
 
     def admit(self, account: ids.AccountId) -> bool:
         """Returns whether a client account may use this connection for its request."""
+        self._holding.client = account
         return self._open_connections.admit(self, account)
 
+    def pass_on(self, scope) -> bool:
+        """Returns whether there is memory for a request, which is passed on now.
+
+        It does not count if the caller has disconnected meanwhile.
+
+        Args:
+            scope: The ASGI scope of the request, whose headers are dropped.
+        """
+        if self.parser is None:
+            return True
+        size = self._kept_bytes + RESPONSE_BYTES
+        account = ids.AccountId(self._holding.client)
+        if not self._requests.add(account, size):
+            self._holding.budget.note_refused()
+            return False
+        self._passed_on = (account, size)
+        self._holding.is_passed_on = True
+        self._holding.free_bytes = UNLIMITED
+        self._kept_bytes += RESPONSE_BYTES
+        self._holding.update(self.measure_for_budget())
+        _drop_headers(scope)
+        if scope is self.scope:
+            self.headers.clear()
+        return True
+
+    def _end_request(self) -> None:
+        """Ends the request that was passed on."""
+        if self._passed_on is not None:
+            self._requests.remove(*self._passed_on)
+            self._passed_on = None
+
+    def pause_for_budget(self) -> None:
+        """See `memory_budget.Owner`."""
+        self.flow.set_held(Reason.BUDGET, True)
+
+    def resume_for_budget(self) -> None:
+        """See `memory_budget.Owner`."""
+        self.flow.set_held(Reason.BUDGET, False)
+
+    def refuse_for_budget(self) -> None:
+        """See `memory_budget.Owner`."""
+        self._unparsed.clear()
+        if self.headers is not None:
+            self.headers.clear()
+            _drop_headers(self.scope)
+        if self.cycle is not None and not self.cycle.response_started:
+            self.cycle.body.clear()
+        self.give_up()
+
+    def measure_for_budget(self) -> int:
+        """See `memory_budget.Owner`."""
+        held = self._kept_bytes + len(self._unparsed)
+        if self.flow.write_paused:
+            held += UNREAD_BYTES + self.transport.get_write_buffer_size()
+        return held
+
     def give_up(self) -> None:
         """Closes the connection for the good of others."""
-        cycle = self.cycle
-        is_due = cycle is None or not cycle.response_started
-        if is_due and not self.transport.is_closing():
+        if self._is_response_due() and not self.transport.is_closing():
             self.transport.write(BUSY_RESPONSE)
             self.transport.close()
         else:
             self.transport.abort()
 
+    def _is_response_due(self) -> bool:
+        """Returns whether a response could only be that to the request being read."""
+        cycle = self.cycle
+        if self.pipeline:
+            return False
+        if cycle is None:
+            return True
+        if cycle.response_complete:
+            return self._is_in_head and self._bytes_without_body > 0
+        return not cycle.response_started
+
     def get_buffer(self, sizehint: int) -> bytearray:
         """Returns the buffer that the next bytes are read into."""
         return _read_buffer
@@ -132,6 +233,8 @@
     def on_message_begin(self) -> None:
         """Prepares the scope of a request; called by the parser."""
         super().on_message_begin()
+        if self.cycle is None or self.cycle.response_complete:
+            self._kept_bytes = 0
         self.scope["state"][STATE_KEY] = self
 
     def on_headers_complete(self) -> None:
@@ -144,11 +247,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keeps a header and drops a trailer; called by the parser."""
         if self._is_in_head:
+            self._kept_bytes += HEADER_BYTES + 2 * (len(name) + len(value))
             super().on_header(name, value)
 
     def on_body(self, body: bytes) -> None:
         """Keeps a part of the body; called by the parser."""
         self._bytes_without_body = 0
+        if not self.cycle.response_complete:
+            self._kept_bytes += BODY_COPIES * len(body)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -161,6 +267,13 @@
     def on_response_complete(self) -> None:
         """Starts the next request that has arrived."""
         super().on_response_complete()
+        self._holding.completed += 1
+        self._end_request()
+        self._holding.is_passed_on = False
+        self._holding.free_bytes = memory_budget.FREE_BYTES
+        if not self.pipeline and self.cycle.response_complete:
+            self._kept_bytes = 0
+        self._holding.update(self.measure_for_budget())
         self._move(self._find_stage())
         if self._unparsed:
             self.loop.call_soon(self._parse)
@@ -183,7 +296,8 @@
             part = bytes(memoryview(self._unparsed)[:size])
             del self._unparsed[:size]
             self._feed(part)
-        self.flow.set_held(len(self._unparsed) >= READ_BYTES)
+            self._holding.update(self.measure_for_budget())
+        self.flow.set_held(Reason.UNPARSED, len(self._unparsed) >= READ_BYTES)
 
     def _feed(self, part: bytes) -> None:
         self._unset_keepalive_if_required()
@@ -214,3 +328,10 @@
             self.send_400_response(text)
         else:
             self.transport.close()
+
+
+def _drop_headers(scope) -> None:
+    """Drops the headers of a request that are not needed any more."""
+    headers = scope["headers"]
+    if isinstance(headers, list):
+        headers.clear()
--- a/teaselsill/metrics.py
+++ b/teaselsill/metrics.py
@@ -46,6 +46,8 @@
     """Requests whose caller disconnected."""
     HEADS_REFUSED = ("heads.refused", Kind.COUNT, "requests")
     """Requests that were malformed, or had too large a head or trailers."""
+    MEMORY_REFUSED = ("memory.refused", Kind.COUNT, "requests")
+    """Requests and responses that were given up to stay within the memory."""
     CONNECTIONS_REFUSED = ("connections.refused", Kind.COUNT, "connections")
     """HTTP connections that were closed because there were too many."""
     CONNECTIONS_EXPIRED = ("connections.expired", Kind.COUNT, "connections")
--- /dev/null
+++ b/teaselsill/process_memory.py
@@ -0,0 +1,24 @@
+"""Finds how much memory a process may hold for its clients."""
+
+import os
+
+MB = 1024 * 1024
+PROCESS_BYTES = 64 * MB
+"""What a process needs itself, without its clients."""
+CLIENTS_RATIO = 0.4
+"""The part of the rest that clients may hold; copies and gaps take as much again."""
+MIN_CLIENT_BYTES = 16 * MB
+
+
+def find_client_bytes(memory_mb: int) -> int:
+    """Returns how many bytes the clients of a process may hold.
+
+    Args:
+        memory_mb: How much the process may use, in MB; 0 for all of the machine's.
+    """
+    total = memory_mb * MB or _read_machine_bytes()
+    return max(MIN_CLIENT_BYTES, int(CLIENTS_RATIO * (total - PROCESS_BYTES)))
+
+
+def _read_machine_bytes() -> int:
+    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
--- a/teaselsill/refusals.py
+++ b/teaselsill/refusals.py
@@ -58,6 +58,10 @@
     """The client account holds too many of the router's connections."""
 
 
+class MemoryFullError(backlog.RefusedError):
+    """The router has no memory left for the request."""
+
+
 class NotReadyError(backlog.RefusedError):
     """The router has no configuration yet."""
 
@@ -135,6 +139,14 @@
                 retry_after_s=_retry_after_of(error),
                 closes=True,
             )
+        case MemoryFullError():
+            return Refusal(
+                503,
+                "memory-full",
+                text,
+                retry_after_s=_retry_after_of(error),
+                closes=True,
+            )
         case backlog.BacklogFullError():
             return Refusal(
                 429, "too-many-waiting", text, retry_after_s=_retry_after_of(error)
--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -9,14 +9,22 @@
 
 import uvicorn
 
-from teaselsill import certificates, errors, http_connections, http_protocol, metrics
+from teaselsill import (
+    certificates,
+    errors,
+    http_connections,
+    http_protocol,
+    memory_budget,
+    metrics,
+    passed_on,
+)
 
 START_POLL_S = 0.005
 ACCEPT_BATCH = 4
 """How many connections are accepted before the ones too many are closed."""
 LISTEN_BACKLOG = 1024
 """How many connections wait to be accepted."""
-SWEEP_INTERVAL_S = 1.0
+SWEEP_INTERVAL_S = 0.25
 DEFAULT_MAX_CONNECTIONS = 10_000
 TLS_HANDSHAKE_TIMEOUT_S = 1.0
 
@@ -85,6 +93,7 @@
         tls: The TLS settings, or None for plain HTTP.
         max_connections: How many connections may be open.
         sink: Receives the metrics.
+        budget: The account of the memory of the process.
 
     Raises:
         CertificateError: A certificate file cannot be loaded.
@@ -98,10 +107,12 @@
         tls=None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
         sink: metrics.Metrics | None = None,
+        budget: memory_budget.MemoryBudget | None = None,
     ):
         self._host = host
         self._port = port
         self._sink = sink or metrics.Metrics()
+        self._budget = budget or memory_budget.MemoryBudget()
         self._connections = http_connections.Connections(max_connections)
         options = {}
         if tls is not None:
@@ -115,8 +126,11 @@
                 http_protocol.Protocol,
                 connections=self._connections,
                 sink=self._sink,
+                budget=self._budget,
+                requests=passed_on.PassedOn(self._budget.limit_bytes),
             ),
             ws="none",
+            proxy_headers=False,
             log_config=None,
             log_level="warning",
             access_log=False,
@@ -149,9 +163,10 @@
         self._sweep_task.cancel()
 
     async def _sweep(self) -> None:
-        """Closes the connections whose clients do nothing for too long."""
+        """Keeps within the memory, and closes connections that do nothing for long."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._budget.tick(time.monotonic())
             for expired in self._connections.find_expired(time.monotonic()):
                 self._sink.count(metrics.Metric.CONNECTIONS_EXPIRED)
                 expired.transport.abort()
--- a/teaselsill/settings.py
+++ b/teaselsill/settings.py
@@ -66,6 +66,8 @@
         instances: The instance list.
         statsd: The `host:port` of a statsd server, or empty for no metrics.
         log_level: The minimum level of the log lines that are written.
+        memory_mb: How much memory the process may use, in MB; 0 for all of the
+            machine's.
         max_fds: How many file descriptors the process may open; 0 for as many as the
             system allows.
     """
@@ -81,6 +83,7 @@
     instances: PluginSection
     statsd: str = ""
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    memory_mb: int = pydantic.Field(default=0, ge=0)
     max_fds: int = pydantic.Field(default=0, ge=0)
 
 
--- a/tests/test_http_protocol.py
+++ b/tests/test_http_protocol.py
@@ -4,7 +4,7 @@
 from starlette import applications, responses, routing
 
 from standins import fleet
-from teaselsill import http_protocol, servers
+from teaselsill import http_protocol, memory_budget, servers
 
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -101,3 +101,59 @@
         self.assertEqual(1, len(protocol.pipeline))
         self.assertLessEqual(len(protocol._unparsed), 2 * http_protocol.READ_BYTES)
         self.may_respond.set()
+
+
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Connections of one port share an account of 4 MB."""
+
+    async def asyncSetUp(self):
+        self.budget = memory_budget.MemoryBudget(4 * 1024 * 1024)
+        self.read = []
+        app = applications.Starlette(
+            routes=[routing.Route("/", self.respond, methods=["POST"])]
+        )
+        self.port = fleet.find_free_port()
+        server = servers.HttpServer(app, fleet.HOST, self.port, budget=self.budget)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+
+    async def respond(self, request):
+        self.read.append(len(await request.body()))
+        return responses.PlainTextResponse("hello")
+
+    async def connect(self, data):
+        reader, writer = await asyncio.open_connection(fleet.HOST, self.port)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader
+
+    async def test_unfinished_bodies_are_refused_and_others_served(self):
+        body = HEAD + b"Content-Length: 1000000\r\n\r\n" + b"a" * 900_000
+        flood = [await self.connect(body) for _ in range(20)]
+        async with asyncio.timeout(10):
+            first = await flood[0].read(12)
+            small = await self.connect(HEAD + b"Content-Length: 5\r\n\r\nhello")
+            answer = await small.readuntil(b"hello")
+        self.assertEqual(b"HTTP/1.1 503", first)
+        self.assertIn(b"200 OK", answer)
+        self.assertLessEqual(self.budget.held_bytes, self.budget.limit_bytes)
+
+    async def test_account_is_empty_after_the_response(self):
+        reader = await self.connect(HEAD + b"Content-Length: 5\r\n\r\nhello")
+        await reader.readuntil(b"hello")
+        self.assertEqual([5], self.read)
+        self.assertEqual(0, self.budget.held_bytes)
+
+    async def test_account_is_empty_after_a_disconnect(self):
+        _, writer = await asyncio.open_connection(fleet.HOST, self.port)
+        writer.write(HEAD + b"Content-Length: 500000\r\n\r\n" + b"a" * 100_000)
+        await self.wait_for(lambda: self.budget.held_bytes > 0)
+        writer.close()
+        await self.wait_for(lambda: self.budget.held_bytes == 0)
+
+    async def wait_for(self, condition):
+        for _ in range(500):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        self.fail("not within 5 s")
