Share an agent's memory among the answers of all slots

Callers saw: 300 callers that don't read their answers took an agent of 256 slots to 519 MB and its router to 196 MB. Each answer could hold 256 KB at the agent, and again in each buffer on its way, and asyncio read 256 KB at a time from each upstream. The window of an answer is now the agent's memory for clients divided by its slots, between 64 and 256 KB, and 64 KB are read at a time.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import logging
+import sys
 import time
 
 from teaselsill import (
@@ -28,6 +29,10 @@
 
 WINDOW_BYTES = 256 * 1024
 """Unacknowledged bytes of a response at which reading from the upstream pauses."""
+MIN_WINDOW_BYTES = 64 * 1024
+"""The least such window; routers acknowledge half of it at a time."""
+WINDOW_COPIES = 4
+"""How often a byte of a response may be in memory, with all buffers."""
 MAX_STRANGERS = 1024
 MAX_ATTEMPTS = 100_000
 """How many finished or refused attempts are remembered."""
@@ -75,6 +80,7 @@
         policy: The scheduling policy, which receives the metered service.
         sink: Receives the metrics.
         max_strangers: How many peers may be authenticating themselves at a time.
+        response_bytes: How many bytes of responses may be held in all.
 
     Attributes:
         scheduler: Grants slots to client accounts.
@@ -92,6 +98,7 @@
         policy: policies.Policy,
         sink: metrics.Metrics,
         max_strangers: int = MAX_STRANGERS,
+        response_bytes: int = sys.maxsize,
     ):
         self.scheduler = scheduler
         self._identity = identity
@@ -113,6 +120,7 @@
         self._closed_bytes_by_type: collections.Counter[str] = collections.Counter()
         self._idle = asyncio.Event()
         self._connection_tasks: set[asyncio.Task] = set()
+        self._response_bytes = response_bytes
         self._strangers = strangers.Strangers(max_strangers)
         self._undrained: set[router_peer.RouterPeer] = set()
 
@@ -271,7 +279,10 @@
         except DispatchRefusedError as error:
             self._refuse(peer, dispatch.attempt, error.reason)
             return
-        response = response_delivery.ResponseSender(dispatch.attempt, WINDOW_BYTES)
+        window_bytes = find_window_bytes(
+            self._response_bytes, self.scheduler.slots.total
+        )
+        response = response_delivery.ResponseSender(dispatch.attempt, window_bytes)
         response.attach(peer.link.send, 0)
         peer.attempts.add(dispatch.attempt)
         self._response_by_attempt[dispatch.attempt] = response
@@ -469,6 +480,17 @@
         response.attach(peer.link.send, sequence)
 
 
+def find_window_bytes(response_bytes: int, slot_count: int) -> int:
+    """Returns the window of one response, so that those of all slots fit into memory.
+
+    Args:
+        response_bytes: How many bytes of responses may be held in all.
+        slot_count: How many requests the upstream runs at a time.
+    """
+    share = response_bytes // (WINDOW_COPIES * max(1, slot_count))
+    return min(WINDOW_BYTES, max(MIN_WINDOW_BYTES, share))
+
+
 def _check_account(dispatch: messages.Dispatch, offer: slots.Offer) -> None:
     """Checks that a dispatch is for the client account that the slot was offered to."""
     if dispatch.account != offer.account:
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 import signal
+import sys
 import time
 
 from teaselsill import (
@@ -210,7 +211,9 @@
 async def run_agent(loaded: settings.AgentSettings) -> None:
     """Runs an agent until it is told to stop, then delivers responses in progress."""
     node = Node(loaded, instances.Role.AGENT)
-    parts = _make_agent(node, loaded, node.descriptors.strangers)
+    parts = _make_agent(
+        node, loaded, node.descriptors.strangers, node.budget.limit_bytes
+    )
     slot_agent = parts.agent
     node.membership.subscribe(lambda: _update_listed_state(node, slot_agent.scheduler))
     listener = await servers.listen(
@@ -304,6 +307,7 @@
     node: Node,
     loaded: settings.AgentSettings,
     max_strangers: int = agent.MAX_STRANGERS,
+    response_bytes: int = sys.maxsize,
 ) -> AgentParts:
     service = ids.ServiceName(loaded.service)
     upstream = ids.UpstreamId(loaded.upstream)
@@ -341,6 +345,7 @@
         policy,
         node.metrics,
         max_strangers,
+        response_bytes,
     )
     return AgentParts(slot_agent, service_counters, exchange, fence)
 
--- a/teaselsill/upstream_connector.py
+++ b/teaselsill/upstream_connector.py
@@ -6,14 +6,24 @@
 import aiohttp
 from aiohttp import client_proto
 
+READ_BYTES = 64 * 1024
+"""How much is read from an upstream at a time."""
+
 
 class _ResetAwareHandler(client_proto.ResponseHandler):
-    """Fails a response whose connection is reset.
+    """Fails a response whose connection is reset, and reads it in small parts.
 
     A body without a length ends with its connection. aiohttp takes such a body for
     complete however the connection ends.
     """
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio."""
+        super().connection_made(transport)
+        # asyncio reads 256 KiB at a time, whatever the reader of the body allows.
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Called by asyncio."""
         payload = self._payload
