Offer an agent's slots only while there is memory for the requests

An agent offers its free slots before it knows how large the requests are, and several routers may answer at once: 256 slots of 4 MB are 1 GB. Running requests and open offers, 4 MB each, now stay within half of the agent's memory for clients; one offer is always made.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -18,6 +18,7 @@
     meter,
     metrics,
     policies,
+    request_memory,
     response_delivery,
     router_peer,
     running,
@@ -81,6 +82,7 @@
         sink: Receives the metrics.
         max_strangers: How many peers may be authenticating themselves at a time.
         response_bytes: How many bytes of responses may be held in all.
+        request_bytes: How many bytes of requests may be held in all.
 
     Attributes:
         scheduler: Grants slots to client accounts.
@@ -99,6 +101,7 @@
         sink: metrics.Metrics,
         max_strangers: int = MAX_STRANGERS,
         response_bytes: int = sys.maxsize,
+        request_bytes: int = sys.maxsize,
     ):
         self.scheduler = scheduler
         self._identity = identity
@@ -121,6 +124,8 @@
         self._idle = asyncio.Event()
         self._connection_tasks: set[asyncio.Task] = set()
         self._response_bytes = response_bytes
+        self._requests = request_memory.RequestMemory(request_bytes)
+        scheduler.limit_memory(self._requests)
         self._strangers = strangers.Strangers(max_strangers)
         self._undrained: set[router_peer.RouterPeer] = set()
 
@@ -288,6 +293,7 @@
         self._response_by_attempt[dispatch.attempt] = response
         if dispatch.repeatable:
             self._repeatable.add(dispatch.attempt)
+        self._requests.add(dispatch)
         run = running.Run(
             dispatch,
             response,
@@ -390,6 +396,7 @@
 
     def _finish(self, run: running.Run) -> None:
         attempt = run.dispatch.attempt
+        self._requests.remove(attempt)
         run.meter.close()
         self._metrics.count(metrics.Metric.COST_SERVED, round(run.meter.cost))
         self.scheduler.finish(run.dispatch.account, run.meter.cost)
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -307,7 +307,7 @@
     node: Node,
     loaded: settings.AgentSettings,
     max_strangers: int = agent.MAX_STRANGERS,
-    response_bytes: int = sys.maxsize,
+    client_bytes: int = sys.maxsize,
 ) -> AgentParts:
     service = ids.ServiceName(loaded.service)
     upstream = ids.UpstreamId(loaded.upstream)
@@ -345,7 +345,8 @@
         policy,
         node.metrics,
         max_strangers,
-        response_bytes,
+        client_bytes,
+        client_bytes // 2,
     )
     return AgentParts(slot_agent, service_counters, exchange, fence)
 
--- a/teaselsill/slot_scheduler.py
+++ b/teaselsill/slot_scheduler.py
@@ -11,6 +11,7 @@
     messages,
     metrics,
     policies,
+    request_memory,
     router_peer,
     slots,
 )
@@ -69,6 +70,7 @@
         self._policy = policy
         self._metrics = sink
         self._paused_until = 0.0
+        self._requests: request_memory.RequestMemory | None = None
         self._pause_s = PAUSE_MIN_S
         follower.subscribe(lambda *_: self._apply_configuration())
         self._apply_configuration()
@@ -88,6 +90,10 @@
             account, self._service, self._upstream
         )
 
+    def limit_memory(self, requests: request_memory.RequestMemory) -> None:
+        """Offers slots only while there is memory for the requests."""
+        self._requests = requests
+
     def grant_free_slots(self) -> None:
         """Offers the free slots to waiting client accounts until either run out."""
         self._counters.set_backlogged(self._peers_by_account)
@@ -171,6 +177,9 @@
             return False
         if time.monotonic() < self._paused_until:
             return False
+        requests = self._requests
+        if requests and not requests.may_offer(len(self.slots.offer_by_grant)):
+            return False
         return self._upstream not in self._follower.document.leaving_upstreams
 
     def _list_candidates(self) -> list[policies.Candidate]:
