Keep descriptors and pages clear of a crowd, and refuse by the platform's headers

A request that is served counts for its connection to an upstream, so that none fails for want of a descriptor and no upstream is taken for unreachable. The pages of the balancer and operators have bounds of their own, a page that nobody reads ends; other routers' connections count as used once they have said who they are. Offers are declined while memory is short. Small amounts are counted only when the budget measures.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -38,7 +38,7 @@
 UNREAD_S = 15.0
 """A caller that has read nothing of an error response for so long is given up."""
 RETRY_AFTER_S = 1
-"""`Retry-After` of requests for which no memory is left, in seconds."""
+"""`Retry-After` of requests for which no memory or descriptor is left, in seconds."""
 FIRST_REQUEST_GRACE_S = 1.0
 """A new connection without a request does not count as idle for this long."""
 
@@ -208,6 +208,11 @@
 ]
 
 
+async def refuse(request: http_messages.Request, response: CallerResponse) -> None:
+    """Refuses a request for which no memory or descriptor is left."""
+    await response.send_error(503, [("retry-after", str(RETRY_AFTER_S))])
+
+
 FindClient = collections.abc.Callable[[http_messages.Headers], str]
 
 
@@ -226,6 +231,8 @@
         refusals: Counts refusals.
         find_client: Returns the client account that the headers of a request name;
             empty if they name none.
+        limit: The bound toward which the connection to an upstream counts.
+        refuse: Refuses a request that is not admitted, without running it.
 
     Attributes:
         is_idle: Whether no request is being received, served or about to arrive.
@@ -241,7 +248,11 @@
         budget: memory_budget.MemoryBudget | None = None,
         refusals: client_refusals.ClientRefusals | None = None,
         find_client: FindClient = lambda headers: "",
+        limit: connection_limit.ConnectionLimit | None = None,
+        refuse: Serve = refuse,
     ):
+        self._limit = limit or connection_limit.ConnectionLimit()
+        self._refuse = refuse
         self._budget = budget or memory_budget.MemoryBudget()
         self._refusals = refusals or client_refusals.ClientRefusals()
         self._find_client = find_client
@@ -259,6 +270,7 @@
         self._used_at = self._opened_at
         self._rest_bytes = 0
         self._request_bytes = 0
+        self._is_client_known = False
 
     @property
     def is_idle(self) -> bool:
@@ -343,8 +355,7 @@
         self._response = response
         self._is_serving = True
         try:
-            if await self._admit(response):
-                await self._serve_request(request, response)
+            await self._serve_or_refuse(request, response)
         finally:
             self._is_serving = False
             self._has_served = True
@@ -357,20 +368,28 @@
         await tcp_stream.process_pending_events()
         return self._stream.has_unread
 
-    async def _admit(self, response: CallerResponse) -> bool:
-        """Rejects a request if no memory is left; returns whether it is served."""
+    async def _serve_or_refuse(self, request, response: CallerResponse) -> None:
+        """Serves a request if there is memory and a descriptor left for it."""
+        if not self._has_memory():
+            self._refusals.note(client_refusals.Cause.NO_MEMORY)
+            await self._refuse(request, response)
+        elif not self._limit.make_room():
+            await self._refuse(request, response)
+        else:
+            with self._limit.reserve():
+                await self._serve_request(request, response)
+
+    def _has_memory(self) -> bool:
+        """Returns whether a complete request may be passed on; it stays then."""
         holding = self._stream.holding
         if holding is None:
             return True
-        if self._budget.admits(holding):
-            holding.is_passed_on = True
-            return True
-        self._refusals.note(client_refusals.Cause.NO_MEMORY)
-        await response.send_error(503, [("retry-after", str(RETRY_AFTER_S))])
-        return False
+        holding.is_passed_on = self._budget.admits(holding)
+        return holding.is_passed_on
 
     def _note_served(self) -> None:
         self._request_bytes = 0
+        self._is_client_known = False
         holding = self._stream.holding
         if holding is not None:
             holding.is_passed_on = False
@@ -459,8 +478,11 @@
     def _note_client(self) -> None:
         """Records which account sends a body that has not arrived yet."""
         holding = self._stream.holding
-        if holding is not None and self._parser.is_head_complete:
+        if holding is None or self._is_client_known:
+            return
+        if self._parser.is_head_complete:
             holding.client = self._find_client(self._parser.headers)
+            self._is_client_known = True
 
     async def _reject_malformed(self, error) -> None:
         match error:
--- a/teaselsill/connection_limit.py
+++ b/teaselsill/connection_limit.py
@@ -1,8 +1,9 @@
 """A bound on the connections of a process, which keeps descriptors for its own work.
 
-Callers' connections and those to upstreams share the bound. When it is reached, a new
-connection takes the place of another one: first of one that has never completed the
-head of a request, then of an idle one, then of one whose request is still arriving.
+Callers' connections and those to upstreams share the bound: a request that is served
+counts for one to an upstream. When it is reached, a new one takes the place of another:
+first of one that has never completed the head of a request, then of an idle one, then
+of one whose request is still arriving.
 """
 
 import abc
@@ -15,12 +16,14 @@
 
 FILE_DESCRIPTORS = 200
 """How many of the descriptors are for files."""
-CALLER_RATIO = 0.7
-"""The part of the sockets for callers and upstreams; the rest is for the store and
-other routers."""
+CALLER_RATIO = 0.65
+"""The part of the sockets for callers and upstreams; most of the rest is for the store
+and other routers."""
 ROUTER_RATIO = 0.15
 """The part of the sockets for connections that other routers have opened."""
 MIN_CONNECTIONS = 32
+PAGE_CONNECTIONS = 16
+"""How many connections one page for operators or the balancer may have."""
 DEFAULT_DESCRIPTORS = 65536
 """The descriptors if the settings name none."""
 LINGER_S = 15.0
@@ -70,6 +73,33 @@
     return (max_fds or DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS
 
 
+class StreamMember(Member):
+    """A connection of another router, which counts as used once it has said who it is.
+
+    Args:
+        stream: The connection.
+        now: The event loop's time, in seconds.
+    """
+
+    def __init__(self, stream: tcp_stream.TcpStream, now: float):
+        self._stream = stream
+        self._opened_at = now
+
+    @property
+    def use(self) -> Use:
+        """What the connection is used for; see `Member`."""
+        return Use.SERVING if self._stream.has_identified else Use.NO_HEAD_YET
+
+    @property
+    def used_since(self) -> float:
+        """When it was opened."""
+        return self._opened_at
+
+    def close_for_limit(self) -> None:
+        """Closes the connection at once."""
+        self._stream.abort()
+
+
 class ConnectionLimit:
     """The bound on one kind of connections.
 
@@ -81,8 +111,8 @@
         count: The number of open connections that count.
         max_connections: The bound.
         on_closed: Called for each connection that is closed for it.
-        release_idle: Closes an idle connection to an upstream; returns whether there
-            was one.
+        count_idle: Returns the number of idle connections to upstreams.
+        release_idle: Closes one of them; returns whether there was one.
     """
 
     def __init__(
@@ -93,17 +123,21 @@
         self.count = 0
         self.max_connections = max_connections
         self.on_closed = on_closed
+        self.count_idle: collections.abc.Callable[[], int] = lambda: 0
         self.release_idle: collections.abc.Callable[[], bool] = lambda: False
         self._members: set[Member] = set()
 
     @property
     def is_full(self) -> bool:
         """Whether another connection has to be closed for a new one."""
-        return self.count >= self.max_connections
+        if self.count < self.max_connections / 2:
+            # No more are idle than have been in use, which is another half.
+            return False
+        return self.count + self.count_idle() >= self.max_connections
 
     @contextlib.contextmanager
     def reserve(self) -> collections.abc.Iterator[None]:
-        """Counts a connection that is being opened."""
+        """Counts a connection that is being opened, or that a request needs."""
         self.count += 1
         try:
             yield
@@ -123,6 +157,12 @@
         """Adds a connection that may be closed to make room."""
         self._members.add(member)
 
+    def add_stream(self, stream: tcp_stream.TcpStream, now: float) -> None:
+        """Adds another router's connection until it ends; see `StreamMember`."""
+        member = StreamMember(stream, now)
+        self.add(member)
+        stream.on_lost.append(lambda: self.remove(member))
+
     def remove(self, member: Member) -> None:
         """Removes such a connection."""
         self._members.discard(member)
--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -300,6 +300,10 @@
             upstream.key, upstream_connection.ConnectionPool()
         )
 
+    def count_idle_connections(self) -> int:
+        """Returns the number of idle connections to upstreams."""
+        return sum(pool.idle_count for pool in self._pool_by_key.values())
+
     def close_idle_connection(self) -> bool:
         """Closes one idle connection to an upstream; returns whether there was one."""
         return any(pool.close_one() for pool in self._pool_by_key.values())
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -130,12 +130,14 @@
         self.caller_limit = connection_limit.ConnectionLimit(
             on_closed=self._note_no_connections
         )
+        self.caller_limit.count_idle = upstreams.count_idle_connections
         self.caller_limit.release_idle = upstreams.close_idle_connection
         self.router_limit = connection_limit.ConnectionLimit(
             on_closed=self._note_no_connections
         )
+        self._limits = [self.caller_limit, self.router_limit]
         self.limit_sockets(max_sockets)
-        forwarder.use(self.budget, self.caller_limit)
+        forwarder.use(self.budget)
         self.grace_s = grace_s
         self.cores = location.cores
         self._location = location
@@ -150,7 +152,7 @@
             router, view, lag, forwarder, self.describe_status, is_behind
         )
         self._offload_server = offload_server.OffloadServer(
-            forwarder.serve, self._takes_requests, lambda: forwarder.version
+            self._serve_offered, self._takes_requests, lambda: forwarder.version
         )
         self._permit_server = permit_server.PermitServer(
             forwarder.permits.issuer, view, upstreams
@@ -201,7 +203,7 @@
             version=self._forwarder.version,
             uptime_s=int(time.monotonic() - self._started_at),
             request_port=self._request_port,
-            takes_requests=self.is_ready and not self._lag.is_busy,
+            takes_requests=self._takes_requests() and not self._lag.is_busy,
             permit_port=0 if self._is_stopping else self._permit_server.port,
             copy_port=self._copy_port,
         )
@@ -217,7 +219,7 @@
         Raises:
             ListenError: The address cannot be used.
         """
-        self._listen(host, port, self._serve_caller)
+        self._listen(host, port, self._serve_caller, self.caller_limit)
 
     def listen_for_routers(self) -> None:
         """Accepts connections of routers that offer requests or ask for permits.
@@ -230,6 +232,7 @@
             self._location.port,
             self._offload_server.serve_connection,
             self.router_limit,
+            serves_routers=True,
         )
         self._request_port = new_listener.address[1]
         port = self._location.port and self._location.port + PERMIT_PORT_OFFSET
@@ -248,12 +251,17 @@
         """
         port = self._location.port and self._location.port + COPY_PORT_OFFSET
         new_listener = self.listen_for_page(
-            self._location.host, port, topic_copy.PATH, render
+            self._location.host, port, topic_copy.PATH, render, self.router_limit
         )
         self._copy_port = new_listener.address[1]
 
     def listen_for_page(
-        self, host: str, port: int, path: str, render: Render
+        self,
+        host: str,
+        port: int,
+        path: str,
+        render: Render,
+        limit: connection_limit.ConnectionLimit | None = None,
     ) -> listener.Listener:
         """Serves one page to operators, the balancer or other routers.
 
@@ -262,6 +270,8 @@
             port: The port to listen on.
             path: The page's path; other paths get status 404.
             render: Returns the page.
+            limit: The bound on its connections; by default it has one of its own, so
+                that callers' connections do not keep the balancer out.
 
         Returns:
             The listener.
@@ -269,6 +279,10 @@
         Raises:
             ListenError: The address cannot be used.
         """
+        limit = limit or connection_limit.ConnectionLimit(
+            connection_limit.PAGE_CONNECTIONS, self._note_no_connections
+        )
+        self._limits.append(limit)
 
         async def write_page(message, response) -> None:
             page = render() if message.path == path else Page(404, "Not Found")
@@ -282,14 +296,18 @@
                 http_messages.Framing.LENGTH,
                 keep_alive=True,
             )
-            await response.start(head)
-            await response.write(page.text)
-            await response.end()
+            try:
+                async with asyncio.timeout(caller_connection.UNREAD_S):
+                    await response.start(head)
+                    await response.write(page.text)
+                    await response.end()
+            except TimeoutError:
+                response.abort()
 
         async def serve_page(stream: tcp_stream.TcpStream) -> None:
-            await self._serve(stream, write_page)
+            await self._serve(stream, write_page, limit)
 
-        return self._listen(host, port, serve_page)
+        return self._listen(host, port, serve_page, limit)
 
     def render_readiness(self) -> Page:
         """Returns the readiness page for the balancer."""
@@ -308,7 +326,8 @@
         """Measures what is held for clients, and logs what they were refused for."""
         now = self._now()
         self.budget.tick(now)
-        self.caller_limit.drop_unread(now)
+        for limit in self._limits:
+            limit.drop_unread(now)
         held_bytes = self.budget.held_bytes
         self.refusals.log(now, held_bytes, self.caller_limit.count)
 
@@ -364,14 +383,16 @@
         host: str,
         port: int,
         serve: ServeStream,
-        limit: connection_limit.ConnectionLimit | None = None,
+        limit: connection_limit.ConnectionLimit,
+        serves_routers: bool = False,
     ) -> listener.Listener:
         new_listener = listener.Listener(
             host,
             port,
             lambda stream: self._start(serve(stream)),
             self.budget,
-            limit or self.caller_limit,
+            limit,
+            serves_routers,
         )
         self._listeners.append(new_listener)
         return new_listener
@@ -387,20 +408,35 @@
             logger.error("connection failed", exc_info=task.exception())
 
     async def _serve_caller(self, stream: tcp_stream.TcpStream) -> None:
-        await self._serve(stream, self._offloader.serve)
+        await self._serve(
+            stream, self._offloader.serve, self.caller_limit, self._forwarder.refuse
+        )
 
     def _takes_requests(self) -> bool:
         """Returns whether a request that another router offers now is served."""
-        return self.is_ready and not self._forwarder.shutdown.is_refusing
+        is_stopping = self._forwarder.shutdown.is_refusing
+        has_room = not self.budget.is_pressed and not self.caller_limit.is_full
+        return self.is_ready and not is_stopping and has_room
+
+    async def _serve_offered(self, message, response, received_at: float) -> None:
+        """Serves a request of another router; it needs a connection to an upstream."""
+        with self.caller_limit.reserve():
+            await self._forwarder.serve(message, response, received_at)
 
     async def _serve(
-        self, stream: tcp_stream.TcpStream, serve: caller_connection.Serve
+        self,
+        stream: tcp_stream.TcpStream,
+        serve: caller_connection.Serve,
+        limit: connection_limit.ConnectionLimit,
+        refuse: caller_connection.Serve = caller_connection.refuse,
     ) -> None:
         """Serves a connection until it ends.
 
         Args:
             stream: The connection.
             serve: Serves each of its requests.
+            limit: The bound that the connection counts toward.
+            refuse: Refuses a request for which no memory is left.
         """
         connection = caller_connection.CallerConnection(
             stream,
@@ -411,10 +447,13 @@
             budget=self.budget,
             refusals=self.refusals,
             find_client=self._find_client,
+            limit=limit if limit is self.caller_limit else None,
+            refuse=refuse,
         )
         self._connections.add(connection)
-        self.caller_limit.add(connection)
-        stream.on_lost.append(lambda: self.caller_limit.remove(connection))
+        if not stream.is_lost:
+            limit.add(connection)
+            stream.on_lost.append(lambda: limit.remove(connection))
         try:
             await connection.run()
         finally:
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -9,7 +9,6 @@
     boot_clock,
     caller_connection,
     calls,
-    connection_limit,
     directory,
     entry_metrics,
     event_stream,
@@ -105,14 +104,9 @@
         self._sender = upstream_attempt.Sender(dialect, upstreams, view, metrics, lag)
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
-    def use(
-        self,
-        budget: memory_budget.MemoryBudget,
-        limit: connection_limit.ConnectionLimit,
-    ) -> None:
-        """Accounts for the connections to upstreams and what they hold."""
+    def use(self, budget: memory_budget.MemoryBudget) -> None:
+        """Accounts for what connections to upstreams hold."""
         self._sender.budget = budget
-        self._sender.limit = limit
 
     def find_account(self, headers: http_messages.Headers) -> ids.AccountId | None:
         """Returns the client account whose key is in the headers of a request."""
@@ -255,6 +249,19 @@
         headers = self._dialect.make_rejection_headers(call, error.retry_after_s)
         await response.send_error(error.cause.status, headers)
 
+    async def refuse(
+        self, message: http_messages.Request, response: caller_connection.Response
+    ) -> None:
+        """Refuses a request for which nothing is left; it has not run."""
+        try:
+            call = self._dialect.read_call(message, self._now())
+        except calls.BadCallError:
+            call = None
+        headers = self._dialect.make_rejection_headers(
+            call, caller_connection.RETRY_AFTER_S
+        )
+        await response.send_error(503, headers)
+
     async def _forward(self, call, response, line, prior) -> None:
         """Resolves route, account and service of a request and forwards it.
 
--- a/teaselsill/listener.py
+++ b/teaselsill/listener.py
@@ -35,6 +35,7 @@
         on_stream: Called with each new connection.
         budget: The account that the bytes of its connections belong to.
         limit: The bound on its connections.
+        serves_routers: Whether other routers connect, which say who they are.
 
     Raises:
         ListenError: The address cannot be used.
@@ -47,7 +48,9 @@
         on_stream: OnStream,
         budget: memory_budget.MemoryBudget | None = None,
         limit: connection_limit.ConnectionLimit | None = None,
+        serves_routers: bool = False,
     ):
+        self._serves_routers = serves_routers
         self._on_stream = on_stream
         self._budget = budget
         self._limit = limit or connection_limit.ConnectionLimit()
@@ -120,6 +123,8 @@
                     lambda: tcp_stream.TcpStream(self._budget), accepted
                 )
                 self._limit.note_opened(stream)
+                if self._serves_routers:
+                    self._limit.add_stream(stream, self._loop.time())
                 self._on_stream(stream)
         finally:
             # From here on, the stream counts.
--- a/teaselsill/memory_budget.py
+++ b/teaselsill/memory_budget.py
@@ -23,6 +23,8 @@
 """What a connection may hold without a pause: more than an ordinary request."""
 PRESSED_RATIO = 0.5
 """Reading pauses while this part of the limit is held, or more."""
+MEASURED_RATIO = 0.25
+"""Above this part, all that is held is measured again and again."""
 CALM_RATIO = 0.4
 """Reading goes on below this part."""
 LARGE_RATIO = 0.75
@@ -207,8 +209,9 @@
         Args:
             now: The time, in seconds.
         """
-        for holding in list(self._holdings):
-            holding.update(holding.owner.measure_for_budget())
+        if self.held_bytes > MEASURED_RATIO * self.limit_bytes:
+            for holding in list(self._holdings):
+                holding.update(holding.owner.measure_for_budget())
         if not self._is_pressed:
             return
         excess_bytes = self.held_bytes - int(CALM_RATIO * self.limit_bytes)
--- a/teaselsill/offload_server.py
+++ b/teaselsill/offload_server.py
@@ -227,6 +227,7 @@
         try:
             while data := await self._stream.read():
                 for message in unpacker.feed(data):
+                    self._stream.has_identified = True
                     self._handle(message)
                 self._note_kept(unpacker.held_bytes)
         except (tcp_stream.ConnectionResetError, tcp_stream.RefusedError):
--- a/teaselsill/peer_links.py
+++ b/teaselsill/peer_links.py
@@ -94,7 +94,9 @@
         Raises:
             ListenError: The router cannot listen on the address.
         """
-        self._listener = listener.Listener(host, port, self._accept, budget, limit)
+        self._listener = listener.Listener(
+            host, port, self._accept, budget, limit, serves_routers=True
+        )
 
     @property
     def port(self) -> int:
@@ -321,6 +323,7 @@
         try:
             while data := await stream.read():
                 for report in unpacker.feed(data):
+                    stream.has_identified = True
                     self._handle_report(report)
                     yield report
                 stream.note_kept(unpacker.held_bytes)
--- a/teaselsill/permit_server.py
+++ b/teaselsill/permit_server.py
@@ -75,7 +75,9 @@
         Raises:
             ListenError: The address cannot be used.
         """
-        self._listener = listener.Listener(host, port, self._accept, budget, limit)
+        self._listener = listener.Listener(
+            host, port, self._accept, budget, limit, serves_routers=True
+        )
 
     def close(self) -> None:
         """Closes all connections."""
@@ -139,6 +141,7 @@
         try:
             while data := await self._stream.read():
                 for message in unpacker.feed(data):
+                    self._stream.has_identified = True
                     self._handle(message)
                 self._stream.note_kept(unpacker.held_bytes)
         except (tcp_stream.ConnectionResetError, tcp_stream.RefusedError):
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -14,6 +14,8 @@
 """With more unread bytes, receiving is paused until half of them have been read."""
 RECEIVE_BYTES = 64 * 1024
 """The most bytes that are received at once, so that a pause comes in time."""
+UNCOUNTED_BYTES = 4 * 1024
+"""Smaller amounts are counted only when the budget measures, to save time."""
 UPSTREAM_FREE_BYTES = 16 * 1024
 """What an upstream's connection may hold without being paused by the budget."""
 KEEPALIVE_INTERVAL_S = 1
@@ -53,6 +55,7 @@
 
     Attributes:
         last_received_at: The event loop's time when bytes last arrived, in seconds.
+        has_identified: Whether the peer has sent a message that names it.
         holding: What the connection holds; None without a budget.
         is_lost: Whether the connection has ended.
         on_lost: Called when the connection ends.
@@ -62,6 +65,7 @@
 
     def __init__(self, budget: memory_budget.MemoryBudget | None = None):
         self.last_received_at = 0.0
+        self.has_identified = False
         self.holding: memory_budget.Holding | None = None
         self.is_lost = False
         self.on_lost: list[collections.abc.Callable[[], None]] = []
@@ -128,7 +132,7 @@
         self._unread.append(data)
         self._unread_bytes += len(data)
         self._readable.set()
-        if self.holding is not None:
+        if self.holding is not None and self._unread_bytes > UNCOUNTED_BYTES:
             self._update_holding()
         if not self._is_paused:
             self._update_reading()
@@ -158,7 +162,10 @@
     def note_kept(self, kept_bytes: int) -> None:
         """Counts what is kept of the read bytes, toward the budget."""
         self._kept_bytes = kept_bytes
-        if self.holding is not None:
+        holding = self.holding
+        if holding is not None and (
+            kept_bytes > UNCOUNTED_BYTES or holding.held_bytes > UNCOUNTED_BYTES
+        ):
             self._update_holding()
 
     def _update_holding(self) -> None:
@@ -268,7 +275,7 @@
         """Sends bytes, or discards them if the connection is closing."""
         if not self._transport.is_closing():
             self._transport.write(data)
-            if self.holding is not None:
+            if self.holding is not None and self.unsent_bytes > UNCOUNTED_BYTES:
                 self._update_holding()
 
     async def drain(self) -> None:
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -6,7 +6,6 @@
 
 from teaselsill import (
     calls,
-    connection_limit,
     directory,
     entry_metrics,
     event_stream,
@@ -51,7 +50,6 @@
 
     Attributes:
         budget: The account that the connections to upstreams belong to.
-        limit: The bound on connections, which they count toward.
     """
 
     def __init__(
@@ -63,7 +61,6 @@
         lag: loop_lag.LoopLag,
     ):
         self.budget: memory_budget.MemoryBudget | None = None
-        self.limit = connection_limit.ConnectionLimit()
         self._dialect = dialect
         self._directory = upstreams
         self._view = view
@@ -219,7 +216,7 @@
         if pooled is not None:
             return pooled
         return await upstream_connection.open_connection(
-            target.host, target.port, CONNECT_TIMEOUT_S, self.budget, self.limit
+            target.host, target.port, CONNECT_TIMEOUT_S, self.budget
         )
 
     def _send(
--- a/teaselsill/upstream_connection.py
+++ b/teaselsill/upstream_connection.py
@@ -4,7 +4,6 @@
 import collections.abc
 
 from teaselsill import (
-    connection_limit,
     errors,
     http_messages,
     memory_budget,
@@ -147,7 +146,6 @@
     port: int,
     timeout_s: float,
     budget: memory_budget.MemoryBudget | None = None,
-    limit: connection_limit.ConnectionLimit | None = None,
 ) -> UpstreamConnection:
     """Opens a connection to an upstream.
 
@@ -156,19 +154,11 @@
         port: The port.
         timeout_s: How long it may take, in seconds.
         budget: The account that its bytes belong to; None for none.
-        limit: The bound that it counts toward; None for none.
 
     Raises:
-        ConnectionFailedError: The connection could not be opened in time, or no
-            descriptor is left for it.
+        ConnectionFailedError: The connection could not be opened in time.
     """
-    limit = limit or connection_limit.ConnectionLimit()
-    if not limit.make_room():
-        raise tcp_stream.ConnectionFailedError("no descriptor is left")
-    with limit.reserve():
-        stream = await tcp_stream.connect(host, port, timeout_s, budget)
-        limit.note_opened(stream)
-    return UpstreamConnection(stream)
+    return UpstreamConnection(await tcp_stream.connect(host, port, timeout_s, budget))
 
 
 class ConnectionPool:
@@ -201,6 +191,11 @@
         else:
             connection.abort()
 
+    @property
+    def idle_count(self) -> int:
+        """The number of idle connections."""
+        return len(self._idle)
+
     def close_one(self) -> bool:
         """Closes the connection that has been idle for longest, if there is one."""
         if not self._idle:
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -234,6 +234,8 @@
         upstreams: The upstreams.
         name: The router's id.
         cores: The CPU capacity of the router, in cores.
+        budget: The account of the bytes that the router holds for its clients.
+        max_sockets: How many sockets the router may have open.
         fields: Fields of the only route.
 
     Attributes:
@@ -245,7 +247,9 @@
         lag: Measures the delay of the router's event loop.
     """
 
-    def __init__(self, upstreams, name="r", cores=1.0, **fields):
+    def __init__(
+        self, upstreams, name="r", cores=1.0, budget=None, max_sockets=1000, **fields
+    ):
         super().__init__()
         self._upstreams = upstreams
         self._fields = fields
@@ -277,6 +281,8 @@
             lambda: True,
             8.0,
             self.lag,
+            budget=budget,
+            max_sockets=max_sockets,
         )
         self.port = 0
 
