Serve the largest request alone whatever memory is set, and log refusals

With a memory_mb of 104 or less, one body of 4 MB alone came to half of the account, so reading paused and the request was refused after 0.5 s, although it was inside the limits. The account is now at least 16 MB and four times the largest body of the role. The test failed with the least account as it was, 16 MB. Refusals are logged by cause, one line a second at the most.

--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -35,6 +35,7 @@
     process_memory,
     registry,
     reports,
+    request_memory,
     router,
     running,
     sampling,
@@ -44,6 +45,14 @@
     slot_scheduler,
 )
 
+REFUSALS_LOG_INTERVAL_S = 1.0
+REFUSALS = (
+    metrics.Metric.HEADS_REFUSED,
+    metrics.Metric.MEMORY_REFUSED,
+    metrics.Metric.CONNECTIONS_REFUSED,
+    metrics.Metric.CONNECTIONS_EXPIRED,
+)
+
 logger = logging.getLogger(__name__)
 
 
@@ -53,6 +62,7 @@
     Args:
         loaded: The settings of the process.
         role: The role of the process.
+        max_body_bytes: The largest request body.
 
     Attributes:
         identity: The identity of this process.
@@ -67,7 +77,12 @@
         descriptors: How many connections each port may have.
     """
 
-    def __init__(self, loaded: settings.CommonSettings, role: instances.Role):
+    def __init__(
+        self,
+        loaded: settings.CommonSettings,
+        role: instances.Role,
+        max_body_bytes: int,
+    ):
         logs.configure(loaded.log_level, role, loaded.instance)
         registry.load_built_in()
         incarnation = ids.Incarnation(ids.new_random_id())
@@ -84,7 +99,7 @@
         self.membership = membership.Membership(self.instance_list)
         self.follower = configuration.Follower(self.log)
         self.host = str(loaded.host)
-        limit_bytes = process_memory.find_client_bytes(loaded.memory_mb)
+        limit_bytes = process_memory.find_client_bytes(loaded.memory_mb, max_body_bytes)
         self.budget = memory_budget.MemoryBudget(
             limit_bytes, lambda: self.metrics.count(metrics.Metric.MEMORY_REFUSED)
         )
@@ -130,6 +145,7 @@
             budget=self.budget,
         )
         await self._admin_server.start()
+        self.run_in_background(self._log_refusals())
         self.run_in_background(self.follower.run())
         self.run_in_background(self.membership.run())
 
@@ -148,6 +164,16 @@
         await self.instance_list.close()
         self.metrics.close()
 
+    async def _log_refusals(self) -> None:
+        """Logs how many clients have been refused, at most one line a second."""
+        logged = {}
+        while True:
+            await asyncio.sleep(REFUSALS_LOG_INTERVAL_S)
+            counts = {m.name.lower(): self.metrics.get_count(m) for m in REFUSALS}
+            if counts != logged and any(counts.values()):
+                logger.warning("clients refused", extra=counts)
+            logged = counts
+
     def _handle_task_done(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
             logger.error("background task failed, stopping", exc_info=task.exception())
@@ -168,7 +194,7 @@
 
 async def run_router(loaded: settings.RouterSettings) -> None:
     """Runs a router until it is told to stop, then completes requests in progress."""
-    node = Node(loaded, instances.Role.ROUTER)
+    node = Node(loaded, instances.Role.ROUTER, loaded.max_body_bytes)
     levels = service_levels.Recorder(time.monotonic)
     context = agent_peer.PeerContext(
         node.identity,
@@ -210,7 +236,7 @@
 
 async def run_agent(loaded: settings.AgentSettings) -> None:
     """Runs an agent until it is told to stop, then delivers responses in progress."""
-    node = Node(loaded, instances.Role.AGENT)
+    node = Node(loaded, instances.Role.AGENT, request_memory.MAX_REQUEST_BYTES)
     parts = _make_agent(
         node, loaded, node.descriptors.strangers, node.budget.limit_bytes
     )
@@ -250,7 +276,7 @@
 
 async def run_console(loaded: settings.ConsoleSettings) -> None:
     """Runs a console until it is told to stop."""
-    node = Node(loaded, instances.Role.CONSOLE)
+    node = Node(loaded, instances.Role.CONSOLE, console.MAX_FORM_BYTES)
     app = console.create_app(node.log, node.instance_list)
     page_server = servers.HttpServer(
         app,
--- a/tests/test_http_protocol.py
+++ b/tests/test_http_protocol.py
@@ -4,7 +4,7 @@
 from starlette import applications, responses, routing
 
 from standins import fleet
-from teaselsill import http_protocol, memory_budget, servers
+from teaselsill import http_protocol, memory_budget, process_memory, servers
 
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -138,6 +138,17 @@
         self.assertIn(b"200 OK", answer)
         self.assertLessEqual(self.budget.held_bytes, self.budget.limit_bytes)
 
+    async def test_largest_request_alone_is_served_with_the_least_memory(self):
+        body = b"a" * (4 * 1024 * 1024)
+        self.budget.limit_bytes = process_memory.find_client_bytes(1, len(body))
+        lines = b"a:\r\n" * 16_000
+        requests = [HEAD + lines, HEAD + b"Content-Length: %d\r\n" % len(body)]
+        for request, sent in zip(requests, (b"", body), strict=True):
+            reader = await self.connect(request + b"\r\n" + sent)
+            async with asyncio.timeout(10):
+                self.assertIn(b"200 OK", await reader.readuntil(b"hello"))
+        self.assertEqual([0, len(body)], self.read)
+
     async def test_account_is_empty_after_the_response(self):
         reader = await self.connect(HEAD + b"Content-Length: 5\r\n\r\nhello")
         await reader.readuntil(b"hello")
