--- a/teaselsill/http_protocol.py
+++ b/teaselsill/http_protocol.py
@@ -116,9 +116,25 @@
         if closed is not None:
             self._sink.count(metrics.Metric.CONNECTIONS_REFUSED)
             closed.give_up()
+        if self._unparsed:
+            self._parse()
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection has been closed."""
+        return self.parser is None
+
+    def abandon(self) -> None:
+        """Ends a connection that has never been made, as TLS has failed."""
+        self.parser = None
+        self._unparsed.clear()
+        self._holding.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by asyncio once the connection is closed."""
+        if self.transport is None:
+            self.abandon()
+            return
         self._open_connections.remove(self)
         self._holding.close()
         self._end_request()
@@ -150,7 +166,7 @@
         Args:
             scope: The ASGI scope of the request, whose headers are dropped.
         """
-        if self.parser is None:
+        if self.is_lost:
             return True
         size = self._kept_bytes + RESPONSE_BYTES
         account = ids.AccountId(self._holding.client)
@@ -194,7 +210,7 @@
     def measure_for_budget(self) -> int:
         """See `memory_budget.Owner`."""
         held = self._kept_bytes + len(self._unparsed)
-        if self.flow.write_paused:
+        if self.flow is not None and self.flow.write_paused:
             held += UNREAD_BYTES + self.transport.get_write_buffer_size()
         return held
 
@@ -228,7 +244,9 @@
     def data_received(self, data: bytes) -> None:
         """Parses the next bytes; closes the connection if they exceed a bound."""
         self._unparsed += data
-        self._parse()
+        # With TLS, the first bytes may come before the connection is made.
+        if self.transport is not None:
+            self._parse()
 
     def on_message_begin(self) -> None:
         """Prepares the scope of a request; called by the parser."""
--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 import socket
 import ssl
 import time
@@ -17,6 +16,7 @@
     memory_budget,
     metrics,
     passed_on,
+    tls_gate,
 )
 
 START_POLL_S = 0.005
@@ -114,28 +114,22 @@
         self._sink = sink or metrics.Metrics()
         self._budget = budget or memory_budget.MemoryBudget()
         self._connections = http_connections.Connections(max_connections)
-        options = {}
+        self._requests = passed_on.PassedOn(self._budget.limit_bytes)
+        self._context = None
         if tls is not None:
-            certificates.load_chain(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), tls)
-            options = {"ssl_certfile": tls.certificate, "ssl_keyfile": tls.key}
+            self._context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            certificates.load_chain(self._context, tls)
         config = uvicorn.Config(
             app,
             lifespan="off",
             backlog=ACCEPT_BATCH,
-            http=functools.partial(
-                http_protocol.Protocol,
-                connections=self._connections,
-                sink=self._sink,
-                budget=self._budget,
-                requests=passed_on.PassedOn(self._budget.limit_bytes),
-            ),
+            http=self._make_protocol,
             ws="none",
             proxy_headers=False,
             log_config=None,
             log_level="warning",
             access_log=False,
             server_header=False,
-            **options,
         )
         self._server = Server(config)
         self._task: asyncio.Task | None = None
@@ -152,6 +146,7 @@
         while not self._server.started:
             if self._task.done():
                 self._task.result()
+                raise ListenError(f"cannot listen on {self._host}:{self._port}")
             await asyncio.sleep(START_POLL_S)
         listening.listen(LISTEN_BACKLOG)
         self._sweep_task = asyncio.create_task(self._sweep())
@@ -162,6 +157,15 @@
         await self._task
         self._sweep_task.cancel()
 
+    def _make_protocol(self, **options) -> asyncio.BaseProtocol:
+        """Returns the protocol of a new connection; called by uvicorn."""
+        protocol = http_protocol.Protocol(
+            self._connections, self._sink, self._budget, self._requests, **options
+        )
+        if self._context is None:
+            return protocol
+        return tls_gate.TlsGate(protocol, self._context, self._connections, self._sink)
+
     async def _sweep(self) -> None:
         """Keeps within the memory, and closes connections that do nothing for long."""
         while True:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,4 +1,6 @@
 import asyncio
+import contextlib
+import os
 import pathlib
 import ssl
 import tempfile
@@ -66,6 +68,55 @@
                 await session.get(f"http://127.0.0.1:{port}/x")
         await server.stop()
 
+    async def test_silent_handshakes_are_bounded_and_others_served(self):
+        """A connection counts before TLS, which nothing may ever begin."""
+        section = self.make_section()
+        app = plain_service.create_app()
+        port = fleet.find_free_port()
+        server = servers.HttpServer(app, "127.0.0.1", port, section, 16)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(100):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            self.addCleanup(writer.close)
+        await asyncio.sleep(0.2)
+        opened = len(os.listdir("/proc/self/fd")) - before - 100
+        context = ssl.create_default_context()
+        self.authority.configure_trust(context)
+        timeout = aiohttp.ClientTimeout(total=10)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            url = f"https://127.0.0.1:{port}/x"
+            async with session.get(url, ssl=context) as response:
+                self.assertEqual(200, response.status)
+        self.assertLessEqual(opened, 20)
+
+    async def test_request_in_the_segment_that_ends_the_handshake(self):
+        server, port = self.make_server(self.make_section())
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        context = ssl.create_default_context()
+        self.authority.configure_trust(context)
+        incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        tls = context.wrap_bio(incoming, outgoing, server_hostname="127.0.0.1")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        while True:
+            try:
+                tls.do_handshake()
+                break
+            except ssl.SSLWantReadError:
+                writer.write(outgoing.read())
+                incoming.write(await reader.read(65536))
+        tls.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        writer.write(outgoing.read())
+        response = b""
+        async with asyncio.timeout(5):
+            while b"200 OK" not in response:
+                incoming.write(await reader.read(65536))
+                with contextlib.suppress(ssl.SSLWantReadError):
+                    response += tls.read(65536)
+
     def test_error_contains_the_path_of_a_missing_file(self):
         section = self.make_section()
         pathlib.Path(section.key).unlink()
