End no announced limit by asking for a permit of a cold upstream

A router that had never heard of the limit of a cold upstream said with its request for a permit that none was named, as of now: the grantor forgot the limit. It now says that it has heard nothing (`test_announced_limit_outlasts_a_router_that_has_not_heard_of_it`, seen failing).

--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -36,6 +36,8 @@
 """Time constant of the estimated rate at which other routers send prompt tokens."""
 TRANSIT_S = 0.5
 """How long a report may take, for the age of what it says."""
+NEVER_S = 1e9
+"""Age of what has never been heard: it ends nothing that others have heard."""
 FULL_REPORT_S = 0.5
 """How often the load at all engines is reported, even if it has not changed."""
 TELLERS = 3
@@ -546,7 +548,7 @@
     sighting = candidate.announced.last_sighting
     if sighting is None:
         return peer_reports.LimitNews(
-            candidate.upstream.id, candidate.upstream.born_ms, None, 0.0, 0.0
+            candidate.upstream.id, candidate.upstream.born_ms, None, NEVER_S, NEVER_S
         )
     return peer_reports.LimitNews(
         candidate.upstream.id,
--- a/teaselsill/grantor.py
+++ b/teaselsill/grantor.py
@@ -47,8 +47,8 @@
     def can_grant(self, limit: announcements.Limit) -> bool:
         """Returns whether a router may grant its part of a limit.
 
-        Routers out of reach may not know of a strict limit. While they may be the
-        greater part of the fleet, they take all that it allows.
+        Under a strict limit it must hear enough of the others: those out of reach may
+        be granting permits as well, or not know of the limit.
         """
         return not limit.is_strict or self.reachable_ratio >= QUORUM_RATIO
 
--- a/tests/test_failures_cold.py
+++ b/tests/test_failures_cold.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from teaselsill import cold_start, routing_table
+from teaselsill import announcements, cold_start, fleet_view, routing_table
 from tests import test_failures_limit
 
 POLICY = cold_start.Policy(duration_s=4.0, per_s=5.0)
@@ -66,6 +66,17 @@
         now = asyncio.get_running_loop().time()
         self.assertTrue(self.routers[2].directory.find("c").cold.is_cold(now))
 
+    async def test_announced_limit_outlasts_a_router_that_has_not_heard_of_it(self):
+        """Its request for a permit said that the upstream had named none."""
+        limited = test_failures_limit.LimitedUpstream("c", None)
+        await self.start_cold(limited, cold=[limited], routers=2)
+        now = asyncio.get_running_loop().time()
+        candidate, other = (each.directory.find("c") for each in self.routers)
+        candidate.announced.note_sighting(announcements.Sighting(2.0, now - 9, now - 9))
+        news = fleet_view.make_limit_news(other, now)
+        self.routers[0].view.apply_limit_news("r1", news)
+        self.assertEqual(2.0, candidate.announced.limit_per_s)
+
     async def test_requests_beyond_what_cold_upstreams_take_are_rejected_at_once(self):
         upstreams = [test_failures_limit.LimitedUpstream(n, None) for n in "ab"]
         never = routing_table.Repeat.NEVER
