Let upstreams turn cold in the soak of entry routers

An upstream turns cold with no word but its entry, for 4 s, each few seconds; once all running routers can know it, at most 17 requests may come in a second.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -4,9 +4,9 @@
 
 It starts routers, a store and upstreams on loopback addresses of their own and sends
 requests of all kinds. Meanwhile it kills, freezes, stops and floods routers, makes the
-store unavailable, evacuates data centres and injects faults into the links to the store
-and to upstreams. It checks what callers and upstreams observe and exits with status 1
-after a violation.
+store unavailable, evacuates data centres, lets upstreams turn cold and injects faults
+into the links to the store and to upstreams. It checks what callers and upstreams
+observe and exits with status 1 after a violation.
 """
 
 import argparse
@@ -67,6 +67,13 @@
 """How long a data centre is evacuated, in addition to the duration that is drawn."""
 EVACUATION_KNOWN_S = 1.5
 """All routers know an evacuation after so long without failures that hide it."""
+COLD_S = 4.0
+"""How long an upstream is cold."""
+COLD_PER_S = 8.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5.0
+COLD_WINDOW_S = 1.0
+HEARTBEAT_S = 1.2
 BOTH_RATIO = 0.3
 """The fraction of evacuations that go with another one."""
 
@@ -86,6 +93,7 @@
     LIMITED = "limited"
     STORE_RESTORED = "store-restored"
     EVACUATED = "evacuated"
+    COLD = "cold"
 
 
 FAULT_BY_KIND = {
@@ -126,10 +134,12 @@
     failures = _draw_limits(seed, duration_s)
     failures += _draw_restores(seed, duration_s)
     failures += _draw_evacuations(seed, duration_s)
+    failures += _draw_cold_times(seed, duration_s)
     drawn_apart = {
         FailureKind.LIMITED,
         FailureKind.STORE_RESTORED,
         FailureKind.EVACUATED,
+        FailureKind.COLD,
     }
     kinds = [kind for kind in FailureKind if kind not in drawn_apart]
     at_s = 1.0
@@ -188,6 +198,18 @@
     return failures
 
 
+def _draw_cold_times(seed: int, duration_s: float) -> list[Failure]:
+    """Returns when upstreams turn cold, which changes no other draw."""
+    source = random.Random(f"cold times of {seed}")
+    failures = []
+    at_s = source.uniform(0.5, 2.0)
+    while at_s < duration_s:
+        target = source.randrange(UPSTREAM_COUNT)
+        failures.append(Failure(FailureKind.COLD, target, round(at_s, 2), COLD_S))
+        at_s += COLD_S + source.uniform(1.0, 3.0)
+    return failures
+
+
 @dataclasses.dataclass(frozen=True)
 class Span:
     """A time on the monotonic clock, in seconds.
@@ -246,7 +268,15 @@
         for r in Repeat
     ]
     routes.append(route | {"Name": "v", "PathPrefix": f"/version-{version}/"})
-    manifest = test_manifest.MANIFEST | {"Routes": routes, "Version": version}
+    services = [
+        service | {"ColdStartS": COLD_S, "ColdPerS": COLD_PER_S}
+        for service in test_manifest.MANIFEST["Services"]
+    ]
+    manifest = test_manifest.MANIFEST | {
+        "Routes": routes,
+        "Services": services,
+        "Version": version,
+    }
     return json.dumps(manifest).encode()
 
 
@@ -262,11 +292,15 @@
         limit_spans: The times in which it has named one.
         data_centre: The data centre, in which it is the only one.
         evacuated: The times in which it was to get nothing.
+        cold_until: Until when it is cold.
+        cold: The times in which it was cold.
     """
 
     def __init__(self, name: str, source: random.Random, data_centre: str):
         self.data_centre = data_centre
         self.evacuated: list[Span] = []
+        self.cold_until = -math.inf
+        self.cold: list[Span] = []
         self.arrived_at: list[float] = []
         self.limit_per_s: float | None = None
         self.limit_spans: list[LimitSpan] = []
@@ -339,15 +373,34 @@
             )
         ]
 
+    def check_cold_times(self, hidden: list[Span]) -> list[str]:
+        """Returns a description of each cold time in which too many requests came.
 
-def find_known_at(evacuated: Span, hidden: list[Span]) -> float:
-    """Returns from when on all running routers know an evacuation.
+        Args:
+            hidden: The times in which routers may have been unable to learn of it.
+        """
+        most = COLD_OVERAGE * COLD_PER_S + COLD_SLACK
+        found = []
+        for span in self.cold:
+            since = find_known_at(span, hidden)
+            times = [at for at in self.arrived_at if since < at < span.ended_at]
+            count = max(
+                (sum(t <= at < t + COLD_WINDOW_S for at in times) for t in times),
+                default=0,
+            )
+            if count > most:
+                found.append(f"{self.server.name}: {count} requests in a second, cold")
+        return found
+
+
+def find_known_at(written: Span, hidden: list[Span]) -> float:
+    """Returns from when on all running routers know what was written.
 
     Args:
-        evacuated: When the data centre was evacuated.
+        written: When it was written, and holds.
         hidden: The times in which routers may have been unable to learn of it.
     """
-    known_at = evacuated.began_at + EVACUATION_KNOWN_S
+    known_at = written.began_at + EVACUATION_KNOWN_S
     for span in sorted(hidden, key=lambda span: span.began_at):
         if span.began_at < known_at:
             known_at = max(known_at, span.ended_at + EVACUATION_KNOWN_S)
@@ -464,6 +517,8 @@
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
 RetryBudgetBurst = 54
+ColdOverage = {COLD_OVERAGE}
+ColdSlack = {COLD_SLACK}
 [Zones]
 a = "north"
 b = "north"
@@ -522,6 +577,7 @@
         for upstream in self._upstreams:
             self.violations += upstream.check_limits()
             self.violations += upstream.check_evacuations(self._hidden, self._restored)
+            self.violations += upstream.check_cold_times(self._hidden)
 
     async def _link(self, stack, server) -> faulty_link.FaultyLink:
         upstream = server.describe()
@@ -612,6 +668,8 @@
                 )
             case FailureKind.EVACUATED:
                 await self._evacuate(failure)
+            case FailureKind.COLD:
+                await self._turn_cold(self._upstreams[failure.target])
             case FailureKind.LINK_RESET:
                 self._links[failure.target].cut()
                 self._note_link_fault(0.0)
@@ -658,6 +716,16 @@
         self._evacuated.discard(upstream.data_centre)
         self._put_evacuation(upstream)
 
+    async def _turn_cold(self, upstream: Upstream) -> None:
+        """Lets an upstream turn cold, as its heartbeats say."""
+        began_at = time.monotonic()
+        upstream.cold_until = began_at + COLD_S
+        while (left_s := upstream.cold_until - time.monotonic()) > 0:
+            self._register_upstreams()
+            await asyncio.sleep(min(left_s, HEARTBEAT_S))
+        upstream.cold.append(Span(began_at, upstream.cold_until))
+        self._register_upstreams()
+
     def _put_evacuation(self, upstream: Upstream) -> None:
         """Writes that a data centre is evacuated, or removes the record."""
         is_evacuated = upstream.data_centre in self._evacuated
@@ -671,9 +739,12 @@
 
     def _register_upstreams(self) -> None:
         for upstream, link in zip(self._upstreams, self._links, strict=False):
-            address = f"{faulty_link.HOST}:{link.port}"
+            left_s = max(0.0, upstream.cold_until - time.monotonic())
             self._store.register(
-                upstream.server, Address=address, Zone=upstream.data_centre
+                upstream.server,
+                Address=f"{faulty_link.HOST}:{link.port}",
+                Zone=upstream.data_centre,
+                ColdLeftMs=round(1000 * left_s),
             )
 
     async def _disturb_link(self, failure: Failure) -> None:
