Build the log line of a request from what it holds

A flooded router is late by what each rejected request costs. The line of a request was built from all its fields, with the place and thread that no line states, also when it was left out. A new connection with one rejected request, side by side: 147 to 175 us before, 120 to 128 us now; 116 to 130 us on, which bounds no connections.

--- a/teaselsill/request_log_line.py
+++ b/teaselsill/request_log_line.py
@@ -84,9 +84,11 @@
 
         A request that got its response is logged at level INFO, any other at WARNING.
         """
-        names = [field.name for field in dataclasses.fields(self)]
-        fields = {name: getattr(self, name) for name in names}
+        fields = {name: value for name in FIELDS if (value := getattr(self, name))}
         fields["ending"] = self.ending.value
         is_delivered = self.ending is Ending.DELIVERED
         level = logging.INFO if is_delivered else logging.WARNING
-        logger.log(level, "request", extra={k: v for k, v in fields.items() if v})
+        logger.log(level, "request", extra=fields)
+
+
+FIELDS = tuple(field.name for field in dataclasses.fields(RequestLogLine))
--- a/teaselsill/steady_logs.py
+++ b/teaselsill/steady_logs.py
@@ -98,3 +98,8 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
+    # No line states where it was logged from, or by which thread or task.
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
