--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -22,6 +22,8 @@
 """
 MAX_UNREAD_S = 0.2
 """How long reading a change that another reader has seen may take."""
+COPY_AFTER_S = 0.5
+"""After so long, such a change is rather taken from that reader."""
 WAKE_GRACE_S = 0.1
 """How long a waiting read may go on once another reader has seen a change.
 
@@ -57,6 +59,8 @@
             the boot clock up to which the view is current.
         find_spread_s: Returns over how much time the processes spread their listings
             after the log has come back from an older copy, in seconds.
+        keeps_records: Whether the newest records are kept, for `copy` and
+            `apply_again`.
 
     Attributes:
         is_listed: Whether the topic has been listed at least once.
@@ -72,6 +76,7 @@
         on_change: OnChange = lambda topic, position: None,
         on_read: OnRead = lambda topic, update, read_at: None,
         find_spread_s: collections.abc.Callable[[], float] = lambda: 0.0,
+        keeps_records: bool = False,
     ):
         self.is_listed = False
         self._source = source
@@ -91,6 +96,7 @@
         self._lost_at: float | None = None
         self._unread_position: log_position.Position | None = None
         self._unread_since = -math.inf
+        self._keeps_records = keeps_records
         self._newest_by_key: dict[str, keyed_log.KeyedRecord] = {}
         self._failures = 0
         self._max_wait_s = math.inf
@@ -105,7 +111,9 @@
     @property
     def needs_copy(self) -> bool:
         """Whether there are known changes that cannot be read at present."""
-        return self._has_unread and self.is_behind
+        unread_s = self._now() - self._unread_since
+        is_late = self._lost_at is not None or unread_s > COPY_AFTER_S
+        return self._has_unread and is_late
 
     @property
     def _has_unread(self) -> bool:
@@ -156,11 +164,21 @@
         if self._position is None or (
             position.era == self._position.era and position >= self._position
         ):
-            if not self._has_unread:
-                self._unread_since = self._now()
-            self._unread_position = position
+            self._note_unread(position)
             self._wake_event.set()
 
+    def _note_unread(self, position: log_position.Position) -> None:
+        if self._has_unread and position.era == self._unread_position.era:
+            self._unread_position = max(self._unread_position, position)
+            return
+        self._unread_since = self._now()
+        self._unread_position = position
+
+    def apply_again(self) -> None:
+        """Applies the newest records once more, to a view that uses others now."""
+        for record in list(self._newest_by_key.values()):
+            self._view.put(record)
+
     def apply_update(self, update: keyed_log.Update, age_s: float) -> None:
         """Applies what another reader has read, as if it were read here.
 
@@ -189,7 +207,7 @@
 
     def copy(self) -> keyed_log.KeyedPage | None:
         """Returns the newest records, as in a listing; None if they are not known."""
-        if self._position is None:
+        if self._position is None or not self._keeps_records:
             return None
         return keyed_log.KeyedPage(list(self._newest_by_key.values()), self._position)
 
@@ -309,7 +327,8 @@
 
     def _apply_listing(self, page: keyed_log.KeyedPage) -> bool:
         """Applies a complete listing; returns whether it changes the view."""
-        self._newest_by_key = {record.key: record for record in page.records}
+        if self._keeps_records:
+            self._newest_by_key = {record.key: record for record in page.records}
         records = [dataclasses.replace(each, age_s=None) for each in page.records]
         if self._listed_era not in (None, page.end.era):
             logger.info(
@@ -332,7 +351,7 @@
         """Applies the next record; returns whether it changes the view."""
         if record.value is None:
             self._newest_by_key.pop(record.key, None)
-        else:
+        elif self._keeps_records:
             self._newest_by_key[record.key] = record
         return self._view.put(record)
 
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -1,6 +1,7 @@
 """The state of a caller's request, and the possible outcomes of one attempt."""
 
 import dataclasses
+import math
 
 from teaselsill import (
     admission,
@@ -93,8 +94,9 @@
         is_event_stream: Whether the response that has started is a stream of events.
         metadata: The metadata of the last response.
         assessment: What admission was last based on; None for a call without a prompt.
-        progressed_at: When a part of a response was last passed to the caller, in
-            seconds; before the first one, when the request arrived.
+        progressed_at: When the caller last took a part of a response, in seconds;
+            before the first one, when the request arrived.
+        is_writing: Whether the caller has yet to take a part that there is.
     """
 
     call: calls.Call
@@ -115,16 +117,26 @@
     crashes: int = 0
     allowed_regions: frozenset[ids.Region] | None = None
     progressed_at: float = dataclasses.field(init=False)
+    is_writing: bool = False
 
     def __post_init__(self):
         self.progressed_at = self.call.received_at
 
+    @property
+    def has_patience_limit(self) -> bool:
+        """Whether the caller abandons the response if nothing arrives for a time."""
+        return math.isfinite(self.route.patience_s)
+
     def find_patience_left_s(self, now: float) -> float:
         """Returns how long until the caller has abandoned the stream, in seconds.
 
+        A caller that takes its response slowly has not abandoned it.
+
         Args:
             now: The event loop's time, in seconds.
         """
+        if self.is_writing:
+            return self.route.patience_s
         return self.progressed_at + self.route.patience_s + PATIENCE_MARGIN_S - now
 
     def find_time_left_s(self, now: float) -> float:
--- a/teaselsill/topic_copy.py
+++ b/teaselsill/topic_copy.py
@@ -30,6 +30,8 @@
 PATH = "/topic-copy"
 CHECK_S = 0.25
 """How often a router looks whether it needs a copy."""
+MAX_PAUSE_S = 4.0
+"""The longest pause after a copy that told nothing new; doubled from the first one."""
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
 MAX_COPY_BYTES = 8 * 1024 * 1024
@@ -153,16 +155,20 @@
 
     async def run(self) -> None:
         """Gets a copy whenever one is needed, until cancelled."""
+        pause_s = CHECK_S
         while True:
-            await asyncio.sleep(CHECK_S)
-            if self._follower.needs_copy:
-                await self._read()
-
-    async def _read(self) -> None:
+            await asyncio.sleep(pause_s)
+            if self._follower.needs_copy and not await self._read():
+                pause_s = min(MAX_PAUSE_S, 2 * pause_s)
+            else:
+                pause_s = CHECK_S
+
+    async def _read(self) -> bool:
+        """Gets a copy from one router; returns whether it told something new."""
         statuses = self._view.list_statuses()
         source = choose_source(self._data_centre, statuses)
         if source is None:
-            return
+            return False
         status = statuses[source]
         try:
             page = await fetch(status.host, status.copy_port)
@@ -170,9 +176,11 @@
             logger.info(
                 "no copy of the topic", extra={"peer": source, "reason": str(error)}
             )
-            return
-        if self._follower.apply_copy(page):
-            logger.info(
-                "copy of the topic applied",
-                extra={"peer": source, "offset": page.end.offset},
-            )
+            return False
+        if not self._follower.apply_copy(page):
+            return False
+        logger.info(
+            "copy of the topic applied",
+            extra={"peer": source, "offset": page.end.offset},
+        )
+        return True
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import math
 
 from teaselsill import (
     calls,
@@ -32,6 +31,8 @@
 """Connections that have been idle for longer are not used for a request."""
 MAX_IDLE_UNREPEATABLE_S = 1.0
 """The limit for requests that cannot be sent again if the connection is dead."""
+MAX_CHECK_DELAY_S = 1.0
+"""How often it is checked whether a caller has abandoned its stream."""
 FIRST_REDIRECT_STATUS = 300
 FIRST_FAILURE_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -295,14 +296,8 @@
 
         Its caller has abandoned it, or the request should go to another upstream.
         """
-        while True:
-            delay_s = state.find_patience_left_s(self._now())
-            if state.is_repeatable:
-                check_s = failover.find_check_delay_s(candidate.load, self._now())
-                delay_s = min(delay_s, check_s)
-            if math.isinf(delay_s):
-                return
-            await asyncio.sleep(max(0.0, delay_s))
+        while state.is_repeatable or state.has_patience_limit:
+            await asyncio.sleep(self._find_check_delay_s(state, candidate))
             if state.find_patience_left_s(self._now()) <= 0:
                 in_flight.is_abandoned = True
                 connection.abort("its caller has abandoned the stream")
@@ -316,6 +311,13 @@
                 connection.abort("the upstream is silent or slow")
                 return
 
+    def _find_check_delay_s(self, state, candidate) -> float:
+        now = self._now()
+        delay_s = min(MAX_CHECK_DELAY_S, max(0.0, state.find_patience_left_s(now)))
+        if state.is_repeatable:
+            delay_s = min(delay_s, failover.find_check_delay_s(candidate.load, now))
+        return delay_s
+
     def _should_fail_over(
         self, state: outcomes.RequestState, candidate, in_flight
     ) -> bool:
@@ -396,10 +398,15 @@
             self._view.note_response_started(candidate, in_flight)
         if state.can_be_resumed:
             data = state.events.feed(data)
-        if data:
+        if not data:
+            return
+        candidate.load.note_progress(attempt.number, self._now())
+        state.is_writing = True
+        try:
+            await state.response.write(data)
+        finally:
+            state.is_writing = False
             state.progressed_at = self._now()
-            candidate.load.note_progress(attempt.number, state.progressed_at)
-        await state.response.write(data)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 from teaselsill import (
     announcements,
     boot_clock,
+    caller_connection,
     crash_reports,
     http_messages,
     ids,
@@ -682,6 +683,26 @@
         bench = await self.start(script, is_stream=True, timeout_s=9, patience_s=0.5)
         self.assertEqual((200, True), (await bench.ask())[::2])
 
+    async def test_caller_that_takes_its_response_slowly_has_not_abandoned_it(self):
+        """A stream was given up while its caller had not taken what there was."""
+        taken = asyncio.Event()
+
+        async def write(response, data):
+            await asyncio.sleep(1.0)
+            taken.set()
+            response._stream.write(http_messages.encode_chunk(data))
+
+        async def script(request, stream):
+            stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
+            await taken.wait()
+            stream.write(entry_bench.event(2) + http_messages.LAST_CHUNK)
+
+        bench = await self.start(script, is_stream=True, timeout_s=9, patience_s=0.3)
+        with unittest.mock.patch.object(
+            caller_connection.CallerResponse, "write", write
+        ):
+            self.assertEqual((200, True), (await bench.ask())[::2])
+
 
 class QuarantineTest(ForwardingCase):
     """Requests with a prompt part that crashes upstreams."""
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -156,6 +156,21 @@
         await self.wait_for({"a": b"1"})
         self.assertFalse(self.follower.is_behind)
 
+    async def test_newest_of_the_known_changes_is_waited_for(self):
+        self.source = HeldLog()
+        self.start(keeps_records=True)
+        await asyncio.sleep(0.01)
+        self.follower.wake_for(test_keyed_log.at(9))
+        self.follower.wake_for(test_keyed_log.at(4))
+        record = keyed_log.KeyedRecord("a", b"1")
+        page = keyed_log.KeyedPage([record], test_keyed_log.at(5))
+        self.assertTrue(self.follower.apply_copy(page))
+        await asyncio.sleep(keyed_follower.COPY_AFTER_S + 0.1)
+        self.assertTrue(self.follower.needs_copy)
+        self.view.by_key.clear()
+        self.follower.apply_again()
+        self.assertEqual({"a": b"1"}, self.view.by_key)
+
     async def test_wake_for_ends_a_read_on_a_silent_connection(self):
         class Silent(test_keyed_log.MemoryKeyedLog):
             async def read(self, topic, start, wait_s):
--- a/tests/test_topic_copy.py
+++ b/tests/test_topic_copy.py
@@ -42,7 +42,9 @@
         source = TurningAwayLog()
         await source.put(TOPIC, keyed_log.KeyedRecord("config", b"3"))
         self.view = test_keyed_follower.MemoryView()
-        self.follower = keyed_follower.Follower(source, TOPIC, self.view, lambda: 1.0)
+        self.follower = keyed_follower.Follower(
+            source, TOPIC, self.view, lambda: 1.0, keeps_records=True
+        )
         self.page = make_page()
         self.status, self.body = 200, None
         self.peer = entry_bench.ScriptedUpstream("r1", self.respond)
