Let no old entry end what is known of a cold upstream

After an outage of the store, a router read entries that had been written before it, and took an upstream for warm that had turned cold since; its load then came at once. A restored listing said nothing of cold upstreams. What is read after 0.7 s without reads can only say that an upstream is cold.

A birth that is seen here is told to the others, and a cold time of exactly the maximum stays readable for them. The new tests fail without the change, most for want of a field.

--- a/teaselsill/directory.py
+++ b/teaselsill/directory.py
@@ -167,7 +167,11 @@
                 self.cold_states.on_change(upstream.id)
 
     def note_birth(
-        self, upstream: upstream_list.Upstream, age_s: float, now: float
+        self,
+        upstream: upstream_list.Upstream,
+        age_s: float,
+        now: float,
+        tells: bool = True,
     ) -> None:
         """Records an upstream that appears; it is cold if requests are served by now.
 
@@ -175,10 +179,14 @@
             upstream: The upstream.
             age_s: How long ago it started by its own account, in seconds.
             now: The event loop's time, in seconds.
+            tells: Whether the other routers are told. What another router has read,
+                that router tells them itself.
         """
         state = self._find_cold_state(upstream)
-        if self._is_in_use and not state.is_cold(now):
-            state.note_birth(age_s, now)
+        if not self._is_in_use or state.is_cold(now):
+            return
+        if state.note_birth(age_s, now) and tells:
+            self.cold_states.on_change(upstream.id)
 
     def is_usable(self, upstream: upstream_list.Upstream) -> bool:
         """Returns whether an upstream is listed and has not begun to leave."""
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -581,10 +581,11 @@
     statement = candidate.cold.statement
     if statement is None:
         return None
+    left_s = min(cold_start.MAX_COLD_S, max(0.0, statement.until - now))
     return peer_reports.ColdNews(
         candidate.upstream.id,
         candidate.upstream.born_ms,
-        left_s=max(0.0, statement.until - now) if statement.is_cold else 0.0,
+        left_s=left_s if statement.is_cold else 0.0,
         stated_ago_s=max(0.0, now - statement.stated_at),
         cold_s=max(0.0, now - candidate.cold.since),
         source=statement.source,
--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -20,6 +20,8 @@
 Its reply was delayed on the way, so its content may be as old as the call. If no reply
 has come by then, its connection may be dead.
 """
+MAX_UNSEEN_S = 0.7
+"""What was read after a longer time without reads may be as old as that."""
 MAX_UNREAD_S = 0.2
 """How long reading a change that another reader has seen may take."""
 COPY_AFTER_S = 0.5
@@ -255,10 +257,14 @@
         read_at = boot_clock.now()
         if read_at - began_at > wait_s + SLOW_READ_S:
             read_at = began_at
+        is_fresh = began_at - self._current_at <= MAX_UNSEEN_S
         outage_s = self._note_available(read_at)
         # Updates from another reader may have been applied during the read.
         first = self._position
-        changes = self._apply(page.records[first.count_since(start) :], page.end)
+        records = page.records[first.count_since(start) :]
+        if not is_fresh:
+            records = [dataclasses.replace(each, is_recent=False) for each in records]
+        changes = self._apply(records, page.end)
         update = keyed_log.Update(
             first.offset, self._position.offset, changes, outage_s, first.era
         )
--- a/teaselsill/keyed_log.py
+++ b/teaselsill/keyed_log.py
@@ -22,11 +22,13 @@
         value: The value; none if the record deletes the key.
         age_s: How long ago another reader has read it, in seconds; 0 if it was just
             read here, None if it was listed, so that it may be of any age.
+        is_recent: Whether it was written shortly before it was read.
     """
 
     key: str
     value: bytes | None
     age_s: float | None = 0.0
+    is_recent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_views.py
+++ b/tests/adapter/test_views.py
@@ -24,10 +24,11 @@
         self.reported = []
         self.directory.cold_states.on_change = self.reported.append
 
-    def put(self, age_s=0.0, born_ago_s=600.0, **fields):
+    def put(self, age_s=0.0, born_ago_s=600.0, is_recent=True, **fields):
         born_ms = int(1000 * (time.time() - born_ago_s))
         entry = test_servers.ENTRY | {"born": born_ms} | fields
-        record = keyed_log.KeyedRecord(KEY, json.dumps(entry).encode(), age_s)
+        value = json.dumps(entry).encode()
+        record = keyed_log.KeyedRecord(KEY, value, age_s, is_recent)
         return self.view.put(record)
 
     def use(self):
@@ -50,6 +51,18 @@
         self.assertAlmostEqual(2.5, self.left_s, delta=0.2)
         self.assertEqual([KEY], self.reported)
 
+    async def test_entry_that_may_be_old_does_not_end_what_is_known(self):
+        """After an outage of the store, it may say what held before."""
+        born_ms = 1784002132479
+        self.put(ColdLeftMs=2500, born=born_ms)
+        self.put(ColdLeftMs=0, born=born_ms, is_recent=False)
+        self.assertAlmostEqual(2.5, self.left_s, delta=0.2)
+
+    async def test_entry_of_a_restored_listing_says_that_a_server_is_cold(self):
+        entry = test_servers.ENTRY | {"ColdLeftMs": 2500}
+        self.view.restore([keyed_log.KeyedRecord(KEY, json.dumps(entry).encode())])
+        self.assertAlmostEqual(2.5, self.left_s, delta=0.2)
+
     async def test_age_of_a_reading_that_was_passed_on_counts(self):
         self.put(age_s=1.0, ColdLeftMs=2500)
         self.assertAlmostEqual(1.5, self.left_s, delta=0.2)
@@ -72,6 +85,7 @@
         self.use()
         self.put(born_ago_s=0.5)
         self.assertAlmostEqual(2.5, self.left_s, delta=0.2)
+        self.assertEqual([KEY], self.reported)
 
     async def test_server_that_starts_with_the_fleet_is_cold_only_if_it_says_so(self):
         self.put(born_ago_s=0.5)
