Treat upstreams that have announced no speed yet as the others

An engine that had not announced its speed yet counted at the initial rate of 100,000 tokens a second, the others at the lower rate learned: of 200 prompts to ten engines it got 55. It counts at the rate of its service as soon as one was measured there. A plain upstream without a figure counted one call less.

Distrust changed only while an upstream had many prompts to read, so a slow moment counted for ever under light work: 3.6 after seven seconds without a measurement. It ends after five.

The three tests failed first. Pointed out in a review.

--- a/teaselsill/engine_queue.py
+++ b/teaselsill/engine_queue.py
@@ -89,7 +89,7 @@
     def find_rate(self, now: float) -> float:
         """Returns the rate at which prompts are prefilled now, in tokens a second."""
         speed = self.speed
-        return speed.find_rate(now) if speed.is_announced else self.rate
+        return speed.find_rate(now) if speed.is_known else self.rate
 
     def find_compared_rate(self, now: float) -> float:
         """Returns the rate by which engines are compared, in tokens a second.
@@ -98,7 +98,7 @@
         more than they differ.
         """
         speed = self.speed
-        return speed.find_rate(now) if speed.is_announced else INITIAL_RATE
+        return speed.find_rate(now) if speed.is_known else INITIAL_RATE
 
     def count_planned(self, now: float) -> float:
         """Returns the planned tokens that have not drained yet."""
--- a/teaselsill/placement.py
+++ b/teaselsill/placement.py
@@ -279,10 +279,7 @@
 ) -> float:
     """Returns the cost of one more call, in requests of the usual duration."""
     distance = candidate.upstream.data_centre != data_centre
-    requests = candidate.load.count(now)
-    speed = candidate.speed
-    if speed.is_announced:
-        requests = (requests + 1) * speed.find_slowdown(now)
+    requests = (candidate.load.count(now) + 1) * candidate.speed.find_slowdown(now)
     score = requests + DISTANCE_REQUESTS * distance
     per_s = candidate.find_limit_per_s(now)
     if per_s is not None:
--- a/teaselsill/upstream_speed.py
+++ b/teaselsill/upstream_speed.py
@@ -55,10 +55,13 @@
     Attributes:
         busy_per_s: What engines have done while they were believed to be busy, in
             prompt tokens a second.
+        is_learned: Whether any engine of the service that announces its speed has been
+            measured.
     """
 
     def __init__(self):
         self.busy_per_s = INITIAL_RATE
+        self.is_learned = False
         self._tokens = INITIAL_S * INITIAL_RATE
         self._busy_s = INITIAL_S
         self._changed_at = 0.0
@@ -80,6 +83,7 @@
                 divided by the announced slowdown.
             now: The time, in seconds.
         """
+        self.is_learned = True
         decay = math.exp(min(0.0, self._changed_at - now) / RATE_DECAY_S)
         self._changed_at = now
         self._tokens = self._tokens * decay + tokens
@@ -159,6 +163,11 @@
         self._usual_busy_s = 0.0
         self._measured_at = 0.0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether it announces its speed, or others of its service do."""
+        return self.is_announced or self.usual_rate.is_learned
+
     @property
     def distrust(self) -> float:
         """How much slower it is measured to be than it announces; 1.0 if it is not."""
@@ -219,11 +228,14 @@
 
     def find_slowdown(self, now: float) -> float:
         """Returns how long work takes there, relative to the usual time."""
-        return self._find_announced(now) * self._distrust
+        slowdown = self._find_announced(now)
+        if self._distrust != 1.0 and now - self._measured_at <= STALE_S:
+            slowdown *= self._distrust
+        return slowdown
 
     def find_rate(self, now: float) -> float:
         """Returns the rate at which it prefills prompts, in tokens a second."""
-        return self.usual_rate.per_s / (self._find_announced(now) * self._distrust)
+        return self.usual_rate.per_s / self.find_slowdown(now)
 
     def _find_announced(self, now: float) -> float:
         if now <= self._fresh_until:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
     prefix_cache_index,
     upstream_health,
     upstream_load,
+    upstream_speed,
 )
 from tests import test_upstream_list
 
@@ -80,6 +81,33 @@
         fast.queue.add(4000, 0.0)
         self.assertIs(slow, choose(call, [slow, fast]).candidate)
 
+    def test_engine_that_has_announced_nothing_yet_gets_no_more_than_others(self):
+        """It counted at the initial rate, the others at the lower one learned."""
+        usual = upstream_speed.UsualRate()
+        candidates = [make_candidate(f"u{n}") for n in range(10)]
+        for candidate in candidates:
+            speed = upstream_speed.UpstreamSpeed(usual)
+            candidate.queue = engine_queue.EngineQueue(speed)
+            if candidate is not candidates[0]:
+                candidate.queue.note_slowdown(1.0, 0.0)
+                speed.note_busy(5.0, 0.0)
+                speed.note_prefilled(150_000, 0.0)
+        random.seed(2)
+        chosen = []
+        for number in range(200):
+            call = make_call((f"own{number}", 2000))
+            candidate = choose(call, candidates).candidate
+            candidate.queue.add(2000, 0.0)
+            chosen.append(candidate)
+        self.assertLess(chosen.count(candidates[0]), 1.2 * 200 / 10)
+
+    def test_plain_upstream_that_has_announced_nothing_is_no_better(self):
+        silent, told = make_candidate("silent"), make_candidate("told")
+        told.queue.note_slowdown(0.8, 0.0)
+        for candidate in (silent, told):
+            candidate.load.add(upstream_load.InFlightRequest(0, 0.0))
+        self.assertIs(told, choose(make_call(), [silent, told]).candidate)
+
     def test_first_request_for_a_shared_prefix_goes_to_its_home(self):
         names = [f"u{n}" for n in range(5)]
         call = make_call(("tool", 500), ("session", 4000), ("own", 1000))
--- a/tests/test_upstream_speed.py
+++ b/tests/test_upstream_speed.py
@@ -85,6 +85,14 @@
         self.run_busy(self.speed, RATE, 20.0, since_s=4.0)
         self.assertEqual(1.0, self.speed.distrust)
 
+    def test_distrust_ends_when_nothing_was_measured_for_a_time(self):
+        """Light work measures nothing, so a slow moment would count for ever."""
+        self.run_busy(upstream_speed.UpstreamSpeed(self.usual), RATE, 10.0)
+        self.run_busy(self.speed, RATE / 8, 4.0)
+        self.assertGreater(self.speed.distrust, 3.0)
+        self.speed.note_announced(1.0, 11.0)
+        self.assertEqual(1.0, self.speed.find_slowdown(11.0))
+
     def test_false_figure_is_bounded(self):
         self.run_busy(upstream_speed.UpstreamSpeed(self.usual), RATE, 10.0)
         self.run_busy(self.speed, RATE, 10.0, announced=0.05)
