--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -47,9 +47,16 @@
         ListenError: The port cannot be bound.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # asyncio delays small writes unless the socket names its protocol.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
-        return socket.create_server((host, port), family=family)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            bound.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        bound.bind((host, port))
+        return bound
     except OSError as error:
+        bound.close()
         raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import unittest
 
 from starlette import applications, responses, routing
@@ -15,9 +16,9 @@
     async def asyncSetUp(self):
         app = applications.Starlette(routes=[routing.Route("/", _respond)])
         port = fleet.find_free_port()
-        server = servers.HttpServer(app, fleet.HOST, port)
-        await server.start()
-        self.addAsyncCleanup(server.stop)
+        self.server = servers.HttpServer(app, fleet.HOST, port)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
         self.reader, self.writer = await asyncio.open_connection(fleet.HOST, port)
         self.addCleanup(self.writer.close)
 
@@ -37,6 +38,14 @@
         for _ in range(count):
             await self.reader.readuntil(b"hello")
 
+    async def test_small_writes_are_not_delayed(self):
+        """asyncio sets this only for sockets that name their protocol."""
+        self.writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await self.reader.readuntil(b"hello")
+        (protocol,) = self.server._server.server_state.connections
+        accepted = protocol.transport.get_extra_info("socket")
+        self.assertTrue(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
     async def test_endless_head_is_refused(self):
         self.writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX-Padding: ")
         self.writer.write(b"x" * (http_protocol.MAX_HEAD_BYTES + 1))
