--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -260,23 +260,18 @@
             self._report_builder.add_admitted(account, cost)
 
     def note_response_started(
-        self, candidate: placement.Candidate, request: upstream_load.InFlightRequest
+        self, candidate: placement.Candidate, prefill_tokens: int
     ) -> None:
         """Records that an engine has started to respond to a request of this router.
 
         Args:
             candidate: The engine.
-            request: The request.
+            prefill_tokens: The prompt tokens that it had to prefill.
         """
         now = self._now()
-        if not request.ahead_tokens:
-            took_s = now - request.sent_at
-            candidate.speed.note_first_data(request.prefill_tokens, took_s, now)
-        candidate.queue.note_prefilled(request.prefill_tokens, now)
+        candidate.queue.note_prefilled(prefill_tokens, now)
         self._update_outstanding(candidate, now)
-        self._report_builder.add_prefilled(
-            candidate.upstream.id, request.prefill_tokens
-        )
+        self._report_builder.add_prefilled(candidate.upstream.id, prefill_tokens)
 
     def note_announcement(
         self,
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -156,11 +156,7 @@
         state.line.upstreams.append(candidate.upstream.id)
         state.sends += 1
         state.possible_runs += 1
-        in_flight = upstream_load.InFlightRequest(
-            choice.prefill_tokens,
-            sent_at=now,
-            ahead_tokens=candidate.queue.outstanding_tokens,
-        )
+        in_flight = upstream_load.InFlightRequest(choice.prefill_tokens, sent_at=now)
         number = candidate.load.add(in_flight)
         if state.call.parts:
             self._view.note_sent(
@@ -395,7 +391,7 @@
         state, candidate = attempt.state, attempt.candidate
         in_flight = candidate.load.start(attempt.number, self._now())
         if in_flight is not None:
-            self._view.note_response_started(candidate, in_flight)
+            self._view.note_response_started(candidate, in_flight.prefill_tokens)
         if state.can_be_resumed:
             data = state.events.feed(data)
         if not data:
--- a/teaselsill/upstream_load.py
+++ b/teaselsill/upstream_load.py
@@ -32,7 +32,6 @@
     Attributes:
         prefill_tokens: The prompt tokens that the upstream must still prefill.
         sent_at: When it was sent, in seconds.
-        ahead_tokens: The prompt tokens that others there still had to have prefilled.
         head_at: When the head of the response arrived, in seconds; None if it has not.
         started_at: When the response started, in seconds; None if it has not.
         progressed_at: When response data was last passed to the caller, in seconds.
@@ -44,7 +43,6 @@
 
     prefill_tokens: int
     sent_at: float
-    ahead_tokens: int = 0
     head_at: float | None = None
     started_at: float | None = None
     progressed_at: float | None = None
--- a/teaselsill/upstream_speed.py
+++ b/teaselsill/upstream_speed.py
@@ -28,15 +28,6 @@
 """Time constant of the measurement that an announced figure is checked against."""
 MEASURED_PRIOR_S = 0.3
 """The announced figure counts as if confirmed over this busy time."""
-SHORT_TOKENS = 500
-"""The first data for a prompt of up to so many tokens tells what is not prefill."""
-LONG_TOKENS = 3_000
-"""From this length on the time to the first data tells the rate."""
-INITIAL_LATENCY_S = 0.05
-MEDIAN_STEP = 0.05
-"""How far one response moves an estimated median, relative to it."""
-FIRST_RESPONSES = 8
-"""The first responses move it further."""
 TRUSTED_RATIO = 1.5
 """Up to this ratio a measurement does not contradict the announced figure."""
 MAX_DISTRUST = 10.0
@@ -47,32 +38,21 @@
 class UsualRate:
     """The prefill rate of a service's engines while work takes as long as usual.
 
-    It is learned from all engines together. What they do while they have prompts to
-    prefill is known from all routers, but late, so it is less than what they could do.
-    The time until the first data for own prompts that had nothing ahead of them is more
-    exact.
+    It is learned from all engines together, from own requests and other routers'
+    reports.
 
     Attributes:
-        busy_per_s: What engines have done while they were believed to be busy, in
-            prompt tokens a second.
+        per_s: The rate, in prompt tokens a second.
         is_learned: Whether any engine of the service that announces its speed has been
             measured.
     """
 
     def __init__(self):
-        self.busy_per_s = INITIAL_RATE
+        self.per_s = INITIAL_RATE
         self.is_learned = False
         self._tokens = INITIAL_S * INITIAL_RATE
         self._busy_s = INITIAL_S
         self._changed_at = 0.0
-        self._latency_s = INITIAL_LATENCY_S
-        self._timed_per_s = 0.0
-        self._timed = 0
-
-    @property
-    def per_s(self) -> float:
-        """The rate, in prompt tokens a second."""
-        return self._timed_per_s if self._timed >= FIRST_RESPONSES else self.busy_per_s
 
     def note(self, tokens: int, usual_s: float, now: float) -> None:
         """Records what a busy engine has done.
@@ -89,31 +69,7 @@
         self._tokens = self._tokens * decay + tokens
         self._busy_s = self._busy_s * decay + usual_s
         if self._busy_s:
-            self.busy_per_s = max(MIN_RATE, self._tokens / self._busy_s)
-
-    def note_first_data(self, tokens: int, usual_s: float) -> None:
-        """Records a response to a prompt that had nothing ahead of it.
-
-        Args:
-            tokens: The prompt tokens that were prefilled.
-            usual_s: The time from its sending to the first data, divided by the
-                slowdown, in seconds.
-        """
-        if tokens <= SHORT_TOKENS:
-            up = usual_s > self._latency_s
-            self._latency_s *= 1 + MEDIAN_STEP if up else 1 - MEDIAN_STEP
-        elif tokens >= LONG_TOKENS:
-            self._note_rate(tokens / max(usual_s - self._latency_s, usual_s / 4))
-
-    def _note_rate(self, rate: float) -> None:
-        """Moves the median of the rates that own prompts have met."""
-        rate = max(MIN_RATE, rate)
-        self._timed += 1
-        if self._timed <= FIRST_RESPONSES:
-            self._timed_per_s += (rate - self._timed_per_s) / self._timed
-            return
-        up = rate > self._timed_per_s
-        self._timed_per_s *= 1 + MEDIAN_STEP if up else 1 - MEDIAN_STEP
+            self.per_s = max(MIN_RATE, self._tokens / self._busy_s)
 
 
 class UpstreamSpeed:
@@ -214,18 +170,6 @@
         """Records prompt tokens that the upstream has prefilled while it was busy."""
         self._measure(tokens, 0.0, now)
 
-    def note_first_data(self, tokens: int, took_s: float, now: float) -> None:
-        """Records the first data for a prompt of this router with nothing ahead of it.
-
-        Args:
-            tokens: The prompt tokens that were prefilled.
-            took_s: The time from its sending to the first data, in seconds.
-            now: The time, in seconds.
-        """
-        if self.is_announced:
-            usual_s = took_s / self._find_announced(now)
-            self.usual_rate.note_first_data(tokens, usual_s)
-
     def find_slowdown(self, now: float) -> float:
         """Returns how long work takes there, relative to the usual time."""
         slowdown = self._find_announced(now)
@@ -252,7 +196,7 @@
         self._measured_at = now
         self._tokens = self._tokens * decay + tokens
         self._usual_busy_s = self._usual_busy_s * decay + usual_s
-        per_s = self.usual_rate.busy_per_s
+        per_s = self.usual_rate.per_s
         expected = (self._usual_busy_s + MEASURED_PRIOR_S) * per_s
         ratio = expected / (self._tokens + MEASURED_PRIOR_S * per_s)
         is_plausible = 1 / TRUSTED_RATIO < ratio < TRUSTED_RATIO
