Replay accounts that rise by 9 to 14 times while others fall

Four accounts rise at once and sixteen others ask little: the four get the same within a tenth, the others nineteen twentieths of what they ask.

--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -62,3 +62,25 @@
 
     def test_shares_hold_if_the_estimate_is_right(self):
         self.check_shares(make_loads(others=10))
+
+    def test_accounts_that_rise_share_evenly_and_others_lose_nothing(self):
+        """Four rise by 9 to 14 times at once while ten fall to a fiftieth."""
+        rises = (9, 11, 14, 12)
+        risen = {
+            ids.AccountId(f"risen-{rise}"): load_replay.Load(40 * rise, 2_000)
+            for rise in rises
+        }
+        others = {
+            ids.AccountId(f"other-{n}"): load_replay.Load(8 if n < 6 else 0.4, 2_000)
+            for n in range(16)
+        }
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                replay = load_replay.Replay(seed)
+                replay.run(risen | others, STEADY_S + WINDOW_S)
+                span = (STEADY_S, STEADY_S + WINDOW_S)
+                given = [replay.sum_admitted(account, *span) for account in risen]
+                self.assertLess(max(given), 1.1 * min(given))
+                asked = sum(replay.sum_requested(a, *span) for a in others)
+                served = sum(replay.sum_admitted(a, *span) for a in others)
+                self.assertGreater(served, 0.95 * asked)
