Pass no request on that was refused for want of memory

At routers with agents, a client was told 503 and not run, and its request went on with the part of its body that had arrived (found by review). The application now sees a disconnect, and a connection that was given up passes nothing on. A connection closed in its TLS handshake no longer leaves a holding behind; an idle connection that has taken its response does not count as passed on.

--- a/teaselsill/http_protocol.py
+++ b/teaselsill/http_protocol.py
@@ -107,6 +107,7 @@
         self._unparsed = bytearray()
         self._bytes_without_body = 0
         self._is_in_head = True
+        self._is_given_up = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Called by asyncio once the connection is open."""
@@ -151,7 +152,7 @@
         """Called by asyncio when the client has taken most of a response."""
         self._open_connections.set_unread(self, False, time.monotonic())
         super().resume_writing()
-        self._holding.is_passed_on = self.cycle is not None
+        self._holding.is_passed_on = self._passed_on is not None
 
     def admit(self, account: ids.AccountId) -> bool:
         """Returns whether a client account may use this connection for its request."""
@@ -161,11 +162,14 @@
     def pass_on(self, scope) -> bool:
         """Returns whether there is memory for a request, which is passed on now.
 
-        It does not count if the caller has disconnected meanwhile.
+        It does not count if the caller has disconnected meanwhile. A request that has
+        been given up is not passed on: its client has been told that it has not run.
 
         Args:
             scope: The ASGI scope of the request, whose headers are dropped.
         """
+        if self._is_given_up:
+            return False
         if self.is_lost:
             return True
         size = self._kept_bytes + RESPONSE_BYTES
@@ -216,11 +220,17 @@
 
     def give_up(self) -> None:
         """Closes the connection for the good of others."""
+        self._is_given_up = True
         if self._is_response_due() and not self.transport.is_closing():
             self.transport.write(BUSY_RESPONSE)
             self.transport.close()
         else:
             self.transport.abort()
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            # The application must not take what has arrived for the whole body.
+            cycle.disconnected = True
+            cycle.message_event.set()
 
     def _is_response_due(self) -> bool:
         """Returns whether a response could only be that to the request being read."""
--- a/teaselsill/memory_budget.py
+++ b/teaselsill/memory_budget.py
@@ -160,6 +160,11 @@
         self._is_pressed = False
         self._pressed_since = math.inf
 
+    @property
+    def holding_count(self) -> int:
+        """The number of holdings."""
+        return len(self._holdings)
+
     @property
     def is_pressed(self) -> bool:
         """Whether reading from those that hold much is paused."""
--- a/teaselsill/tls_gate.py
+++ b/teaselsill/tls_gate.py
@@ -62,5 +62,7 @@
             return
         finally:
             self._connections.remove(self)
-        if transport is not None and not self._protocol.is_lost:
+        if transport is None:
+            self._protocol.abandon()
+        elif not self._protocol.is_lost:
             self._protocol.connection_made(transport)
--- a/tests/test_http_protocol.py
+++ b/tests/test_http_protocol.py
@@ -103,12 +103,29 @@
         self.may_respond.set()
 
 
+class FullOwner(memory_budget.Owner):
+    """Holds what it was given, whatever the budget says."""
+
+    def pause_for_budget(self):
+        pass
+
+    def resume_for_budget(self):
+        pass
+
+    def refuse_for_budget(self):
+        pass
+
+    def measure_for_budget(self):
+        return 0
+
+
 class MemoryTest(unittest.IsolatedAsyncioTestCase):
     """Connections of one port share an account of 4 MB."""
 
     async def asyncSetUp(self):
         self.budget = memory_budget.MemoryBudget(4 * 1024 * 1024)
         self.read = []
+        self.respond_to = None
         app = applications.Starlette(
             routes=[routing.Route("/", self.respond, methods=["POST"])]
         )
@@ -118,6 +135,8 @@
         self.addAsyncCleanup(server.stop)
 
     async def respond(self, request):
+        if self.respond_to is not None:
+            return await self.respond_to(request)
         self.read.append(len(await request.body()))
         return responses.PlainTextResponse("hello")
 
@@ -138,6 +157,31 @@
         self.assertIn(b"200 OK", answer)
         self.assertLessEqual(self.budget.held_bytes, self.budget.limit_bytes)
 
+    async def test_request_that_was_refused_is_not_passed_on(self):
+        """Its client was told so, and it went on with a part of its body."""
+        passed_on = []
+
+        async def respond(request):
+            connection = request.scope["state"][http_protocol.STATE_KEY]
+            self.read.append(len(await request.body()))
+            passed_on.append(connection.pass_on(request.scope))
+            return responses.PlainTextResponse("ran")
+
+        self.respond_to = respond
+        reader, writer = await asyncio.open_connection(fleet.HOST, self.port)
+        self.addCleanup(writer.close)
+        writer.write(HEAD + b"Content-Length: 50000\r\n\r\n" + b"x" * 40_000)
+        await self.wait_for(lambda: self.budget.held_bytes > 40_000)
+        async with asyncio.timeout(10):
+            other = self.budget.open(FullOwner())
+            other.is_passed_on = True
+            other.update(self.budget.limit_bytes - self.budget.held_bytes - 5000)
+            writer.write(b"x" * 10_000)
+            self.assertEqual(b"HTTP/1.1 503", (await reader.read())[:12])
+        await asyncio.sleep(0.1)
+        self.assertNotIn(True, passed_on)
+        self.assertNotIn(40_000, self.read)
+
     async def test_largest_request_alone_is_served_with_the_least_memory(self):
         body = b"a" * (4 * 1024 * 1024)
         self.budget.limit_bytes = process_memory.find_client_bytes(1, len(body))
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -16,6 +16,7 @@
     errors,
     instances,
     link,
+    memory_budget,
     peer_tls,
     servers,
     settings,
@@ -91,6 +92,22 @@
                 self.assertEqual(200, response.status)
         self.assertLessEqual(opened, 20)
 
+    async def test_connections_closed_in_their_handshake_hold_nothing(self):
+        """Each left a holding and a protocol behind."""
+        budget = memory_budget.MemoryBudget()
+        app = plain_service.create_app()
+        port = fleet.find_free_port()
+        server = servers.HttpServer(
+            app, "127.0.0.1", port, self.make_section(), 16, budget=budget
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        for _ in range(100):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.close()
+        await asyncio.sleep(1.0)
+        self.assertEqual(0, budget.holding_count)
+
     async def test_request_in_the_segment_that_ends_the_handshake(self):
         server, port = self.make_server(self.make_section())
         await server.start()
