Give up responses that nobody reads while memory is short, and be fair to what is paused

A reviewer saw 1,200 slow readers (MemoryMb 160, MaxFds 4100) take a router to 277 MB, and ordinary callers refused for a minute: what was passed on was never given up, and each response was read 200 KB ahead. Callers' write buffers hold 32 KB, upstreams are read 16 KB at once, objects of a request in progress are counted, and above 0.75 of the limit responses end whose callers have taken nothing (as the kernel says) for 2 s. Patience is counted for each connection, one paused connection goes on, idle ones are never refused, and the end of a caller paused while uploading is noticed.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -35,6 +35,9 @@
 LAST_VERSION_WITHOUT_CHUNKS = "1.0"
 READ_BYTES = 32 * 1024
 """The most bytes that are parsed at once: they may hold many lines or requests."""
+SERVING_COST_BYTES = 24 * 1024
+"""What the objects of a request that is served occupy, here and at its upstream's
+connection."""
 UNREAD_S = 15.0
 """A caller that has read nothing of an error response for so long is given up."""
 RETRY_AFTER_S = 1
@@ -271,6 +274,7 @@
         self._rest_bytes = 0
         self._request_bytes = 0
         self._is_client_known = False
+        self._was_in_message = False
 
     @property
     def is_idle(self) -> bool:
@@ -297,7 +301,7 @@
     @property
     def used_since(self) -> float:
         """When it was opened or last used; see `connection_limit.Member`."""
-        rest_bytes = self._stream.unsent_bytes
+        rest_bytes = self._stream.count_untaken()
         if rest_bytes < self._rest_bytes:
             self._used_at = _now()
         self._rest_bytes = rest_bytes
@@ -317,12 +321,13 @@
         self._parser = request_parser.RequestParser(
             limits.head_bytes, limits.body_bytes
         )
-        self._stream.on_refused = self._parser.drop
+        self._stream.on_refused = self._drop
         try:
             while await self._serve_next():
                 pass
         except tcp_stream.RefusedError:
-            await self._reject_unread(503)
+            if self._was_in_message:
+                await self._reject_unread(503)
         except (tcp_stream.ConnectionResetError, CallerGoneError):
             self._stream.abort()
         except http_messages.MalformedMessageError as error:
@@ -330,6 +335,10 @@
         finally:
             self._end()
 
+    def _drop(self) -> None:
+        self._was_in_message = self._parser.is_in_message
+        self._parser.drop()
+
     def _end(self) -> None:
         """Closes the connection; a response in progress does not look complete."""
         if self._response is not None and self._response.progress is Progress.HEAD:
@@ -384,15 +393,19 @@
         holding = self._stream.holding
         if holding is None:
             return True
-        holding.is_passed_on = self._budget.admits(holding)
-        return holding.is_passed_on
+        is_admitted = self._budget.admits(holding)
+        self._stream.note_passed_on(is_admitted)
+        if is_admitted:
+            self._request_bytes += SERVING_COST_BYTES
+            self._note_kept()
+        return is_admitted
 
     def _note_served(self) -> None:
         self._request_bytes = 0
         self._is_client_known = False
         holding = self._stream.holding
         if holding is not None:
-            holding.is_passed_on = False
+            self._stream.note_passed_on(False)
             holding.completed += 1
         self._note_kept()
 
--- a/teaselsill/memory_budget.py
+++ b/teaselsill/memory_budget.py
@@ -33,6 +33,10 @@
 """When the limit is exceeded, connections are refused down to this part."""
 SMALL_RATIO = 0.95
 """Other requests are passed on up to this part."""
+STUCK_S = 2.0
+"""Peers that have taken nothing for so long are given up if nothing else helps."""
+MIN_REFUSED_BYTES = 4 * 1024
+"""Connections that hold less are never refused: it would free nothing."""
 PATIENCE_S = 0.5
 """How long reading is paused before connections are refused."""
 
@@ -59,6 +63,13 @@
     def measure_for_budget(self) -> int:
         """Returns the bytes that are held now."""
 
+    def abort_for_budget(self) -> None:
+        """Closes the connection at once; a response on it does not look complete."""
+
+    def count_untaken(self) -> int:
+        """Returns how many written bytes the peer has not taken yet."""
+        return 0
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Holding:
@@ -72,6 +83,11 @@
             is a connection to an upstream.
         is_paused: Whether reading from it is paused.
         free_bytes: What it may hold without being paused.
+        may_be_given_up: Whether it is closed if its peer takes nothing for long; not so
+            a connection to an upstream.
+        paused_since: When it was first seen paused, in seconds.
+        untaken_bytes: What its peer had not taken when it was last measured.
+        stuck_since: Since when its peer has taken nothing, in seconds.
     """
 
     budget: "MemoryBudget"
@@ -82,6 +98,10 @@
     is_passed_on: bool = False
     is_paused: bool = False
     free_bytes: int = FREE_BYTES
+    may_be_given_up: bool = True
+    paused_since: float = math.inf
+    untaken_bytes: int = 0
+    stuck_since: float = math.inf
 
     def update(self, held_bytes: int) -> None:
         """Sets what the connection holds, in bytes."""
@@ -158,7 +178,7 @@
         self.on_refused = on_refused
         self._holdings: set[Holding] = set()
         self._is_pressed = False
-        self._pressed_since = math.inf
+        self._goes_on: Holding | None = None
 
     @property
     def holding_count(self) -> int:
@@ -191,11 +211,12 @@
         if self.held_bytes > PRESSED_RATIO * self.limit_bytes and not self._is_pressed:
             self._press()
         should_pause = self._is_pressed and held_bytes > holding.free_bytes
+        should_pause = should_pause and holding is not self._goes_on
         if should_pause != holding.is_paused:
             self._set_paused(holding, should_pause)
         if self.held_bytes > self.limit_bytes:
             kept_bytes = int(REFUSED_RATIO * self.limit_bytes)
-            self._refuse(self.held_bytes - kept_bytes, min_bytes=1)
+            self._refuse(self._holdings, self.held_bytes - kept_bytes)
 
     def admits(self, holding: Holding) -> bool:
         """Returns whether a complete request may be passed on now.
@@ -216,19 +237,65 @@
         """
         if self.held_bytes > MEASURED_RATIO * self.limit_bytes:
             for holding in list(self._holdings):
-                holding.update(holding.owner.measure_for_budget())
+                self._measure(holding, now)
+        self._give_up_stuck(now)
         if not self._is_pressed:
             return
         excess_bytes = self.held_bytes - int(CALM_RATIO * self.limit_bytes)
         if excess_bytes <= 0:
             self._relax()
             return
-        self._pressed_since = min(self._pressed_since, now)
-        if now - self._pressed_since >= PATIENCE_S:
-            self._refuse(excess_bytes, min_bytes=FREE_BYTES + 1)
+        paused = [each for each in self._holdings if each.is_paused]
+        for each in paused:
+            each.paused_since = min(each.paused_since, now)
+        self._let_one_go_on(paused)
+        in_vain = [
+            each
+            for each in paused
+            if each.is_paused and now - each.paused_since >= PATIENCE_S
+        ]
+        self._refuse(in_vain, excess_bytes)
+
+    def _measure(self, holding: Holding, now: float) -> None:
+        holding.update(holding.owner.measure_for_budget())
+        untaken_bytes = holding.owner.count_untaken()
+        if not untaken_bytes:
+            holding.stuck_since = math.inf
+        elif untaken_bytes < holding.untaken_bytes or holding.stuck_since == math.inf:
+            holding.stuck_since = now
+        holding.untaken_bytes = untaken_bytes
+
+    def _give_up_stuck(self, now: float) -> None:
+        """Aborts responses whose callers read nothing, while memory is short."""
+        if self.held_bytes <= LARGE_RATIO * self.limit_bytes:
+            return
+        stuck = [
+            each
+            for each in self._holdings
+            if each.may_be_given_up and now - each.stuck_since >= STUCK_S
+        ]
+        for holding in sorted(stuck, key=lambda each: each.stuck_since):
+            if self.held_bytes <= PRESSED_RATIO * self.limit_bytes:
+                return
+            self.on_refused()
+            holding.owner.abort_for_budget()
+            self.remove(holding)
 
-    def _refuse(self, excess_bytes: int, min_bytes: int) -> None:
-        for holding in choose_refused(self._holdings, excess_bytes, min_bytes):
+    def _let_one_go_on(self, paused: list[Holding]) -> None:
+        """Reads on from one paused connection, so that some request is completed."""
+        is_over = self._goes_on is None or self._goes_on not in self._holdings
+        if not is_over and not self._goes_on.is_passed_on:
+            return
+        self._goes_on = None
+        eligible = [each for each in paused if not each.is_passed_on]
+        if eligible and self.held_bytes < LARGE_RATIO * self.limit_bytes:
+            self._goes_on = max(eligible, key=lambda each: each.held_bytes)
+            self._set_paused(self._goes_on, False)
+
+    def _refuse(
+        self, holdings: collections.abc.Iterable[Holding], excess_bytes: int
+    ) -> None:
+        for holding in choose_refused(holdings, excess_bytes, MIN_REFUSED_BYTES):
             self.on_refused()
             holding.owner.refuse_for_budget()
             self.remove(holding)
@@ -241,13 +308,14 @@
 
     def _relax(self) -> None:
         self._is_pressed = False
-        self._pressed_since = math.inf
+        self._goes_on = None
         for holding in self._holdings:
             if holding.is_paused:
                 self._set_paused(holding, False)
 
     def _set_paused(self, holding: Holding, is_paused: bool) -> None:
         holding.is_paused = is_paused
+        holding.paused_since = math.inf
         if is_paused:
             holding.owner.pause_for_budget()
         else:
--- a/teaselsill/request_parser.py
+++ b/teaselsill/request_parser.py
@@ -59,6 +59,8 @@
     @property
     def held_bytes(self) -> int:
         """What is kept of requests that have not been taken, with its objects."""
+        if not self.is_in_message:
+            return self._pending_bytes
         return self._pending_bytes + self._estimate_cost()
 
     @property
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -5,8 +5,11 @@
 import collections.abc
 import contextlib
 import errno
+import fcntl
 import socket
 import struct
+import sys
+import termios
 
 from teaselsill import errors, memory_budget
 
@@ -14,6 +17,10 @@
 """With more unread bytes, receiving is paused until half of them have been read."""
 RECEIVE_BYTES = 64 * 1024
 """The most bytes that are received at once, so that a pause comes in time."""
+MAX_UNSENT_BYTES = 32 * 1024
+"""With more written bytes that are unsent, writing waits: for slow readers."""
+UPSTREAM_RECEIVE_BYTES = 16 * 1024
+"""The most bytes that are received at once from an upstream, for slow readers."""
 UNCOUNTED_BYTES = 4 * 1024
 """Smaller amounts are counted only when the budget measures, to save time."""
 UPSTREAM_FREE_BYTES = 16 * 1024
@@ -45,6 +52,7 @@
 
 _receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
 """Shared by all connections: what is received is copied from it at once."""
+_small_receive_buffer = _receive_buffer[:UPSTREAM_RECEIVE_BYTES]
 
 
 class TcpStream(asyncio.BufferedProtocol, memory_budget.Owner):
@@ -85,6 +93,7 @@
         self._is_refused = False
         self._is_pressed = False
         self._kept_bytes = 0
+        self._buffer = _receive_buffer
 
     @property
     def is_closed_by_peer(self) -> bool:
@@ -112,13 +121,14 @@
         self._transport = transport
         if self._budget is not None:
             self.holding = self._budget.open(self)
+            transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Called by asyncio."""
-        return _receive_buffer
+        return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by asyncio."""
@@ -155,6 +165,29 @@
         self._readable.set()
         self.on_refused()
 
+    def abort_for_budget(self) -> None:
+        """See `memory_budget.Owner`."""
+        self.reset()
+
+    def count_untaken(self) -> int:
+        """Returns how many written bytes the peer's system has not acknowledged."""
+        return self.unsent_bytes + self._count_queued()
+
+    def _count_queued(self) -> int:
+        """Returns how many written bytes the operating system still has."""
+        sock = self._transport.get_extra_info("socket")
+        try:
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        except (OSError, ValueError):
+            return 0
+        return int.from_bytes(queued, sys.byteorder)
+
+    def note_passed_on(self, is_passed_on: bool) -> None:
+        """Records whether a request of the connection has been passed on."""
+        if self.holding is not None:
+            self.holding.is_passed_on = is_passed_on
+            self._update_reading()
+
     def measure_for_budget(self) -> int:
         """See `memory_budget.Owner`."""
         return self._unread_bytes + self._kept_bytes + self.unsent_bytes
@@ -250,6 +283,10 @@
             self._update_reading()
         return data
 
+    def receive_less(self) -> None:
+        """Receives fewer bytes at once, as from upstreams."""
+        self._buffer = _small_receive_buffer
+
     async def wait_closed_by_peer(self) -> None:
         """Waits until the peer has closed the connection."""
         await self._closed_by_peer.wait()
@@ -289,12 +326,12 @@
             unread_s: How long the peer may read nothing, in seconds.
         """
         while not self._writable.is_set():
-            before = self.unsent_bytes
+            before = self.count_untaken()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(unread_s):
                     await self._writable.wait()
                     return
-            if self.unsent_bytes >= before:
+            if self.count_untaken() >= before:
                 self.abort()
                 return
 
@@ -355,4 +392,6 @@
     if stream.holding is not None:
         stream.holding.is_passed_on = True
         stream.holding.free_bytes = UPSTREAM_FREE_BYTES
+        stream.holding.may_be_given_up = False
+        stream.receive_less()
     return stream
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -208,6 +208,8 @@
     """A router process with a stand-in store and upstream."""
 
     runs_alone = True
+    memory_mb = MEMORY_MB
+    max_fds = MAX_FDS
 
     async def asyncSetUp(self):
         self.upstream = Upstream()
@@ -234,7 +236,10 @@
     def _start(self, store_address):
         folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
         path = folder / "settings.toml"
-        path.write_text(SETTINGS.replace("STORE", store_address))
+        text = SETTINGS.replace("STORE", store_address)
+        text = text.replace(f"MemoryMb = {MEMORY_MB}", f"MemoryMb = {self.memory_mb}")
+        text = text.replace(f"MaxFds = {MAX_FDS}", f"MaxFds = {self.max_fds}")
+        path.write_text(text)
         self.log = folder / "router.log"
         log = self.enterContext(self.log.open("wb"))
         self.process = subprocess.Popen(
@@ -273,11 +278,11 @@
         sockets = sum(link.startswith("socket:") for link in links)
         print(f"CROWD {self.id()}: peak {peak_mb:.0f} MB, {sockets} sockets")
         with self.subTest(bound="memory"):
-            self.assertLess(peak_mb, MEMORY_MB)
+            self.assertLess(peak_mb, self.memory_mb)
         with self.subTest(bound="sockets"):
-            self.assertLessEqual(sockets, MAX_FDS - FILE_FDS)
+            self.assertLessEqual(sockets, self.max_fds - FILE_FDS)
         with self.subTest(bound="descriptors"):
-            self.assertLessEqual(len(links), MAX_FDS)
+            self.assertLessEqual(len(links), self.max_fds)
 
     async def _wait_ordinary(self):
         """Sends an ordinary request, again while it is not run, until it gets 200."""
--- a/tests/test_crowds_router.py
+++ b/tests/test_crowds_router.py
@@ -112,6 +112,16 @@
         await self.press([[ask(b"held"), ask(b"1", 2000)]] * MANY)
 
 
+class ManyReadersCrowdTest(crowds.CrowdTestCase):
+    """As many descriptors for as much memory as machines of operators have."""
+
+    memory_mb = 160
+    max_fds = 4100
+
+    async def test_slow_readers(self):
+        await self.press([[ask(b"large")]] * 1200, receives=False)
+
+
 class ConnectionCrowdTest(crowds.CrowdTestCase):
     async def test_silent_connections(self):
         await self.press([[]] * 600)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -12,6 +12,8 @@
         self.paused = False
         self.refused = False
         self.held = 0
+        self.untaken = 0
+        self.aborted = False
 
     def pause_for_budget(self):
         self.paused = True
@@ -25,6 +27,12 @@
     def measure_for_budget(self):
         return self.held
 
+    def abort_for_budget(self):
+        self.aborted = True
+
+    def count_untaken(self):
+        return self.untaken
+
 
 class MemoryBudgetTest(unittest.TestCase):
     def setUp(self):
@@ -64,6 +72,41 @@
         self.budget.tick(1.0 + memory_budget.PATIENCE_S)
         self.assertEqual(3, len(self.refusals))
 
+    def test_one_paused_connection_goes_on(self):
+        large = [self.hold(1024) for _ in range(9)]
+        self.budget.tick(1.0)
+        self.assertEqual(1, sum(not each.owner.paused for each in large))
+
+    def test_connections_paused_later_have_the_same_patience(self):
+        for _ in range(9):
+            self.hold(1024, is_passed_on=True)
+        self.budget.tick(1.0)
+        self.hold(300)
+        later = self.hold(200)
+        self.budget.tick(5.0)
+        self.assertFalse(later.owner.refused)
+        self.budget.tick(5.0 + memory_budget.PATIENCE_S)
+        self.assertTrue(later.owner.refused)
+
+    def test_idle_connections_are_never_refused(self):
+        idle = [self.hold(1) for _ in range(100)]
+        for _ in range(20):
+            self.hold(1024, is_passed_on=True)
+        self.assertFalse(any(each.owner.refused for each in idle))
+
+    def test_responses_that_nobody_reads_are_given_up_when_memory_is_short(self):
+        readers = [self.hold(200, is_passed_on=True) for _ in range(70)]
+        for each in readers:
+            each.owner.untaken = 100 * KB
+        upstream = self.hold(200, is_passed_on=True, may_be_given_up=False)
+        upstream.owner.untaken = 100 * KB
+        for step in range(5):
+            self.budget.tick(0.5 * step)
+            readers[0].owner.untaken -= KB
+        self.assertFalse(readers[0].owner.aborted or upstream.owner.aborted)
+        self.assertTrue(any(each.owner.aborted for each in readers))
+        self.assertLess(self.budget.held_bytes, LIMIT_BYTES // 2 + 1)
+
     def test_limit_is_never_exceeded_but_by_what_was_passed_on(self):
         passed_on = [self.hold(1024, is_passed_on=True) for _ in range(12)]
         for _ in range(50):
