--- a/teaselsill/upstream_speed.py
+++ b/teaselsill/upstream_speed.py
@@ -179,6 +179,8 @@
 
     def find_rate(self, now: float) -> float:
         """Returns the rate at which it prefills prompts, in tokens a second."""
+        if self._distrust == 1.0 and now <= self._fresh_until:
+            return self.usual_rate.per_s / self._announced
         return self.usual_rate.per_s / self.find_slowdown(now)
 
     def _find_announced(self, now: float) -> float:
