Count a passed-on stream's events once the busy router has delivered them

A busy router now confirms what its callers have taken, four times a second at the most; the other counts that. Routers of earlier versions are taken at their word as before. test_stream_that_the_busy_router_does_not_deliver_is_given_up failed first.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -68,6 +68,9 @@
         via: The router that has the caller's connection; None if it is this one.
         is_counted: Whether the request has been counted as demand, here or at the
             router that has the caller's connection.
+        taken_at: When the caller last took a part of the body, as far as is known, on
+            the event loop's clock, in seconds.
+        taken_late_s: How late that may be known, in seconds.
     """
 
     def __init__(self):
@@ -75,6 +78,8 @@
         self.status = 0
         self.via: ids.InstanceId | None = None
         self.is_counted = False
+        self.taken_at = float("-inf")
+        self.taken_late_s = 0.0
 
     @property
     def is_wanted(self) -> bool:
@@ -167,6 +172,7 @@
             http_messages.encode_chunk(data) if self._is_chunked else data
         )
         await self._stream.drain()
+        self.taken_at = _now()
 
     async def end(self) -> None:
         """Writes the end of a complete response."""
--- a/teaselsill/offload_link.py
+++ b/teaselsill/offload_link.py
@@ -22,7 +22,7 @@
 """How many times pending events are processed until a reply that has arrived is known:
 it is read, then parsed by another task, then allowed."""
 CONSUMED_BYTES = 16 * 1024
-"""How many bytes a caller takes before the other router is told."""
+"""After so many bytes that a caller has taken the other router is told at once."""
 MAX_MESSAGE_BYTES = 1024 * 1024
 MAX_UNSENT_BYTES = 1024 * 1024
 """With more bytes that the other router has not read, nothing is offered."""
@@ -165,7 +165,7 @@
         self._next_number = 0
         self._request_by_number: dict[int, RemoteRequest] = {}
         stream.enable_keepalive(KEEPALIVE_PROBES, DEAD_AFTER_S)
-        self._send(offload_messages.Hello(own))
+        self._send(offload_messages.Hello(own, confirms=True))
 
     @property
     def is_idle(self) -> bool:
@@ -296,6 +296,7 @@
         """Passes on the response until the other router is done with the request."""
         response = request.response
         unreported_bytes = 0
+        reported_at = -math.inf
         while True:
             for message in await request.take_all():
                 match message:
@@ -307,9 +308,12 @@
                     case _:
                         request.is_ended = True
                         return await _end(request, message)
-            if unreported_bytes >= CONSUMED_BYTES:
+            now = asyncio.get_running_loop().time()
+            is_due = now - reported_at >= offload_messages.CONFIRM_S
+            if unreported_bytes >= CONSUMED_BYTES or (unreported_bytes and is_due):
                 self._send(offload_messages.Consumed(request.number, unreported_bytes))
                 unreported_bytes = 0
+                reported_at = now
 
     def _send(self, message: offload_messages.FromBusy) -> None:
         self._stream.write(wire.pack(message))
--- a/teaselsill/offload_messages.py
+++ b/teaselsill/offload_messages.py
@@ -10,15 +10,21 @@
 
 from teaselsill import http_messages, ids
 
+CONFIRM_S = 0.25
+"""The shortest time between two confirmations of what a caller has taken."""
+
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag="hello"):
     """The first message on a connection.
 
     Attributes:
         router: The busy router.
+        confirms: Whether it confirms within `CONFIRM_S` what callers have taken.
+            Routers of earlier versions confirm large parts only.
     """
 
     router: ids.InstanceId
+    confirms: bool = False
 
 
 class Offer(msgspec.Struct, array_like=True, frozen=True, tag="offer"):
--- a/teaselsill/offload_server.py
+++ b/teaselsill/offload_server.py
@@ -34,10 +34,16 @@
         number: Identifies the request on the connection.
         router: The router that offered it.
         stream: The connection to it.
+        is_confirmed: Whether that router confirms what its caller has taken.
     """
 
-    def __init__(self, number: int, router: ids.InstanceId, stream):
+    def __init__(
+        self, number: int, router: ids.InstanceId, stream, is_confirmed: bool = False
+    ):
         super().__init__()
+        self._is_confirmed = is_confirmed
+        if is_confirmed:
+            self.taken_late_s = offload_messages.CONFIRM_S
         self.via = router
         self.is_counted = True
         self._number = number
@@ -55,6 +61,7 @@
         """Records that the caller has taken some bytes."""
         self._unconsumed_bytes -= size
         self._has_room.set()
+        self.taken_at = asyncio.get_running_loop().time()
 
     def decline(self) -> bool:
         """Leaves the request to the router that offered it, unless it may have run."""
@@ -91,6 +98,8 @@
         while self._unconsumed_bytes > WINDOW_BYTES:
             self._has_room.clear()
             await self._has_room.wait()
+        if not self._is_confirmed:
+            self.taken_at = asyncio.get_running_loop().time()
 
     async def end(self) -> None:
         """Sends the end of a complete response."""
@@ -209,6 +218,7 @@
         self._serve_offer = serve_offer
         self._is_closing = False
         self._router = ids.InstanceId("")
+        self._is_confirmed = False
         self._unfinished_bytes = 0
         self._offered_bytes = 0
         self._response_by_number: dict[int, RemoteResponse] = {}
@@ -250,8 +260,9 @@
 
     def _handle(self, message: offload_messages.FromBusy) -> None:
         match message:
-            case offload_messages.Hello(router=router):
+            case offload_messages.Hello(router=router, confirms=confirms):
                 self._router = router
+                self._is_confirmed = confirms
             case offload_messages.Offer():
                 self._begin(message)
             case offload_messages.SendAllowed(number=number):
@@ -265,7 +276,9 @@
                     self._task_by_number[number].cancel()
 
     def _begin(self, offer: offload_messages.Offer) -> None:
-        response = RemoteResponse(offer.number, self._router, self._stream)
+        response = RemoteResponse(
+            offer.number, self._router, self._stream, self._is_confirmed
+        )
         self._offered_bytes += len(offer.body)
         task = asyncio.create_task(self._serve_offer(offer, response))
         self._response_by_number[offer.number] = response
--- a/teaselsill/outcomes.py
+++ b/teaselsill/outcomes.py
@@ -94,8 +94,6 @@
         is_event_stream: Whether the response that has started is a stream of events.
         metadata: The metadata of the last response.
         assessment: What admission was last based on; None for a call without a prompt.
-        progressed_at: When the caller last took a part of a response, in seconds;
-            before the first one, when the request arrived.
         is_writing: Whether the caller has yet to take a part that there is.
     """
 
@@ -116,12 +114,8 @@
     possible_runs: int = 0
     crashes: int = 0
     allowed_regions: frozenset[ids.Region] | None = None
-    progressed_at: float = dataclasses.field(init=False)
     is_writing: bool = False
 
-    def __post_init__(self):
-        self.progressed_at = self.call.received_at
-
     @property
     def has_patience_limit(self) -> bool:
         """Whether the caller abandons the response if nothing arrives for a time."""
@@ -137,7 +131,9 @@
         """
         if self.is_writing:
             return self.route.patience_s
-        return self.progressed_at + self.route.patience_s + PATIENCE_MARGIN_S - now
+        taken_at = max(self.call.received_at, self.response.taken_at)
+        margin_s = PATIENCE_MARGIN_S + self.response.taken_late_s
+        return taken_at + self.route.patience_s + margin_s - now
 
     def find_time_left_s(self, now: float) -> float:
         """Returns the time left until the deadline, in seconds.
--- a/teaselsill/upstream_attempt.py
+++ b/teaselsill/upstream_attempt.py
@@ -402,7 +402,6 @@
             await state.response.write(data)
         finally:
             state.is_writing = False
-            state.progressed_at = self._now()
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/tests/test_failures_passed_on.py
+++ b/tests/test_failures_passed_on.py
@@ -49,6 +49,17 @@
         self.bench.has_reports = False
         await self.check_completes(caller)
 
+    async def test_stream_whose_caller_takes_its_events_goes_on(self):
+        await self.start(stream_for(2.5), patience_s=0.6)
+        await self.check_completes(await self.begin())
+
+    async def test_stream_that_the_busy_router_does_not_deliver_is_given_up(self):
+        """GONE: its caller had left, and the other router sent events all the while."""
+        await self.start(stream_for(20.0), patience_s=0.6)
+        await self.begin()
+        self.bench.link.pause()
+        await self.bench.wait_disconnected()
+
     async def test_response_goes_on_after_a_pause_of_the_serving_router(self):
         await self.start(stream_for(0.5))
         caller = await self.begin()
