Mend what a newcomer stumbled on in this change

Names: the budget of a process is not an account, peers that have not authenticated themselves are not strangers, and reading is paused and resumed. No behaviour changes.

--- a/teaselsill/agent.py
+++ b/teaselsill/agent.py
@@ -24,7 +24,7 @@
     running,
     slot_scheduler,
     slots,
-    strangers,
+    unauthenticated_peers,
     upstream,
 )
 
@@ -34,7 +34,8 @@
 """The least such window; routers acknowledge half of it at a time."""
 WINDOW_COPIES = 4
 """How often a byte of a response may be in memory, with all buffers."""
-MAX_STRANGERS = 1024
+MAX_UNAUTHENTICATED = 1024
+"""How many peers may be authenticating themselves at a time, by default."""
 MAX_ATTEMPTS = 100_000
 """How many finished or refused attempts are remembered."""
 ATTEMPT_RETENTION_S = 600.0
@@ -80,7 +81,7 @@
         exchange: This agent's node in the aggregation tree.
         policy: The scheduling policy, which receives the metered service.
         sink: Receives the metrics.
-        max_strangers: How many peers may be authenticating themselves at a time.
+        max_unauthenticated: How many peers may be authenticating themselves at a time.
         response_bytes: How many bytes of responses may be held in all.
         request_bytes: How many bytes of requests may be held in all.
 
@@ -99,7 +100,7 @@
         exchange: aggregation_tree.CounterExchange,
         policy: policies.Policy,
         sink: metrics.Metrics,
-        max_strangers: int = MAX_STRANGERS,
+        max_unauthenticated: int = MAX_UNAUTHENTICATED,
         response_bytes: int = sys.maxsize,
         request_bytes: int = sys.maxsize,
     ):
@@ -126,7 +127,9 @@
         self._response_bytes = response_bytes
         self._requests = request_memory.RequestMemory(request_bytes)
         scheduler.limit_memory(self._requests)
-        self._strangers = strangers.Strangers(max_strangers)
+        self._unauthenticated = unauthenticated_peers.UnauthenticatedPeers(
+            max_unauthenticated
+        )
         self._undrained: set[router_peer.RouterPeer] = set()
 
     def sent_bytes_by_type(self) -> dict[str, int]:
@@ -143,7 +146,7 @@
         task.add_done_callback(self._connection_tasks.discard)
 
     async def _serve(self, reader, writer) -> None:
-        closed = self._strangers.add(writer)
+        closed = self._unauthenticated.add(writer)
         if closed is not None:
             closed.transport.abort()
         try:
@@ -152,7 +155,7 @@
             self._record_refused(error)
             return
         finally:
-            self._strangers.discard(writer)
+            self._unauthenticated.discard(writer)
         peer = router_peer.RouterPeer(connected)
         self.scheduler.peers.add(peer)
         try:
@@ -164,7 +167,7 @@
 
     def _record_refused(self, error: errors.LinkError) -> None:
         self._metrics.count(metrics.Metric.PEERS_REFUSED)
-        count = self._strangers.count_refused(time.monotonic())
+        count = self._unauthenticated.count_refused(time.monotonic())
         if count:
             extra = {"refused": count}
             name = type(error).__name__
--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -217,12 +217,14 @@
 ]
 
 
-async def refuse(request: http_messages.Request, response: CallerResponse) -> None:
-    """Refuses a request for which no memory or descriptor is left."""
-    await response.send_error(503, [("retry-after", str(RETRY_AFTER_S))])
+FindClient = collections.abc.Callable[[http_messages.Headers], str]
 
 
-FindClient = collections.abc.Callable[[http_messages.Headers], str]
+async def refuse_without_memory(
+    request: http_messages.Request, response: CallerResponse
+) -> None:
+    """Refuses a request for which no memory or descriptor is left."""
+    await response.send_error(503, [("retry-after", str(RETRY_AFTER_S))])
 
 
 class CallerConnection(connection_limit.Member):
@@ -258,18 +260,18 @@
         refusals: client_refusals.ClientRefusals | None = None,
         find_client: FindClient = lambda headers: "",
         limit: connection_limit.ConnectionLimit | None = None,
-        refuse: Serve = refuse,
+        refuse: Serve = refuse_without_memory,
     ):
-        self._limit = limit or connection_limit.ConnectionLimit()
-        self._refuse = refuse
-        self._budget = budget or memory_budget.MemoryBudget()
-        self._refusals = refusals or client_refusals.ClientRefusals()
-        self._find_client = find_client
         self._stream = stream
         self._serve = serve
         self._find_limits = find_limits
         self._should_close = should_close
         self._must_close = must_close
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._refusals = refusals or client_refusals.ClientRefusals()
+        self._find_client = find_client
+        self._limit = limit or connection_limit.ConnectionLimit()
+        self._refuse = refuse
         self._parser: request_parser.RequestParser | None = None
         self._response: CallerResponse | None = None
         self._is_serving = False
--- a/teaselsill/client_refusals.py
+++ b/teaselsill/client_refusals.py
@@ -1,4 +1,4 @@
-"""Counts what clients are refused for beyond their requests, and logs it in bounds."""
+"""Counts clients that are refused before their request is passed on, and logs it."""
 
 import collections
 import collections.abc
--- a/teaselsill/cold_start.py
+++ b/teaselsill/cold_start.py
@@ -17,8 +17,9 @@
 MAX_COLD_S = 120.0
 """A longer time is taken for an error: what states it counts as absent."""
 MIN_PER_S = 0.01
+"""A lower rate, in requests a second, is taken for an error."""
 MAX_PER_S = 1e6
-"""Rates beyond these bounds are taken for errors, too."""
+"""So is a higher one."""
 PERMIT_TTL_S = 0.2
 """A permit to send to a cold upstream has to be used within this time."""
 TRANSIT_S = 0.1
@@ -35,7 +36,7 @@
 RAMP_S = 1.5
 """How long an upstream's rate rises after it was cold, until it has no limit."""
 DOUBLING_S = 0.5
-"""How long it takes to double meanwhile."""
+"""How long the rate takes to double while it rises."""
 
 logger = logging.getLogger(__name__)
 
--- a/teaselsill/connection_limit.py
+++ b/teaselsill/connection_limit.py
@@ -22,6 +22,7 @@
 ROUTER_RATIO = 0.15
 """The part of the sockets for connections that other routers have opened."""
 MIN_CONNECTIONS = 32
+"""The bound is not lower than this, however few descriptors there are."""
 PAGE_CONNECTIONS = 16
 """How many connections one page for operators or the balancer may have."""
 DEFAULT_DESCRIPTORS = 65536
@@ -34,11 +35,14 @@
     """What a connection is used for; the lowest value is closed first."""
 
     NO_HEAD_YET = 0
+    """It has never completed the head of a request."""
     IDLE = 1
     RECEIVING = 2
+    """The body of its request is arriving."""
     SENDING_REST = 3
     """Its peer has not read all that was sent."""
     SERVING = 4
+    """Its request is being served."""
 
 
 class Member(abc.ABC):
--- a/teaselsill/daemon.py
+++ b/teaselsill/daemon.py
@@ -238,7 +238,7 @@
     """Runs an agent until it is told to stop, then delivers responses in progress."""
     node = Node(loaded, instances.Role.AGENT, request_memory.MAX_REQUEST_BYTES)
     parts = _make_agent(
-        node, loaded, node.descriptors.strangers, node.budget.limit_bytes
+        node, loaded, node.descriptors.unauthenticated, node.budget.limit_bytes
     )
     slot_agent = parts.agent
     node.membership.subscribe(lambda: _update_listed_state(node, slot_agent.scheduler))
@@ -332,7 +332,7 @@
 def _make_agent(
     node: Node,
     loaded: settings.AgentSettings,
-    max_strangers: int = agent.MAX_STRANGERS,
+    max_unauthenticated: int = agent.MAX_UNAUTHENTICATED,
     client_bytes: int = sys.maxsize,
 ) -> AgentParts:
     service = ids.ServiceName(loaded.service)
@@ -370,7 +370,7 @@
         exchange,
         policy,
         node.metrics,
-        max_strangers,
+        max_unauthenticated,
         client_bytes,
         client_bytes // 2,
     )
--- a/teaselsill/descriptors.py
+++ b/teaselsill/descriptors.py
@@ -6,9 +6,12 @@
 MIN_OWN = 32
 """Descriptors for files, the log service, the instance list, peers and upstreams."""
 OWN_RATIO = 8
+"""One in this many descriptors is for the process itself."""
 MIN_ADMIN = 8
+"""The least connections of the admin port, and of unauthenticated peers."""
 MAX_ADMIN = 64
 ADMIN_RATIO = 16
+"""One in this many descriptors is for the admin port, within these two bounds."""
 ACCEPTED = 12
 """Connections of one port that are accepted before the ones too many are closed."""
 UNLIMITED = 1_000_000
@@ -22,12 +25,12 @@
     Attributes:
         clients: The port of callers or browsers.
         admin: The admin port.
-        strangers: The port of peers, before they have authenticated themselves.
+        unauthenticated: The port of peers, before they have authenticated themselves.
     """
 
     clients: int
     admin: int
-    strangers: int
+    unauthenticated: int
 
 
 def divide(max_fds: int) -> Shares:
@@ -40,7 +43,7 @@
     own = max(MIN_OWN, total // OWN_RATIO)
     admin = min(MAX_ADMIN, max(MIN_ADMIN, total // ADMIN_RATIO))
     clients = max(1, total - own - admin - 2 * ACCEPTED)
-    return Shares(clients, admin, strangers=max(MIN_ADMIN, total // OWN_RATIO))
+    return Shares(clients, admin, unauthenticated=max(MIN_ADMIN, total // OWN_RATIO))
 
 
 def _read_limit() -> int:
--- a/teaselsill/engine_queue.py
+++ b/teaselsill/engine_queue.py
@@ -6,7 +6,6 @@
 
 INITIAL_RATE = upstream_speed.INITIAL_RATE
 """Prefill rate assumed for a new engine, in prompt tokens a second."""
-MIN_RATE = upstream_speed.MIN_RATE
 INITIAL_MEAN_TOKENS = 2_000.0
 """The average prompt assumed before there has been any."""
 MEAN_WEIGHT = 0.05
@@ -130,4 +129,6 @@
             self._busy_s += min(elapsed_s, DECAY_S)
             self.speed.note_busy(min(elapsed_s, DECAY_S), now)
         prefilled_tokens = self._prefilled_tokens + PRIOR_S * INITIAL_RATE
-        self.rate = max(MIN_RATE, prefilled_tokens / (self._busy_s + PRIOR_S))
+        self.rate = max(
+            upstream_speed.MIN_RATE, prefilled_tokens / (self._busy_s + PRIOR_S)
+        )
--- a/teaselsill/entry_metrics.py
+++ b/teaselsill/entry_metrics.py
@@ -34,7 +34,7 @@
             service.
         log_restores: How often the platform's log has come back from an older copy.
         client_refusals: Requests and connections of clients that were refused before
-            they were read, by cause.
+            they were passed on, by cause.
     """
 
     def __init__(self, upstreams: directory.Directory):
@@ -70,7 +70,9 @@
             registry=self._registry,
         )
         self.client_refusals = self._counter(
-            "client_refusals", "Clients refused beyond their requests.", "cause"
+            "client_refusals",
+            "Clients refused before their request was passed on.",
+            "cause",
         )
         self._running = self._gauge("upstream_requests", "Requests by all routers.")
         self._planned = self._gauge("upstream_planned_tokens", "Tokens to read.")
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -124,22 +124,18 @@
         budget: memory_budget.MemoryBudget | None = None,
         max_sockets: float = math.inf,
     ):
+        self.grace_s = grace_s
+        self.cores = location.cores
         self.budget = budget or memory_budget.MemoryBudget()
         self.refusals = client_refusals.ClientRefusals(forwarder.metrics.note_refused)
         self.budget.on_refused = self._note_no_memory
-        self.caller_limit = connection_limit.ConnectionLimit(
-            on_closed=self._note_no_connections
-        )
+        self.caller_limit = self._make_limit()
         self.caller_limit.count_idle = upstreams.count_idle_connections
         self.caller_limit.release_idle = upstreams.close_idle_connection
-        self.router_limit = connection_limit.ConnectionLimit(
-            on_closed=self._note_no_connections
-        )
+        self.router_limit = self._make_limit()
         self._limits = [self.caller_limit, self.router_limit]
         self.limit_sockets(max_sockets)
         forwarder.use(self.budget)
-        self.grace_s = grace_s
-        self.cores = location.cores
         self._location = location
         self._forwarder = forwarder
         self._directory = upstreams
@@ -180,6 +176,9 @@
     def _note_no_connections(self) -> None:
         self.refusals.note(client_refusals.Cause.NO_CONNECTIONS)
 
+    def _make_limit(self) -> connection_limit.ConnectionLimit:
+        return connection_limit.ConnectionLimit(on_closed=self._note_no_connections)
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send new connections to this router."""
@@ -282,7 +281,8 @@
         limit = limit or connection_limit.ConnectionLimit(
             connection_limit.PAGE_CONNECTIONS, self._note_no_connections
         )
-        self._limits.append(limit)
+        if limit not in self._limits:
+            self._limits.append(limit)
 
         async def write_page(message, response) -> None:
             page = render() if message.path == path else Page(404, "Not Found")
@@ -415,7 +415,7 @@
     def _takes_requests(self) -> bool:
         """Returns whether a request that another router offers now is served."""
         is_stopping = self._forwarder.shutdown.is_refusing
-        has_room = not self.budget.is_pressed and not self.caller_limit.is_full
+        has_room = not self.budget.is_pausing and not self.caller_limit.is_full
         return self.is_ready and not is_stopping and has_room
 
     async def _serve_offered(self, message, response, received_at: float) -> None:
@@ -428,7 +428,7 @@
         stream: tcp_stream.TcpStream,
         serve: caller_connection.Serve,
         limit: connection_limit.ConnectionLimit,
-        refuse: caller_connection.Serve = caller_connection.refuse,
+        refuse: caller_connection.Serve = caller_connection.refuse_without_memory,
     ) -> None:
         """Serves a connection until it ends.
 
--- a/teaselsill/fleet_view.py
+++ b/teaselsill/fleet_view.py
@@ -37,7 +37,7 @@
 TRANSIT_S = 0.5
 """How long a report may take, for the age of what it says."""
 NEVER_S = 1e9
-"""Age of what has never been heard: it ends nothing that others have heard."""
+"""The age that stands for what was never heard: older than anything others know."""
 FULL_REPORT_S = 0.5
 """How often the load at all engines is reported, even if it has not changed."""
 TELLERS = 3
@@ -431,6 +431,16 @@
                 self._peer_tokens.add(prompt.prefill_tokens, now)
         for usage in report.usages:
             self.usage.add(usage.account, usage.requested, usage.admitted, now)
+        self._apply_speeds(report, now)
+        until = self._liveness.find_responsive_until(report.router) + FULL_REPORT_S
+        for upstream, load in report.load_by_upstream.items():
+            candidate = self._directory.find(upstream)
+            if candidate is not None:
+                candidate.load.note_peer(report.router, load, until)
+                self._update_outstanding(candidate, now)
+
+    def _apply_speeds(self, report: peer_reports.Report, now: float) -> None:
+        """Applies what another router has seen of how fast engines work."""
         for upstream, tokens in report.prefilled_tokens_by_upstream.items():
             candidate = self._directory.find(upstream)
             if candidate is not None:
@@ -439,12 +449,6 @@
             candidate = self._directory.find(upstream)
             if candidate is not None:
                 candidate.queue.note_slowdown(percent / 100, now)
-        until = self._liveness.find_responsive_until(report.router) + FULL_REPORT_S
-        for upstream, load in report.load_by_upstream.items():
-            candidate = self._directory.find(upstream)
-            if candidate is not None:
-                candidate.load.note_peer(report.router, load, until)
-                self._update_outstanding(candidate, now)
 
     def _is_teller(self, status: peer_reports.RouterStatus) -> bool:
         """Returns whether this router tells new ones what all others know.
--- a/teaselsill/http_protocol.py
+++ b/teaselsill/http_protocol.py
@@ -43,7 +43,9 @@
     """Why reading from a connection is held."""
 
     UNPARSED = "unparsed"
+    """Much has arrived that waits for the response to an earlier request."""
     BUDGET = "budget"
+    """The process has little memory left."""
 
 
 class Flow(flow_control.FlowControl):
@@ -145,6 +147,7 @@
         """Called by asyncio when the client takes too little of a response."""
         self._open_connections.set_unread(self, True, time.monotonic())
         super().pause_writing()
+        # A response that its client does not read may be given up for want of memory.
         self._holding.is_passed_on = False
         self._holding.update(self.measure_for_budget())
 
@@ -219,7 +222,7 @@
         return held
 
     def give_up(self) -> None:
-        """Closes the connection for the good of others."""
+        """Closes the connection, to make room for others."""
         self._is_given_up = True
         if self._is_response_due() and not self.transport.is_closing():
             self.transport.write(BUSY_RESPONSE)
--- a/teaselsill/keyed_follower.py
+++ b/teaselsill/keyed_follower.py
@@ -21,11 +21,12 @@
 has come by then, its connection may be dead.
 """
 MAX_UNSEEN_S = 0.7
-"""What was read after a longer time without reads may be as old as that."""
+"""Records read after a longer time without reads may have been written long before."""
 MAX_UNREAD_S = 0.2
-"""How long reading a change that another reader has seen may take."""
+"""After so long, a change that another reader has seen makes this one count as
+behind."""
 COPY_AFTER_S = 0.5
-"""After so long, such a change is rather taken from that reader."""
+"""After so long, such a change is fetched as a copy from another reader."""
 WAKE_GRACE_S = 0.1
 """How long a waiting read may go on once another reader has seen a change.
 
--- a/teaselsill/memory_budget.py
+++ b/teaselsill/memory_budget.py
@@ -1,9 +1,10 @@
-"""One account of the bytes that a process holds for its clients.
+"""Bounds the bytes that a process holds for its clients, in sum.
 
 It counts heads, bodies, responses that their callers have not read yet, requests that
-were passed on and what upstreams send. While the account is nearly full, reading from
-those that hold much pauses. If that does not help, the ones that hold most and give
-least are refused; never a request that has been passed on to an upstream.
+were passed on and what upstreams send. While the budget is nearly spent, reading from
+those that hold much pauses. If that does not help, those that hold most for each
+request that they have completed are refused; never a request that has been passed on
+to an upstream.
 """
 
 import abc
@@ -17,15 +18,16 @@
 USABLE_RATIO = 0.6
 """The part of the remaining memory that is given out; the rest is lost to gaps."""
 MIN_LIMIT_BYTES = 16 * MB
+"""The limit is not lower than this, however little memory there is."""
 DEFAULT_LIMIT_BYTES = 256 * MB
 """The limit if the settings name no memory."""
 FREE_BYTES = 128 * 1024
 """What a connection may hold without a pause: more than an ordinary request."""
-PRESSED_RATIO = 0.5
+PAUSE_RATIO = 0.5
 """Reading pauses while this part of the limit is held, or more."""
 MEASURED_RATIO = 0.25
 """Above this part, all that is held is measured again and again."""
-CALM_RATIO = 0.4
+RESUME_RATIO = 0.4
 """Reading goes on below this part."""
 LARGE_RATIO = 0.75
 """Requests that hold more than `FREE_BYTES` are passed on up to this part."""
@@ -37,7 +39,7 @@
 """Peers that have taken nothing for so long are given up if nothing else helps."""
 MIN_REFUSED_BYTES = 4 * 1024
 """Connections that hold less are never refused: it would free nothing."""
-PATIENCE_S = 0.5
+MAX_PAUSE_S = 0.5
 """How long reading is paused before connections are refused."""
 
 
@@ -117,8 +119,8 @@
 ) -> list[Holding]:
     """Returns the holdings to refuse so that an excess is freed, in order.
 
-    The account that holds most goes first, and of its connections the ones that hold
-    most for each request that they have completed. What has been passed on stays.
+    The client account that holds most goes first, and of its connections those that
+    hold most for each request that they have completed. What has been passed on stays.
 
     Args:
         holdings: All holdings.
@@ -156,7 +158,7 @@
 
 
 class MemoryBudget:
-    """The account of one process.
+    """The budget of one process.
 
     Args:
         limit_bytes: The limit; see `find_limit_bytes`.
@@ -177,8 +179,8 @@
         self.limit_bytes = limit_bytes
         self.on_refused = on_refused
         self._holdings: set[Holding] = set()
-        self._is_pressed = False
-        self._goes_on: Holding | None = None
+        self._is_pausing = False
+        self._exempt: Holding | None = None
 
     @property
     def holding_count(self) -> int:
@@ -186,9 +188,9 @@
         return len(self._holdings)
 
     @property
-    def is_pressed(self) -> bool:
+    def is_pausing(self) -> bool:
         """Whether reading from those that hold much is paused."""
-        return self._is_pressed
+        return self._is_pausing
 
     def open(self, owner: Owner) -> Holding:
         """Returns a new holding of nothing."""
@@ -208,10 +210,10 @@
             return
         self.held_bytes += held_bytes - holding.held_bytes
         holding.held_bytes = held_bytes
-        if self.held_bytes > PRESSED_RATIO * self.limit_bytes and not self._is_pressed:
-            self._press()
-        should_pause = self._is_pressed and held_bytes > holding.free_bytes
-        should_pause = should_pause and holding is not self._goes_on
+        if self.held_bytes > PAUSE_RATIO * self.limit_bytes and not self._is_pausing:
+            self._pause_all()
+        should_pause = self._is_pausing and held_bytes > holding.free_bytes
+        should_pause = should_pause and holding is not self._exempt
         if should_pause != holding.is_paused:
             self._set_paused(holding, should_pause)
         if self.held_bytes > self.limit_bytes:
@@ -230,7 +232,7 @@
         return not any(each.is_passed_on and each.held_bytes for each in self._holdings)
 
     def tick(self, now: float) -> None:
-        """Measures what is held; refuses what has been paused in vain.
+        """Measures what is held; refuses what has been paused for too long.
 
         Args:
             now: The time, in seconds.
@@ -239,22 +241,22 @@
             for holding in list(self._holdings):
                 self._measure(holding, now)
         self._give_up_stuck(now)
-        if not self._is_pressed:
+        if not self._is_pausing:
             return
-        excess_bytes = self.held_bytes - int(CALM_RATIO * self.limit_bytes)
+        excess_bytes = self.held_bytes - int(RESUME_RATIO * self.limit_bytes)
         if excess_bytes <= 0:
-            self._relax()
+            self._resume_all()
             return
         paused = [each for each in self._holdings if each.is_paused]
         for each in paused:
             each.paused_since = min(each.paused_since, now)
-        self._let_one_go_on(paused)
-        in_vain = [
+        self._exempt_one(paused)
+        paused_long = [
             each
             for each in paused
-            if each.is_paused and now - each.paused_since >= PATIENCE_S
+            if each.is_paused and now - each.paused_since >= MAX_PAUSE_S
         ]
-        self._refuse(in_vain, excess_bytes)
+        self._refuse(paused_long, excess_bytes)
 
     def _measure(self, holding: Holding, now: float) -> None:
         holding.update(holding.owner.measure_for_budget())
@@ -275,22 +277,22 @@
             if each.may_be_given_up and now - each.stuck_since >= STUCK_S
         ]
         for holding in sorted(stuck, key=lambda each: each.stuck_since):
-            if self.held_bytes <= PRESSED_RATIO * self.limit_bytes:
+            if self.held_bytes <= PAUSE_RATIO * self.limit_bytes:
                 return
             self.on_refused()
             holding.owner.abort_for_budget()
             self.remove(holding)
 
-    def _let_one_go_on(self, paused: list[Holding]) -> None:
+    def _exempt_one(self, paused: list[Holding]) -> None:
         """Reads on from one paused connection, so that some request is completed."""
-        is_over = self._goes_on is None or self._goes_on not in self._holdings
-        if not is_over and not self._goes_on.is_passed_on:
+        is_over = self._exempt is None or self._exempt not in self._holdings
+        if not is_over and not self._exempt.is_passed_on:
             return
-        self._goes_on = None
+        self._exempt = None
         eligible = [each for each in paused if not each.is_passed_on]
         if eligible and self.held_bytes < LARGE_RATIO * self.limit_bytes:
-            self._goes_on = max(eligible, key=lambda each: each.held_bytes)
-            self._set_paused(self._goes_on, False)
+            self._exempt = max(eligible, key=lambda each: each.held_bytes)
+            self._set_paused(self._exempt, False)
 
     def _refuse(
         self, holdings: collections.abc.Iterable[Holding], excess_bytes: int
@@ -300,15 +302,15 @@
             holding.owner.refuse_for_budget()
             self.remove(holding)
 
-    def _press(self) -> None:
-        self._is_pressed = True
+    def _pause_all(self) -> None:
+        self._is_pausing = True
         for holding in self._holdings:
             if holding.held_bytes > holding.free_bytes:
                 self._set_paused(holding, True)
 
-    def _relax(self) -> None:
-        self._is_pressed = False
-        self._goes_on = None
+    def _resume_all(self) -> None:
+        self._is_pausing = False
+        self._exempt = None
         for holding in self._holdings:
             if holding.is_paused:
                 self._set_paused(holding, False)
--- a/teaselsill/offload.py
+++ b/teaselsill/offload.py
@@ -107,12 +107,12 @@
         describe_status: fleet_view.DescribeStatus,
         is_behind: collections.abc.Callable[[], bool] = lambda: False,
     ):
-        self._is_behind = is_behind
         self._router = router
         self._view = view
         self._lag = lag
         self._forwarder = forwarder
         self._describe_status = describe_status
+        self._is_behind = is_behind
         self._remote_requests = 0
         self._links = router_links.RouterLinks(
             functools.partial(offload_link.OffloadLink, router), CONNECT_TIMEOUT_S
--- a/teaselsill/passed_on.py
+++ b/teaselsill/passed_on.py
@@ -7,10 +7,10 @@
 
 from teaselsill import ids
 
-FLOOD_RATIO = 0.5
-"""The account that holds most gets requests in while less than this part is taken."""
-TOTAL_RATIO = 0.9
-"""All others get requests in while less than this part is taken."""
+LARGEST_RATIO = 0.5
+"""A request of the account that would hold most is passed on up to this part."""
+OTHERS_RATIO = 0.9
+"""A request of any other account is passed on up to this part."""
 
 
 class PassedOn:
@@ -40,8 +40,8 @@
             size: What the request takes, in bytes.
         """
         most = max(self._bytes_by_account.values(), default=0)
-        holds_most = self._bytes_by_account[account] + size > most
-        ratio = FLOOD_RATIO if holds_most else TOTAL_RATIO
+        would_hold_most = self._bytes_by_account[account] + size > most
+        ratio = LARGEST_RATIO if would_hold_most else OTHERS_RATIO
         total = self._held_bytes + size
         if self._held_bytes and total > ratio * self._limit_bytes:
             return False
--- a/teaselsill/peer_reports.py
+++ b/teaselsill/peer_reports.py
@@ -27,6 +27,7 @@
 
 
 Percent = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+"""A part of the usual time, in per cent."""
 
 
 class AssignedPrompt(msgspec.Struct, array_like=True, frozen=True):
--- a/teaselsill/refusals.py
+++ b/teaselsill/refusals.py
@@ -132,21 +132,9 @@
         case BodyTimeoutError():
             return Refusal(408, "body-timeout", text)
         case TooManyConnectionsError():
-            return Refusal(
-                429,
-                "too-many-connections",
-                text,
-                retry_after_s=_retry_after_of(error),
-                closes=True,
-            )
+            return _describe_full(429, "too-many-connections", error)
         case MemoryFullError():
-            return Refusal(
-                503,
-                "memory-full",
-                text,
-                retry_after_s=_retry_after_of(error),
-                closes=True,
-            )
+            return _describe_full(503, "memory-full", error)
         case backlog.BacklogFullError():
             return Refusal(
                 429, "too-many-waiting", text, retry_after_s=_retry_after_of(error)
@@ -202,5 +190,11 @@
     return Refusal(502, reason.value, "the upstream gave no whole answer", outcome)
 
 
+def _describe_full(status: int, kind: str, error: errors.RequestError) -> Refusal:
+    """Returns a refusal after which the connection closes."""
+    retry_after_s = _retry_after_of(error)
+    return Refusal(status, kind, str(error), retry_after_s=retry_after_s, closes=True)
+
+
 def _retry_after_of(error: backlog.RefusedError) -> float:
     return error.retry_after_s
--- a/teaselsill/request_parser.py
+++ b/teaselsill/request_parser.py
@@ -149,7 +149,7 @@
         self._in_body = True
         self._bytes_without_part = 0
         self._trailer_bytes = 0
-        lines = sum(len(n) + len(v) + 4 for n, v in self.headers)
+        lines = sum(len(n) + len(v) + SEPARATOR_BYTES for n, v in self.headers)
         self._kept_head_bytes = lines + len(self._target)
         if self._kept_head_bytes > self._max_head_bytes:
             self._fail(self._make_head_error())
--- a/teaselsill/servers.py
+++ b/teaselsill/servers.py
@@ -25,7 +25,9 @@
 LISTEN_BACKLOG = 1024
 """How many connections wait to be accepted."""
 SWEEP_INTERVAL_S = 0.25
+"""How often the memory and the connections that do nothing are checked."""
 DEFAULT_MAX_CONNECTIONS = 10_000
+"""How many connections a port may have if nothing is set."""
 TLS_HANDSHAKE_TIMEOUT_S = 1.0
 
 
--- a/teaselsill/tcp_stream.py
+++ b/teaselsill/tcp_stream.py
@@ -66,7 +66,7 @@
         has_identified: Whether the peer has sent a message that names it.
         holding: What the connection holds; None without a budget.
         is_lost: Whether the connection has ended.
-        on_lost: Called when the connection ends.
+        on_lost: The functions that are called when the connection ends.
         on_refused: Called when the budget refuses what the peer sends; it drops what
             else is held.
     """
@@ -91,7 +91,7 @@
         self._has_eof = False
         self._is_reset = False
         self._is_refused = False
-        self._is_pressed = False
+        self._is_paused_by_budget = False
         self._kept_bytes = 0
         self._buffer = _receive_buffer
 
@@ -149,12 +149,12 @@
 
     def pause_for_budget(self) -> None:
         """See `memory_budget.Owner`."""
-        self._is_pressed = True
+        self._is_paused_by_budget = True
         self._update_reading()
 
     def resume_for_budget(self) -> None:
         """See `memory_budget.Owner`."""
-        self._is_pressed = False
+        self._is_paused_by_budget = False
         self._update_reading()
 
     def refuse_for_budget(self) -> None:
@@ -212,7 +212,7 @@
         """
         limit = MAX_UNREAD_BYTES // 2 if self._is_paused else MAX_UNREAD_BYTES
         should_pause = self._unread_bytes > limit
-        if self._is_pressed:
+        if self._is_paused_by_budget:
             is_passed_on = self.holding.is_passed_on
             should_pause = should_pause or bool(self._unread) or not is_passed_on
         if should_pause == self._is_paused or self._transport is None:
--- a/teaselsill/tls_gate.py
+++ b/teaselsill/tls_gate.py
@@ -44,7 +44,7 @@
         self._task = asyncio.create_task(self._start_tls())
 
     def give_up(self) -> None:
-        """Closes the connection for the good of others."""
+        """Closes the connection, to make room for others."""
         self.transport.abort()
 
     async def _start_tls(self) -> None:
--- a/teaselsill/topic_copy.py
+++ b/teaselsill/topic_copy.py
@@ -78,7 +78,9 @@
         copy = msgspec.msgpack.decode(body, type=TopicCopy)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise CopyFailedError(f"malformed copy: {error}") from error
-    records = [keyed_log.KeyedRecord(k, v) for k, v in copy.value_by_key.items()]
+    records = [
+        keyed_log.KeyedRecord(key, value) for key, value in copy.value_by_key.items()
+    ]
     return keyed_log.KeyedPage(
         records, log_position.Position(copy.era, copy.next_offset)
     )
@@ -130,7 +132,7 @@
         others: The latest status of the other routers.
     """
     serving = [router for router, status in others.items() if status.copy_port]
-    near = [r for r in serving if others[r].data_centre == data_centre]
+    near = [each for each in serving if others[each].data_centre == data_centre]
     return random.choice(near or serving) if serving else None
 
 
--- a/teaselsill/strangers.py
+++ b/teaselsill/unauthenticated_peers.py
@@ -4,7 +4,7 @@
 """The least time between two log lines about refused peers."""
 
 
-class Strangers:
+class UnauthenticatedPeers:
     """The connections whose handshake is in progress, oldest first.
 
     Args:
--- a/tests/adapter/test_router_role.py
+++ b/tests/adapter/test_router_role.py
@@ -60,7 +60,7 @@
         await self.wait_ready(200)
 
     async def test_newer_manifest_is_in_force_although_connections_are_silent(self):
-        """Callers of all routers kept the older manifest for 4 s (review/3)."""
+        """The connections to the store that were open are silent; new ones work."""
         self.store.put("keyed.op", "config", role_bench.make_manifest(7))
         self.register()
         self.start()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -45,9 +45,9 @@
         callers = [await bench.connect() for _ in range(8)]
         for caller in callers:
             caller.send_bytes(start_body() + b"x" * 600_000)
-        await self.wait_for(lambda: self.budget.is_pressed)
+        await self.wait_for(lambda: self.budget.is_pausing)
         self.assertLessEqual(self.budget.held_bytes, LIMIT_BYTES)
-        await self.wait_for(lambda: not self.budget.is_pressed)
+        await self.wait_for(lambda: not self.budget.is_pausing)
         for caller in callers:
             caller.send_bytes(b"x" * (BODY_BYTES - 600_000))
         statuses = [(await caller.receive())[0] for caller in callers]
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -62,14 +62,14 @@
             each.close()
         self.budget.tick(1.0)
         self.assertFalse(large[-1].owner.paused)
-        self.assertFalse(self.budget.is_pressed)
+        self.assertFalse(self.budget.is_pausing)
 
     def test_paused_in_vain_is_refused_after_a_while(self):
         for _ in range(9):
             self.hold(1024)
         self.budget.tick(1.0)
         self.assertFalse(self.refusals)
-        self.budget.tick(1.0 + memory_budget.PATIENCE_S)
+        self.budget.tick(1.0 + memory_budget.MAX_PAUSE_S)
         self.assertEqual(3, len(self.refusals))
 
     def test_one_paused_connection_goes_on(self):
@@ -85,7 +85,7 @@
         later = self.hold(200)
         self.budget.tick(5.0)
         self.assertFalse(later.owner.refused)
-        self.budget.tick(5.0 + memory_budget.PATIENCE_S)
+        self.budget.tick(5.0 + memory_budget.MAX_PAUSE_S)
         self.assertTrue(later.owner.refused)
 
     def test_idle_connections_are_never_refused(self):
