Count a request for a connection to an upstream only while it is sent there

Each request in progress counted for two connections, also those that waited, were rejected or were passed on to other routers.

A request counts for two while it is sent to an upstream.

--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -41,7 +41,7 @@
 UNREAD_S = 15.0
 """A caller that has read nothing of an error response for so long is given up."""
 RETRY_AFTER_S = 1
-"""`Retry-After` of requests for which no memory or descriptor is left, in seconds."""
+"""`Retry-After` of requests for which no memory is left, in seconds."""
 FIRST_REQUEST_GRACE_S = 1.0
 """A new connection without a request does not count as idle for this long."""
 
@@ -223,7 +223,7 @@
 async def refuse_without_memory(
     request: http_messages.Request, response: CallerResponse
 ) -> None:
-    """Refuses a request for which no memory or descriptor is left."""
+    """Refuses a request for which no memory is left."""
     await response.send_error(503, [("retry-after", str(RETRY_AFTER_S))])
 
 
@@ -242,7 +242,6 @@
         refusals: Counts refusals.
         find_client: Returns the client account that the headers of a request name;
             empty if they name none.
-        limit: The bound toward which the connection to an upstream counts.
         refuse: Refuses a request that is not admitted, without running it.
 
     Attributes:
@@ -259,7 +258,6 @@
         budget: memory_budget.MemoryBudget | None = None,
         refusals: client_refusals.ClientRefusals | None = None,
         find_client: FindClient = lambda headers: "",
-        limit: connection_limit.ConnectionLimit | None = None,
         refuse: Serve = refuse_without_memory,
     ):
         self._stream = stream
@@ -270,7 +268,6 @@
         self._budget = budget or memory_budget.MemoryBudget()
         self._refusals = refusals or client_refusals.ClientRefusals()
         self._find_client = find_client
-        self._limit = limit or connection_limit.ConnectionLimit()
         self._refuse = refuse
         self._parser: request_parser.RequestParser | None = None
         self._response: CallerResponse | None = None
@@ -293,6 +290,10 @@
             return False
         return self._has_served or _now() - self._opened_at > FIRST_REQUEST_GRACE_S
 
+    @property
+    def _parser_has_head(self) -> bool:
+        return self._parser is not None and self._parser.is_head_complete
+
     @property
     def use(self) -> connection_limit.Use:
         """What the connection is used for; see `connection_limit.Member`."""
@@ -300,7 +301,7 @@
             return connection_limit.Use.SERVING
         if self._has_ended or self._stream.unsent_bytes:
             return connection_limit.Use.SENDING_REST
-        if self._parser is not None and self._parser.is_head_complete:
+        if self._stream.has_unread or self._parser_has_head:
             return connection_limit.Use.RECEIVING
         if not self._has_served:
             return connection_limit.Use.NO_HEAD_YET
@@ -386,15 +387,12 @@
         return self._stream.has_unread
 
     async def _serve_or_refuse(self, request, response: CallerResponse) -> None:
-        """Serves a request if there is memory and a descriptor left for it."""
+        """Serves a request if there is memory left for it."""
         if not self._has_memory():
             self._refusals.note(client_refusals.Cause.NO_MEMORY)
             await self._refuse(request, response)
-        elif not self._limit.make_room():
-            await self._refuse(request, response)
         else:
-            with self._limit.reserve():
-                await self._serve_request(request, response)
+            await self._serve_request(request, response)
 
     def _has_memory(self) -> bool:
         """Returns whether a complete request may be passed on; it stays then."""
--- a/teaselsill/connection_limit.py
+++ b/teaselsill/connection_limit.py
@@ -1,9 +1,9 @@
 """A bound on the connections of a process, which keeps descriptors for its own work.
 
-Callers' connections and those to upstreams share the bound: a request that is served
-counts for one to an upstream. When it is reached, a new one takes the place of another:
-first of one that has never completed the head of a request, then of an idle one, then
-of one whose request is still arriving.
+Callers' connections and those to upstreams share the bound: a request counts for one to
+an upstream while it is sent there. When it is reached, a new one takes the place of
+another: first of one that has never completed the head of a request, then of an idle
+one, then of one whose request is still arriving.
 """
 
 import abc
@@ -16,7 +16,7 @@
 
 FILE_DESCRIPTORS = 200
 """How many of the descriptors are for files."""
-CALLER_RATIO = 0.65
+CALLER_RATIO = 0.75
 """The part of the sockets for callers and upstreams; most of the rest is for the store
 and other routers."""
 ROUTER_RATIO = 0.15
--- a/teaselsill/entry_router.py
+++ b/teaselsill/entry_router.py
@@ -135,7 +135,7 @@
         self.router_limit = self._make_limit()
         self._limits = [self.caller_limit, self.router_limit]
         self.limit_sockets(max_sockets)
-        forwarder.use(self.budget)
+        forwarder.use(self.budget, self.caller_limit)
         self._location = location
         self._forwarder = forwarder
         self._directory = upstreams
@@ -148,7 +148,7 @@
             router, view, lag, forwarder, self.describe_status, is_behind
         )
         self._offload_server = offload_server.OffloadServer(
-            self._serve_offered, self._takes_requests, lambda: forwarder.version
+            forwarder.serve, self._takes_requests, lambda: forwarder.version
         )
         self._permit_server = permit_server.PermitServer(
             forwarder.permits.issuer, view, upstreams
@@ -418,11 +418,6 @@
         has_room = not self.budget.is_pausing and not self.caller_limit.is_full
         return self.is_ready and not is_stopping and has_room
 
-    async def _serve_offered(self, message, response, received_at: float) -> None:
-        """Serves a request of another router; it needs a connection to an upstream."""
-        with self.caller_limit.reserve():
-            await self._forwarder.serve(message, response, received_at)
-
     async def _serve(
         self,
         stream: tcp_stream.TcpStream,
@@ -447,7 +442,6 @@
             budget=self.budget,
             refusals=self.refusals,
             find_client=self._find_client,
-            limit=limit if limit is self.caller_limit else None,
             refuse=refuse,
         )
         self._connections.add(connection)
--- a/teaselsill/forwarding.py
+++ b/teaselsill/forwarding.py
@@ -9,6 +9,7 @@
     boot_clock,
     caller_connection,
     calls,
+    connection_limit,
     directory,
     entry_metrics,
     event_stream,
@@ -19,6 +20,7 @@
     memory_budget,
     outcomes,
     permits,
+    placement,
     rejections,
     request_log_line,
     retry_budget,
@@ -102,11 +104,17 @@
             upstreams, data_centre, view, admission_control, metrics, lag
         )
         self._sender = upstream_attempt.Sender(dialect, upstreams, view, metrics, lag)
+        self._limit = connection_limit.ConnectionLimit()
         self._budget_by_service: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
 
-    def use(self, budget: memory_budget.MemoryBudget) -> None:
-        """Accounts for what connections to upstreams hold."""
+    def use(
+        self,
+        budget: memory_budget.MemoryBudget,
+        limit: connection_limit.ConnectionLimit,
+    ) -> None:
+        """Accounts for connections to upstreams and for what they hold."""
         self._sender.budget = budget
+        self._limit = limit
 
     def find_account(self, headers: http_messages.Headers) -> ids.AccountId | None:
         """Returns the client account whose key is in the headers of a request."""
@@ -387,7 +395,7 @@
         unreachable_count = 0
         while True:
             choice, permit = await self._chooser.choose(state)
-            outcome = await self._sender.attempt(state, choice, permit)
+            outcome = await self._attempt(state, choice, permit)
             match outcome:
                 case outcomes.Delivered():
                     return
@@ -420,6 +428,25 @@
                 },
             )
 
+    async def _attempt(
+        self,
+        state: outcomes.RequestState,
+        choice: placement.Choice,
+        permit: "permits.Permit",
+    ) -> outcomes.Outcome:
+        """Sends a request to one upstream, if a descriptor is left for it.
+
+        Raises:
+            RejectedError: None is left.
+        """
+        if not self._limit.make_room():
+            permit.give_back()
+            upstream_choice.reject_after_attempts(
+                state, rejections.Cause.ROUTER_BUSY, "no descriptor is left"
+            )
+        with self._limit.reserve():
+            return await self._sender.attempt(state, choice, permit)
+
     def _handle_quarantined(self, part: ids.PartKey) -> None:
         self.metrics.quarantines.inc()
         self._sender.abort_quarantined(part)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -124,6 +124,19 @@
         for each in silent:
             each.abort()
 
+    async def test_requests_that_are_not_sent_leave_room(self):
+        """They counted for two, and ordinary callers lost their connections."""
+        bench = await self.start_small()
+        count = connection_limit.MIN_CONNECTIONS - 4
+        callers = [await bench.connect() for _ in range(count)]
+        bench.router._forwarder.table = None
+        for n, caller in enumerate(callers):
+            caller.send(str(n))
+        statuses = [(await caller.receive())[0] for caller in callers]
+        self.assertEqual([503] * count, statuses)
+        counted = bench.metrics.client_refusals.labels("no-connections")._value.get()
+        self.assertEqual(0, counted)
+
     async def test_pages_are_served_beside_a_crowd_of_callers(self):
         bench = await self.start_small()
         bench.router.listen_for_page(
