Let the slow caller of a test report what it takes as the product does

Cause: the test replaces CallerResponse.write by one that takes a second, and that one did not set when the caller had last taken a part. Between two writes patience was therefore counted from the arrival of the request, and the stream was given up if its watcher ran just then. The product sets it with every write.

Change: the slow write ends with the real one. Assertions and figures of the test stay as they are.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -686,11 +686,12 @@
     async def test_caller_that_takes_its_response_slowly_has_not_abandoned_it(self):
         """A stream was given up while its caller had not taken what there was."""
         taken = asyncio.Event()
+        write_at_once = caller_connection.CallerResponse.write
 
         async def write(response, data):
             await asyncio.sleep(1.0)
             taken.set()
-            response._stream.write(http_messages.encode_chunk(data))
+            await write_at_once(response, data)
 
         async def script(request, stream):
             stream.write(entry_bench.stream_head(request) + entry_bench.event(1))
