--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -23,7 +23,7 @@
 
 def decode(**fields):
     entry = {k: v for k, v in (ENTRY | fields).items() if v is not ...}
-    return servers.decode("i-1", json.dumps(entry).encode())
+    return servers.decode("i-1", json.dumps(entry).encode()).upstream
 
 
 class DecodeTest(unittest.TestCase):
@@ -41,7 +41,7 @@
 
     def test_decodes_how_long_a_server_stays_cold(self):
         entry = json.dumps(ENTRY | {"ColdLeftMs": 1500}).encode()
-        self.assertEqual(1.5, servers.decode_entry("i-1", entry).cold_left_s)
+        self.assertEqual(1.5, servers.decode("i-1", entry).cold_left_s)
 
     def test_malformed_entry_is_rejected(self):
         for fields in (
