--- a/teaselsill/evacuation.py
+++ b/teaselsill/evacuation.py
@@ -41,13 +41,6 @@
         """Returns whether the upstreams of a data centre get no requests."""
         return data_centre in self.data_centres
 
-    def find_ended_at(self, data_centre: ids.DataCentre) -> float | None:
-        """Returns when the last evacuation of a data centre ended.
-
-        Returns None if there was none, or if the data centre is evacuated.
-        """
-        return self._ended_at_by_data_centre.get(data_centre)
-
     def list_ended(self) -> list[tuple[ids.DataCentre, float]]:
         """Returns each data centre whose evacuation has ended, and when."""
         return list(self._ended_at_by_data_centre.items())
--- a/tests/adapter/test_evacuation_view.py
+++ b/tests/adapter/test_evacuation_view.py
@@ -180,7 +180,7 @@
         self.put("evacuate/b")
         self.view.keep_only({"config", "evacuate/b"})
         self.assertEqual({B}, self.evacuations.data_centres)
-        self.assertIsNotNone(self.evacuations.find_ended_at(A))
+        self.assertIn(A, dict(self.evacuations.list_ended()))
 
     async def test_listing_after_a_restore_adds_to_what_holds(self):
         self.put(KEY)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -19,17 +19,17 @@
         self.assertFalse(self.evacuations.begin(A, now=2.0))
         self.assertTrue(self.evacuations.is_evacuated(A))
         self.assertFalse(self.evacuations.is_evacuated(B))
-        self.assertIsNone(self.evacuations.find_ended_at(A))
+        self.assertNotIn(A, dict(self.evacuations.list_ended()))
         self.assertTrue(self.evacuations.end(A, now=3.0))
         self.assertFalse(self.evacuations.end(A, now=4.0))
         self.assertFalse(self.evacuations.is_evacuated(A))
-        self.assertEqual(3.0, self.evacuations.find_ended_at(A))
+        self.assertEqual([(A, 3.0)], self.evacuations.list_ended())
 
     def test_end_of_an_earlier_evacuation_is_forgotten_when_one_begins(self):
         self.evacuations.begin(A, now=1.0)
         self.evacuations.end(A, now=2.0)
         self.evacuations.begin(A, now=3.0)
-        self.assertIsNone(self.evacuations.find_ended_at(A))
+        self.assertNotIn(A, dict(self.evacuations.list_ended()))
 
     def test_each_change_is_logged_once(self):
         with self.assertLogs("teaselsill.evacuation", "INFO") as logs:
