--- a/teaselsill/caller_connection.py
+++ b/teaselsill/caller_connection.py
@@ -290,10 +290,6 @@
             return False
         return self._has_served or _now() - self._opened_at > FIRST_REQUEST_GRACE_S
 
-    @property
-    def _parser_has_head(self) -> bool:
-        return self._parser is not None and self._parser.is_head_complete
-
     @property
     def use(self) -> connection_limit.Use:
         """What the connection is used for; see `connection_limit.Member`."""
@@ -301,7 +297,8 @@
             return connection_limit.Use.SERVING
         if self._has_ended or self._stream.unsent_bytes:
             return connection_limit.Use.SENDING_REST
-        if self._stream.has_unread or self._parser_has_head:
+        has_head = self._parser is not None and self._parser.is_head_complete
+        if has_head or self._stream.has_unread:
             return connection_limit.Use.RECEIVING
         if not self._has_served:
             return connection_limit.Use.NO_HEAD_YET
