--- a/tests/test_cold_replay.py
+++ b/tests/test_cold_replay.py
@@ -67,31 +67,27 @@
 
 
 class OutageTest(ReplayCase):
+    def play_cut(self, routers, count):
+        """Cuts off routers once they know that an upstream is cold."""
+        outage = limit_replay.Outage("cut", tuple(range(count)), 2.2, 20.0)
+        with self.subTest(routers=routers):
+            self.play(
+                routers=routers,
+                turns=(cold_replay.Turn(0, 2.0, for_s=8.0),),
+                outages=(outage,),
+                duration_s=11.0,
+            )
+
     def test_routers_out_of_touch_send_nothing_to_an_upstream_that_they_know_cold(
         self,
     ):
-        """They are cut off once they know, and the others grant what is left."""
+        """The others grant what is left."""
         for routers in SIZES:
-            numbers = tuple(range(routers // 4))
-            outage = limit_replay.Outage("cut", numbers, 2.2, 20.0)
-            with self.subTest(routers=routers):
-                self.play(
-                    routers=routers,
-                    turns=(cold_replay.Turn(0, 2.0, for_s=8.0),),
-                    outages=(outage,),
-                    duration_s=11.0,
-                )
+            self.play_cut(routers, routers // 4)
 
     def test_halves_of_a_fleet_together_keep_the_bound(self):
         for routers in SIZES:
-            outage = limit_replay.Outage("cut", tuple(range(routers // 2)), 2.2, 20.0)
-            with self.subTest(routers=routers):
-                self.play(
-                    routers=routers,
-                    turns=(cold_replay.Turn(0, 2.0, for_s=8.0),),
-                    outages=(outage,),
-                    duration_s=11.0,
-                )
+            self.play_cut(routers, routers // 2)
 
     def test_routers_that_never_hear_of_it(self):
         """What they send is their part of the load: they are a few of many."""
